--- /dev/null
+++ b/packages/core/refusals.ts
@@ -0,0 +1,42 @@
+import * as valibot from 'valibot';
+
+/**
+Stable reasons for which work is refused. Each one is a label of the refusal counter and appears in problem details.
+
+A refusal by an agent always means that the work did not start there and cannot start later under the same identifier.
+*/
+export const refusalReasons = [
+	'invalid-request',
+	'body-too-large',
+	'too-many-connections',
+	'unknown-plan',
+	'no-configuration',
+	'quota-exceeded',
+	'queue-full',
+	'deadline-unreachable',
+	'impossible-shape',
+	'no-worker-available',
+	'identifier-expired',
+	'identifier-in-future',
+	'identifier-reused',
+	'claim-unavailable',
+	'store-unavailable',
+	'overloaded',
+	'draining',
+	'not-owner',
+	'stale-attempt',
+	'stale-incarnation',
+	'accelerators-busy',
+	'cell-not-owned',
+	'older-gang-waiting',
+	'lease-lapsed',
+	'withdrawn',
+	'cancelled',
+	'worker-failed',
+	'connection-lost',
+	'link-limited',
+	'timeout',
+] as const;
+
+export const refusalReasonSchema = valibot.picklist(refusalReasons);
+export type RefusalReason = typeof refusalReasons[number];
--- /dev/null
+++ b/packages/kernel/log.ts
@@ -0,0 +1,54 @@
+import bunyan from 'bunyan';
+
+export type Logger = Readonly<{
+	debug(fields: Readonly<Record<string, unknown>>, message: string): void;
+	info(fields: Readonly<Record<string, unknown>>, message: string): void;
+	warn(fields: Readonly<Record<string, unknown>>, message: string): void;
+	error(fields: Readonly<Record<string, unknown>>, message: string): void;
+}>;
+
+export const logLevels = ['debug', 'info', 'warn', 'error'] as const;
+export type LogLevel = typeof logLevels[number];
+
+/** The log of one program; each part of it writes with its own prefix. */
+export type ProgramLog = Readonly<{
+	/** Example: `part('routing').info({worker}, 'worker ejected')` writes `routing: worker ejected`. */
+	part(prefix: string): Logger;
+	setLevel(level: LogLevel): void;
+}>;
+
+/** Creates the log of a program as JSON lines on standard error. */
+export function createProgramLog(program: string, level: LogLevel, fields: Readonly<Record<string, unknown>> = {}): ProgramLog {
+	const logger = bunyan.createLogger({
+		name: program, level, stream: process.stderr, ...fields,
+	});
+	return {
+		part: prefix => ({
+			debug(record, message) {
+				logger.debug(record, `${prefix}: ${message}`);
+			},
+			info(record, message) {
+				logger.info(record, `${prefix}: ${message}`);
+			},
+			warn(record, message) {
+				logger.warn(record, `${prefix}: ${message}`);
+			},
+			error(record, message) {
+				logger.error(record, `${prefix}: ${message}`);
+			},
+		}),
+		setLevel(next) {
+			logger.level(next);
+		},
+	};
+}
+
+const ignore = () => undefined;
+
+/** A log that writes nothing; for tests and benchmarks. */
+export const silentLog: ProgramLog = {
+	part: () => ({
+		debug: ignore, info: ignore, warn: ignore, error: ignore,
+	}),
+	setLevel: ignore,
+};
--- /dev/null
+++ b/packages/kernel/program.ts
@@ -0,0 +1,94 @@
+import process from 'node:process';
+import sade from 'sade';
+import type {Finding} from '#core';
+import {exitCodeBadSetting, exitCodeFailure} from './constants.js';
+import {environmentVariableOf, readSettings, type SettingSources} from './settings.js';
+import type {SettingDefinitions, SettingsOf} from './types.js';
+import {version} from './version.js';
+
+/** A daemon that has started. */
+export type RunningDaemon = Readonly<{
+	/** Ports it listens on, by purpose; printed as one JSON line on standard output once it is ready. */
+	ports: Readonly<Record<string, number>>;
+	/** Drains and stops the daemon. */
+	stop(): Promise<void>;
+}>;
+
+/** Prints findings, one a line, each with its place. */
+export function formatFindings(findings: readonly Finding[]): string {
+	return findings.map(({place, message}) => `${place}: ${message}`).join('\n');
+}
+
+/**
+Runs a daemon: reads its settings, starts it and stops it on SIGTERM or SIGINT.
+
+Exits with code 2 after printing every finding if a setting cannot be used.
+*/
+export function runDaemon<Definitions extends SettingDefinitions>(
+	name: string,
+	description: string,
+	definitions: Definitions,
+	start: (settings: SettingsOf<Definitions>) => Promise<RunningDaemon>,
+): void {
+	const command = sade(name, true).version(version).describe(description);
+	for (const [setting, definition] of Object.entries(definitions)) {
+		command.option(`--${setting}`, `${definition.description} (${environmentVariableOf(setting)})`, definition.default);
+	}
+
+	const parsed = command.parse(process.argv, {lazy: true, string: Object.keys(definitions)});
+	if (parsed === undefined) {
+		return;
+	}
+
+	const flags = readGivenFlags(process.argv.slice(2), (parsed.args as unknown[]).at(-1) as SettingSources['flags']);
+	const checked = readSettings(definitions, {flags, environment: process.env});
+	switch (checked.kind) {
+		case 'invalid': {
+			process.stderr.write(`${formatFindings(checked.findings)}\n`);
+			process.exitCode = exitCodeBadSetting;
+			return;
+		}
+
+		case 'valid': {
+			void startAndWait(start(checked.value));
+		}
+	}
+}
+
+/** Leaves out the defaults that the flag parser fills in, so that environment variables keep their place before defaults. */
+function readGivenFlags(commandLine: readonly string[], parsed: SettingSources['flags']): SettingSources['flags'] {
+	const given = new Set(commandLine.filter(word => word.startsWith('--')).map(word => word.slice(2).split('=')[0]));
+	return Object.fromEntries(Object.entries(parsed).filter(([name]) => given.has(name)));
+}
+
+async function startAndWait(starting: Promise<RunningDaemon>): Promise<void> {
+	try {
+		const {ports, stop} = await starting;
+		process.stdout.write(`${JSON.stringify({ready: true, ports})}\n`);
+		let isStopping = false;
+		const handleSignal = () => {
+			if (isStopping) {
+				return;
+			}
+
+			isStopping = true;
+			void stopAndExit(stop);
+		};
+
+		process.on('SIGTERM', handleSignal);
+		process.on('SIGINT', handleSignal);
+	} catch (error) {
+		process.stderr.write(`${String(error)}\n`);
+		process.exit(exitCodeFailure);
+	}
+}
+
+async function stopAndExit(stop: () => Promise<void>): Promise<void> {
+	try {
+		await stop();
+		process.exit(0);
+	} catch (error) {
+		process.stderr.write(`${String(error)}\n`);
+		process.exit(exitCodeFailure);
+	}
+}
--- /dev/null
+++ b/packages/kernel/registry.ts
@@ -0,0 +1,55 @@
+import {DuplicatePluginError} from './errors.js';
+import type {
+	Cancel, CommandPlugin, HttpRoutePlugin, Plugin, RpcMethodPlugin, TaskPlugin,
+} from './types.js';
+
+/** The plug-ins of one program, registered by the files that define them. */
+export type Registry<Context, Peer = never> = Readonly<{
+	program: string;
+	register(plugin: Plugin<Context, Peer>): void;
+	httpRoutes(): ReadonlyArray<HttpRoutePlugin<Context>>;
+	rpcMethods(): ReadonlyArray<RpcMethodPlugin<Context, Peer>>;
+	tasks(): ReadonlyArray<TaskPlugin<Context>>;
+	commands(): ReadonlyArray<CommandPlugin<Context>>;
+}>;
+
+/**
+Creates the registry of a program.
+
+@example
+```
+export const agentPlugins = createRegistry<AgentContext, EntryPeer>('agent');
+agentPlugins.register({kind: 'rpc-method', name: 'probe', parametersSchema, handle});
+```
+*/
+export function createRegistry<Context, Peer = never>(program: string): Registry<Context, Peer> {
+	const plugins = new Map<string, Plugin<Context, Peer>>();
+	const ofKind = <Kind extends Plugin<Context, Peer>['kind']>(kind: Kind) =>
+		[...plugins.values()].filter((plugin): plugin is Extract<Plugin<Context, Peer>, {kind: Kind}> => plugin.kind === kind);
+
+	return {
+		program,
+		register(plugin) {
+			const key = `${plugin.kind} ${plugin.name}`;
+			if (plugins.has(key)) {
+				throw new DuplicatePluginError(program, key);
+			}
+
+			plugins.set(key, plugin);
+		},
+		httpRoutes: () => ofKind('http-route'),
+		rpcMethods: () => ofKind('rpc-method'),
+		tasks: () => ofKind('task'),
+		commands: () => ofKind('command'),
+	};
+}
+
+/** Starts every registered task and returns a function that stops them in reverse order. */
+export function startTasks<Context, Peer>(registry: Registry<Context, Peer>, context: Context): Cancel {
+	const cancels = registry.tasks().map(task => task.start(context));
+	return () => {
+		for (const cancel of cancels.toReversed()) {
+			cancel();
+		}
+	};
+}
--- /dev/null
+++ b/packages/kernel/settings.ts
@@ -0,0 +1,87 @@
+import * as valibot from 'valibot';
+import type {Checked, Finding} from '#core';
+import {environmentPrefix} from './constants.js';
+import type {SettingDefinitions, SettingsOf} from './types.js';
+
+/** Where settings come from; a flag goes before an environment variable. */
+export type SettingSources = Readonly<{
+	flags: Readonly<Record<string, string | boolean | readonly string[] | undefined>>;
+	environment: Readonly<Record<string, string | undefined>>;
+}>;
+
+/**
+Names the environment variable of a setting.
+
+@example
+```
+environmentVariableOf('listen-port');
+//=> 'DOTTERELNOTCH_LISTEN_PORT'
+```
+*/
+export function environmentVariableOf(name: string): string {
+	return environmentPrefix + name.replaceAll('-', '_').toUpperCase();
+}
+
+/** Reads and checks every setting; all findings are returned together, each with the flag or variable it came from. */
+export function readSettings<Definitions extends SettingDefinitions>(definitions: Definitions, sources: SettingSources): Checked<SettingsOf<Definitions>> {
+	const findings: Finding[] = [];
+	const settings: Record<string, unknown> = {};
+	for (const [name, definition] of Object.entries(definitions)) {
+		const {place, text} = readSource(name, definition.default, sources);
+		if (text === undefined) {
+			findings.push({place, message: `is required (or set ${environmentVariableOf(name)})`});
+			continue;
+		}
+
+		const result = valibot.safeParse(definition.schema, text);
+		if (result.success) {
+			settings[name] = result.output;
+		} else {
+			findings.push(...result.issues.map(issue => ({place, message: issue.message})));
+		}
+	}
+
+	for (const name of Object.keys(sources.flags)) {
+		if (name !== '_' && !Object.hasOwn(definitions, name)) {
+			findings.push({place: `--${name}`, message: 'is not a known flag'});
+		}
+	}
+
+	return findings.length === 0
+		? {kind: 'valid', value: settings as SettingsOf<Definitions>}
+		: {kind: 'invalid', findings};
+}
+
+function readSource(name: string, fallback: string | undefined, sources: SettingSources): Readonly<{place: string; text: string | undefined}> {
+	const flag = sources.flags[name];
+	if (flag !== undefined) {
+		return {place: `--${name}`, text: Array.isArray(flag) ? flag.join(',') : String(flag)};
+	}
+
+	const variable = environmentVariableOf(name);
+	const text = sources.environment[variable];
+	return text === undefined ? {place: `--${name}`, text: fallback} : {place: variable, text};
+}
+
+/** A TCP port as text; 0 asks the system for a free one. */
+export const portSettingSchema = wholeNumberSettingSchema(0, 65_535);
+
+/** A whole number as text within bounds. */
+export function wholeNumberSettingSchema(minimum: number, maximum: number) {
+	const message = `must be a whole number from ${minimum} to ${maximum}`;
+	return valibot.pipe(
+		valibot.string(),
+		valibot.regex(/^\d+$/, message),
+		valibot.transform(Number),
+		valibot.minValue(minimum, message),
+		valibot.maxValue(maximum, message),
+	);
+}
+
+/** A comma-separated list of `host:port`, possibly empty. */
+export const addressListSettingSchema = valibot.pipe(
+	valibot.string(),
+	valibot.transform(text => text.split(',').filter(address => address !== '')),
+	valibot.array(valibot.pipe(valibot.string(), valibot.regex(/^[^\s:]+:\d+$/, 'must be a list of host:port'))),
+	valibot.readonly(),
+);
--- /dev/null
+++ b/tools/build.mjs
@@ -0,0 +1,20 @@
+import {readdir} from 'node:fs/promises';
+import {build} from 'esbuild';
+
+const files = await readdir('binaries');
+const names = files.filter(name => name.endsWith('.ts'));
+
+await build({
+	entryPoints: names.map(name => `binaries/${name}`),
+	outdir: 'dist',
+	bundle: true,
+	minify: true,
+	platform: 'node',
+	target: 'node20',
+	format: 'esm',
+	outExtension: {'.js': '.mjs'},
+	// Optional native dependencies of the logging library.
+	external: ['dtrace-provider', 'mv', 'source-map-support'],
+	banner: {js: 'import {createRequire} from \'node:module\';const require = createRequire(import.meta.url);'},
+	logLevel: 'warning',
+});
