Serve one request end to end through separate processes

A caller's request goes over HTTP to an entry, over JSON-RPC to the agent beside a worker, and back, under a configuration read from the store. The connection is probed on the application level, because TCP alone does not report a peer that vanished behind a middlebox.

--- /dev/null
+++ b/packages/agent/plugins/index.ts
@@ -0,0 +1,3 @@
+import './execution.js';
+import './run-request.js';
+import './announce.js';
--- /dev/null
+++ b/packages/entry/index.ts
@@ -0,0 +1,2 @@
+export * from './settings.js';
+export * from './start.js';
--- /dev/null
+++ b/packages/entry/plugins/announce-agent.ts
@@ -0,0 +1,28 @@
+import {announceParametersSchema, type AnnounceParameters} from '#protocol';
+import {entryPlugins} from '../plugins.js';
+import {connectionsService} from './connections.js';
+import {membershipService} from './membership.js';
+
+entryPlugins.register({
+	kind: 'rpc-method',
+	name: 'agent.announce',
+	parametersSchema: announceParametersSchema,
+	async handle(parameters, {settings, services, log}, peer) {
+		const membership = services.use(membershipService);
+		const connections = services.use(connectionsService);
+		const {worker, incarnation, rack, capacity, load, leaving, configurationRevision} = parameters as AnnounceParameters;
+		membership.send({
+			kind: 'announced',
+			agent: {
+				worker, incarnation, rack, capacity, load, isLeaving: leaving, configurationRevision,
+			},
+		});
+		connections.send({kind: 'opened', worker, peer});
+		peer.onClosed(reason => {
+			log.part('membership').info({worker, reason}, 'agent disconnected');
+			connections.send({kind: 'closed', worker, peer});
+			membership.send({kind: 'disconnected', worker, incarnation});
+		});
+		return {entry: settings.entry, entries: []};
+	},
+});
--- /dev/null
+++ b/packages/entry/plugins/index.ts
@@ -0,0 +1,8 @@
+// Tasks start in this order; a task may use services of tasks before it.
+import './store.js';
+import './membership.js';
+import './connections.js';
+import './watch-configuration.js';
+import './announce-agent.js';
+import './report-agent.js';
+import './run-request.js';
--- /dev/null
+++ b/packages/entry/plugins/report-agent.ts
@@ -0,0 +1,25 @@
+import {reportParametersSchema, type ReportParameters} from '#protocol';
+import {entryPlugins} from '../plugins.js';
+import {connectionsService} from './connections.js';
+import {membershipService} from './membership.js';
+
+entryPlugins.register({
+	kind: 'rpc-method',
+	name: 'agent.report',
+	parametersSchema: reportParametersSchema,
+	async handle(parameters, {services}, peer) {
+		const membership = services.use(membershipService);
+		const connections = services.use(connectionsService);
+		const {load, configurationRevision} = parameters as ReportParameters;
+		for (const [worker, connected] of connections.read().peers) {
+			const agent = membership.read().agents.get(worker);
+			if (connected === peer && agent !== undefined) {
+				membership.send({
+					kind: 'reported', worker, incarnation: agent.incarnation, load, configurationRevision,
+				});
+			}
+		}
+
+		return {};
+	},
+});
--- /dev/null
+++ b/packages/entry/start.ts
@@ -0,0 +1,41 @@
+import {createRandomSource} from '#core';
+import {
+	createCounters, createProgramLog, createServices, startTasks, systemClock, type RunningDaemon,
+} from '#kernel';
+import {listenForHttp, listenForPeers} from '#transport';
+import {entryPlugins} from './plugins.js';
+import './plugins/index.js';
+import type {EntrySettings} from './settings.js';
+import type {EntryContext} from './types.js';
+
+/** Starts an entry. */
+export async function startEntry(settings: EntrySettings): Promise<RunningDaemon> {
+	const log = createProgramLog('dotterelnotch-entry', settings['log-level'], {entry: settings.entry});
+	const context: EntryContext = {
+		settings,
+		clock: systemClock,
+		random: createRandomSource(settings.seed),
+		log,
+		counters: createCounters(),
+		services: createServices(),
+	};
+	const stopTasks = startTasks(entryPlugins, context);
+	const peers = await listenForPeers(settings['listen-host'], settings['peer-port'], {
+		registry: entryPlugins, context, clock: systemClock, log: log.part('peers'),
+	});
+	const http = await listenForHttp(settings['listen-host'], settings['listen-port'], {
+		routes: entryPlugins.httpRoutes(),
+		context,
+		log: log.part('http'),
+		countRefusal: context.counters.countRefusal,
+	});
+	log.part('entry').info({port: http.port, peerPort: peers.port}, 'listening');
+	return {
+		ports: {http: http.port, peers: peers.port},
+		async stop() {
+			await http.drain();
+			stopTasks();
+			peers.close();
+		},
+	};
+}
--- /dev/null
+++ b/packages/protocol/methods.ts
@@ -0,0 +1,31 @@
+import type {GenericSchema} from 'valibot';
+import {agentAnswerSchema} from '#core';
+import {
+	announceParametersSchema, announceResultSchema, commitParametersSchema, emptySchema, endedParametersSchema, exchangeParametersSchema,
+	exchangeResultSchema, findParametersSchema, findResultSchema, forwardParametersSchema, gangAnswerSchema, gangFindParametersSchema,
+	gangFindResultSchema, leavingParametersSchema, renewParametersSchema, renewResultSchema, reportParametersSchema, reportResultSchema,
+	reserveParametersSchema, runParametersSchema, startParametersSchema, stopParametersSchema, stopResultSchema, withdrawParametersSchema,
+	withdrawResultSchema,
+} from './types.js';
+
+/** Every JSON-RPC method between processes with the schemas of its parameters and result. */
+export const methods = {
+	'agent.announce': {parameters: announceParametersSchema, result: announceResultSchema},
+	'agent.report': {parameters: reportParametersSchema, result: reportResultSchema},
+	'agent.leaving': {parameters: leavingParametersSchema, result: emptySchema},
+	'request.run': {parameters: runParametersSchema, result: agentAnswerSchema},
+	'request.find': {parameters: findParametersSchema, result: findResultSchema},
+	'request.withdraw': {parameters: withdrawParametersSchema, result: withdrawResultSchema},
+	'gang.reserve': {parameters: reserveParametersSchema, result: gangAnswerSchema},
+	'gang.commit': {parameters: commitParametersSchema, result: gangAnswerSchema},
+	'gang.start': {parameters: startParametersSchema, result: gangAnswerSchema},
+	'gang.renew': {parameters: renewParametersSchema, result: renewResultSchema},
+	'gang.stop': {parameters: stopParametersSchema, result: stopResultSchema},
+	'gang.find': {parameters: gangFindParametersSchema, result: gangFindResultSchema},
+	'gang.ended': {parameters: endedParametersSchema, result: emptySchema},
+	'peer.forward': {parameters: forwardParametersSchema, result: agentAnswerSchema},
+	'peer.exchange': {parameters: exchangeParametersSchema, result: exchangeResultSchema},
+	probe: {parameters: emptySchema, result: emptySchema},
+} as const satisfies Readonly<Record<string, Readonly<{parameters: GenericSchema; result: GenericSchema}>>>;
+
+export type MethodName = keyof typeof methods;
--- /dev/null
+++ b/packages/stand-ins/index.ts
@@ -0,0 +1,2 @@
+export * from './store/serve.js';
+export * from './worker/serve.js';
--- /dev/null
+++ b/packages/stand-ins/store/routes/list-keys.ts
@@ -0,0 +1,10 @@
+import {storePlugins} from '../plugins.js';
+import {callStore} from '../call.js';
+
+storePlugins.register({
+	kind: 'http-route',
+	name: 'list-keys',
+	method: 'GET',
+	path: '/keys',
+	handle: async ({query}, {store}) => callStore(store, respond => ({kind: 'list', prefix: query.get('prefix') ?? '', respond})),
+});
--- /dev/null
+++ b/packages/stand-ins/worker/routes/index.ts
@@ -0,0 +1,3 @@
+import './start-task.js';
+import './wait-for-task.js';
+import './list-tasks.js';
--- /dev/null
+++ b/packages/store/http-store.ts
@@ -0,0 +1,113 @@
+import * as valibot from 'valibot';
+import type {Milliseconds} from '#core';
+import {createHttpClient, type HttpResult} from '#transport';
+import {
+	maximumStoreConnections, storeTimeoutMilliseconds, watchMarginMilliseconds,
+} from './constants.js';
+import type {
+	KeyValueStore, LeaseReply, ListReply, ReadReply, StoreFailure, WatchReply, WriteReply,
+} from './types.js';
+import {
+	conflictSchema, eventsSchema, leaseSchema, limitedSchema, listedSchema, storedValueSchema, writtenSchema,
+} from './wire.js';
+
+/**
+Creates a client of the key-value service.
+
+@param origin - Example: `http://10.0.0.5:2379`.
+*/
+export function createHttpStore(origin: string): KeyValueStore {
+	const client = createHttpClient(origin, maximumStoreConnections);
+	const send = async (method: 'GET' | 'POST' | 'PUT' | 'DELETE', path: string, body?: unknown, timeout: Milliseconds = storeTimeoutMilliseconds) =>
+		client.send(method, path, {body, timeout});
+	const pathOf = (key: string) => `/keys/${encodeURIComponent(key)}`;
+
+	return {
+		read: async key => decodeRead(await send('GET', pathOf(key))),
+		list: async prefix => decodeList(await send('GET', `/keys?prefix=${encodeURIComponent(prefix)}`)),
+		write: async (key, value, options) => decodeWrite(await send('PUT', pathOf(key), {value, ...options})),
+		remove: async (key, expectedVersion) => decodeWrite(await send('DELETE', `${pathOf(key)}?expectedVersion=${expectedVersion}`)),
+		watch: async (prefix, afterRevision, wait) => decodeWatch(await send(
+			'GET',
+			`/watch?prefix=${encodeURIComponent(prefix)}&after=${afterRevision}&wait=${wait}`,
+			undefined,
+			wait + watchMarginMilliseconds,
+		)),
+		grantLease: async timeToLiveMilliseconds => decodeLease(await send('POST', '/leases', {timeToLiveMilliseconds})),
+		renewLease: async lease => decodeLease(await send('POST', `/leases/${encodeURIComponent(lease)}/renew`, {})),
+		revokeLease: async lease => decodeLease(await send('DELETE', `/leases/${encodeURIComponent(lease)}`)),
+		close: async () => client.close(),
+	};
+}
+
+/** A rate limit (429) or an outage (503) is answered before anything is applied; everything else is uncertain. */
+function toFailure(result: HttpResult): StoreFailure {
+	if (result.kind === 'failed') {
+		return {kind: 'unavailable', effect: result.delivery === 'never-sent' ? 'not-applied' : 'perhaps-applied', message: result.message};
+	}
+
+	const limited = valibot.safeParse(limitedSchema, result.body);
+	const retryAfterMilliseconds = limited.success ? limited.output.retryAfterMilliseconds : undefined;
+	const isRefused = result.status === 429 || result.status === 503;
+	return {
+		kind: 'unavailable',
+		effect: isRefused ? 'not-applied' : 'perhaps-applied',
+		message: `status ${result.status}`,
+		...(retryAfterMilliseconds === undefined ? {} : {retryAfterMilliseconds}),
+	};
+}
+
+function decodeRead(result: HttpResult): ReadReply {
+	if (result.kind === 'answered' && result.status === 404) {
+		return {kind: 'absent'};
+	}
+
+	const stored = decodeBody(result, 200, storedValueSchema);
+	return stored === undefined ? toFailure(result) : {kind: 'found', stored};
+}
+
+function decodeList(result: HttpResult): ListReply {
+	const listed = decodeBody(result, 200, listedSchema);
+	return listed === undefined ? toFailure(result) : {kind: 'listed', ...listed};
+}
+
+function decodeWrite(result: HttpResult): WriteReply {
+	const written = decodeBody(result, 200, writtenSchema);
+	if (written !== undefined) {
+		return {kind: 'written', version: written.version};
+	}
+
+	const conflict = decodeBody(result, 409, conflictSchema);
+	if (conflict !== undefined) {
+		return {kind: 'conflict', current: conflict.current ?? undefined};
+	}
+
+	return result.kind === 'answered' && result.status === 410 ? {kind: 'lease-unknown'} : toFailure(result);
+}
+
+function decodeWatch(result: HttpResult): WatchReply {
+	if (result.kind === 'answered' && result.status === 410) {
+		return {kind: 'compacted'};
+	}
+
+	const events = decodeBody(result, 200, eventsSchema);
+	return events === undefined ? toFailure(result) : {kind: 'events', ...events};
+}
+
+function decodeLease(result: HttpResult): LeaseReply {
+	if (result.kind === 'answered' && result.status === 404) {
+		return {kind: 'lease-unknown'};
+	}
+
+	const lease = decodeBody(result, 200, leaseSchema);
+	return lease === undefined ? toFailure(result) : {kind: 'granted', lease: lease.lease};
+}
+
+function decodeBody<Schema extends valibot.GenericSchema>(result: HttpResult, status: number, schema: Schema): valibot.InferOutput<Schema> | undefined {
+	if (result.kind !== 'answered' || result.status !== status) {
+		return undefined;
+	}
+
+	const decoded = valibot.safeParse(schema, result.body);
+	return decoded.success ? decoded.output : undefined;
+}
--- /dev/null
+++ b/packages/store/types.ts
@@ -0,0 +1,48 @@
+/** The platform's key-value service as the system uses it. */
+import type {Milliseconds} from '#core';
+
+/** A value with its version; versions of one key only grow. Version 0 means that the key does not exist. */
+export type StoredValue = Readonly<{key: string; value: unknown; version: number}>;
+
+/** A call that did not succeed. `perhaps-applied` means that a write may have taken effect. */
+export type StoreFailure = Readonly<{
+	kind: 'unavailable';
+	effect: 'not-applied' | 'perhaps-applied';
+	message: string;
+	retryAfterMilliseconds?: Milliseconds;
+}>;
+
+export type ReadReply = Readonly<{kind: 'found'; stored: StoredValue}> | Readonly<{kind: 'absent'}> | StoreFailure;
+
+export type WriteReply =
+	| Readonly<{kind: 'written'; version: number}>
+	| Readonly<{kind: 'conflict'; current: StoredValue | undefined}>
+	| Readonly<{kind: 'lease-unknown'}>
+	| StoreFailure;
+
+export type ListReply = Readonly<{kind: 'listed'; revision: number; values: readonly StoredValue[]}> | StoreFailure;
+
+export type WatchEvent = Readonly<{kind: 'put'; stored: StoredValue}> | Readonly<{kind: 'deleted'; key: string}>;
+
+/** `compacted` means that events were dropped; list again. */
+export type WatchReply =
+	| Readonly<{kind: 'events'; revision: number; events: readonly WatchEvent[]}>
+	| Readonly<{kind: 'compacted'}>
+	| StoreFailure;
+
+export type LeaseReply = Readonly<{kind: 'granted'; lease: string}> | Readonly<{kind: 'lease-unknown'}> | StoreFailure;
+
+/** Port of the key-value service. Every call has a timeout; none throws. */
+export type KeyValueStore = Readonly<{
+	read(key: string): Promise<ReadReply>;
+	list(prefix: string): Promise<ListReply>;
+	/** Compare-and-swap: writes only if the key has the expected version; 0 creates it. */
+	write(key: string, value: unknown, options: Readonly<{expectedVersion: number; lease?: string}>): Promise<WriteReply>;
+	remove(key: string, expectedVersion: number): Promise<WriteReply>;
+	/** Waits for events of keys under the prefix after the given store revision. */
+	watch(prefix: string, afterRevision: number, wait: Milliseconds): Promise<WatchReply>;
+	grantLease(timeToLive: Milliseconds): Promise<LeaseReply>;
+	renewLease(lease: string): Promise<LeaseReply>;
+	revokeLease(lease: string): Promise<LeaseReply>;
+	close(): Promise<void>;
+}>;
--- /dev/null
+++ b/test/support/processes.ts
@@ -0,0 +1,57 @@
+/** Starts the bundled programs as separate operating-system processes on loopback. */
+import {spawn, type ChildProcess} from 'node:child_process';
+import {createInterface} from 'node:readline';
+
+export type Daemon = Readonly<{
+	process: ChildProcess;
+	ports: Readonly<Record<string, number>>;
+	/** Resolves to the exit code, or to null after a signal. */
+	exited: Promise<number | null>;
+}>;
+
+export type DaemonName = 'dotterelnotch-entry' | 'dotterelnotch-agent' | 'stand-in-store' | 'stand-in-worker';
+
+/** Starts a daemon and waits until it says that it is ready. */
+export async function startDaemon(name: DaemonName, settings: Readonly<Record<string, string | number>>): Promise<Daemon> {
+	const flags = Object.entries(settings).map(([setting, value]) => `--${setting}=${value}`);
+	const child = spawn(process.execPath, [`dist/${name}.mjs`, ...flags], {stdio: ['ignore', 'pipe', 'inherit']});
+	const exited = new Promise<number | null>(resolve => {
+		child.once('exit', resolve);
+	});
+	const lines = createInterface({input: child.stdout});
+	const ready = new Promise<Readonly<Record<string, number>>>((resolve, reject) => {
+		lines.once('line', line => {
+			resolve((JSON.parse(line) as Readonly<{ports: Readonly<Record<string, number>>}>).ports);
+		});
+		child.once('exit', code => {
+			reject(new Error(`${name} exited with code ${code} before it was ready`));
+		});
+	});
+	return {process: child, ports: await ready, exited};
+}
+
+/** Kills every daemon that still runs. */
+export async function killAll(daemons: readonly Daemon[]): Promise<void> {
+	for (const daemon of daemons) {
+		daemon.process.kill('SIGKILL');
+	}
+
+	await Promise.all(daemons.map(async daemon => daemon.exited));
+}
+
+/** Asks until the answer is not undefined. */
+export async function waitFor<Value>(what: string, ask: () => Promise<Value | undefined>, timeout = 20_000): Promise<Value> {
+	const deadline = Date.now() + timeout;
+	while (Date.now() < deadline) {
+		const value = await ask();
+		if (value !== undefined) {
+			return value;
+		}
+
+		await new Promise(resolve => {
+			setTimeout(resolve, 50);
+		});
+	}
+
+	throw new Error(`timed out waiting for ${what}`);
+}
