--- a/packages/entry/plugins/announce-agent.ts
+++ b/packages/entry/plugins/announce-agent.ts
@@ -10,11 +10,11 @@
 	async handle(parameters, {settings, services, log}, peer) {
 		const membership = services.use(membershipService);
 		const connections = services.use(connectionsService);
-		const {worker, incarnation, rack, capacity, load, leaving, configurationRevision} = parameters as AnnounceParameters;
+		const {worker, incarnation, rack, capacity, load, holdings, leaving, configurationRevision, layoutRevision} = parameters as AnnounceParameters;
 		membership.send({
 			kind: 'announced',
 			agent: {
-				worker, incarnation, rack, capacity, load, isLeaving: leaving, configurationRevision,
+				worker, incarnation, rack, capacity, load, holdings, isLeaving: leaving, configurationRevision, layoutRevision,
 			},
 		});
 		connections.send({kind: 'opened', worker, peer});
--- a/packages/entry/plugins/report-agent.ts
+++ b/packages/entry/plugins/report-agent.ts
@@ -10,12 +10,12 @@
 	async handle(parameters, {services}, peer) {
 		const membership = services.use(membershipService);
 		const connections = services.use(connectionsService);
-		const {load, configurationRevision} = parameters as ReportParameters;
+		const {load, holdings, configurationRevision, layoutRevision} = parameters as ReportParameters;
 		for (const [worker, connected] of connections.read().peers) {
 			const agent = membership.read().agents.get(worker);
 			if (connected === peer && agent !== undefined) {
 				membership.send({
-					kind: 'reported', worker, incarnation: agent.incarnation, load, configurationRevision,
+					kind: 'reported', worker, incarnation: agent.incarnation, load, holdings, configurationRevision, layoutRevision,
 				});
 			}
 		}
--- a/packages/membership/view.ts
+++ b/packages/membership/view.ts
@@ -14,7 +14,12 @@
 
 		case 'reported': {
 			return updateAgent(state, message, agent => ({
-				...agent, load: message.load, configurationRevision: message.configurationRevision, reportedAt: monotonic,
+				...agent,
+				load: message.load,
+				holdings: message.holdings ?? agent.holdings,
+				configurationRevision: message.configurationRevision,
+				layoutRevision: message.layoutRevision,
+				reportedAt: monotonic,
 			}));
 		}
 
--- /dev/null
+++ b/packages/placement/types.ts
@@ -0,0 +1,48 @@
+import type {
+	AcceleratorIndex, GangShape, JobId, PlanName, RackName, Timestamp, WorkerId,
+} from '#core';
+
+/** Accelerators of one worker that are guaranteed to a plan. */
+export type WorkerCell = Readonly<{plan: PlanName; accelerators: readonly AcceleratorIndex[]}>;
+
+/** Accelerators of one worker that members of a gang hold. */
+export type WorkerHolding = Readonly<{
+	job: JobId;
+	plan: PlanName;
+	accelerators: readonly AcceleratorIndex[];
+	preemptible: boolean;
+	submittedAt: Timestamp;
+}>;
+
+/** One worker as a placement sees it. */
+export type WorkerView = Readonly<{
+	worker: WorkerId;
+	rack: RackName;
+	/** Number of accelerators; their indexes run from 0. */
+	accelerators: number;
+	cells: readonly WorkerCell[];
+	holdings: readonly WorkerHolding[];
+}>;
+
+/** The workers of one availability zone that take new work. */
+export type ZoneView = Readonly<{workers: readonly WorkerView[]}>;
+
+/** A gang that waits for accelerators. */
+export type GangRequest = Readonly<{
+	job: JobId;
+	plan: PlanName;
+	shape: GangShape;
+	preemptible: boolean;
+	submittedAt: Timestamp;
+}>;
+
+/** Where one member goes. */
+export type MemberPlacement = Readonly<{member: number; worker: WorkerId; accelerators: readonly AcceleratorIndex[]}>;
+
+/** A decision about one gang on one zone. */
+export type Placement =
+	| Readonly<{kind: 'placed'; members: readonly MemberPlacement[];
+		/** Jobs that borrow accelerators of the placement and have to be evicted first. */
+		evictions: readonly JobId[];}>
+		| Readonly<{kind: 'waiting'; reason: 'accelerators-busy'}>
+		| Readonly<{kind: 'impossible'; reason: 'impossible-shape'; detail: string}>;
