Extend the worker's task interface and the agent's client of it

The thin client took every failed call for a failed run and could neither renew, checkpoint nor stop a task, so a gang member could not be driven and a start whose answer was lost was misreported.

The stand-in worker now enforces leases and accelerators in use, saves checkpoints, throttles and stops tasks, reports usage with a lag, lists every start and end (GET /records) and shows faults on demand (POST /switches). The client tells 'never started' from 'perhaps started': a start without an answer is looked up, and an identifier that the worker does not know is withdrawn there before it counts as not started. A lookup alone was ruled out because the start may still be on its way.

--- a/packages/agent/index.ts
+++ b/packages/agent/index.ts
@@ -1,2 +1,3 @@
 export * from './settings.js';
 export * from './start.js';
+export type * from './worker-types.js';
--- a/packages/agent/plugins/execution.ts
+++ b/packages/agent/plugins/execution.ts
@@ -1,10 +1,11 @@
-import type {AgentAnswer} from '#core';
+import {type AgentAnswer, type RequestWork, type RunResult} from '#core';
 import {receiveExecutionMessage, type ExecutionMessage, type ExecutionState} from '#execution';
 import {
 	createReplyTable, createServiceKey, startTask, type ReplyTable, type TaskHandle,
 } from '#kernel';
 import {agentPlugins} from '../plugins.js';
-import {createWorkerClient} from '../worker-client.js';
+import {workerClientService} from './worker-client.js';
+import type {WorkerClient} from '../worker-types.js';
 
 /** The task that owns the ledger of request identifiers and the worker's slots. */
 export const executionService = createServiceKey<TaskHandle<ExecutionState, ExecutionMessage>>('execution');
@@ -14,8 +15,8 @@
 	kind: 'task',
 	name: 'execution',
 	start({settings, incarnation, clock, services}) {
+		const workerClient = services.use(workerClientService);
 		const answers = createReplyTable<AgentAnswer>();
-		const workerClient = createWorkerClient(settings['worker-origin'], settings.connections);
 		const execution = startTask(
 			{name: 'execution', initialState: {incarnation, slots: settings.slots, records: new Map()}, receive: receiveExecutionMessage},
 			{
@@ -29,7 +30,7 @@
 
 						case 'start-task': {
 							void (async () => {
-								send({kind: 'ended', requestId: effect.work.requestId, result: await workerClient.run(effect.work)});
+								send({kind: 'ended', requestId: effect.work.requestId, result: await runTask(workerClient, effect.work)});
 							})();
 						}
 					}
@@ -43,3 +44,14 @@
 		};
 	},
 });
+
+const leaseMilliseconds = 10_000;
+
+async function runTask(client: WorkerClient, work: RequestWork): Promise<Pick<RunResult, 'status' | 'body'>> {
+	const {requestId: taskId, kind, payload} = work;
+	await client.start({
+		taskId, kind, payload, accelerators: [], leaseMilliseconds,
+	});
+	const end = await client.waitForEnd(taskId, leaseMilliseconds);
+	return end.kind === 'ended' && end.task.state === 'succeeded' ? {status: 'succeeded', body: end.task.body} : {status: 'failed', body: undefined};
+}
--- a/packages/agent/worker-client.ts
+++ b/packages/agent/worker-client.ts
@@ -1,39 +1,142 @@
 import * as valibot from 'valibot';
-import type {RequestWork, RunResult} from '#core';
-import {createHttpClient} from '#transport';
+import type {Milliseconds} from '#core';
+import type {Clock} from '#kernel';
+import {createHttpClient, type HttpClient, type HttpResult} from '#transport';
+import {
+	workerTaskSchema, type StartOutcome, type TaskEnd, type TaskReply, type TaskStart, type WorkerClient,
+} from './worker-types.js';
 
-const taskSchema = valibot.object({
-	state: valibot.picklist(['running', 'succeeded', 'failed', 'stopped']),
-	body: valibot.optional(valibot.unknown()),
-});
+/** How long one call other than a wait may take. */
+const callTimeoutMilliseconds = 3000;
+/** How long one round of a wait lasts; also how often a wait renews its lease. */
+const waitMilliseconds = 3000;
+const waitTimeoutMilliseconds = waitMilliseconds + 2000;
+const waitRetryMilliseconds = 250;
+/** A wait without a lease gives up after this time without an answer: the worker then counts as lost. */
+const lostAfterMilliseconds = 10_000;
+/** Connections that are kept for starts, renewals and stops, so that long waits cannot hold them up. */
+const controlConnections = 8;
 
-/** How long one wait for the end of a task may take before it is asked for again. */
-const waitTimeoutMilliseconds = 60_000;
-const startTimeoutMilliseconds = 5000;
-const requestLeaseMilliseconds = 60_000;
+const refusalSchema = valibot.object({reason: valibot.string()});
+const renewedSchema = valibot.object({lapsed: valibot.pipe(valibot.array(valibot.string()), valibot.readonly())});
 
-/** Result of a run on the worker. */
-export type WorkerRun = Pick<RunResult, 'status' | 'body'>;
+/**
+Creates a client of the worker's task interface.
 
-export type WorkerClient = Readonly<{run(work: RequestWork): Promise<WorkerRun>}>;
+@param connections - Upper bound of connections to the worker.
+*/
+export function createWorkerClient(origin: string, connections: number, clock: Clock): WorkerClient {
+	const control = createHttpClient(origin, Math.max(1, Math.min(controlConnections, connections - 1)));
+	const waits = createHttpClient(origin, Math.max(1, connections - controlConnections));
+
+	const call = async (method: 'GET' | 'POST', path: string, body?: unknown): Promise<TaskReply> =>
+		readTaskReply(await control.send(method, path, {body, timeout: callTimeoutMilliseconds}));
+	const find = async (taskId: string) => call('GET', `${taskPath(taskId)}?wait=0`);
+	const stop = async (taskId: string) => call('POST', `${taskPath(taskId)}/stop`);
 
-/** Creates a client of the worker's task interface. */
-export function createWorkerClient(origin: string, connections: number): WorkerClient {
-	const client = createHttpClient(origin, connections);
 	return {
-		async run(work) {
-			const taskId = work.requestId;
-			await client.send('POST', '/tasks', {
-				body: {
-					taskId, kind: work.kind, payload: work.payload, accelerators: [], leaseMilliseconds: requestLeaseMilliseconds,
-				},
-				timeout: startTimeoutMilliseconds,
-			});
-			const ended = await client.send('GET', `/tasks/${taskId}`, {timeout: waitTimeoutMilliseconds});
-			const task = ended.kind === 'answered' ? valibot.safeParse(taskSchema, ended.body) : undefined;
-			return task?.success === true && task.output.state === 'succeeded'
-				? {status: 'succeeded', body: task.output.body}
-				: {status: 'failed', body: task?.success === true ? task.output.body : undefined};
+		async start(task) {
+			const outcome = await sendStart(control, task);
+			return outcome.kind === 'perhaps-started' ? resolveStart(outcome, await find(task.taskId), async () => stop(task.taskId)) : outcome;
+		},
+		async renew(taskIds, leaseMilliseconds) {
+			const result = await control.send('POST', '/renewals', {body: {taskIds, leaseMilliseconds}, timeout: callTimeoutMilliseconds});
+			const renewed = result.kind === 'answered' ? valibot.safeParse(renewedSchema, result.body) : undefined;
+			return renewed?.success === true ? {kind: 'renewed', ...renewed.output} : {kind: 'failed', message: describeFailure(result)};
+		},
+		checkpoint: async taskId => call('POST', `${taskPath(taskId)}/checkpoint`),
+		throttle: async (taskId, share) => call('POST', `${taskPath(taskId)}/throttle`, {share}),
+		stop,
+		find,
+		waitForEnd: async (taskId, leaseMilliseconds) => waitForEnd(waits, clock, taskId, leaseMilliseconds),
+		close() {
+			void control.close();
+			void waits.close();
 		},
 	};
 }
+
+function taskPath(taskId: string): string {
+	return `/tasks/${encodeURIComponent(taskId)}`;
+}
+
+async function sendStart(client: HttpClient, task: TaskStart): Promise<StartOutcome> {
+	const result = await client.send('POST', '/tasks', {body: task, timeout: callTimeoutMilliseconds});
+	const message = describeFailure(result);
+	if (result.kind === 'failed') {
+		return result.delivery === 'never-sent' ? {kind: 'never-started', reason: 'worker-failed', message} : {kind: 'perhaps-started', message};
+	}
+
+	if (result.status === 201) {
+		return {kind: 'started'};
+	}
+
+	const refusal = valibot.safeParse(refusalSchema, result.body);
+	const reason = refusal.success ? refusal.output.reason : undefined;
+	// The identifier is known to the worker, so this or an earlier incarnation of the agent started it.
+	if (reason === 'task-exists') {
+		return {kind: 'started'};
+	}
+
+	return result.status >= 500
+		? {kind: 'perhaps-started', message}
+		: {kind: 'never-started', reason: reason === 'accelerators-in-use' ? 'accelerators-busy' : 'worker-failed', message};
+}
+
+/** A task that the worker does not know may still be on its way, so its identifier is withdrawn before the start counts as not made. */
+async function resolveStart(outcome: StartOutcome & Readonly<{message: string}>, found: TaskReply, stop: () => Promise<TaskReply>): Promise<StartOutcome> {
+	const reply = found.kind === 'unknown' ? await stop() : found;
+	if (reply.kind !== 'found') {
+		return outcome;
+	}
+
+	return reply.task.state === 'never-started' ? {kind: 'never-started', reason: 'worker-failed', message: outcome.message} : {kind: 'started'};
+}
+
+async function waitForEnd(client: HttpClient, clock: Clock, taskId: string, leaseMilliseconds?: Milliseconds): Promise<TaskEnd> {
+	const lease = leaseMilliseconds === undefined ? '' : `&lease=${leaseMilliseconds}`;
+	const patience = leaseMilliseconds ?? lostAfterMilliseconds;
+	let answeredAt = clock.monotonic();
+	for (;;) {
+		const sentAt = clock.monotonic();
+		const result = await client.send('GET', `${taskPath(taskId)}?wait=${waitMilliseconds}${lease}`, {timeout: waitTimeoutMilliseconds});
+		const reply = readTaskReply(result);
+		switch (reply.kind) {
+			case 'found': {
+				if (reply.task.state !== 'running') {
+					return {kind: 'ended', task: reply.task};
+				}
+
+				answeredAt = sentAt;
+				break;
+			}
+
+			case 'unknown': {
+				return {kind: 'lost', message: 'the worker does not know the task'};
+			}
+
+			case 'failed': {
+				if (clock.monotonic() - answeredAt >= patience) {
+					return {kind: 'lost', message: reply.message};
+				}
+
+				await new Promise<void>(resolve => {
+					clock.schedule(waitRetryMilliseconds, resolve);
+				});
+			}
+		}
+	}
+}
+
+function readTaskReply(result: HttpResult): TaskReply {
+	if (result.kind === 'answered' && result.status === 404) {
+		return {kind: 'unknown'};
+	}
+
+	const task = result.kind === 'answered' && result.status < 300 ? valibot.safeParse(workerTaskSchema, result.body) : undefined;
+	return task?.success === true ? {kind: 'found', task: task.output} : {kind: 'failed', message: describeFailure(result)};
+}
+
+function describeFailure(result: HttpResult): string {
+	return result.kind === 'failed' ? result.message : `the worker answered with status ${result.status}`;
+}
--- /dev/null
+++ b/packages/agent/worker-types.ts
@@ -0,0 +1,62 @@
+/** The worker's task interface as the agent uses it. */
+import * as valibot from 'valibot';
+import type {Milliseconds, RefusalReason} from '#core';
+
+export const workerTaskSchema = valibot.object({
+	taskId: valibot.string(),
+	state: valibot.picklist(['running', 'succeeded', 'failed', 'stopped', 'never-started']),
+	body: valibot.optional(valibot.unknown()),
+	checkpoint: valibot.optional(valibot.unknown()),
+});
+
+/** A task as the worker last reported it. `never-started` is final: the worker refuses a later start of the identifier. */
+export type WorkerTask = Readonly<valibot.InferOutput<typeof workerTaskSchema>>;
+
+/** A task to start. The worker stops it when its lease ends without a renewal. */
+export type TaskStart = Readonly<{
+	taskId: string;
+	kind: string;
+	payload: unknown;
+	accelerators: readonly number[];
+	leaseMilliseconds: Milliseconds;
+	/** State of an earlier run, as the worker returned it; the task runs only the remainder. */
+	checkpoint?: unknown;
+}>;
+
+/** Only `never-started` is a promise that the task did not start and will not. */
+export type StartOutcome =
+	| Readonly<{kind: 'started'}>
+	| Readonly<{kind: 'never-started'; reason: RefusalReason; message: string}>
+	| Readonly<{kind: 'perhaps-started'; message: string}>;
+
+/** `lapsed` names the tasks that no longer run. */
+export type RenewOutcome =
+	| Readonly<{kind: 'renewed'; lapsed: readonly string[]}>
+	| Readonly<{kind: 'failed'; message: string}>;
+
+export type TaskReply =
+	| Readonly<{kind: 'found'; task: WorkerTask}>
+	| Readonly<{kind: 'unknown'}>
+	| Readonly<{kind: 'failed'; message: string}>;
+
+/** `lost` means that the worker has not said how the task ended and the lease given to it is over. */
+export type TaskEnd =
+	| Readonly<{kind: 'ended'; task: WorkerTask}>
+	| Readonly<{kind: 'lost'; message: string}>;
+
+export type WorkerClient = Readonly<{
+	/** Starts a task. A start whose answer was lost is looked up by its identifier. */
+	start(task: TaskStart): Promise<StartOutcome>;
+	/** Renews the leases of several tasks in one call. */
+	renew(taskIds: readonly string[], leaseMilliseconds: Milliseconds): Promise<RenewOutcome>;
+	/** Saves the state of a running task, which goes on; the task in the answer holds the checkpoint. */
+	checkpoint(taskId: string): Promise<TaskReply>;
+	/** Stops a task; a task that has not started never will. */
+	stop(taskId: string): Promise<TaskReply>;
+	/** Slows a task down to a share of its full speed. */
+	throttle(taskId: string, share: number): Promise<TaskReply>;
+	find(taskId: string): Promise<TaskReply>;
+	/** Waits for the end of a task. With a lease, each round of the wait renews it. */
+	waitForEnd(taskId: string, leaseMilliseconds?: Milliseconds): Promise<TaskEnd>;
+	close(): void;
+}>;
--- /dev/null
+++ b/packages/stand-ins/worker/control.ts
@@ -0,0 +1,64 @@
+import type {Present} from '#kernel';
+import {endTask} from './ends.js';
+import {respond, respondUnknown, type WorkerStep} from './reply.js';
+import type {WorkerMessage, WorkerState, WorkerTask} from './types.js';
+
+/** Withdrawn identifiers that are remembered; the newest are kept. */
+const maximumWithdrawn = 10_000;
+
+/** Run time that is left at full speed. */
+function countRemaining({remainingMilliseconds, progressAt, share}: WorkerTask, {monotonic}: Present): number {
+	return Math.max(0, remainingMilliseconds - ((monotonic - progressAt) * share));
+}
+
+/** Saves the state of a running task, which goes on; the answer holds the checkpoint. */
+export function checkpointTask(state: WorkerState, {taskId, respond: callback}: Extract<WorkerMessage, {kind: 'checkpoint'}>, present: Present): WorkerStep {
+	const task = state.tasks.get(taskId);
+	if (task === undefined) {
+		return respondUnknown(state, callback);
+	}
+
+	if (task.state !== 'running') {
+		return {state, effects: [respond(callback, 200, task)]};
+	}
+
+	const saved: WorkerTask = {...task, checkpoint: {remainingMilliseconds: countRemaining(task, present)}};
+	return {state: {...state, tasks: new Map(state.tasks).set(taskId, saved)}, effects: [respond(callback, 200, saved)]};
+}
+
+/** Slows a running task down to a share of its full speed. */
+export function throttleTask(state: WorkerState, message: Extract<WorkerMessage, {kind: 'throttle'}>, present: Present): WorkerStep {
+	const {taskId, share, respond: callback} = message;
+	const task = state.tasks.get(taskId);
+	if (task === undefined) {
+		return respondUnknown(state, callback);
+	}
+
+	if (task.state !== 'running') {
+		return {state, effects: [respond(callback, 200, task)]};
+	}
+
+	const remainingMilliseconds = countRemaining(task, present);
+	const throttled: WorkerTask = {
+		...task, remainingMilliseconds, progressAt: present.monotonic, share, generation: task.generation + 1,
+	};
+	return {
+		state: {...state, tasks: new Map(state.tasks).set(taskId, throttled)},
+		effects: [
+			respond(callback, 200, throttled),
+			{kind: 'schedule', delay: remainingMilliseconds / share, message: {kind: 'run-ended', taskId, generation: throttled.generation}},
+		],
+	};
+}
+
+/** Stops a running task at once. An identifier that has not started never will, so that a start that is still on its way does no harm. */
+export function stopTask(state: WorkerState, {taskId, respond: callback}: Extract<WorkerMessage, {kind: 'stop'}>, present: Present): WorkerStep {
+	const task = state.tasks.get(taskId);
+	if (task === undefined) {
+		const withdrawn = new Set([...state.withdrawn].slice(-maximumWithdrawn)).add(taskId);
+		return {state: {...state, withdrawn}, effects: [respond(callback, 200, {taskId, state: 'never-started'})]};
+	}
+
+	const step = task.state === 'running' ? endTask(state, task, 'stopped', present) : {state, effects: []};
+	return {...step, effects: [...step.effects, respond(callback, 200, step.state.tasks.get(taskId))]};
+}
--- /dev/null
+++ b/packages/stand-ins/worker/ends.ts
@@ -0,0 +1,34 @@
+import type {Present} from '#kernel';
+import {addRecord} from './records.js';
+import {respond, type WorkerStep} from './reply.js';
+import type {
+	TaskEndState, WorkerMessage, WorkerState, WorkerTask,
+} from './types.js';
+import {noteUsage} from './usage.js';
+
+/** Ends a task whose run time is over, or holds its end while ends are paused. */
+export function finishRun(state: WorkerState, message: Extract<WorkerMessage, {kind: 'run-ended'}>, present: Present): WorkerStep {
+	const {taskId, generation} = message;
+	const task = state.tasks.get(taskId);
+	if (task?.state !== 'running' || task.generation !== generation) {
+		return {state, effects: []};
+	}
+
+	return state.switches.pauseEnds
+		? {state: {...state, heldEnds: [...state.heldEnds, {taskId, generation}]}, effects: []}
+		: endTask(state, {...task, body: {echo: task.payload}}, task.endsAs, present);
+}
+
+/** Ends a running task, frees what it used and answers those who wait for it. */
+export function endTask(state: WorkerState, task: WorkerTask, endState: TaskEndState, {now}: Present): WorkerStep {
+	const ended: WorkerTask = {...task, state: endState, endedAt: now};
+	const next = addRecord({
+		...state,
+		tasks: new Map(state.tasks).set(task.taskId, ended),
+		waiting: state.waiting.filter(({taskId}) => taskId !== task.taskId),
+	}, {
+		taskId: task.taskId, event: 'ended', at: now, state: endState,
+	});
+	const waiters = state.switches.hang ? [] : state.waiting.filter(({taskId}) => taskId === task.taskId);
+	return {state: noteUsage(next, now), effects: waiters.map(waiter => respond(waiter.respond, 200, ended))};
+}
--- a/packages/stand-ins/worker/routes/index.ts
+++ b/packages/stand-ins/worker/routes/index.ts
@@ -1,3 +1,11 @@
 import './start-task.js';
 import './wait-for-task.js';
 import './list-tasks.js';
+import './renew-tasks.js';
+import './checkpoint-task.js';
+import './throttle-task.js';
+import './stop-task.js';
+import './list-records.js';
+import './describe-worker.js';
+import './show-usage.js';
+import './change-switches.js';
--- a/packages/stand-ins/worker/serve.ts
+++ b/packages/stand-ins/worker/serve.ts
@@ -2,13 +2,18 @@
 import {listenForHttp, type HttpListener} from '#transport';
 import {workerPlugins} from './plugins.js';
 import './routes/index.js';
-import {initialWorkerState, receiveWorkerMessage} from './state.js';
+import {createWorkerState, receiveWorkerMessage} from './state.js';
+import type {WorkerSettings} from './types.js';
+
+export const defaultWorkerSettings: WorkerSettings = {
+	rack: 'rack-1', processors: 130, memoryMegabytes: 256_000, accelerators: 8, usageLagMilliseconds: 2000,
+};
 
 /** Starts the stand-in worker. */
-export async function serveWorker(host: string, port: number, log: ProgramLog): Promise<HttpListener> {
+export async function serveWorker(host: string, port: number, log: ProgramLog, settings: WorkerSettings = defaultWorkerSettings): Promise<HttpListener> {
 	const clock = systemClock;
 	const worker = startTask(
-		{name: 'worker', initialState: initialWorkerState, receive: receiveWorkerMessage},
+		{name: 'worker', initialState: createWorkerState(settings), receive: receiveWorkerMessage},
 		{
 			clock,
 			perform(effect, send) {
@@ -18,11 +23,9 @@
 						break;
 					}
 
-					case 'schedule-end': {
+					case 'schedule': {
 						clock.schedule(effect.delay, () => {
-							send({
-								kind: 'ended', taskId: effect.taskId, body: effect.body, state: effect.state,
-							});
+							send(effect.message);
 						});
 					}
 				}
--- a/packages/stand-ins/worker/state.ts
+++ b/packages/stand-ins/worker/state.ts
@@ -1,86 +1,93 @@
-import {assertNever, type Step} from '#core';
+import {assertNever} from '#core';
 import type {Present} from '#kernel';
+import {checkpointTask, stopTask, throttleTask} from './control.js';
+import {finishRun} from './ends.js';
+import {checkLease, renewTasks} from './leases.js';
+import {listRecords} from './records.js';
+import {respond, type WorkerStep} from './reply.js';
+import {startWorkerTask} from './starts.js';
+import {changeSwitches, initialSwitches} from './switches.js';
 import type {
-	Respond, WorkerEffect, WorkerMessage, WorkerState, WorkerTask,
+	WorkerMessage, WorkerSettings, WorkerState,
 } from './types.js';
+import {readUsage, sumUsage} from './usage.js';
+import {answerWaiter, waitForTask} from './waits.js';
 
-export const initialWorkerState: WorkerState = {tasks: new Map(), waiting: []};
+export function createWorkerState(settings: WorkerSettings): WorkerState {
+	return {
+		settings, switches: initialSwitches, tasks: new Map(), withdrawn: new Set(), waiting: [], nextWaiterId: 1, heldEnds: [], records: undefined, usage: [],
+	};
+}
 
-type WorkerStep = Step<WorkerState, WorkerEffect>;
+/** Decisions of the stand-in worker. A worker that hangs ignores every call but the one that changes its switches. */
+export function receiveWorkerMessage(state: WorkerState, message: WorkerMessage, present: Present): WorkerStep {
+	if (state.switches.hang && 'respond' in message && message.kind !== 'switch') {
+		return {state, effects: []};
+	}
 
-/** Decisions of the stand-in worker. */
-export function receiveWorkerMessage(state: WorkerState, message: WorkerMessage, {now}: Present): WorkerStep {
+	return decide(state, message, present);
+}
+
+function decide(state: WorkerState, message: WorkerMessage, present: Present): WorkerStep {
 	switch (message.kind) {
 		case 'start': {
-			return startWorkerTask(state, message, now);
+			return startWorkerTask(state, message, present);
+		}
+
+		case 'renew': {
+			return renewTasks(state, message, present);
+		}
+
+		case 'checkpoint': {
+			return checkpointTask(state, message, present);
+		}
+
+		case 'throttle': {
+			return throttleTask(state, message, present);
+		}
+
+		case 'stop': {
+			return stopTask(state, message, present);
 		}
 
 		case 'wait': {
-			return waitForTask(state, message.taskId, message.respond);
+			return waitForTask(state, message, present);
 		}
 
-		case 'ended': {
-			return endTask(state, message, now);
+		case 'wait-ended': {
+			return answerWaiter(state, message.waiterId);
 		}
 
-		case 'list': {
-			return {state, effects: [respond(message.respond, 200, {tasks: [...state.tasks.values()]})]};
+		case 'run-ended': {
+			return finishRun(state, message, present);
 		}
 
-		default: {
-			return assertNever(message);
+		case 'lease-due': {
+			return checkLease(state, message.taskId, present);
 		}
-	}
-}
 
-function respond(callback: Respond, status: number, body: unknown): WorkerEffect {
-	return {kind: 'respond', respond: callback, reply: {kind: 'json', status, body}};
-}
+		case 'list': {
+			return {state, effects: [respond(message.respond, 200, {tasks: [...state.tasks.values()]})]};
+		}
 
-function startWorkerTask(state: WorkerState, message: Extract<WorkerMessage, {kind: 'start'}>, now: number): WorkerStep {
-	const {taskId, payload} = message.task;
-	if (state.tasks.has(taskId)) {
-		return {state, effects: [respond(message.respond, 409, {reason: 'task-exists'})]};
-	}
+		case 'list-records': {
+			return {state, effects: [respond(message.respond, 200, {records: listRecords(state.records)})]};
+		}
 
-	const {milliseconds = 10, fail = false} = (payload ?? {}) as Readonly<{milliseconds?: number; fail?: boolean}>;
-	const task: WorkerTask = {taskId, state: 'running', startedAt: now};
-	return {
-		state: {...state, tasks: new Map(state.tasks).set(taskId, task)},
-		effects: [
-			respond(message.respond, 201, task),
-			{
-				kind: 'schedule-end', taskId, delay: milliseconds, body: {echo: payload}, state: fail ? 'failed' : 'succeeded',
-			},
-		],
-	};
-}
+		case 'describe': {
+			return {state, effects: [respond(message.respond, 200, {...state.settings, inUse: sumUsage(state.tasks, present.now)})]};
+		}
 
-function waitForTask(state: WorkerState, taskId: string, callback: Respond): WorkerStep {
-	const task = state.tasks.get(taskId);
-	if (task === undefined) {
-		return {state, effects: [respond(callback, 404, {reason: 'task-unknown'})]};
-	}
+		case 'show-usage': {
+			return {state, effects: [respond(message.respond, 200, readUsage(state, present.now))]};
+		}
 
-	return task.state === 'running'
-		? {state: {...state, waiting: [...state.waiting, {taskId, respond: callback}]}, effects: []}
-		: {state, effects: [respond(callback, 200, task)]};
-}
+		case 'switch': {
+			return changeSwitches(state, message);
+		}
 
-function endTask(state: WorkerState, message: Extract<WorkerMessage, {kind: 'ended'}>, now: number): WorkerStep {
-	const task = state.tasks.get(message.taskId);
-	if (task?.state !== 'running') {
-		return {state, effects: []};
+		default: {
+			return assertNever(message);
+		}
 	}
-
-	const ended: WorkerTask = {
-		...task, state: message.state, endedAt: now, body: message.body,
-	};
-	return {
-		state: {
-			tasks: new Map(state.tasks).set(task.taskId, ended),
-			waiting: state.waiting.filter(({taskId}) => taskId !== task.taskId),
-		},
-		effects: state.waiting.filter(({taskId}) => taskId === task.taskId).map(waiting => respond(waiting.respond, 200, ended)),
-	};
 }
--- /dev/null
+++ b/packages/stand-ins/worker/switches.ts
@@ -0,0 +1,22 @@
+import {respond, type WorkerStep} from './reply.js';
+import type {
+	Switches, WorkerEffect, WorkerMessage, WorkerState,
+} from './types.js';
+
+export const initialSwitches: Switches = {
+	hang: false, loseStartAnswers: false, failAll: false, slowFactor: 1, pauseEnds: false,
+};
+
+/** Changes the faults that the worker shows; ends that were held are released once ends are no longer paused. */
+export function changeSwitches(state: WorkerState, {changes, respond: callback}: Extract<WorkerMessage, {kind: 'switch'}>): WorkerStep {
+	const given: Partial<Switches> = Object.fromEntries(Object.entries(changes).filter(([, position]) => position !== undefined));
+	const switches: Switches = {...state.switches, ...given};
+	const released = switches.pauseEnds ? [] : state.heldEnds;
+	return {
+		state: {...state, switches, heldEnds: switches.pauseEnds ? state.heldEnds : []},
+		effects: [
+			respond(callback, 200, switches),
+			...released.map((end): WorkerEffect => ({kind: 'schedule', delay: 0, message: {kind: 'run-ended', ...end}})),
+		],
+	};
+}
--- /dev/null
+++ b/packages/stand-ins/worker/usage.ts
@@ -0,0 +1,29 @@
+import type {Timestamp} from '#core';
+import type {Usage, WorkerState, WorkerTask} from './types.js';
+
+/** Sums what the running tasks use. */
+export function sumUsage(tasks: ReadonlyMap<string, WorkerTask>, at: Timestamp): Usage {
+	const running = [...tasks.values()].filter(({state}) => state === 'running');
+	return {
+		at,
+		tasks: running.length,
+		processors: running.reduce((sum, task) => sum + task.processors, 0),
+		memoryMegabytes: running.reduce((sum, task) => sum + task.memoryMegabytes, 0),
+		accelerators: running.reduce((sum, task) => sum + task.accelerators.length, 0),
+	};
+}
+
+/** Notes usage after a change and forgets what is older than the newest usage that may be reported. */
+export function noteUsage(state: WorkerState, now: Timestamp): WorkerState {
+	const reportable = now - state.settings.usageLagMilliseconds;
+	const firstKept = state.usage.findLastIndex(({at}) => at <= reportable);
+	return {...state, usage: [...state.usage.slice(Math.max(0, firstKept)), sumUsage(state.tasks, now)]};
+}
+
+/** Usage as it was before the lag. */
+export function readUsage({settings, usage}: WorkerState, now: Timestamp): Usage {
+	const reportable = now - settings.usageLagMilliseconds;
+	return usage.findLast(({at}) => at <= reportable) ?? {
+		at: reportable, tasks: 0, processors: 0, memoryMegabytes: 0, accelerators: 0,
+	};
+}
