Add the operators' routes that every daemon shares

Entries and agents need the same routes for health, readiness, metrics and the log level. One function registers them on any program's registry and asks the program for its readiness, so that neither daemon has its own copy.

--- a/packages/transport/index.ts
+++ b/packages/transport/index.ts
@@ -4,6 +4,7 @@
 export * from './http-client.js';
 export * from './http-server.js';
 export * from './listen.js';
+export * from './operations.js';
 export * from './peer.js';
 export * from './problem.js';
 export * from './silence.js';
