Decide on requests in an agent by classes, fair shares and deadlines

The thin ledger served requests in one line, forgot nothing and trusted the entry's class. A long request held up every short one behind it, one plan could fill the queue, and the records grew without bound.

The queue in front of the slots now shares them between plans by virtual time and weight, keeps a quarter of them closed to long work, is bounded, and refuses what cannot end in time, also while it waits. If it is full, the plan that holds most of it for its weight gives up its newest request. The ledger keeps a tombstone of a withdrawn identifier, refuses another payload under a known one, bounds what it remembers and never drops an answer of a non-idempotent request before its retention ends. When it is full it refuses, and closes all unknown identifiers made until then, because a refusal that cannot be remembered must not be followed by a start. Refused idempotent requests are forgotten, so that a caller may submit them again after the retry time.

Agents dial again with full jitter, learn entries from entries, take the newer part of a slice only, report holdings when they change, and drain on SIGTERM: they say that they leave, refuse new work, finish what runs and exit after the entries have read the last answers.

--- /dev/null
+++ b/packages/agent/describe.ts
@@ -0,0 +1,34 @@
+import {describeLoad} from '#execution';
+import type {AnnounceParameters} from '#protocol';
+import {executionService} from './plugins/execution.js';
+import {holdingsService} from './plugins/holdings.js';
+import {sliceService} from './plugins/slice.js';
+import type {AgentContext} from './types.js';
+
+/** What the agent reports regularly. */
+export function describeReport({services}: AgentContext): Pick<AnnounceParameters, 'load' | 'holdings' | 'configurationRevision' | 'layoutRevision'> {
+	const slice = services.use(sliceService).read().current;
+	return {
+		load: describeLoad(services.use(executionService).read()),
+		holdings: services.use(holdingsService)(),
+		configurationRevision: slice?.configurationRevision ?? 0,
+		layoutRevision: slice?.layoutRevision ?? 0,
+	};
+}
+
+/** What the agent says about itself when a connection opens. */
+export function describeAgent(context: AgentContext, leaving: boolean): AnnounceParameters {
+	const {worker, region, zone, rack, slots, connections, processors, accelerators} = context.settings;
+	return {
+		worker,
+		incarnation: context.incarnation,
+		region,
+		zone,
+		rack,
+		capacity: {
+			slots, connections, processors, memoryMegabytes: context.settings['memory-megabytes'], accelerators,
+		},
+		leaving,
+		...describeReport(context),
+	};
+}
--- /dev/null
+++ b/packages/agent/entries.ts
@@ -0,0 +1,189 @@
+import {
+	assertNever, hashText, type EntryId, type Milliseconds, type RandomSource, type Step, type WorkerId,
+} from '#core';
+import type {EntryAddress} from '#protocol';
+import type {RpcPeer} from '#transport';
+import {
+	maximumDialFailures, maximumEntries, redialBaseMilliseconds, redialMaximumMilliseconds,
+} from './constants.js';
+
+/** One entry that the agent is or wants to be connected to. */
+export type EntryConnection = Readonly<{
+	/** Entries from the settings are never forgotten. */
+	isSeed: boolean;
+	/** Attempts that failed since the last announcement. */
+	failures: number;
+	phase:
+		| Readonly<{kind: 'waiting'}>
+		| Readonly<{kind: 'dialling'}>
+		| Readonly<{kind: 'announcing'; peer: RpcPeer}>
+		| Readonly<{kind: 'announced'; peer: RpcPeer; entry: EntryId}>;
+}>;
+
+export type EntriesState = Readonly<{
+	worker: WorkerId;
+	connections: ReadonlyMap<string, EntryConnection>;
+	isLeaving: boolean;
+	isStopped: boolean;
+}>;
+
+export type EntriesMessage =
+	| Readonly<{kind: 'start'}>
+	| Readonly<{kind: 'opened'; address: string; peer: RpcPeer}>
+	| Readonly<{kind: 'announced'; address: string; peer: RpcPeer; entry: EntryId}>
+	| Readonly<{kind: 'dial-failed'; address: string}>
+	| Readonly<{kind: 'closed'; address: string; peer: RpcPeer}>
+	| Readonly<{kind: 'redial-due'; address: string}>
+	| Readonly<{kind: 'report-due'; address: string; peer: RpcPeer}>
+	| Readonly<{kind: 'entries-learned'; entries: readonly EntryAddress[]}>
+	| Readonly<{kind: 'leave'}>
+	| Readonly<{kind: 'stop'}>;
+
+export type EntriesEffect =
+	| Readonly<{kind: 'dial'; address: string}>
+	| Readonly<{kind: 'schedule-redial'; address: string; delay: Milliseconds}>
+	| Readonly<{kind: 'announce'; address: string; peer: RpcPeer}>
+	| Readonly<{kind: 'schedule-report'; address: string; peer: RpcPeer}>
+	| Readonly<{kind: 'report'; peer: RpcPeer}>
+	| Readonly<{kind: 'say-leaving'; peer: RpcPeer}>
+	| Readonly<{kind: 'close'; peer: RpcPeer; reason: string}>;
+
+type EntriesStep = Step<EntriesState, EntriesEffect>;
+
+export function createEntriesState(worker: WorkerId, seeds: readonly string[]): EntriesState {
+	return {
+		worker,
+		connections: new Map(seeds.map(address => [address, {isSeed: true, failures: 0, phase: {kind: 'dialling'}}])),
+		isLeaving: false,
+		isStopped: false,
+	};
+}
+
+/** Decides which entries the agent dials, when it dials them again, and when it reports. */
+export function receiveEntriesMessage(state: EntriesState, message: EntriesMessage, random: RandomSource): EntriesStep {
+	if (state.isStopped) {
+		return {state, effects: message.kind === 'opened' ? [{kind: 'close', peer: message.peer, reason: 'agent stops'}] : []};
+	}
+
+	switch (message.kind) {
+		case 'start': {
+			return {state, effects: [...state.connections.keys()].map(address => ({kind: 'dial', address}))};
+		}
+
+		case 'opened': {
+			const {address, peer} = message;
+			return changePhase(state, address, {kind: 'announcing', peer}, [{kind: 'announce', address, peer}]);
+		}
+
+		case 'announced': {
+			return acceptAnnounced(state, message);
+		}
+
+		case 'dial-failed': {
+			return retryLater(state, message.address, random);
+		}
+
+		case 'closed': {
+			return peerOf(state, message.address) === message.peer ? retryLater(state, message.address, random) : {state, effects: []};
+		}
+
+		case 'redial-due': {
+			return state.connections.get(message.address)?.phase.kind === 'waiting'
+				? changePhase(state, message.address, {kind: 'dialling'}, [{kind: 'dial', address: message.address}])
+				: {state, effects: []};
+		}
+
+		case 'report-due': {
+			const {address, peer} = message;
+			return peerOf(state, address) === peer
+				? {state, effects: [{kind: 'report', peer}, {kind: 'schedule-report', address, peer}]}
+				: {state, effects: []};
+		}
+
+		case 'entries-learned': {
+			return dialLearned(state, message.entries);
+		}
+
+		case 'leave': {
+			return {state: {...state, isLeaving: true}, effects: listPeers(state).map(peer => ({kind: 'say-leaving', peer}))};
+		}
+
+		case 'stop': {
+			return {state: {...state, isStopped: true}, effects: listPeers(state).map(peer => ({kind: 'close', peer, reason: 'agent stops'}))};
+		}
+
+		default: {
+			return assertNever(message);
+		}
+	}
+}
+
+/** Open connections, announced or about to be. */
+export function listPeers({connections}: EntriesState): readonly RpcPeer[] {
+	return [...connections.values()].flatMap(({phase}) => 'peer' in phase ? [phase.peer] : []);
+}
+
+function peerOf({connections}: EntriesState, address: string): RpcPeer | undefined {
+	const phase = connections.get(address)?.phase;
+	return phase !== undefined && 'peer' in phase ? phase.peer : undefined;
+}
+
+function changePhase(state: EntriesState, address: string, phase: EntryConnection['phase'], effects: readonly EntriesEffect[]): EntriesStep {
+	const known = state.connections.get(address) ?? {isSeed: false, failures: 0};
+	return {state: {...state, connections: new Map(state.connections).set(address, {...known, phase})}, effects};
+}
+
+/** Starts the reports. A second connection to the same entry under another address is closed, so that it does not count the agent twice. */
+function acceptAnnounced(state: EntriesState, {address, peer, entry}: Extract<EntriesMessage, {kind: 'announced'}>): EntriesStep {
+	const known = state.connections.get(address);
+	if (known === undefined || peerOf(state, address) !== peer) {
+		return {state, effects: []};
+	}
+
+	const isSecond = !known.isSeed && [...state.connections].some(([other, {phase}]) => other !== address && phase.kind === 'announced' && phase.entry === entry);
+	if (isSecond) {
+		const connections = new Map(state.connections);
+		connections.delete(address);
+		return {state: {...state, connections}, effects: [{kind: 'close', peer, reason: 'already connected to this entry'}]};
+	}
+
+	const connections = new Map(state.connections).set(address, {...known, failures: 0, phase: {kind: 'announced', peer, entry}});
+	return {
+		state: {...state, connections},
+		effects: [{kind: 'schedule-report', address, peer}, ...(state.isLeaving ? [{kind: 'say-leaving', peer} as const] : [])],
+	};
+}
+
+/** Dials again after a delay with full jitter, so that the agents of a zone that returns do not dial all at once. */
+function retryLater(state: EntriesState, address: string, random: RandomSource): EntriesStep {
+	const known = state.connections.get(address);
+	if (known === undefined) {
+		return {state, effects: []};
+	}
+
+	const connections = new Map(state.connections);
+	if (!known.isSeed && known.failures + 1 >= maximumDialFailures) {
+		connections.delete(address);
+		return {state: {...state, connections}, effects: []};
+	}
+
+	const limit = Math.min(redialMaximumMilliseconds, redialBaseMilliseconds * (2 ** known.failures));
+	connections.set(address, {...known, failures: known.failures + 1, phase: {kind: 'waiting'}});
+	return {state: {...state, connections}, effects: [{kind: 'schedule-redial', address, delay: random() * limit}]};
+}
+
+/** Dials entries that others named while there are fewer connections than wanted. Each worker has its own order of preference, which spreads the agents over the entries. */
+function dialLearned(state: EntriesState, entries: readonly EntryAddress[]): EntriesStep {
+	const connected = new Set([...state.connections.values()].flatMap(({phase}) => phase.kind === 'announced' ? [phase.entry] : []));
+	const preferenceOf = ({entry}: EntryAddress) => hashText(`${state.worker} ${entry}`);
+	const chosen = entries
+		.filter(({entry, address}) => !connected.has(entry) && !state.connections.has(address))
+		.toSorted((first, second) => preferenceOf(first) - preferenceOf(second))
+		.slice(0, Math.max(0, maximumEntries - state.connections.size));
+	const connections = new Map(state.connections);
+	for (const {address} of chosen) {
+		connections.set(address, {isSeed: false, failures: 0, phase: {kind: 'dialling'}});
+	}
+
+	return {state: {...state, connections}, effects: chosen.map(({address}) => ({kind: 'dial', address}))};
+}
--- a/packages/agent/plugins/execution.ts
+++ b/packages/agent/plugins/execution.ts
@@ -1,57 +1,105 @@
-import {type AgentAnswer, type RequestWork, type RunResult} from '#core';
-import {receiveExecutionMessage, type ExecutionMessage, type ExecutionState} from '#execution';
+import type {AgentAnswer} from '#core';
+import {
+	createExecutionSettings, createExecutionState, receiveExecutionMessage, type ExecutionEffect, type ExecutionMessage, type ExecutionState, type FoundState,
+	type WithdrawalResult,
+} from '#execution';
 import {
 	createReplyTable, createServiceKey, startTask, type ReplyTable, type TaskHandle,
 } from '#kernel';
 import {agentPlugins} from '../plugins.js';
+import {runTask} from '../run-task.js';
+import {drainService} from './drain.js';
+import {sliceService} from './slice.js';
 import {workerClientService} from './worker-client.js';
-import type {WorkerClient} from '../worker-types.js';
 
 /** The task that owns the ledger of request identifiers and the worker's slots. */
 export const executionService = createServiceKey<TaskHandle<ExecutionState, ExecutionMessage>>('execution');
-export const answersService = createServiceKey<ReplyTable<AgentAnswer>>('answers');
+
+/** Callers that wait for an answer of the execution task. */
+export type ExecutionReplies = Readonly<{
+	run: ReplyTable<AgentAnswer>;
+	find: ReplyTable<FoundState>;
+	withdraw: ReplyTable<WithdrawalResult>;
+}>;
+
+export const executionRepliesService = createServiceKey<ExecutionReplies>('execution-replies');
 
 agentPlugins.register({
 	kind: 'task',
 	name: 'execution',
-	start({settings, incarnation, clock, services}) {
+	start({settings, incarnation, clock, counters, log, services}) {
 		const workerClient = services.use(workerClientService);
-		const answers = createReplyTable<AgentAnswer>();
-		const execution = startTask(
-			{name: 'execution', initialState: {incarnation, slots: settings.slots, records: new Map()}, receive: receiveExecutionMessage},
+		const replies: ExecutionReplies = {
+			run: createReplyTable(), find: createReplyTable(), withdraw: createReplyTable(),
+		};
+		const execution = startTask<ExecutionState, ExecutionMessage, ExecutionEffect>(
+			{name: 'execution', initialState: createExecutionState(createExecutionSettings(incarnation, settings.slots)), receive: receiveExecutionMessage},
 			{
 				clock,
 				perform(effect, send) {
 					switch (effect.kind) {
-						case 'reply': {
-							answers.answer(effect.replyId, effect.answer);
+						case 'answer-run': {
+							replies.run.answer(effect.replyId, effect.answer);
+							break;
+						}
+
+						case 'answer-find': {
+							replies.find.answer(effect.replyId, effect.found);
+							break;
+						}
+
+						case 'answer-withdraw': {
+							replies.withdraw.answer(effect.replyId, effect.result);
 							break;
 						}
 
 						case 'start-task': {
 							void (async () => {
-								send({kind: 'ended', requestId: effect.work.requestId, result: await runTask(workerClient, effect.work)});
+								send(await runTask(workerClient, effect.work));
 							})();
+
+							break;
+						}
+
+						case 'count-refusal': {
+							counters.countRefusal(effect.reason);
+							break;
+						}
+
+						case 'schedule-tick': {
+							clock.schedule(effect.delay, () => {
+								send({kind: 'tick'});
+							});
+							break;
+						}
+
+						case 'report-empty': {
+							log.part('execution').info({}, 'last request is answered');
 						}
 					}
 				},
 			},
 		);
-		services.provide(answersService, answers);
+		services.provide(executionRepliesService, replies);
 		services.provide(executionService, execution);
+		services.use(drainService).add(async () => new Promise<void>(resolve => {
+			const unsubscribeDrain = execution.subscribe(({phase}) => {
+				if (phase === 'empty') {
+					unsubscribeDrain();
+					resolve();
+				}
+			});
+			execution.send({kind: 'drain'});
+		}));
+		const unsubscribe = services.use(sliceService).subscribe(({current}) => {
+			if (current !== undefined) {
+				execution.send({kind: 'slice-received', limits: new Map(current.plans.map(({plan, ...limit}) => [plan, limit]))});
+			}
+		});
+		execution.send({kind: 'tick'});
 		return () => {
+			unsubscribe();
 			execution.stop();
 		};
 	},
 });
-
-const leaseMilliseconds = 10_000;
-
-async function runTask(client: WorkerClient, work: RequestWork): Promise<Pick<RunResult, 'status' | 'body'>> {
-	const {requestId: taskId, kind, payload} = work;
-	await client.start({
-		taskId, kind, payload, accelerators: [], leaseMilliseconds,
-	});
-	const end = await client.waitForEnd(taskId, leaseMilliseconds);
-	return end.kind === 'ended' && end.task.state === 'succeeded' ? {status: 'succeeded', body: end.task.body} : {status: 'failed', body: undefined};
-}
--- /dev/null
+++ b/packages/agent/plugins/find-request.ts
@@ -0,0 +1,16 @@
+import {findParametersSchema, type FindResult} from '#protocol';
+import type {RequestId} from '#core';
+import {agentPlugins} from '../plugins.js';
+import {executionRepliesService, executionService} from './execution.js';
+
+agentPlugins.register({
+	kind: 'rpc-method',
+	name: 'request.find',
+	parametersSchema: findParametersSchema,
+	async handle(parameters, {services}): Promise<FindResult> {
+		const {requestId} = parameters as Readonly<{requestId: RequestId}>;
+		return services.use(executionRepliesService).find.ask(replyId => {
+			services.use(executionService).send({kind: 'find', requestId, replyId});
+		});
+	},
+});
--- a/packages/agent/plugins/run-request.ts
+++ b/packages/agent/plugins/run-request.ts
@@ -1,17 +1,23 @@
 import {runParametersSchema, type RunParameters} from '#protocol';
 import {agentPlugins} from '../plugins.js';
-import {answersService, executionService} from './execution.js';
+import {executionRepliesService, executionService} from './execution.js';
 
 agentPlugins.register({
 	kind: 'rpc-method',
 	name: 'request.run',
 	parametersSchema: runParametersSchema,
-	async handle(parameters, {services}) {
-		const {work, serviceClass, incarnation} = parameters as RunParameters;
-		return services.use(answersService).ask(replyId => {
+	async handle(parameters, {services, counters}) {
+		const {work, serviceClass, estimatedMilliseconds, incarnation} = parameters as RunParameters;
+		const answer = await services.use(executionRepliesService).run.ask(replyId => {
 			services.use(executionService).send({
-				kind: 'run', work, serviceClass, incarnation, replyId,
+				kind: 'run', work, serviceClass, estimatedMilliseconds, incarnation, replyId,
 			});
 		});
+		if (answer.kind === 'ran') {
+			counters.recordLatency('queue', answer.result.queueMilliseconds);
+			counters.recordLatency('service', answer.result.serviceMilliseconds);
+		}
+
+		return answer;
 	},
 });
--- a/packages/agent/settings.ts
+++ b/packages/agent/settings.ts
@@ -3,7 +3,7 @@
 	rackNameSchema, regionNameSchema, workerIdSchema, zoneNameSchema,
 } from '#core';
 import {
-	addressListSettingSchema, logLevels, wholeNumberSettingSchema, type SettingDefinitions, type SettingsOf,
+	addressListSettingSchema, logLevels, portSettingSchema, wholeNumberSettingSchema, type SettingDefinitions, type SettingsOf,
 } from '#kernel';
 
 export const agentSettings = {
@@ -18,6 +18,9 @@
 	processors: {schema: wholeNumberSettingSchema(1, 4096), description: 'Processors of the worker', default: '130'},
 	'memory-megabytes': {schema: wholeNumberSettingSchema(1, 100_000_000), description: 'Memory of the worker', default: '256000'},
 	accelerators: {schema: wholeNumberSettingSchema(0, 64), description: 'Accelerators of the worker', default: '8'},
+	'listen-host': {schema: valibot.string(), description: 'Address of the operators\' port', default: '127.0.0.1'},
+	'listen-port': {schema: portSettingSchema, description: 'Port for operators; 0 for none', default: '0'},
+	'drain-milliseconds': {schema: wholeNumberSettingSchema(0, 86_400_000), description: 'Longest time that a stop waits for running work', default: '120000'},
 	'log-level': {schema: valibot.picklist(logLevels, 'must be debug, info, warn or error'), description: 'Least severe level that is logged', default: 'info'},
 } as const satisfies SettingDefinitions;
 
--- a/packages/agent/start.ts
+++ b/packages/agent/start.ts
@@ -1,26 +1,57 @@
 import {randomUUID} from 'node:crypto';
-import type {Incarnation} from '#core';
+import type {Incarnation, Milliseconds} from '#core';
 import {
-	createCounters, createProgramLog, createServices, startTasks, systemClock, type RunningDaemon,
+	createCounters, createProgramLog, createServices, startTasks, systemClock, type Clock, type RunningDaemon,
 } from '#kernel';
+import {listenForHttp} from '#transport';
+import {flushTimeoutMilliseconds} from './constants.js';
+import {listPeers} from './entries.js';
 import {agentPlugins} from './plugins.js';
+import {drainService} from './plugins/drain.js';
+import {entriesService} from './plugins/entries.js';
 import './plugins/index.js';
 import type {AgentSettings} from './settings.js';
+import type {AgentContext} from './types.js';
 
-/** Starts an agent. */
+/** Starts an agent. Stopping it drains it first: it exits after its last request has been answered, or when the grace time is over. */
 export async function startAgent(settings: AgentSettings): Promise<RunningDaemon> {
-	const stopTasks = startTasks(agentPlugins, {
+	const log = createProgramLog('dotterelnotch-agent', settings['log-level'], {worker: settings.worker});
+	const context: AgentContext = {
 		settings,
 		incarnation: randomUUID() as string as Incarnation,
 		clock: systemClock,
-		log: createProgramLog('dotterelnotch-agent', settings['log-level'], {worker: settings.worker}),
+		log,
 		counters: createCounters(),
 		services: createServices(),
-	});
+	};
+	const stopTasks = startTasks(agentPlugins, context);
+	const operations = settings['listen-port'] === 0
+		? undefined
+		: await listenForHttp(settings['listen-host'], settings['listen-port'], {
+			routes: agentPlugins.httpRoutes(), context, log: log.part('http'), countRefusal: context.counters.countRefusal,
+		});
 	return {
-		ports: {},
+		ports: operations === undefined ? {} : {http: operations.port},
 		async stop() {
+			log.part('drain').info({}, 'draining');
+			await drain(context);
 			stopTasks();
+			log.part('drain').info({}, 'drained');
 		},
 	};
 }
+
+async function drain({services, clock, settings}: AgentContext): Promise<void> {
+	const entries = services.use(entriesService);
+	entries.send({kind: 'leave'});
+	await withLimit(services.use(drainService).drain(), settings['drain-milliseconds'], clock);
+	// An entry answers a probe after it has read everything that was sent before it, the last answers included.
+	const probes = listPeers(entries.read()).map(async peer => peer.call('probe', {}, flushTimeoutMilliseconds));
+	await withLimit(Promise.all(probes), flushTimeoutMilliseconds, clock);
+}
+
+async function withLimit(work: Promise<unknown>, limit: Milliseconds, clock: Clock): Promise<void> {
+	await Promise.race([work, new Promise<void>(resolve => {
+		clock.schedule(limit, resolve);
+	})]);
+}
--- /dev/null
+++ b/packages/execution/constants.ts
@@ -0,0 +1,20 @@
+/** Identifiers of non-idempotent requests that are older are refused, so answers need to be remembered no longer. */
+export const identifierRetentionMilliseconds = 300_000;
+/** Clocks of callers may be ahead by this much. */
+export const identifierToleranceMilliseconds = 60_000;
+/** Running `short` work counts as long after this time, and kinds that usually take longer are `long`. */
+export const shortLimitMilliseconds = 1000;
+/** Answers that are remembered: about 100 non-idempotent requests a second over their retention. */
+export const maximumRememberedAnswers = 32_768;
+/** Bytes of remembered answers, estimated from their JSON text. */
+export const maximumRememberedBytes = 16_777_216;
+/** Memory of one remembered answer besides its text: record, identifier, map and queue entries. */
+export const answerOverheadBytes = 256;
+/** How often overdue requests and expired answers are looked for. */
+export const executionTickMilliseconds = 200;
+/** Kinds of work whose service times are kept; the one not seen for longest is forgotten first. */
+export const maximumObservedKinds = 1024;
+/** Observations after which the agent's own estimate replaces the entry's hint. */
+export const minimumObservations = 3;
+/** Weight of the newest service time in the estimate. */
+export const observationWeight = 0.2;
--- /dev/null
+++ b/packages/execution/drain.ts
@@ -0,0 +1,25 @@
+import {type ExecutionStep, refuseQueued} from './answers.js';
+import type {ExecutionState, Present} from './types.js';
+
+/** Stops taking requests. Those that wait are refused, so that the entry can send them elsewhere; those that run go on to their end. */
+export function startDraining(state: ExecutionState, present: Present): ExecutionStep {
+	if (state.phase !== 'serving') {
+		return {state, effects: []};
+	}
+
+	let step: ExecutionStep = {state: {...state, phase: 'draining'}, effects: []};
+	for (const {classes} of state.queue.plans.values()) {
+		for (const item of [...classes.short.items, ...classes.long.items]) {
+			step = refuseQueued(step, item, 'draining', present);
+		}
+	}
+
+	return reportIfEmpty(step);
+}
+
+/** Reports once that a draining agent has answered its last request. */
+export function reportIfEmpty({state, effects}: ExecutionStep): ExecutionStep {
+	return state.phase === 'draining' && state.queue.running.size === 0 && state.queue.queued === 0
+		? {state: {...state, phase: 'empty'}, effects: [...effects, {kind: 'report-empty'}]}
+		: {state, effects};
+}
--- /dev/null
+++ b/packages/execution/end-task.ts
@@ -0,0 +1,53 @@
+import {assertNever, type AgentAnswer} from '#core';
+import {concludeRecord, type ExecutionStep} from './answers.js';
+import {reportIfEmpty} from './drain.js';
+import {findRecord} from './ledger.js';
+import {observe} from './observations.js';
+import {startQueued} from './start-queued.js';
+import type {
+	ExecutionMessage, ExecutionState, Present, RunningRecord,
+} from './types.js';
+
+type TaskMessage = Extract<ExecutionMessage, {kind: 'task-ended' | 'task-lost' | 'task-not-started'}>;
+
+/** Answers a request whose task is over and gives its slot to the next one. A message about any other request changes nothing. */
+export function endTask(state: ExecutionState, message: TaskMessage, present: Present): ExecutionStep {
+	const record = findRecord(state.ledger, message.requestId);
+	if (record?.kind !== 'running') {
+		return {state, effects: []};
+	}
+
+	const answer = answerOf(record, message, present);
+	const isSucceeded = answer.kind === 'ran' && answer.result.status === 'succeeded';
+	const {totals} = state;
+	const counted: ExecutionState = {
+		...state,
+		// Failed runs often end early and would make the kind look short.
+		observations: isSucceeded ? observe(state.observations, record.work, answer.result.serviceMilliseconds) : state.observations,
+		totals: {...totals, failed: totals.failed + (isSucceeded ? 0 : 1)},
+	};
+	return reportIfEmpty(startQueued(concludeRecord({state: counted, effects: []}, record, answer, present), present));
+}
+
+function answerOf({queuedAt, startedAt}: RunningRecord, message: TaskMessage, {monotonic}: Present): AgentAnswer {
+	switch (message.kind) {
+		case 'task-ended': {
+			return {
+				kind: 'ran',
+				result: {...message.result, serviceMilliseconds: monotonic - startedAt, queueMilliseconds: startedAt - queuedAt},
+			};
+		}
+
+		case 'task-lost': {
+			return {kind: 'interrupted', reason: message.reason};
+		}
+
+		case 'task-not-started': {
+			return {kind: 'refused', reason: message.reason};
+		}
+
+		default: {
+			return assertNever(message);
+		}
+	}
+}
--- a/packages/execution/index.ts
+++ b/packages/execution/index.ts
@@ -1,2 +1,5 @@
 export * from './types.js';
-export * from './ledger.js';
+export * from './constants.js';
+export * from './identifier.js';
+export * from './load.js';
+export * from './receive.js';
--- /dev/null
+++ b/packages/execution/observations.ts
@@ -0,0 +1,42 @@
+import type {Milliseconds, RequestWork, ServiceClass} from '#core';
+import {maximumObservedKinds, minimumObservations, observationWeight} from './constants.js';
+
+type Observation = Readonly<{count: number; logMean: number}>;
+
+/** Service times per plan and kind, in the order in which they were last seen. */
+export type Observations = ReadonlyMap<string, Observation>;
+
+export type Expectation = Readonly<{serviceClass: ServiceClass; estimatedMilliseconds: Milliseconds}>;
+
+/** Adds the service time of one run. The mean is geometric, so that a rare straggler hardly moves it. */
+export function observe(observations: Observations, work: RequestWork, serviceMilliseconds: Milliseconds): Observations {
+	const key = keyOf(work);
+	const known = observations.get(key);
+	const logarithm = Math.log(Math.max(1, serviceMilliseconds));
+	const next = new Map(observations);
+	next.delete(key);
+	if (next.size >= maximumObservedKinds) {
+		const [oldest] = next.keys();
+		next.delete(oldest ?? key);
+	}
+
+	return next.set(key, known === undefined
+		? {count: 1, logMean: logarithm}
+		: {count: known.count + 1, logMean: known.logMean + ((logarithm - known.logMean) * Math.max(observationWeight, 1 / (known.count + 1)))});
+}
+
+/** The agent's own expectation where it has seen enough of the kind, else the entry's hint. */
+export function expectService(observations: Observations, work: RequestWork, hint: Expectation, shortLimit: Milliseconds): Expectation {
+	const known = observations.get(keyOf(work));
+	if (known === undefined || known.count < minimumObservations) {
+		return hint;
+	}
+
+	const estimatedMilliseconds = Math.exp(known.logMean);
+	return {serviceClass: estimatedMilliseconds > shortLimit ? 'long' : 'short', estimatedMilliseconds};
+}
+
+function keyOf({plan, kind}: RequestWork): string {
+	// Plan names contain no space.
+	return `${plan} ${kind}`;
+}
--- /dev/null
+++ b/packages/execution/receive.ts
@@ -0,0 +1,110 @@
+import {assertNever, type Incarnation} from '#core';
+import {
+	createQueueSettings, createSlotQueue, demoteOverdue, setLimits,
+} from '#limits';
+import {acceptRun} from './accept-run.js';
+import type {ExecutionStep} from './answers.js';
+import {
+	executionTickMilliseconds, identifierRetentionMilliseconds, identifierToleranceMilliseconds, maximumRememberedAnswers, maximumRememberedBytes,
+	shortLimitMilliseconds,
+} from './constants.js';
+import {startDraining} from './drain.js';
+import {endTask} from './end-task.js';
+import {emptyLedger, findRecord, forgetExpired} from './ledger.js';
+import {startQueued} from './start-queued.js';
+import type {
+	ExecutionMessage, ExecutionSettings, ExecutionState, FoundState, LedgerRecord, Present,
+} from './types.js';
+import {withdrawRequest} from './withdraw.js';
+
+/** The settings of an agent beside a worker with the given number of slots. */
+export function createExecutionSettings(incarnation: Incarnation, slots: number): ExecutionSettings {
+	return {
+		incarnation,
+		queue: createQueueSettings(slots),
+		retentionMilliseconds: identifierRetentionMilliseconds,
+		toleranceMilliseconds: identifierToleranceMilliseconds,
+		shortLimitMilliseconds,
+		maximumRememberedAnswers,
+		maximumRememberedBytes,
+	};
+}
+
+export function createExecutionState(settings: ExecutionSettings): ExecutionState {
+	return {
+		settings,
+		phase: 'serving',
+		ledger: emptyLedger,
+		queue: createSlotQueue(settings.queue),
+		observations: new Map(),
+		totals: {started: 0, failed: 0},
+		latestNow: 0,
+	};
+}
+
+/** Decides which requests an agent starts, queues or refuses, and answers each identifier once per incarnation. */
+export function receiveExecutionMessage(earlier: ExecutionState, message: ExecutionMessage, present: Present): ExecutionStep {
+	const state = present.now > earlier.latestNow ? {...earlier, latestNow: present.now} : earlier;
+	switch (message.kind) {
+		case 'run': {
+			return acceptRun(state, message, present);
+		}
+
+		case 'withdraw': {
+			return withdrawRequest(state, message, present);
+		}
+
+		case 'find': {
+			return {state, effects: [{kind: 'answer-find', replyId: message.replyId, found: describeRecord(findRecord(state.ledger, message.requestId))}]};
+		}
+
+		case 'task-not-started':
+		case 'task-ended':
+		case 'task-lost': {
+			return endTask(state, message, present);
+		}
+
+		case 'slice-received': {
+			return startQueued({state: {...state, queue: setLimits(state.queue, message.limits)}, effects: []}, present);
+		}
+
+		case 'drain': {
+			return startDraining(state, present);
+		}
+
+		case 'tick': {
+			return tick(state, present);
+		}
+
+		default: {
+			return assertNever(message);
+		}
+	}
+}
+
+function tick(state: ExecutionState, present: Present): ExecutionStep {
+	const ledger = forgetExpired(state.ledger, present.monotonic);
+	const queue = demoteOverdue(state.queue, state.settings.shortLimitMilliseconds, present.monotonic);
+	const step = startQueued({state: {...state, ledger, queue}, effects: []}, present);
+	return state.phase === 'empty' ? step : {...step, effects: [...step.effects, {kind: 'schedule-tick', delay: executionTickMilliseconds}]};
+}
+
+function describeRecord(record: LedgerRecord | undefined): FoundState {
+	switch (record?.kind) {
+		case undefined: {
+			return {kind: 'never-seen'};
+		}
+
+		case 'queued': {
+			return {kind: 'queued'};
+		}
+
+		case 'running': {
+			return {kind: 'running'};
+		}
+
+		case 'answered': {
+			return {kind: 'answered', answer: record.answer};
+		}
+	}
+}
--- /dev/null
+++ b/packages/execution/sharded-map.ts
@@ -0,0 +1,34 @@
+import {hashText} from '#core';
+
+const shardCount = 256;
+
+/** A read-only map whose copy with one change touches one of 256 parts; tens of thousands of answers are remembered at once. */
+export type ShardedMap<Value> = Readonly<{shards: ReadonlyArray<ReadonlyMap<string, Value>>; size: number}>;
+
+export function createShardedMap<Value>(): ShardedMap<Value> {
+	const empty: ReadonlyMap<string, Value> = new Map();
+	return {shards: Array.from({length: shardCount}, () => empty), size: 0};
+}
+
+export function getValue<Value>({shards}: ShardedMap<Value>, key: string): Value | undefined {
+	return shards[hashText(key) % shardCount]?.get(key);
+}
+
+export function withValue<Value>(map: ShardedMap<Value>, key: string, value: Value): ShardedMap<Value> {
+	const shard = new Map(shardOf(map, key)).set(key, value);
+	return replaceShard(map, key, shard);
+}
+
+export function withoutValue<Value>(map: ShardedMap<Value>, key: string): ShardedMap<Value> {
+	const shard = new Map(shardOf(map, key));
+	return shard.delete(key) ? replaceShard(map, key, shard) : map;
+}
+
+function shardOf<Value>({shards}: ShardedMap<Value>, key: string): ReadonlyMap<string, Value> {
+	return shards[hashText(key) % shardCount] ?? new Map<string, Value>();
+}
+
+function replaceShard<Value>(map: ShardedMap<Value>, key: string, shard: ReadonlyMap<string, Value>): ShardedMap<Value> {
+	const difference = shard.size - shardOf(map, key).size;
+	return {shards: map.shards.with(hashText(key) % shardCount, shard), size: map.size + difference};
+}
--- /dev/null
+++ b/packages/execution/start-queued.ts
@@ -0,0 +1,36 @@
+import {beginItem, chooseNext, removeUnreachable} from '#limits';
+import {refuseQueued, type ExecutionStep} from './answers.js';
+import {findRecord, putPending} from './ledger.js';
+import type {Present} from './types.js';
+
+/** Refuses what can no longer end in time and starts as much of the rest as the slots allow. */
+export function startQueued(step: ExecutionStep, present: Present): ExecutionStep {
+	const {queue, removed} = removeUnreachable(step.state.queue, present.now);
+	let next: ExecutionStep = {...step, state: {...step.state, queue}};
+	for (const item of removed) {
+		next = refuseQueued(next, item, 'deadline-unreachable', present);
+	}
+
+	for (let item = chooseNext(next.state.queue); item !== undefined; item = chooseNext(next.state.queue)) {
+		const {state, effects} = next;
+		const record = findRecord(state.ledger, item.requestId);
+		if (record?.kind !== 'queued') {
+			break;
+		}
+
+		const {work, fingerprint, queuedAt, waiting} = record;
+		next = {
+			state: {
+				...state,
+				queue: beginItem(state.queue, item, present.monotonic),
+				ledger: putPending(state.ledger, {
+					kind: 'running', work, fingerprint, queuedAt, startedAt: present.monotonic, waiting,
+				}),
+				totals: {...state.totals, started: state.totals.started + 1},
+			},
+			effects: [...effects, {kind: 'start-task', work}],
+		};
+	}
+
+	return next;
+}
--- /dev/null
+++ b/packages/execution/withdraw.ts
@@ -0,0 +1,51 @@
+import type {AgentAnswer} from '#core';
+import {concludeRecord, type ExecutionStep} from './answers.js';
+import {findRecord, hasRoom, putAnswer} from './ledger.js';
+import type {ExecutionMessage, ExecutionState, Present} from './types.js';
+
+const withdrawnAnswer: AgentAnswer = {kind: 'refused', reason: 'withdrawn'};
+
+/** Withdraws a request that has not started. An unknown identifier gets a tombstone, so that its `run` cannot start it when it arrives late. */
+export function withdrawRequest(state: ExecutionState, message: Extract<ExecutionMessage, {kind: 'withdraw'}>, present: Present): ExecutionStep {
+	const {requestId, incarnation, replyId} = message;
+	if (incarnation !== state.settings.incarnation) {
+		// This incarnation cannot say what another one did.
+		return {state, effects: [{kind: 'answer-withdraw', replyId, result: {kind: 'answered', answer: {kind: 'interrupted', reason: 'stale-incarnation'}}}]};
+	}
+
+	const record = findRecord(state.ledger, requestId);
+	switch (record?.kind) {
+		case undefined: {
+			return leaveTombstone(state, message, present);
+		}
+
+		case 'queued': {
+			const step = concludeRecord({state, effects: []}, record, withdrawnAnswer, present);
+			return {...step, effects: [...step.effects, {kind: 'answer-withdraw', replyId, result: {kind: 'withdrawn'}}]};
+		}
+
+		case 'running': {
+			return {state, effects: [{kind: 'answer-withdraw', replyId, result: {kind: 'running'}}]};
+		}
+
+		case 'answered': {
+			const isWithdrawn = record.answer.kind === 'refused' && record.answer.reason === 'withdrawn';
+			return {
+				state,
+				effects: [{kind: 'answer-withdraw', replyId, result: isWithdrawn ? {kind: 'withdrawn'} : {kind: 'answered', answer: record.answer}}],
+			};
+		}
+	}
+}
+
+function leaveTombstone(state: ExecutionState, {requestId, replyId}: Extract<ExecutionMessage, {kind: 'withdraw'}>, {monotonic}: Present): ExecutionStep {
+	// A full ledger cannot keep the promise of a tombstone; a draining agent starts nothing anyway.
+	if (state.phase === 'serving' && !hasRoom(state.ledger, state.settings)) {
+		return {state, effects: [{kind: 'answer-withdraw', replyId, result: {kind: 'running'}}]};
+	}
+
+	const ledger = putAnswer(state.ledger, {
+		requestId, answer: withdrawnAnswer, fingerprint: undefined, isBinding: true, wasPendingBinding: false,
+	}, monotonic, state.settings);
+	return {state: {...state, ledger}, effects: [{kind: 'answer-withdraw', replyId, result: {kind: 'withdrawn'}}]};
+}
--- /dev/null
+++ b/packages/limits/index.ts
@@ -0,0 +1,6 @@
+export * from './types.js';
+export * from './constants.js';
+export * from './queue.js';
+export * from './choose-next.js';
+export * from './deadlines.js';
+export * from './admission.js';
--- a/packages/transport/types.ts
+++ b/packages/transport/types.ts
@@ -5,7 +5,8 @@
 import type {Milliseconds, RefusalReason} from '#core';
 import type {MethodName, methods} from '#protocol';
 
-export type MethodParameters<Name extends MethodName> = InferInput<typeof methods[Name]['parameters']>;
+/** Parameters as written by hand or as read from another message. */
+export type MethodParameters<Name extends MethodName> = InferInput<typeof methods[Name]['parameters']> | InferOutput<typeof methods[Name]['parameters']>;
 export type MethodResult<Name extends MethodName> = InferOutput<typeof methods[Name]['result']>;
 
 /** Result of a remote call. `never-sent` is certain; `perhaps-sent` leaves open whether the other side acted on it. */
