--- a/packages/transport/peer.ts
+++ b/packages/transport/peer.ts
@@ -22,6 +22,8 @@
 	const {clock, log} = services;
 	const closedListeners = new Set<(reason: string) => void>();
 	let closeReason: string | undefined;
+	let sentBytes = 0;
+	let receivedBytes = 0;
 
 	const rpc = new JSONRPCServerAndClient<void, void>(
 		new JSONRPCServer({
@@ -30,7 +32,9 @@
 			},
 		}),
 		new JSONRPCClient(message => {
-			socket.send(JSON.stringify(message));
+			const text = JSON.stringify(message);
+			sentBytes += Buffer.byteLength(text);
+			socket.send(text);
 		}),
 	);
 
@@ -110,6 +114,7 @@
 		},
 		close: finish,
 		isOpen: () => closeReason === undefined && socket.readyState === socket.OPEN,
+		traffic: () => ({sent: sentBytes, received: receivedBytes}),
 		onClosed(listener) {
 			closedListeners.add(listener);
 			return () => {
@@ -133,7 +138,9 @@
 
 	socket.on('message', (data: Readonly<{toString(): string}>) => {
 		silence.send({kind: 'received'});
-		void receiveMessage(rpc, data.toString(), finish);
+		const text = data.toString();
+		receivedBytes += Buffer.byteLength(text);
+		void receiveMessage(rpc, text, finish);
 	});
 	socket.on('close', () => {
 		finish('closed by the other side');
--- a/packages/transport/types.ts
+++ b/packages/transport/types.ts
@@ -20,6 +20,8 @@
 	call<Name extends MethodName>(method: Name, parameters: MethodParameters<Name>, timeout: Milliseconds): Promise<CallReply<MethodResult<Name>>>;
 	close(reason: string): void;
 	isOpen(): boolean;
+	/** Bytes of messages so far, without the framing. */
+	traffic(): Readonly<{sent: number; received: number}>;
 	onClosed(listener: (reason: string) => void): Cancel;
 }>;
 
