--- a/tools/capacity/fake-agents.ts
+++ b/tools/capacity/fake-agents.ts
@@ -1,7 +1,5 @@
 import {setTimeout as delay} from 'node:timers/promises';
-import type {
-	Incarnation, RackName, RegionName, WorkerId, ZoneName,
-} from '#core';
+import type {Incarnation, RackName, WorkerId} from '#core';
 import {createRegistry, silentLog, systemClock} from '#kernel';
 import {reportIntervalMilliseconds} from '#protocol';
 import {dialPeer, type RpcPeer} from '#transport';
