--- /dev/null
+++ b/test/support/silent-proxy.ts
@@ -0,0 +1,57 @@
+/** A TCP relay whose open connections can go silent for good while new ones work, like a middlebox that lost its state. */
+import {connect, createServer, type Socket} from 'node:net';
+
+export type SilentProxy = Readonly<{
+	port: number;
+	/** Drops all further bytes of the connections that are open now, without closing them. */
+	silenceOpenConnections(): void;
+	close(): void;
+}>;
+
+/** Starts a relay to a port on loopback. */
+export async function startSilentProxy(targetPort: number): Promise<SilentProxy> {
+	const silenced = new Set<Socket>();
+	const open = new Set<Socket>();
+	const relay = (from: Socket, to: Socket) => {
+		from.on('data', data => {
+			if (!silenced.has(from)) {
+				to.write(data);
+			}
+		});
+		from.on('error', () => {
+			to.destroy();
+		});
+		from.on('close', () => {
+			open.delete(from);
+			if (!silenced.has(from)) {
+				to.destroy();
+			}
+		});
+	};
+
+	const server = createServer(near => {
+		const far = connect(targetPort, '127.0.0.1');
+		open.add(near);
+		open.add(far);
+		relay(near, far);
+		relay(far, near);
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const address = server.address();
+	return {
+		port: typeof address === 'object' && address !== null ? address.port : 0,
+		silenceOpenConnections() {
+			for (const socket of open) {
+				silenced.add(socket);
+			}
+		},
+		close() {
+			server.close();
+			for (const socket of open) {
+				socket.destroy();
+			}
+		},
+	};
+}
