Complete the stand-in key-value service

Leases, a bounded history, rate limits, a count of calls and fault switches were missing, so neither outages nor lost answers could be tested. The decisions are split by concern, and the same routes also serve a client without sockets on a virtual clock. Any 4xx answer now counts as not applied, since a refusal is given before a write takes effect.

--- a/packages/stand-ins/store/call.ts
+++ b/packages/stand-ins/store/call.ts
@@ -1,8 +1,15 @@
-import type {HttpReply, TaskHandle} from '#kernel';
-import type {Respond, StoreMessage, StoreState} from './types.js';
+import type {HttpReply} from '#kernel';
+import type {
+	Respond, StoreCall, StoreMessage, StoreTask,
+} from './types.js';
+
+/** Sends a call of the service to the store's task and waits for the reply. */
+export async function callStore(store: StoreTask, call: StoreCall): Promise<HttpReply> {
+	return askStore(store, respond => ({kind: 'call', call, respond}));
+}
 
 /** Sends a message with a reply callback to the store's task and waits for the reply. */
-export async function callStore(store: TaskHandle<StoreState, StoreMessage>, createMessage: (respond: Respond) => StoreMessage): Promise<HttpReply> {
+export async function askStore(store: StoreTask, createMessage: (respond: Respond) => StoreMessage): Promise<HttpReply> {
 	return new Promise(resolve => {
 		store.send(createMessage(resolve));
 	});
--- a/packages/stand-ins/store/routes/index.ts
+++ b/packages/stand-ins/store/routes/index.ts
@@ -3,3 +3,8 @@
 import './write-key.js';
 import './remove-key.js';
 import './watch-keys.js';
+import './grant-lease.js';
+import './renew-lease.js';
+import './revoke-lease.js';
+import './set-switches.js';
+import './count-calls.js';
--- a/packages/stand-ins/store/routes/list-keys.ts
+++ b/packages/stand-ins/store/routes/list-keys.ts
@@ -6,5 +6,5 @@
 	name: 'list-keys',
 	method: 'GET',
 	path: '/keys',
-	handle: async ({query}, {store}) => callStore(store, respond => ({kind: 'list', prefix: query.get('prefix') ?? '', respond})),
+	handle: async ({query}, {store}) => callStore(store, {kind: 'list', prefix: query.get('prefix') ?? ''}),
 });
--- a/packages/stand-ins/store/routes/read-key.ts
+++ b/packages/stand-ins/store/routes/read-key.ts
@@ -6,5 +6,5 @@
 	name: 'read-key',
 	method: 'GET',
 	path: '/keys/:key',
-	handle: async ({parameters}, {store}) => callStore(store, respond => ({kind: 'read', key: parameters['key'] ?? '', respond})),
+	handle: async ({parameters}, {store}) => callStore(store, {kind: 'read', key: parameters['key'] ?? ''}),
 });
--- a/packages/stand-ins/store/routes/remove-key.ts
+++ b/packages/stand-ins/store/routes/remove-key.ts
@@ -6,7 +6,7 @@
 	name: 'remove-key',
 	method: 'DELETE',
 	path: '/keys/:key',
-	handle: async ({parameters, query}, {store}) => callStore(store, respond => ({
-		kind: 'remove', key: parameters['key'] ?? '', expectedVersion: Number(query.get('expectedVersion')), respond,
-	})),
+	handle: async ({parameters, query}, {store}) => callStore(store, {
+		kind: 'remove', key: parameters['key'] ?? '', expectedVersion: Number(query.get('expectedVersion')),
+	}),
 });
--- a/packages/stand-ins/store/routes/watch-keys.ts
+++ b/packages/stand-ins/store/routes/watch-keys.ts
@@ -6,7 +6,7 @@
 	name: 'watch-keys',
 	method: 'GET',
 	path: '/watch',
-	handle: async ({query}, {store}) => callStore(store, respond => ({
-		kind: 'watch', prefix: query.get('prefix') ?? '', after: Number(query.get('after')), wait: Number(query.get('wait')), respond,
-	})),
+	handle: async ({query, signal}, {store}) => callStore(store, {
+		kind: 'watch', prefix: query.get('prefix') ?? '', after: Number(query.get('after')), wait: Number(query.get('wait')), signal,
+	}),
 });
--- a/packages/stand-ins/store/routes/write-key.ts
+++ b/packages/stand-ins/store/routes/write-key.ts
@@ -15,9 +15,9 @@
 	path: '/keys/:key',
 	bodySchema,
 	async handle({parameters, body}, {store}) {
-		const {value, expectedVersion} = body as valibot.InferOutput<typeof bodySchema>;
-		return callStore(store, respond => ({
-			kind: 'write', key: parameters['key'] ?? '', value, expectedVersion, respond,
-		}));
+		const {value, expectedVersion, lease} = body as valibot.InferOutput<typeof bodySchema>;
+		return callStore(store, {
+			kind: 'write', key: parameters['key'] ?? '', value, expectedVersion, lease,
+		});
 	},
 });
--- a/packages/stand-ins/store/state.ts
+++ b/packages/stand-ins/store/state.ts
@@ -1,47 +1,72 @@
-import {assertNever, type Step} from '#core';
-import type {HttpReply} from '#kernel';
-import type {StoredValue, WatchEvent} from '#store';
+import {assertNever, type MonotonicTime, type Step} from '#core';
+import type {Present} from '#kernel';
+import {admitCall} from './admission.js';
+import {initialSwitches} from './constants.js';
+import {
+	checkLease, grantLease, renewLease, revokeLease,
+} from './leases.js';
+import {respond} from './respond.js';
 import type {
-	Respond, StoreEffect, StoreMessage, StoreState,
+	Respond, StoreCall, StoreEffect, StoreMessage, StoreState,
 } from './types.js';
+import {
+	listValues, readValue, removeValue, writeValue,
+} from './values.js';
+import {addWatcher, cutOffWatchers, expireWatcher} from './watches.js';
 
 export const initialStoreState: StoreState = {
-	revision: 0, values: new Map(), history: [], watchers: [], nextWatcher: 1,
+	revision: 0,
+	values: new Map(),
+	leases: new Map(),
+	nextLease: 1,
+	history: [],
+	compactedThrough: 0,
+	watchers: [],
+	nextWatcher: 1,
+	switches: initialSwitches,
+	calls: new Map(),
+	refusedCalls: 0,
+	buckets: {write: {tokens: initialSwitches.writesPerSecond, filledAt: 0}, read: {tokens: initialSwitches.readsPerSecond, filledAt: 0}},
 };
 
 type StoreStep = Step<StoreState, StoreEffect>;
 
 /** Decisions of the stand-in key-value service. */
-export function receiveStoreMessage(state: StoreState, message: StoreMessage): StoreStep {
+export function receiveStoreMessage(state: StoreState, message: StoreMessage, {monotonic}: Present): StoreStep {
 	switch (message.kind) {
-		case 'read': {
-			const stored = state.values.get(message.key);
-			return {state, effects: [stored === undefined ? respond(message.respond, 404, {}) : respond(message.respond, 200, stored)]};
+		case 'call': {
+			const admission = admitCall(state, message.call, message.respond, monotonic);
+			switch (admission.kind) {
+				case 'admitted': {
+					return applyCall(admission.state, message.call, message.respond, monotonic);
+				}
+
+				case 'rejected': {
+					return admission;
+				}
+
+				default: {
+					return assertNever(admission);
+				}
+			}
 		}
 
-		case 'list': {
-			const values = [...state.values.values()].filter(stored => stored.key.startsWith(message.prefix));
-			return {state, effects: [respond(message.respond, 200, {revision: state.revision, values})]};
-		}
-
-		case 'write': {
-			return writeValue(state, message);
+		case 'watch-expired': {
+			return expireWatcher(state, message.watcher);
 		}
 
-		case 'remove': {
-			return removeValue(state, message);
+		case 'lease-due': {
+			return checkLease(state, message.lease, monotonic);
 		}
 
-		case 'watch': {
-			return addWatcher(state, message);
+		case 'set-switches': {
+			const switched = {...state, switches: {...state.switches, ...message.switches}};
+			const cut = switched.switches.outage ? cutOffWatchers(switched) : {state: switched, effects: []};
+			return {state: cut.state, effects: [...cut.effects, {...respond(cut.state, message.respond, 200, cut.state.switches), delay: 0}]};
 		}
 
-		case 'watch-expired': {
-			const expired = state.watchers.filter(watcher => watcher.id === message.watcher);
-			return {
-				state: {...state, watchers: state.watchers.filter(watcher => watcher.id !== message.watcher)},
-				effects: expired.map(watcher => respond(watcher.respond, 200, {revision: state.revision, events: []})),
-			};
+		case 'count-calls': {
+			return {state, effects: [{...respond(state, message.respond, 200, countCalls(state)), delay: 0}]};
 		}
 
 		default: {
@@ -50,65 +75,51 @@
 	}
 }
 
-function respond(callback: Respond, status: number, body: unknown): StoreEffect {
-	const reply: HttpReply = {kind: 'json', status, body};
-	return {kind: 'respond', respond: callback, reply};
-}
+function applyCall(state: StoreState, call: StoreCall, callback: Respond, monotonic: MonotonicTime): StoreStep {
+	switch (call.kind) {
+		case 'read': {
+			return readValue(state, call.key, callback);
+		}
 
-function writeValue(state: StoreState, message: Extract<StoreMessage, {kind: 'write'}>): StoreStep {
-	const current = state.values.get(message.key);
-	if ((current?.version ?? 0) !== message.expectedVersion) {
-		return {state, effects: [respond(message.respond, 409, {current: current ?? null})]};
-	}
+		case 'list': {
+			return listValues(state, call.prefix, callback);
+		}
 
-	const revision = state.revision + 1;
-	const stored: StoredValue = {key: message.key, value: message.value, version: revision};
-	const values = new Map(state.values).set(message.key, stored);
-	return announceEvent({...state, revision, values}, {kind: 'put', stored}, [respond(message.respond, 200, {version: revision})]);
-}
+		case 'write': {
+			return writeValue(state, call, callback);
+		}
 
-function removeValue(state: StoreState, message: Extract<StoreMessage, {kind: 'remove'}>): StoreStep {
-	const current = state.values.get(message.key);
-	if (current?.version !== message.expectedVersion) {
-		return {state, effects: [respond(message.respond, 409, {current: current ?? null})]};
-	}
+		case 'remove': {
+			return removeValue(state, call, callback);
+		}
 
-	const revision = state.revision + 1;
-	const values = new Map(state.values);
-	values.delete(message.key);
-	return announceEvent({...state, revision, values}, {kind: 'deleted', key: message.key}, [respond(message.respond, 200, {version: revision})]);
-}
+		case 'watch': {
+			return addWatcher(state, call, callback);
+		}
 
-function keyOf(event: WatchEvent): string {
-	return event.kind === 'put' ? event.stored.key : event.key;
-}
+		case 'grant-lease': {
+			return grantLease(state, call.timeToLive, callback, monotonic);
+		}
 
-function announceEvent(state: StoreState, event: WatchEvent, effects: readonly StoreEffect[]): StoreStep {
-	const interested = state.watchers.filter(watcher => keyOf(event).startsWith(watcher.prefix));
-	const replies = interested.map(watcher => respond(watcher.respond, 200, {revision: state.revision, events: [event]}));
-	return {
-		state: {
-			...state,
-			history: [...state.history, {revision: state.revision, event}],
-			watchers: state.watchers.filter(watcher => !interested.includes(watcher)),
-		},
-		effects: [...effects, ...replies],
-	};
-}
+		case 'renew-lease': {
+			return renewLease(state, call.lease, callback, monotonic);
+		}
+
+		case 'revoke-lease': {
+			return revokeLease(state, call.lease, callback);
+		}
 
-function addWatcher(state: StoreState, message: Extract<StoreMessage, {kind: 'watch'}>): StoreStep {
-	const events = state.history
-		.filter(({revision, event}) => revision > message.after && keyOf(event).startsWith(message.prefix))
-		.map(({event}) => event);
-	if (events.length > 0) {
-		return {state, effects: [respond(message.respond, 200, {revision: state.revision, events})]};
+		default: {
+			return assertNever(call);
+		}
 	}
+}
 
-	const watcher = {
-		prefix: message.prefix, after: message.after, respond: message.respond, id: state.nextWatcher,
-	};
+function countCalls(state: StoreState): unknown {
 	return {
-		state: {...state, watchers: [...state.watchers, watcher], nextWatcher: state.nextWatcher + 1},
-		effects: [{kind: 'schedule-expiry', watcher: watcher.id, delay: message.wait}],
+		total: [...state.calls.values()].reduce((sum, count) => sum + count, 0),
+		refused: state.refusedCalls,
+		waitingWatches: state.watchers.length,
+		byKind: Object.fromEntries(state.calls),
 	};
 }
--- a/packages/stand-ins/store/types.ts
+++ b/packages/stand-ins/store/types.ts
@@ -1,3 +1,4 @@
+import type {Milliseconds, MonotonicTime} from '#core';
 import type {HttpReply, TaskHandle} from '#kernel';
 import type {StoredValue, WatchEvent} from '#store';
 
@@ -6,25 +7,72 @@
 
 export type Watcher = Readonly<{prefix: string; after: number; respond: Respond; id: number}>;
 
+export type Lease = Readonly<{id: string; timeToLive: Milliseconds; expiresAt: MonotonicTime}>;
+
+export type HeldValue = Readonly<{stored: StoredValue; lease: string | undefined}>;
+
+/** Faults and limits that a test sets by `POST /switches`. */
+export type StoreSwitches = Readonly<{
+	/** Every call is answered with 503 and pending watches are cut off. */
+	outage: boolean;
+	/** Calls are neither applied nor answered. */
+	hang: boolean;
+	/** Answers are held back for this time; the calls are applied on arrival. */
+	slownessMilliseconds: Milliseconds;
+	/** The next writes are applied, but not answered. */
+	loseWriteAnswers: number;
+	/** 0 means no limit. */
+	writesPerSecond: number;
+	/** 0 means no limit. */
+	readsPerSecond: number;
+	/** Events that watches can still be given; older ones are answered with 410. */
+	historyLimit: number;
+}>;
+
+/** Tokens that are left in a rate limit of one second. */
+export type Bucket = Readonly<{tokens: number; filledAt: MonotonicTime}>;
+
 /** All state of the stand-in key-value service. */
 export type StoreState = Readonly<{
 	revision: number;
-	values: ReadonlyMap<string, StoredValue>;
+	values: ReadonlyMap<string, HeldValue>;
+	leases: ReadonlyMap<string, Lease>;
+	nextLease: number;
 	history: ReadonlyArray<Readonly<{revision: number; event: WatchEvent}>>;
+	/** Revision of the newest event that the history has dropped. */
+	compactedThrough: number;
 	watchers: readonly Watcher[];
 	nextWatcher: number;
+	switches: StoreSwitches;
+	calls: ReadonlyMap<StoreCallName, number>;
+	refusedCalls: number;
+	buckets: Readonly<{write: Bucket; read: Bucket}>;
 }>;
 
+export type StoreCall =
+	| Readonly<{kind: 'read'; key: string}>
+	| Readonly<{kind: 'list'; prefix: string}>
+	| Readonly<{kind: 'write'; key: string; value: unknown; expectedVersion: number; lease: string | undefined}>
+	| Readonly<{kind: 'remove'; key: string; expectedVersion: number}>
+	| Readonly<{kind: 'watch'; prefix: string; after: number; wait: Milliseconds; signal: AbortSignal}>
+	| Readonly<{kind: 'grant-lease'; timeToLive: Milliseconds}>
+	| Readonly<{kind: 'renew-lease'; lease: string}>
+	| Readonly<{kind: 'revoke-lease'; lease: string}>;
+
+export type StoreCallName = StoreCall['kind'];
+
 export type StoreMessage =
-	| Readonly<{kind: 'read'; key: string; respond: Respond}>
-	| Readonly<{kind: 'list'; prefix: string; respond: Respond}>
-	| Readonly<{kind: 'write'; key: string; value: unknown; expectedVersion: number; respond: Respond}>
-	| Readonly<{kind: 'remove'; key: string; expectedVersion: number; respond: Respond}>
-	| Readonly<{kind: 'watch'; prefix: string; after: number; wait: number; respond: Respond}>
-	| Readonly<{kind: 'watch-expired'; watcher: number}>;
+	| Readonly<{kind: 'call'; call: StoreCall; respond: Respond}>
+	| Readonly<{kind: 'watch-expired'; watcher: number}>
+	| Readonly<{kind: 'lease-due'; lease: string}>
+	| Readonly<{kind: 'set-switches'; switches: Partial<StoreSwitches>; respond: Respond}>
+	| Readonly<{kind: 'count-calls'; respond: Respond}>;
 
 export type StoreEffect =
-	| Readonly<{kind: 'respond'; respond: Respond; reply: HttpReply}>
-	| Readonly<{kind: 'schedule-expiry'; watcher: number; delay: number}>;
+	| Readonly<{kind: 'respond'; respond: Respond; reply: HttpReply; delay: Milliseconds}>
+	| Readonly<{kind: 'schedule-watch-expiry'; watcher: number; delay: Milliseconds; signal: AbortSignal}>
+	| Readonly<{kind: 'schedule-lease-check'; lease: string; delay: Milliseconds}>;
+
+export type StoreTask = TaskHandle<StoreState, StoreMessage>;
 
-export type StoreContext = Readonly<{store: TaskHandle<StoreState, StoreMessage>}>;
+export type StoreContext = Readonly<{store: StoreTask}>;
--- a/packages/store/http-store.ts
+++ b/packages/store/http-store.ts
@@ -1,6 +1,6 @@
 import * as valibot from 'valibot';
 import type {Milliseconds} from '#core';
-import {createHttpClient, type HttpResult} from '#transport';
+import {createHttpClient, type HttpClient, type HttpResult} from '#transport';
 import {
 	maximumStoreConnections, storeTimeoutMilliseconds, watchMarginMilliseconds,
 } from './constants.js';
@@ -17,7 +17,11 @@
 @param origin - Example: `http://10.0.0.5:2379`.
 */
 export function createHttpStore(origin: string): KeyValueStore {
-	const client = createHttpClient(origin, maximumStoreConnections);
+	return createStoreClient(createHttpClient(origin, maximumStoreConnections));
+}
+
+/** Encodes calls of the key-value service and decodes its answers, over any client of its HTTP interface. */
+export function createStoreClient(client: HttpClient): KeyValueStore {
 	const send = async (method: 'GET' | 'POST' | 'PUT' | 'DELETE', path: string, body?: unknown, timeout: Milliseconds = storeTimeoutMilliseconds) =>
 		client.send(method, path, {body, timeout});
 	const pathOf = (key: string) => `/keys/${encodeURIComponent(key)}`;
@@ -40,7 +44,7 @@
 	};
 }
 
-/** A rate limit (429) or an outage (503) is answered before anything is applied; everything else is uncertain. */
+/** A refusal (4xx) or an outage (503) is answered before anything is applied; everything else is uncertain. */
 function toFailure(result: HttpResult): StoreFailure {
 	if (result.kind === 'failed') {
 		return {kind: 'unavailable', effect: result.delivery === 'never-sent' ? 'not-applied' : 'perhaps-applied', message: result.message};
@@ -48,7 +52,7 @@
 
 	const limited = valibot.safeParse(limitedSchema, result.body);
 	const retryAfterMilliseconds = limited.success ? limited.output.retryAfterMilliseconds : undefined;
-	const isRefused = result.status === 429 || result.status === 503;
+	const isRefused = (result.status >= 400 && result.status < 500) || result.status === 503;
 	return {
 		kind: 'unavailable',
 		effect: isRefused ? 'not-applied' : 'perhaps-applied',
--- a/packages/transport/index.ts
+++ b/packages/transport/index.ts
@@ -6,4 +6,5 @@
 export * from './listen.js';
 export * from './peer.js';
 export * from './problem.js';
+export * from './route.js';
 export * from './silence.js';
