--- /dev/null
+++ b/packages/store/backoff.ts
@@ -0,0 +1,13 @@
+import type {Milliseconds, RandomSource} from '#core';
+import {storeBackoffMaximumMilliseconds, storeBackoffMinimumMilliseconds} from './constants.js';
+
+/**
+Chooses the delay before a failed call is tried again: full jitter below a bound that doubles with each failure.
+
+@param failures - Failures in a row, from 1.
+@param retryAfter - The shortest delay that the store asked for.
+*/
+export function chooseBackoff(failures: number, random: RandomSource, retryAfter: Milliseconds = 0): Milliseconds {
+	const bound = Math.min(storeBackoffMaximumMilliseconds, storeBackoffMinimumMilliseconds * (2 ** failures));
+	return retryAfter + (random() * bound);
+}
--- a/packages/store/constants.ts
+++ b/packages/store/constants.ts
@@ -10,3 +10,9 @@
 /** Bounds of the backoff after a failed call; full jitter spreads the callers when the store returns. */
 export const storeBackoffMinimumMilliseconds = 200;
 export const storeBackoffMaximumMilliseconds = 5000;
+/** Share of a lease's time to live after which it is renewed; two renewals may fail before it lapses. */
+export const leaseRenewalShare = 1 / 3;
+/** Renewals of many holders are spread by this share of the interval in both directions. */
+export const leaseRenewalSpread = 0.2;
+/** Share of a lease's time to live that is given up for clocks that run at different rates. */
+export const leaseClockMarginShare = 0.02;
--- /dev/null
+++ b/packages/store/lease-task.ts
@@ -0,0 +1,81 @@
+import type {RandomSource} from '#core';
+import {startTask, type Cancel, type Clock} from '#kernel';
+import {
+	findValidLease, initialLeaseState, receiveLeaseMessage, type HeldLease, type LeaseEffect, type LeaseMessage, type LeaseState,
+} from './lease.js';
+import type {KeyValueStore} from './types.js';
+
+/** A lease that a task keeps alive. */
+export type LeaseHandle = Readonly<{
+	/** The lease if it is certainly valid now; ask again before each use, since a pause may have outlasted it. */
+	findValid(): HeldLease | undefined;
+	/** Calls the listener after each change of the lease identifier; undefined means that the store dropped the lease. */
+	onChanged(listener: (lease: string | undefined) => void): Cancel;
+	/** Gives the lease back. */
+	stop(): void;
+}>;
+
+export type LeaseTaskOptions = Readonly<{store: KeyValueStore; clock: Clock; random: RandomSource; timeToLive: number}>;
+
+/**
+Starts a task that grants and renews one lease of the store.
+
+@example
+```
+const lease = startLeaseTask({store, clock, random, timeToLive: 15_000});
+const held = lease.findValid();
+```
+*/
+export function startLeaseTask({store, clock, random, timeToLive}: LeaseTaskOptions): LeaseHandle {
+	const perform = async (effect: LeaseEffect, send: (message: LeaseMessage) => void) => {
+		switch (effect.kind) {
+			case 'grant': {
+				send({kind: 'replied', reply: await store.grantLease(timeToLive), sentAt: effect.sentAt});
+				break;
+			}
+
+			case 'renew': {
+				send({kind: 'replied', reply: await store.renewLease(effect.lease), sentAt: effect.sentAt});
+				break;
+			}
+
+			case 'revoke': {
+				await store.revokeLease(effect.lease);
+				break;
+			}
+
+			case 'schedule': {
+				clock.schedule(effect.delay, () => {
+					send({kind: 'due'});
+				});
+			}
+		}
+	};
+
+	const task = startTask<LeaseState, LeaseMessage, LeaseEffect>({
+		name: 'lease',
+		initialState: initialLeaseState,
+		receive: (state, message, present) => receiveLeaseMessage(state, message, present, {timeToLive, random}),
+	}, {
+		clock,
+		perform(effect, send) {
+			void perform(effect, send);
+		},
+	});
+	task.send({kind: 'due'});
+	return {
+		findValid: () => findValidLease(task.read(), clock.monotonic()),
+		onChanged(listener) {
+			let known = task.read().held?.lease;
+			return task.subscribe(({held}) => {
+				if (held?.lease !== known) {
+					known = held?.lease;
+					listener(known);
+				}
+			});
+		},
+		stop() {
+			task.send({kind: 'stop'});
+		},
+	};
+}
--- /dev/null
+++ b/packages/store/lease.ts
@@ -0,0 +1,108 @@
+import {
+	assertNever, type Milliseconds, type MonotonicTime, type RandomSource, type Step,
+} from '#core';
+import type {Present} from '#kernel';
+import {chooseBackoff} from './backoff.js';
+import {leaseClockMarginShare, leaseRenewalShare, leaseRenewalSpread} from './constants.js';
+import type {LeaseReply} from './types.js';
+
+/** A lease that was granted, and until when the store certainly keeps it. */
+export type HeldLease = Readonly<{lease: string; validUntil: MonotonicTime}>;
+
+export type LeaseState = Readonly<{
+	held: HeldLease | undefined;
+	failures: number;
+	isStopped: boolean;
+}>;
+
+export type LeaseMessage =
+	| Readonly<{kind: 'due'}>
+	/** `sentAt` is the monotonic time before the call was sent. */
+	| Readonly<{kind: 'replied'; reply: LeaseReply; sentAt: MonotonicTime}>
+	| Readonly<{kind: 'stop'}>;
+
+export type LeaseEffect =
+	| Readonly<{kind: 'grant'; sentAt: MonotonicTime}>
+	| Readonly<{kind: 'renew'; lease: string; sentAt: MonotonicTime}>
+	| Readonly<{kind: 'revoke'; lease: string}>
+	| Readonly<{kind: 'schedule'; delay: Milliseconds}>;
+
+export type LeaseOptions = Readonly<{timeToLive: Milliseconds; random: RandomSource}>;
+
+export const initialLeaseState: LeaseState = {held: undefined, failures: 0, isStopped: false};
+
+/**
+Tells which lease is certainly valid at the given time.
+
+The time counts from before the call that granted or renewed the lease, so that a holder that was paused finds it lapsed no later than the store does.
+*/
+export function findValidLease({held}: LeaseState, monotonic: MonotonicTime): HeldLease | undefined {
+	return held !== undefined && monotonic < held.validUntil ? held : undefined;
+}
+
+/** Decides when a lease is granted, renewed and given back. */
+export function receiveLeaseMessage(state: LeaseState, message: LeaseMessage, {monotonic}: Present, options: LeaseOptions): Step<LeaseState, LeaseEffect> {
+	switch (message.kind) {
+		case 'due': {
+			return state.isStopped ? {state, effects: []} : {state, effects: [callFor(state, monotonic)]};
+		}
+
+		case 'replied': {
+			return handleReply(state, message, options);
+		}
+
+		case 'stop': {
+			return {
+				state: {...state, held: undefined, isStopped: true},
+				effects: state.held === undefined ? [] : [{kind: 'revoke', lease: state.held.lease}],
+			};
+		}
+
+		default: {
+			return assertNever(message);
+		}
+	}
+}
+
+/** A lease that lapsed by this clock may still exist in the store, so it is renewed rather than replaced. */
+function callFor({held}: LeaseState, sentAt: MonotonicTime): LeaseEffect {
+	return held === undefined ? {kind: 'grant', sentAt} : {kind: 'renew', lease: held.lease, sentAt};
+}
+
+function handleReply(state: LeaseState, {reply, sentAt}: Extract<LeaseMessage, {kind: 'replied'}>, {timeToLive, random}: LeaseOptions): Step<LeaseState, LeaseEffect> {
+	switch (reply.kind) {
+		case 'granted': {
+			if (state.isStopped) {
+				return {state, effects: [{kind: 'revoke', lease: reply.lease}]};
+			}
+
+			const validUntil = sentAt + (timeToLive * (1 - leaseClockMarginShare));
+			const spread = 1 + (leaseRenewalSpread * ((2 * random()) - 1));
+			return {
+				state: {...state, held: {lease: reply.lease, validUntil}, failures: 0},
+				effects: [{kind: 'schedule', delay: timeToLive * leaseRenewalShare * spread}],
+			};
+		}
+
+		case 'lease-unknown': {
+			return retryLater({...state, held: undefined}, random, 0);
+		}
+
+		case 'unavailable': {
+			return retryLater(state, random, reply.retryAfterMilliseconds);
+		}
+
+		default: {
+			return assertNever(reply);
+		}
+	}
+}
+
+function retryLater(state: LeaseState, random: RandomSource, retryAfter: Milliseconds | undefined): Step<LeaseState, LeaseEffect> {
+	if (state.isStopped) {
+		return {state, effects: []};
+	}
+
+	const failures = state.failures + 1;
+	return {state: {...state, failures}, effects: [{kind: 'schedule', delay: chooseBackoff(failures, random, retryAfter)}]};
+}
