--- a/packages/transport/index.ts
+++ b/packages/transport/index.ts
@@ -7,4 +7,5 @@
 export * from './operations.js';
 export * from './peer.js';
 export * from './problem.js';
+export * from './route.js';
 export * from './silence.js';
