Map guaranteed cells to accelerators and place gangs around them

repairLayout keeps every cell whose workers are present, or absent for less than the delay, and moves others only for a cell that has no place otherwise. placeGang takes own cells, then accelerators nobody is guaranteed, then cells of others for preemptible gangs, and names the borrowers to evict where own cells are held. checkFeasibility reports the guarantees of a zone that cannot hold together.

--- /dev/null
+++ b/packages/placement/check-feasibility.ts
@@ -0,0 +1,30 @@
+import type {Lists} from '#configuration';
+import type {Finding} from '#core';
+import type {InventoryWorker, UnmetCells, ZoneInventory} from './layout-types.js';
+import {mapCells} from './repair-layout.js';
+import {keyOfShape, listWantedCells} from './wanted-cells.js';
+
+/** Finds the guarantees of a zone that cannot hold together on its workers. Workers that are absent count as if they were there. */
+export function checkFeasibility(lists: Lists, inventory: ZoneInventory): readonly Finding[] {
+	const workers = [...inventory.workers, ...inventory.absent.flatMap(({known}) => known ?? [])]
+		.map<InventoryWorker>(worker => ({...worker, pinned: []}));
+	const wanted = listWantedCells(lists, inventory.zone);
+	const {unmet} = mapCells([], wanted, {...inventory, workers, absent: []}, {now: 0, strategy: 'best-fit'});
+	const byShape = new Map(unmet.map(cells => [keyOfShape(cells), cells]));
+	const total = workers.reduce((sum, {accelerators}) => sum + accelerators, 0);
+	return lists.allowances.flatMap(({plan, guarantees}, position) => guarantees.flatMap(({zone, adjacency, accelerators}, index) => {
+		const cells = zone === inventory.zone ? byShape.get(keyOfShape({plan, adjacency, accelerators})) : undefined;
+		return cells === undefined
+			? []
+			: [{
+				place: `allowances[${position}].guarantees[${index}]`,
+				message: describe(cells, inventory, total),
+			}];
+	}));
+}
+
+function describe({plan, adjacency, accelerators, count, reason}: UnmetCells, {zone}: ZoneInventory, total: number): string {
+	const cause = reason === 'not-enough-accelerators' ? 'too few are left' : `no ${adjacency} has that many adjacent ones left`;
+	const cells = `${count} ${count === 1 ? 'cell' : 'cells'} of ${accelerators} accelerators in one ${adjacency} for plan ${plan}`;
+	return `${cells} cannot be placed beside the other guarantees: of the ${total} accelerators of zone ${zone}, ${cause}`;
+}
--- /dev/null
+++ b/packages/placement/choose-evictions.ts
@@ -0,0 +1,78 @@
+import type {JobId} from '#core';
+import {fillBlocks, listBlocks, type ClassifiedWorker} from './blocks.js';
+import {maximumEvictionTrials} from './constants.js';
+import {compareScores, compareText} from './ground.js';
+import type {GangRequest, MemberPlacement} from './types.js';
+
+/** A job that borrows accelerators of the gang's plan. */
+type Borrower = Readonly<{job: JobId; accelerators: number; submittedAt: number}>;
+
+export type Reclaim = Readonly<{members: readonly MemberPlacement[]; evictions: readonly JobId[]}>;
+
+/** Places a gang on its own cells under borrowers. Evicts small and young jobs before large and old ones, and none that is not needed. */
+export function chooseEvictions(workers: readonly ClassifiedWorker[], gang: GangRequest): Reclaim | undefined {
+	const borrowers = listBorrowers(workers);
+	let reclaim = findShortestPrefix(workers, gang, borrowers);
+	if (reclaim === undefined) {
+		return undefined;
+	}
+
+	for (const {job} of borrowers.toReversed().slice(0, maximumEvictionTrials)) {
+		if (reclaim.evictions.includes(job)) {
+			reclaim = tryEvictions(workers, gang, reclaim.evictions.filter(other => other !== job)) ?? reclaim;
+		}
+	}
+
+	return reclaim;
+}
+
+/** Halves the range of prefixes, since evicting more jobs never leaves less room. */
+function findShortestPrefix(workers: readonly ClassifiedWorker[], gang: GangRequest, borrowers: readonly Borrower[]): Reclaim | undefined {
+	const tryPrefix = (length: number) => tryEvictions(workers, gang, borrowers.slice(0, length).map(({job}) => job));
+	let best = borrowers.length === 0 ? undefined : tryPrefix(borrowers.length);
+	let tooShort = 0;
+	let enough = borrowers.length;
+	while (best !== undefined && enough - tooShort > 1) {
+		const middle = Math.floor((tooShort + enough) / 2);
+		const reclaim = tryPrefix(middle);
+		if (reclaim === undefined) {
+			tooShort = middle;
+		} else {
+			enough = middle;
+			best = reclaim;
+		}
+	}
+
+	return best;
+}
+
+/** Places the gang as if the jobs were gone; the evictions are those of them that the placement touches. */
+function tryEvictions(workers: readonly ClassifiedWorker[], gang: GangRequest, jobs: readonly JobId[]): Reclaim | undefined {
+	const admission = {free: true, borrowable: gang.preemptible, evicted: new Set(jobs)};
+	const members = fillBlocks(listBlocks(workers, admission, gang.shape.acceleratorsPerMember), gang.shape);
+	if (members === undefined) {
+		return undefined;
+	}
+
+	const byWorker = new Map(workers.map(({view, uses}) => [view.worker, uses]));
+	const touched = new Set(members.flatMap(({worker, accelerators}) => accelerators.flatMap(index => {
+		const use = byWorker.get(worker)?.[index];
+		return use?.kind === 'reclaimable' ? [use.job] : [];
+	})));
+	return {members, evictions: [...touched].toSorted(compareText)};
+}
+
+function listBorrowers(workers: readonly ClassifiedWorker[]): readonly Borrower[] {
+	const reclaimable = new Set(workers.flatMap(({uses}) => uses.flatMap(use => use.kind === 'reclaimable' ? [use.job] : [])));
+	const borrowers = new Map<JobId, Borrower>();
+	for (const {view} of workers) {
+		for (const {job, accelerators, submittedAt} of view.holdings) {
+			if (reclaimable.has(job)) {
+				borrowers.set(job, {job, submittedAt, accelerators: accelerators.length + (borrowers.get(job)?.accelerators ?? 0)});
+			}
+		}
+	}
+
+	return [...borrowers.values()].toSorted((first, second) =>
+		compareScores([first.accelerators, second.submittedAt], [second.accelerators, first.submittedAt]) || compareText(first.job, second.job));
+}
--- a/packages/placement/types.ts
+++ b/packages/placement/types.ts
@@ -25,7 +25,13 @@
 }>;
 
 /** The workers of one availability zone that take new work. */
-export type ZoneView = Readonly<{workers: readonly WorkerView[]}>;
+export type ZoneView = Readonly<{
+	workers: readonly WorkerView[];
+	/** Known workers that take no new work at present but may come back; they count for what the zone could ever hold. */
+	absent?: readonly WorkerView[];
+	/** False while the process has not heard from every worker; then no shape is called impossible. */
+	isComplete?: boolean;
+}>;
 
 /** A gang that waits for accelerators. */
 export type GangRequest = Readonly<{
