Add reservations of gang members on one agent

A gang is reserved, committed and started in separate steps, so that no member runs before every agent has agreed. Leases are checked before each message is handled, by the agent's monotonic clock: a process that was paused past a lease can neither start nor finish work under it.

Between two reservations the older job wins. A committed reservation is no longer displaced, because members on other workers may have started; this cannot deadlock, since a gang is committed only after all of it is reserved. A plan that reserves its own cell gets the accelerators promised at once, so a borrower cannot take them again while it is being evicted.

An adopted gang gets the new owner's attempt through gang.renew; restarting it under the new attempt was ruled out, because it would lose running work.

--- a/packages/protocol/types.ts
+++ b/packages/protocol/types.ts
@@ -146,19 +146,27 @@
 export const commitParametersSchema = valibot.object({...gangReferenceSchema.entries, leaseMilliseconds: durationSchema});
 export type CommitParameters = Readonly<valibot.InferOutput<typeof commitParametersSchema>>;
 
+/** What members saved, by member number. */
+export const checkpointsSchema = valibot.record(valibot.string(), valibot.unknown());
+export type Checkpoints = Readonly<valibot.InferOutput<typeof checkpointsSchema>>;
+
 export const startParametersSchema = valibot.object({
 	...gangReferenceSchema.entries,
 	kind: valibot.string(),
 	payload: valibot.unknown(),
-	/** State of an earlier attempt, as the worker returned it. */
-	checkpoint: valibot.optional(valibot.unknown()),
+	/** State of an earlier attempt by member number, as the workers returned it. */
+	checkpoints: valibot.optional(checkpointsSchema, {}),
 	leaseMilliseconds: durationSchema,
 });
 export type StartParameters = Readonly<valibot.InferOutput<typeof startParametersSchema>>;
 
 /** Renews several gang leases of one agent in one message; the result names those that the agent no longer holds. */
 export const renewParametersSchema = valibot.object({
-	gangs: valibot.pipe(valibot.array(gangReferenceSchema), valibot.readonly()),
+	gangs: valibot.pipe(valibot.array(valibot.object({
+		...gangReferenceSchema.entries,
+		/** An entry that adopted the job gives the running gang a higher attempt, so that the former owner's messages become stale. */
+		raiseTo: valibot.optional(countSchema),
+	})), valibot.readonly()),
 	leaseMilliseconds: durationSchema,
 });
 export type RenewParameters = Readonly<valibot.InferOutput<typeof renewParametersSchema>>;
@@ -171,7 +179,7 @@
 /** `never-started` promises that no member of this or an earlier attempt started or will start on this incarnation. */
 export const stopResultSchema = valibot.variant('kind', [
 	valibot.object({kind: valibot.literal('never-started')}),
-	valibot.object({kind: valibot.literal('stopped'), checkpoint: valibot.optional(valibot.unknown())}),
+	valibot.object({kind: valibot.literal('stopped'), checkpoints: checkpointsSchema}),
 	valibot.object({kind: valibot.literal('finished')}),
 ]);
 export type StopResult = Readonly<valibot.InferOutput<typeof stopResultSchema>>;
--- /dev/null
+++ b/packages/reservations/receive.ts
@@ -0,0 +1,173 @@
+import {
+	assertNever, type MonotonicTime, type RefusalReason,
+} from '#core';
+import {
+	endedRetentionMilliseconds, fenceRetentionMilliseconds, notifyRepeatMilliseconds, reservationTickMilliseconds, stopRepeatMilliseconds,
+} from './constants.js';
+import {endGang, stopTasks} from './ending.js';
+import {promoteReservations, reserveGang} from './reserve.js';
+import {commitGang, renewGangs, startGang} from './start.js';
+import {putGang, type ReservationStep} from './state.js';
+import {findJob, stopGang} from './stop.js';
+import {finishTask, recordCheckpoint, recordStopped} from './tasks.js';
+import type {
+	GangRecord, ReservationEffect, ReservationMessage, ReservationState, TaskReference,
+} from './types.js';
+
+/**
+Decides about an agent's accelerators.
+
+Leases that have ended are dealt with before the message, so that a process which was paused past a lease can neither start nor finish anything under it.
+*/
+export function receiveReservationMessage(state: ReservationState, message: ReservationMessage, {monotonic}: Readonly<{monotonic: MonotonicTime}>): ReservationStep {
+	const lapsed = endLapsed(state, monotonic);
+	const step = decide(promoteReservations(lapsed.state), message, monotonic);
+	return {state: promoteReservations(step.state), effects: [...lapsed.effects, ...step.effects]};
+}
+
+function decide(state: ReservationState, message: ReservationMessage, monotonic: MonotonicTime): ReservationStep {
+	switch (message.kind) {
+		case 'reserve': {
+			return reserveGang(state, message, monotonic);
+		}
+
+		case 'commit': {
+			return commitGang(state, message, monotonic);
+		}
+
+		case 'start': {
+			return startGang(state, message, monotonic);
+		}
+
+		case 'renew': {
+			return renewGangs(state, message, monotonic);
+		}
+
+		case 'stop': {
+			return stopGang(state, message, monotonic);
+		}
+
+		case 'find': {
+			return findJob(state, message);
+		}
+
+		case 'slice-received': {
+			const {cells, layoutRevision} = message;
+			return {state: layoutRevision < state.layoutRevision ? state : {...state, cells, layoutRevision}, effects: []};
+		}
+
+		case 'task-finished': {
+			return finishTask(state, message, monotonic);
+		}
+
+		case 'task-stopped': {
+			return recordStopped(state, message, monotonic);
+		}
+
+		case 'task-checkpointed': {
+			return recordCheckpoint(state, message, monotonic);
+		}
+
+		case 'ended-acknowledged': {
+			return acknowledgeEnd(state, message);
+		}
+
+		case 'worker-cleared': {
+			return {state: {...state, acceptsFrom: Math.min(state.acceptsFrom, monotonic)}, effects: []};
+		}
+
+		case 'drain': {
+			return {state: {...state, isDraining: true}, effects: []};
+		}
+
+		case 'tick': {
+			return repeatOverdue(forgetOld(state, monotonic), monotonic);
+		}
+
+		default: {
+			return assertNever(message);
+		}
+	}
+}
+
+function endLapsed(state: ReservationState, monotonic: MonotonicTime): ReservationStep {
+	const effects: ReservationEffect[] = [];
+	let next = state;
+	for (const gang of state.gangs.values()) {
+		const reason = lapseReason(gang, monotonic);
+		if (reason !== undefined) {
+			const step = endGang(next, gang, reason, monotonic);
+			next = step.state;
+			effects.push(...step.effects);
+		}
+	}
+
+	return {state: next, effects};
+}
+
+function lapseReason({phase}: GangRecord, monotonic: MonotonicTime): RefusalReason | undefined {
+	switch (phase.kind) {
+		case 'reclaiming':
+		case 'reserved':
+		case 'committed':
+		case 'started': {
+			return phase.leaseEndsAt <= monotonic ? 'lease-lapsed' : undefined;
+		}
+
+		case 'evicting': {
+			return phase.stopAt <= monotonic ? phase.reason : undefined;
+		}
+
+		case 'stopping':
+		case 'ended': {
+			return undefined;
+		}
+	}
+}
+
+function acknowledgeEnd(state: ReservationState, {job, attempt, member}: TaskReference): ReservationStep {
+	const gang = state.gangs.get(`${job}/${attempt}`);
+	if (gang === undefined) {
+		return {state, effects: []};
+	}
+
+	const members = gang.members.map(record => record.member === member ? {...record, notice: {kind: 'none'} as const} : record);
+	return {state: putGang(state, {...gang, members}), effects: []};
+}
+
+function forgetOld(state: ReservationState, monotonic: MonotonicTime): ReservationState {
+	const gangs = [...state.gangs].filter(([, {phase}]) => phase.kind !== 'ended' || phase.endedAt + endedRetentionMilliseconds > monotonic);
+	const held = new Set(gangs.map(([, gang]) => gang.job));
+	const fences = [...state.fences].filter(([job, {seenAt}]) => held.has(job) || seenAt + fenceRetentionMilliseconds > monotonic);
+	return gangs.length === state.gangs.size && fences.length === state.fences.size
+		? state
+		: {...state, gangs: new Map(gangs), fences: new Map(fences)};
+}
+
+/** Repeats stops that the worker has not confirmed and ends that no entry has acknowledged. */
+function repeatOverdue(state: ReservationState, monotonic: MonotonicTime): ReservationStep {
+	const effects: ReservationEffect[] = [];
+	let next = state;
+	for (const gang of state.gangs.values()) {
+		const {phase} = gang;
+		const isStopOverdue = phase.kind === 'stopping' && phase.askedAt + stopRepeatMilliseconds <= monotonic;
+		const overdue = new Set(gang.members.filter(({notice}) => notice.kind === 'pending' && notice.toldAt + notifyRepeatMilliseconds <= monotonic));
+		if (!isStopOverdue && overdue.size === 0) {
+			continue;
+		}
+
+		effects.push(
+			...(isStopOverdue ? stopTasks(gang) : []),
+			...[...overdue].map(({member, state: memberState}) => ({
+				kind: 'notify-ended', job: gang.job, attempt: gang.attempt, member, state: memberState,
+			}) as const),
+		);
+		next = putGang(next, {
+			...gang,
+			phase: isStopOverdue ? {...phase, askedAt: monotonic} : phase,
+			members: gang.members.map(member => overdue.has(member) ? {...member, notice: {kind: 'pending', toldAt: monotonic}} : member),
+		});
+	}
+
+	return {state: next, effects: [...effects, {kind: 'schedule-tick', delay: reservationTickMilliseconds}]};
+}
--- /dev/null
+++ b/packages/reservations/start.ts
@@ -0,0 +1,149 @@
+import type {MonotonicTime, RefusalReason} from '#core';
+import {
+	findGang, isEnded, putFence, putGang, readFence, reply, taskOf, type ReservationStep,
+} from './state.js';
+import type {
+	GangRecord, GangReference, Renewal, ReservationAnswer, ReservationMessage, ReservationState, StartMessage,
+} from './types.js';
+
+type CommitMessage = Extract<ReservationMessage, {kind: 'commit'}>;
+
+/** Keeps a reservation until it starts; from now on no older gang can displace it. */
+export function commitGang(state: ReservationState, message: CommitMessage, monotonic: MonotonicTime): ReservationStep {
+	const gang = findGang(state, message);
+	switch (gang?.phase.kind) {
+		case 'reserved':
+		case 'committed': {
+			const members = gang.members.map(member => ({...member, state: {kind: 'committed'} as const}));
+			const phase = {kind: 'committed', leaseEndsAt: monotonic + message.leaseMilliseconds} as const;
+			return {state: putGang(state, {...gang, members, phase}), effects: [reply(message.replyId, {kind: 'accepted'})]};
+		}
+
+		case 'started': {
+			return {state, effects: [reply(message.replyId, {kind: 'accepted'})]};
+		}
+
+		case 'reclaiming': {
+			return {state, effects: [reply(message.replyId, {kind: 'refused', reason: 'accelerators-busy'})]};
+		}
+
+		case 'evicting':
+		case 'stopping':
+		case 'ended':
+		case undefined: {
+			return {state, effects: [reply(message.replyId, refuseMissing(state, message, gang))]};
+		}
+	}
+}
+
+/** Starts every member of a committed gang on this worker; a repeated start starts nothing again. */
+export function startGang(state: ReservationState, message: StartMessage, monotonic: MonotonicTime): ReservationStep {
+	const gang = findGang(state, message);
+	switch (gang?.phase.kind) {
+		case 'committed': {
+			return startCommitted(state, gang, message, monotonic);
+		}
+
+		case 'started': {
+			return {state, effects: [reply(message.replyId, {kind: 'accepted'})]};
+		}
+
+		case 'reclaiming':
+		case 'reserved': {
+			return {state, effects: [reply(message.replyId, {kind: 'refused', reason: 'invalid-request'})]};
+		}
+
+		case 'evicting':
+		case 'stopping':
+		case 'ended':
+		case undefined: {
+			return {state, effects: [reply(message.replyId, refuseMissing(state, message, gang))]};
+		}
+	}
+}
+
+function startCommitted(state: ReservationState, gang: GangRecord, message: StartMessage, monotonic: MonotonicTime): ReservationStep {
+	const {operation, payload, checkpoints, leaseMilliseconds} = message;
+	const members = gang.members.map(member => ({...member, state: {kind: 'running'} as const, startedAt: monotonic}));
+	const started: GangRecord = {...gang, members, phase: {kind: 'started', leaseEndsAt: monotonic + leaseMilliseconds}};
+	const fence = readFence(state, gang.job);
+	const firstStarted = fence.firstStarted === 0 ? gang.attempt : fence.firstStarted;
+	return {
+		state: putFence(putGang(state, started), gang.job, {...fence, firstStarted, seenAt: monotonic}),
+		effects: [
+			...members.map(member => ({
+				kind: 'start-task', task: taskOf(gang, member), operation, payload, checkpoint: checkpoints[member.member], accelerators: member.accelerators, leaseMilliseconds,
+			}) as const),
+			reply(message.replyId, {kind: 'accepted'}),
+		],
+	};
+}
+
+function refuseMissing(state: ReservationState, {job, attempt}: GangReference, gang: GangRecord | undefined): ReservationAnswer {
+	if (attempt < readFence(state, job).attempt) {
+		return {kind: 'refused', reason: 'stale-attempt'};
+	}
+
+	return {kind: 'refused', reason: gang === undefined ? 'lease-lapsed' : endReason(gang)};
+}
+
+function endReason({phase}: GangRecord): RefusalReason {
+	return 'reason' in phase && phase.reason !== 'finished' ? phase.reason : 'stale-attempt';
+}
+
+type RenewMessage = Extract<ReservationMessage, {kind: 'renew'}>;
+
+/** Extends the leases of committed and running gangs and names those that are no longer held. */
+export function renewGangs(state: ReservationState, message: RenewMessage, monotonic: MonotonicTime): ReservationStep {
+	const {leaseMilliseconds, replyId} = message;
+	const leaseEndsAt = monotonic + leaseMilliseconds;
+	const lapsed: GangReference[] = [];
+	const tasks: GangRecord[] = [];
+	let next = state;
+	for (const {job, attempt, raiseTo} of message.gangs) {
+		const gang = findHeld(next, {job, attempt, raiseTo});
+		if (gang === undefined || gang.attempt < readFence(next, job).attempt) {
+			lapsed.push({job, attempt});
+			continue;
+		}
+
+		switch (gang.phase.kind) {
+			case 'committed':
+			case 'started': {
+				next = renewGang(next, gang, raiseTo ?? attempt, leaseEndsAt);
+				tasks.push(gang);
+				break;
+			}
+
+			case 'reclaiming':
+			case 'reserved':
+			case 'evicting': {
+				break;
+			}
+
+			case 'stopping':
+			case 'ended': {
+				lapsed.push({job, attempt});
+			}
+		}
+	}
+
+	const renewals = tasks.flatMap(gang => gang.members.filter(member => member.state.kind === 'running').map(member => ({
+		kind: 'renew-task', task: taskOf(gang, member), leaseMilliseconds,
+	}) as const));
+	return {state: next, effects: [...renewals, reply(replyId, {kind: 'renewed', lapsed})]};
+}
+
+/** A repeated renewal, or a second adoption, finds the gang under an attempt that it was raised to before. */
+function findHeld(state: ReservationState, {job, attempt, raiseTo}: Renewal): GangRecord | undefined {
+	return [...state.gangs.values()].find(gang => gang.job === job && gang.attempt >= attempt && gang.attempt <= (raiseTo ?? attempt) && !isEnded(gang));
+}
+
+function renewGang(state: ReservationState, gang: GangRecord, attempt: number, leaseEndsAt: MonotonicTime): ReservationState {
+	const kind = gang.phase.kind === 'committed' ? 'committed' : 'started';
+	const fence = readFence(state, gang.job);
+	const gangs = new Map(state.gangs);
+	gangs.delete(`${gang.job}/${gang.attempt}`);
+	const renewed = putGang({...state, gangs}, {...gang, attempt: Math.max(attempt, gang.attempt), phase: {kind, leaseEndsAt}});
+	return putFence(renewed, gang.job, {...fence, attempt: Math.max(attempt, fence.attempt)});
+}
--- /dev/null
+++ b/packages/reservations/tasks.ts
@@ -0,0 +1,85 @@
+import type {MonotonicTime, RefusalReason} from '#core';
+import {endGang, endMember, isRunning} from './ending.js';
+import {putGang, type ReservationStep} from './state.js';
+import type {
+	GangRecord, MemberRecord, MemberState, ReservationMessage, ReservationState, TaskReference,
+} from './types.js';
+
+type Found = Readonly<{gang: GangRecord; member: MemberRecord}>;
+
+function findTask(state: ReservationState, task: TaskReference): Found | undefined {
+	for (const gang of state.gangs.values()) {
+		const member = gang.members.find(candidate => candidate.member === task.member);
+		if (gang.job === task.job && gang.taskAttempt === task.attempt && member !== undefined && isRunning(member)) {
+			return {gang, member};
+		}
+	}
+
+	return undefined;
+}
+
+/** Reasons after which a result no longer counts, because the gang may already run elsewhere. */
+const fencedReasons: ReadonlySet<RefusalReason> = new Set(['lease-lapsed', 'stale-attempt']);
+
+/** Records the end of a task. A member that failed takes the others of its gang on this worker with it. */
+export function finishTask(state: ReservationState, message: Extract<ReservationMessage, {kind: 'task-finished'}>, monotonic: MonotonicTime): ReservationStep {
+	const found = findTask(state, message.task);
+	if (found === undefined) {
+		return {state, effects: []};
+	}
+
+	const {gang, member} = found;
+	const {phase} = gang;
+	const isFenced = phase.kind === 'stopping' && fencedReasons.has(phase.reason);
+	const ended: MemberState = isFenced
+		? {kind: 'stopped', started: true, reason: phase.reason}
+		: {
+			kind: 'finished',
+			result: {
+				status: message.status, body: message.body, serviceMilliseconds: monotonic - member.startedAt, queueMilliseconds: 0,
+			},
+		};
+	const step = endMember(state, gang, {member: member.member, state: ended}, monotonic);
+	return message.status === 'failed' ? endOthers(step, gang, monotonic) : step;
+}
+
+function endOthers(step: ReservationStep, {job, attempt}: GangRecord, monotonic: MonotonicTime): ReservationStep {
+	const gang = step.state.gangs.get(`${job}/${attempt}`);
+	if (gang === undefined) {
+		return step;
+	}
+
+	const ending = endGang(step.state, gang, 'worker-failed', monotonic);
+	return {state: ending.state, effects: [...step.effects, ...ending.effects]};
+}
+
+/** Records that the worker no longer runs a task, or refused to start it. */
+export function recordStopped(state: ReservationState, message: Extract<ReservationMessage, {kind: 'task-stopped'}>, monotonic: MonotonicTime): ReservationStep {
+	const found = findTask(state, message.task);
+	if (found === undefined) {
+		return {state, effects: []};
+	}
+
+	const {gang, member} = found;
+	const {phase} = gang;
+	const reason = phase.kind === 'stopping' || phase.kind === 'evicting' ? phase.reason : 'worker-failed';
+	const ended: MemberState = {
+		kind: 'stopped', started: message.wasStarted, reason, ...(member.checkpoint === undefined ? {} : {checkpoint: member.checkpoint}),
+	};
+	return endOthers(endMember(state, gang, {member: member.member, state: ended}, monotonic), gang, monotonic);
+}
+
+/** Keeps a checkpoint; a gang that is being evicted is stopped as soon as every running member has one. */
+export function recordCheckpoint(state: ReservationState, message: Extract<ReservationMessage, {kind: 'task-checkpointed'}>, monotonic: MonotonicTime): ReservationStep {
+	const found = findTask(state, message.task);
+	if (found === undefined) {
+		return {state, effects: []};
+	}
+
+	const members = found.gang.members.map(member => member.member === found.member.member ? {...member, checkpoint: message.checkpoint} : member);
+	const gang = {...found.gang, members};
+	const isComplete = members.filter(isRunning).every(({checkpoint}) => checkpoint !== undefined);
+	return gang.phase.kind === 'evicting' && isComplete
+		? endGang(putGang(state, gang), gang, gang.phase.reason, monotonic)
+		: {state: putGang(state, gang), effects: []};
+}
