--- /dev/null
+++ b/packages/recovery/index.ts
@@ -0,0 +1,1 @@
+export * from './jobs/index.js';
--- /dev/null
+++ b/packages/recovery/jobs/describe.ts
@@ -0,0 +1,60 @@
+import type {RefusalReason} from '#core';
+import type {JobRecord} from './types.js';
+
+/** A job as its caller sees it. */
+export type JobStatus = Readonly<{
+	jobId: string;
+	plan: string;
+	state: JobRecord['state']['kind'];
+	/** Present once the job has ended. */
+	outcome?: 'completed' | 'not-run' | 'unknown' | 'stopped';
+	reason?: RefusalReason;
+	cancelRequested: boolean;
+	attempt: number;
+	submittedAt: number;
+	members?: ReadonlyArray<Readonly<{member: number; worker: string; accelerators: readonly number[]}>>;
+	results?: readonly unknown[];
+}>;
+
+/**
+Describes a job to its caller.
+
+`not-run` is said only of a job of which no member ever started; a cancelled job that had started is `stopped`.
+
+@param waitingFor - Why a job that waits has not been placed.
+*/
+export function describeJob(record: JobRecord, waitingFor?: RefusalReason): JobStatus {
+	const {work, state, attempt, submittedAt, cancelRequested, hasStarted} = record;
+	const common = {
+		jobId: work.jobId, plan: work.plan, state: state.kind, cancelRequested, attempt, submittedAt,
+	};
+	switch (state.kind) {
+		case 'queued': {
+			return waitingFor === undefined ? common : {...common, reason: waitingFor};
+		}
+
+		case 'placing':
+		case 'running': {
+			const members = state.members.map(({member, place, accelerators}) => ({member, worker: place.worker, accelerators}));
+			return {...common, members};
+		}
+
+		case 'finished': {
+			return {...common, outcome: 'completed', results: state.results};
+		}
+
+		case 'failed': {
+			return {
+				...common, outcome: state.results.length > 0 ? 'completed' : (hasStarted ? 'stopped' : 'not-run'), reason: state.reason, results: state.results,
+			};
+		}
+
+		case 'cancelled': {
+			return {...common, outcome: hasStarted ? 'stopped' : 'not-run', reason: 'cancelled'};
+		}
+
+		case 'unknown': {
+			return {...common, outcome: 'unknown', reason: state.reason};
+		}
+	}
+}
--- /dev/null
+++ b/packages/recovery/jobs/index.ts
@@ -0,0 +1,3 @@
+export * from './types.js';
+export * from './transitions.js';
+export * from './describe.js';
