Add the decisions of the job driver

One task drives one job from its queue to its end. Each step waits for all agents of the gang; a step that one of them refuses gives up the placement, or stops every member once a start may have been sent. A compare-and-swap whose answer was lost is recognised by the write identifier in the record.

--- /dev/null
+++ b/packages/entry/jobs/driver-adopt.ts
@@ -0,0 +1,76 @@
+import type {Timestamp} from '#core';
+import {resendMilliseconds, stepDeadlineMilliseconds} from './constants.js';
+import {beginStep} from './driver-agree.js';
+import {beginStopping, receiveEnd} from './driver-ending.js';
+import {
+	listActiveWorkers, listWorkers, membersOf, type DriverStep,
+} from './driver-state.js';
+import type {DriverMessage, DriverPhase, DriverState} from './driver-types.js';
+
+type Finding = Extract<DriverPhase, {kind: 'finding'}>;
+
+/** Asks the agents of an adopted gang what became of it. */
+export function beginFinding(state: DriverState): DriverStep {
+	const {record} = state;
+	return {
+		state: {...state, phase: {kind: 'finding', found: new Set()}},
+		effects: [
+			...listWorkers(record).map(worker => ({kind: 'find', record, worker} as const)),
+			{kind: 'schedule', delay: stepDeadlineMilliseconds, message: {kind: 'step-expired', step: 'find', attempt: record.attempt}},
+		],
+	};
+}
+
+export function receiveFound(state: DriverState, phase: Finding, message: Extract<DriverMessage, {kind: 'found'}>, now: Timestamp): DriverStep {
+	const {attempt, worker, answer} = message;
+	if (attempt !== state.record.attempt) {
+		return {state, effects: []};
+	}
+
+	switch (answer.kind) {
+		case 'unreachable': {
+			return {state, effects: [{kind: 'schedule', delay: resendMilliseconds, message: {kind: 'find-again', attempt, worker}}]};
+		}
+
+		case 'gone': {
+			return beginStopping(state, 'lost', 'stale-incarnation');
+		}
+
+		case 'found': {
+			const known = new Set(answer.members.map(({member}) => member));
+			if (membersOf(state.record, worker).some(({member}) => !known.has(member))) {
+				return beginStopping(state, 'lost', 'lease-lapsed');
+			}
+
+			let next = state;
+			for (const {member, state: end} of answer.members) {
+				next = receiveEnd(next, member, end, now).state;
+			}
+
+			const found = new Set([...phase.found, worker]);
+			return settleFound({...next, phase: {kind: 'finding', found}}, found, now);
+		}
+	}
+}
+
+/** Goes on with the gang if no member is lost; members that were committed but not started are started now. */
+function settleFound(state: DriverState, found: ReadonlySet<string>, now: Timestamp): DriverStep {
+	if (!listWorkers(state.record).every(worker => found.has(worker))) {
+		return {state, effects: []};
+	}
+
+	for (const end of state.ends.values()) {
+		if (end.kind === 'stopped') {
+			return beginStopping(state, 'lost', end.reason);
+		}
+
+		if (end.kind === 'finished' && end.result.status === 'failed') {
+			return beginStopping(state, 'failed', 'worker-failed');
+		}
+	}
+
+	const last = [...state.ends].at(-1);
+	return listActiveWorkers(state).length === 0 && last !== undefined
+		? receiveEnd({...state, phase: {kind: 'running'}}, last[0], last[1], now)
+		: beginStep(state, 'raise');
+}
--- /dev/null
+++ b/packages/entry/jobs/driver-agree.ts
@@ -0,0 +1,134 @@
+import type {MonotonicTime, Timestamp, WorkerId} from '#core';
+import {beginRunning} from '#recovery';
+import {reserveDeadlineMilliseconds, resendMilliseconds, stepDeadlineMilliseconds} from './constants.js';
+import {beginStopping, giveUpPlacement} from './driver-ending.js';
+import {
+	listActiveWorkers, listWorkers, membersOf, writeRecord, type DriverStep,
+} from './driver-state.js';
+import type {
+	AgentStep, DriverEffect, DriverMessage, DriverPhase, DriverState,
+} from './driver-types.js';
+
+type Present = Readonly<{now: Timestamp; monotonic: MonotonicTime}>;
+type Agreeing = Extract<DriverPhase, {kind: 'agreeing'}>;
+
+/** Asks every agent of the gang to take a step. */
+export function beginStep(state: DriverState, step: AgentStep): DriverStep {
+	const delay = step === 'reserve' ? reserveDeadlineMilliseconds : stepDeadlineMilliseconds;
+	return {
+		state: {...state, phase: {kind: 'agreeing', step, accepted: new Set()}},
+		effects: [
+			...listActiveWorkers(state).map(worker => askAgent(state, step, worker)),
+			{kind: 'schedule', delay, message: {kind: 'step-expired', step, attempt: state.record.attempt}},
+		],
+	};
+}
+
+function askAgent({record}: DriverState, step: AgentStep, worker: WorkerId): DriverEffect {
+	switch (step) {
+		case 'reserve': {
+			const members = membersOf(record, worker).map(({member, accelerators}) => ({member, accelerators}));
+			return {
+				kind: 'reserve', record, worker, members,
+			};
+		}
+
+		case 'start': {
+			const members = new Set(membersOf(record, worker).map(({member}) => String(member)));
+			const checkpoints = Object.fromEntries(Object.entries(record.checkpoints).filter(([member]) => members.has(member)));
+			return {
+				kind: 'start', record, worker, checkpoints,
+			};
+		}
+
+		case 'commit':
+		case 'raise': {
+			return {kind: step, record, worker};
+		}
+	}
+}
+
+/** Handles an agent's answer; the gang moves on only when all agents have accepted. */
+export function receiveAnswer(state: DriverState, phase: Agreeing, message: Extract<DriverMessage, {kind: 'answered'}>, present: Present): DriverStep {
+	const {step, attempt, worker, answer} = message;
+	if (step !== phase.step || attempt !== state.record.attempt) {
+		return {state, effects: []};
+	}
+
+	switch (answer.kind) {
+		case 'accepted': {
+			const accepted = new Set([...phase.accepted, worker]);
+			const renewedAt = new Map(state.renewedAt).set(worker, present.monotonic);
+			const next = {...state, renewedAt, phase: {...phase, accepted}};
+			const isComplete = listActiveWorkers(next).every(active => accepted.has(active));
+			return isComplete ? completeStep(next, step, present) : {state: next, effects: []};
+		}
+
+		case 'reclaiming': {
+			return resendLater(state, message, answer.retryAfterMilliseconds);
+		}
+
+		case 'unreachable': {
+			return resendLater(state, message, resendMilliseconds);
+		}
+
+		case 'refused': {
+			return failStep(state, step, answer.reason);
+		}
+
+		case 'gone': {
+			return failStep(state, step, 'stale-incarnation');
+		}
+	}
+}
+
+function resendLater(state: DriverState, {step, attempt, worker}: Extract<DriverMessage, {kind: 'answered'}>, delay: number): DriverStep {
+	return {
+		state, effects: [{
+			kind: 'schedule', delay, message: {
+				kind: 'resend', step, attempt, worker,
+			},
+		}],
+	};
+}
+
+export function resend(state: DriverState, phase: Agreeing, {step, attempt, worker}: Extract<DriverMessage, {kind: 'resend'}>): DriverStep {
+	const isDue = phase.step === step && attempt === state.record.attempt && !phase.accepted.has(worker) && listActiveWorkers(state).includes(worker);
+	return {state, effects: isDue ? [askAgent(state, step, worker)] : []};
+}
+
+/** A gang that has not started is given up; one that may have started is stopped everywhere. */
+export function failStep(state: DriverState, step: AgentStep, reason: Parameters<typeof giveUpPlacement>[1]): DriverStep {
+	switch (step) {
+		case 'reserve':
+		case 'commit': {
+			return giveUpPlacement(state, reason);
+		}
+
+		case 'raise':
+		case 'start': {
+			return beginStopping(state, 'lost', reason);
+		}
+	}
+}
+
+function completeStep(state: DriverState, step: AgentStep, {now, monotonic}: Present): DriverStep {
+	switch (step) {
+		case 'reserve': {
+			return beginStep(state, 'commit');
+		}
+
+		case 'commit': {
+			return writeRecord({...state, ends: new Map()}, beginRunning(state.record, now));
+		}
+
+		case 'raise': {
+			return beginStep(state, 'start');
+		}
+
+		case 'start': {
+			const renewedAt = new Map(listWorkers(state.record).map(worker => [worker, monotonic] as const));
+			return {state: {...state, renewedAt, phase: {kind: 'running'}}, effects: []};
+		}
+	}
+}
--- /dev/null
+++ b/packages/entry/jobs/driver-ending.ts
@@ -0,0 +1,180 @@
+import type {RefusalReason, Timestamp, WorkerId} from '#core';
+import {gangLeaseMilliseconds, type MemberState, type StopResult} from '#protocol';
+import {
+	cancelJob, concludeLoss, concludeResults, listMembers, requeueJob, withdrawStart, type MemberResult,
+} from '#recovery';
+import {lapseMarginMilliseconds, resendMilliseconds} from './constants.js';
+import {
+	listWorkers, membersOf, writeRecord, type DriverStep,
+} from './driver-state.js';
+import type {
+	DriverEffect, DriverMessage, DriverPhase, DriverState, StopCause, Unanswered,
+} from './driver-types.js';
+
+type Stopping = Extract<DriverPhase, {kind: 'stopping'}>;
+
+function stopEverywhere({record}: DriverState, mode: 'checkpoint' | 'stop'): readonly DriverEffect[] {
+	return listWorkers(record).map(worker => ({
+		kind: 'stop', record, worker, mode,
+	}));
+}
+
+/** Gives up a gang of which no member was started. Reservations that are not reached lapse by themselves. */
+export function giveUpPlacement(state: DriverState, reason: RefusalReason): DriverStep {
+	const failures = state.failures + 1;
+	return {
+		state: {
+			...state, record: requeueJob(state.record), phase: {kind: 'waiting'}, waitingFor: reason, failures,
+		},
+		effects: [...stopEverywhere(state, 'stop'), {kind: 'back-off', failures, message: {kind: 'placement-due'}}],
+	};
+}
+
+/** Stops every member of a gang that may have started, and waits until that is certain or every lease has lapsed. */
+export function beginStopping(state: DriverState, cause: StopCause, reason: RefusalReason): DriverStep {
+	// Only a reclaimed gang can go on from checkpoints: its evicted members save theirs in the grace.
+	const mode = cause === 'lost' && reason === 'cell-not-owned' ? 'checkpoint' : 'stop';
+	return {
+		state: {
+			...state, loss: undefined, phase: {
+				kind: 'stopping', cause, reason, mode, answers: new Map(),
+			},
+		},
+		effects: [
+			...stopEverywhere(state, mode),
+			{kind: 'schedule', delay: gangLeaseMilliseconds + lapseMarginMilliseconds, message: {kind: 'step-expired', step: 'stop', attempt: state.record.attempt}},
+		],
+	};
+}
+
+export function receiveStopAnswer(state: DriverState, phase: Stopping, message: Extract<DriverMessage, {kind: 'stop-answered'}>, now: Timestamp): DriverStep {
+	const {worker, attempt, answer} = message;
+	if (attempt !== state.record.attempt) {
+		return {state, effects: []};
+	}
+
+	if (answer.kind === 'unreachable') {
+		return {state, effects: [{kind: 'schedule', delay: resendMilliseconds, message: {kind: 'stop-again', attempt, worker}}]};
+	}
+
+	const answers = new Map(phase.answers).set(worker, answer);
+	const next = {...phase, answers};
+	return listWorkers(state.record).every(stopped => answers.has(stopped))
+		? concludeStop({...state, phase: next}, next, now)
+		: {state: {...state, phase: next}, effects: []};
+}
+
+export function stopAgain(state: DriverState, phase: Stopping, {worker, attempt}: Extract<DriverMessage, {kind: 'stop-again'}>): DriverStep {
+	const isDue = attempt === state.record.attempt && !phase.answers.has(worker);
+	const {record} = state;
+	return {
+		state, effects: isDue
+			? [{
+				kind: 'stop', record, worker, mode: phase.mode,
+			}]
+			: [],
+	};
+}
+
+/** Decides what becomes of the job after its gang was stopped; agents without an answer hold no lease any more. */
+export function concludeStop(state: DriverState, phase: Stopping, now: Timestamp): DriverStep {
+	const {record} = state;
+	const results = listResults(state);
+	const neverStarted = listWorkers(record).every(worker => phase.answers.get(worker)?.kind === 'never-started');
+	if (results.length === listMembers(record).length) {
+		return writeRecord(state, concludeResults(record, results, now));
+	}
+
+	switch (phase.cause) {
+		case 'cancelled': {
+			return writeRecord(state, cancelJob(neverStarted ? withdrawStart(record) : record, now));
+		}
+
+		case 'failed': {
+			return writeRecord(state, concludeResults(record, results, now));
+		}
+
+		case 'lost': {
+			const loss = {
+				reason: phase.reason,
+				neverStarted,
+				isUncertain: listWorkers(record).some(worker => isUncertain(state, worker, phase.answers.get(worker))),
+				checkpoints: collectCheckpoints(state, phase),
+			};
+			return writeRecord({...state, failures: state.failures + 1, waitingFor: phase.reason}, concludeLoss(record, loss, now));
+		}
+	}
+}
+
+function isUncertain({record, ends}: DriverState, worker: WorkerId, answer: StopResult | Unanswered | undefined): boolean {
+	const isAnswered = answer !== undefined && answer.kind !== 'gone' && answer.kind !== 'unreachable';
+	return !isAnswered && membersOf(record, worker).some(({member}) => !ends.has(member));
+}
+
+function collectCheckpoints(state: DriverState, phase: Stopping): Readonly<Record<string, unknown>> {
+	const ended = [...state.ends].flatMap(([member, end]) => end.kind === 'stopped' && end.checkpoint !== undefined ? [[String(member), end.checkpoint] as const] : []);
+	const answered = [...phase.answers.values()].flatMap(answer => answer.kind === 'stopped' ? Object.entries(answer.checkpoints) : []);
+	return Object.fromEntries([...ended, ...answered]);
+}
+
+function listResults({ends}: DriverState): readonly MemberResult[] {
+	return [...ends].flatMap(([member, end]) => end.kind === 'finished' ? [{member, result: end.result}] : [])
+		.toSorted((one, other) => one.member - other.member);
+}
+
+/** Records how a member ended. A member that did not succeed ends the whole gang. */
+export function receiveEnd(state: DriverState, member: number, end: MemberState, now: Timestamp): DriverStep {
+	if (end.kind !== 'finished' && end.kind !== 'stopped') {
+		return {state, effects: []};
+	}
+
+	const next = {...state, ends: new Map(state.ends).set(member, end)};
+	const trouble = findTrouble(end);
+	switch (state.phase.kind) {
+		case 'agreeing': {
+			const isPlacing = state.phase.step === 'reserve' || state.phase.step === 'commit';
+			return isPlacing ? giveUpPlacement(state, trouble?.reason ?? 'worker-failed') : settleEnd(next, trouble, now);
+		}
+
+		case 'running': {
+			return settleEnd(next, trouble, now);
+		}
+
+		case 'writing': {
+			// Ends that belong to an earlier attempt do not concern the placement that is being written.
+			return {state: state.phase.next.state.kind === 'running' ? {...next, loss: trouble?.reason ?? state.loss} : state, effects: []};
+		}
+
+		case 'finding':
+		case 'stopping': {
+			return {state: next, effects: []};
+		}
+
+		case 'waiting':
+		case 'placing':
+		case 'done': {
+			return {state, effects: []};
+		}
+	}
+}
+
+type Trouble = Readonly<{cause: StopCause; reason: RefusalReason}>;
+
+function findTrouble(end: Extract<MemberState, {kind: 'finished' | 'stopped'}>): Trouble | undefined {
+	if (end.kind === 'stopped') {
+		return {cause: 'lost', reason: end.reason};
+	}
+
+	return end.result.status === 'failed' ? {cause: 'failed', reason: 'worker-failed'} : undefined;
+}
+
+function settleEnd(state: DriverState, trouble: Trouble | undefined, now: Timestamp): DriverStep {
+	return trouble === undefined ? concludeIfComplete(state, now) : beginStopping(state, trouble.cause, trouble.reason);
+}
+
+function concludeIfComplete(state: DriverState, now: Timestamp): DriverStep {
+	const results = listResults(state);
+	return results.length === listMembers(state.record).length
+		? writeRecord(state, concludeResults(state.record, results, now))
+		: {state, effects: []};
+}
--- /dev/null
+++ b/packages/entry/jobs/driver-proceed.ts
@@ -0,0 +1,203 @@
+import type {Timestamp} from '#core';
+import {
+	beginPlacing, cancelJob, failJob, isConcluded,
+} from '#recovery';
+import type {WriteReply} from '#store';
+import {beginFinding} from './driver-adopt.js';
+import {beginStep} from './driver-agree.js';
+import {beginStopping, giveUpPlacement} from './driver-ending.js';
+import {writeRecord, type DriverStep} from './driver-state.js';
+import type {
+	DriverMessage, DriverPhase, DriverState, PlacementAnswer,
+} from './driver-types.js';
+
+/** Ends the task without touching the job; another owner drives it from now on. */
+export function leaveJob(state: DriverState): DriverStep {
+	return {state: {...state, phase: {kind: 'done', isOwner: false}}, effects: [{kind: 'concluded', record: state.record, isOwner: false}]};
+}
+
+/** Goes on after a record was written. */
+export function proceed(state: DriverState, now: Timestamp): DriverStep {
+	const {record} = state;
+	if (isConcluded(record)) {
+		return {state: {...state, phase: {kind: 'done', isOwner: true}}, effects: [{kind: 'concluded', record, isOwner: true}]};
+	}
+
+	switch (record.state.kind) {
+		case 'placing': {
+			// An adopted placement is given up: no member was started, because `running` is written before that.
+			return state.sequence === 0 || state.cancelRequested ? cancelOrGiveUp(state, now) : beginStep(state, 'reserve');
+		}
+
+		case 'running': {
+			if (state.cancelRequested) {
+				return beginStopping(state, 'cancelled', 'cancelled');
+			}
+
+			if (record.state.heldAs < record.attempt) {
+				return beginFinding(state);
+			}
+
+			return state.loss === undefined ? beginStep(state, 'start') : beginStopping(state, 'lost', state.loss);
+		}
+
+		case 'queued': {
+			if (state.failures === 0 || state.cancelRequested) {
+				return askPlacement(state, now);
+			}
+
+			return {state: {...state, phase: {kind: 'waiting'}}, effects: [{kind: 'back-off', failures: state.failures, message: {kind: 'placement-due'}}]};
+		}
+
+		case 'finished':
+		case 'failed':
+		case 'cancelled':
+		case 'unknown': {
+			return {state, effects: []};
+		}
+	}
+}
+
+function cancelOrGiveUp(state: DriverState, now: Timestamp): DriverStep {
+	const given = giveUpPlacement(state, state.cancelRequested ? 'cancelled' : 'not-owner');
+	if (!state.cancelRequested) {
+		return given;
+	}
+
+	const written = writeRecord(given.state, cancelJob(given.state.record, now));
+	return {state: written.state, effects: [...given.effects, ...written.effects]};
+}
+
+function askPlacement(state: DriverState, now: Timestamp): DriverStep {
+	if (state.cancelRequested) {
+		return writeRecord(state, cancelJob(state.record, now));
+	}
+
+	const {work, submittedAt} = state.record;
+	if (work.latestUsefulAt !== undefined && work.latestUsefulAt <= now) {
+		return writeRecord(state, failJob(state.record, 'deadline-unreachable', [], now));
+	}
+
+	const {jobId: job, plan, gang: shape, preemptible} = work;
+	return {
+		state: {...state, phase: {kind: 'placing'}},
+		effects: [{
+			kind: 'place', request: {
+				job, plan, shape, preemptible, submittedAt,
+			},
+		}],
+	};
+}
+
+/** Asks for a place when the backoff ends, and takes the answer. */
+export function receivePlacementMessage(state: DriverState, message: Extract<DriverMessage, {kind: 'placement-due' | 'placed'}>, now: Timestamp): DriverStep {
+	switch (message.kind) {
+		case 'placement-due': {
+			return state.phase.kind === 'waiting' ? askPlacement(state, now) : {state, effects: []};
+		}
+
+		case 'placed': {
+			return state.phase.kind === 'placing' ? receivePlacement(state, message.answer, now) : {state, effects: []};
+		}
+	}
+}
+
+function receivePlacement(state: DriverState, answer: PlacementAnswer, now: Timestamp): DriverStep {
+	switch (answer.kind) {
+		case 'placed': {
+			return writeRecord({
+				...state, waitingFor: undefined, ends: new Map(), renewedAt: new Map(),
+			}, beginPlacing(state.record, answer.members));
+		}
+
+		case 'waiting': {
+			const failures = state.failures + 1;
+			return {
+				state: {
+					...state, phase: {kind: 'waiting'}, waitingFor: answer.reason, failures,
+				},
+				effects: [{kind: 'back-off', failures, message: {kind: 'placement-due'}}],
+			};
+		}
+
+		case 'impossible': {
+			return writeRecord(state, failJob(state.record, 'impossible-shape', [], now));
+		}
+	}
+}
+
+export function receiveStoreMessage(state: DriverState, message: Extract<DriverMessage, {kind: 'stored' | 'write-due'}>, now: Timestamp): DriverStep {
+	const {phase} = state;
+	if (phase.kind !== 'writing' || phase.next.writeId !== message.writeId) {
+		return {state, effects: []};
+	}
+
+	switch (message.kind) {
+		case 'write-due': {
+			return {state, effects: [{kind: 'write-record', record: phase.next, expectedVersion: state.version}]};
+		}
+
+		case 'stored': {
+			return receiveStored(state, phase, message.reply, now);
+		}
+	}
+}
+
+/** A conflict with our own write means that its answer was lost; with any other owner, that the job was taken over. */
+function receiveStored(state: DriverState, phase: Extract<DriverPhase, {kind: 'writing'}>, reply: WriteReply, now: Timestamp): DriverStep {
+	switch (reply.kind) {
+		case 'written': {
+			return proceed({...state, record: phase.next, version: reply.version}, now);
+		}
+
+		case 'conflict': {
+			const current = reply.current?.value as DriverState['record'] | undefined;
+			if (reply.current === undefined || current?.owner !== state.record.owner || current.term !== state.record.term) {
+				return leaveJob(state);
+			}
+
+			const seen = {...state, version: reply.current.version, cancelRequested: state.cancelRequested || current.cancelRequested};
+			return current.writeId === phase.next.writeId ? proceed({...seen, record: phase.next}, now) : writeRecord(seen, phase.next);
+		}
+
+		case 'lease-unknown':
+		case 'unavailable': {
+			const failures = phase.failures + 1;
+			return {
+				state: {...state, phase: {...phase, failures}},
+				effects: [{kind: 'back-off', failures, message: {kind: 'write-due', writeId: phase.next.writeId}}],
+			};
+		}
+	}
+}
+
+/** Cancels the job as soon as its phase allows; a repeated cancellation changes nothing. */
+export function requestCancel(asked: DriverState, now: Timestamp): DriverStep {
+	const {phase} = asked;
+	const state = {...asked, cancelRequested: true};
+	if (asked.cancelRequested) {
+		return {state, effects: []};
+	}
+
+	switch (phase.kind) {
+		case 'waiting':
+		case 'placing': {
+			return writeRecord(state, cancelJob(state.record, now));
+		}
+
+		case 'agreeing': {
+			return phase.step === 'reserve' || phase.step === 'commit' ? cancelOrGiveUp(state, now) : beginStopping(state, 'cancelled', 'cancelled');
+		}
+
+		case 'finding':
+		case 'running': {
+			return beginStopping(state, 'cancelled', 'cancelled');
+		}
+
+		case 'writing':
+		case 'stopping':
+		case 'done': {
+			return {state, effects: []};
+		}
+	}
+}
--- /dev/null
+++ b/packages/entry/jobs/driver-state.ts
@@ -0,0 +1,77 @@
+import type {Step, WorkerId} from '#core';
+import {
+	listMembers, stampWrite, type JobRecord, type PlacedMember,
+} from '#recovery';
+import type {DriverEffect, DriverState} from './driver-types.js';
+
+export type DriverStep = Step<DriverState, DriverEffect>;
+
+/** State of the driver of a job whose record has just been written. */
+export function createDriverState(record: JobRecord, version: number): DriverState {
+	return {
+		record,
+		version,
+		sequence: 0,
+		phase: {kind: 'waiting'},
+		waitingFor: undefined,
+		failures: 0,
+		cancelRequested: record.cancelRequested,
+		loss: undefined,
+		ends: new Map(),
+		renewedAt: new Map(),
+	};
+}
+
+/** Writes the next record by compare-and-swap; the driver acts on it once the store has answered. */
+export function writeRecord(state: DriverState, record: JobRecord): DriverStep {
+	const sequence = state.sequence + 1;
+	const next = stampWrite({...record, cancelRequested: state.cancelRequested}, sequence);
+	return {
+		state: {...state, sequence, phase: {kind: 'writing', next, failures: 0}},
+		effects: [{kind: 'write-record', record: next, expectedVersion: state.version}],
+	};
+}
+
+export function membersOf(record: JobRecord, worker: WorkerId): readonly PlacedMember[] {
+	return listMembers(record).filter(({place}) => place.worker === worker);
+}
+
+export function listWorkers(record: JobRecord): readonly WorkerId[] {
+	return [...new Set(listMembers(record).map(({place}) => place.worker))];
+}
+
+/** Workers with members that have not ended. */
+export function listActiveWorkers({record, ends}: DriverState): readonly WorkerId[] {
+	return [...new Set(listMembers(record).filter(({member}) => !ends.has(member)).map(({place}) => place.worker))];
+}
+
+/** Whether an agent's message is about the gang that this driver holds. */
+export function isPresentAttempt({record}: DriverState, attempt: number): boolean {
+	const lowest = record.state.kind === 'running' ? record.state.heldAs : record.attempt;
+	return attempt >= lowest && attempt <= record.attempt;
+}
+
+/** Gangs whose leases the owner keeps alive. */
+export function needsRenewal({phase}: DriverState): boolean {
+	switch (phase.kind) {
+		case 'agreeing': {
+			return phase.step === 'commit' || phase.step === 'start';
+		}
+
+		case 'writing': {
+			return phase.next.state.kind === 'running';
+		}
+
+		case 'running': {
+			return true;
+		}
+
+		case 'waiting':
+		case 'placing':
+		case 'finding':
+		case 'stopping':
+		case 'done': {
+			return false;
+		}
+	}
+}
--- /dev/null
+++ b/packages/entry/jobs/driver.ts
@@ -0,0 +1,164 @@
+import {
+	assertNever, type MonotonicTime, type Timestamp,
+} from '#core';
+import {gangLeaseMilliseconds} from '#protocol';
+import {lapseMarginMilliseconds} from './constants.js';
+import {receiveFound} from './driver-adopt.js';
+import {failStep, receiveAnswer, resend} from './driver-agree.js';
+import {
+	beginStopping, concludeStop, receiveEnd, receiveStopAnswer, stopAgain,
+} from './driver-ending.js';
+import {
+	leaveJob, proceed, receivePlacementMessage, receiveStoreMessage, requestCancel,
+} from './driver-proceed.js';
+import {isPresentAttempt, type DriverStep} from './driver-state.js';
+import type {DriverMessage, DriverState} from './driver-types.js';
+
+type Present = Readonly<{now: Timestamp; monotonic: MonotonicTime}>;
+
+/** Drives one job: places its gang, starts it as a whole, and concludes it. */
+export function receiveDriverMessage(state: DriverState, message: DriverMessage, present: Present): DriverStep {
+	switch (message.kind) {
+		case 'opened': {
+			return proceed(state, present.now);
+		}
+
+		case 'placement-due':
+		case 'placed': {
+			return receivePlacementMessage(state, message, present.now);
+		}
+
+		case 'stored':
+		case 'write-due': {
+			return receiveStoreMessage(state, message, present.now);
+		}
+
+		case 'answered':
+		case 'resend':
+		case 'found':
+		case 'find-again':
+		case 'stop-answered':
+		case 'stop-again':
+		case 'step-expired': {
+			return receiveStepMessage(state, message, present);
+		}
+
+		case 'ended':
+		case 'renewed':
+		case 'renewal-failed':
+		case 'lapsed': {
+			return isPresentAttempt(state, message.attempt) ? receiveGangMessage(state, message, present) : {state, effects: []};
+		}
+
+		case 'cancel': {
+			return requestCancel(state, present.now);
+		}
+
+		case 'release': {
+			return leaveJob(state);
+		}
+
+		default: {
+			return assertNever(message);
+		}
+	}
+}
+
+type StepMessage = Extract<DriverMessage, {kind: 'answered' | 'resend' | 'found' | 'find-again' | 'stop-answered' | 'stop-again' | 'step-expired'}>;
+
+/** Messages about a step that is under way; those that come after it are ignored. */
+function receiveStepMessage(state: DriverState, message: StepMessage, present: Present): DriverStep {
+	const {phase} = state;
+	switch (message.kind) {
+		case 'answered': {
+			return phase.kind === 'agreeing' ? receiveAnswer(state, phase, message, present) : {state, effects: []};
+		}
+
+		case 'resend': {
+			return phase.kind === 'agreeing' ? resend(state, phase, message) : {state, effects: []};
+		}
+
+		case 'found': {
+			return phase.kind === 'finding' ? receiveFound(state, phase, message, present.now) : {state, effects: []};
+		}
+
+		case 'find-again': {
+			const isDue = phase.kind === 'finding' && message.attempt === state.record.attempt;
+			return {state, effects: isDue ? [{kind: 'find', record: state.record, worker: message.worker}] : []};
+		}
+
+		case 'stop-answered': {
+			return phase.kind === 'stopping' ? receiveStopAnswer(state, phase, message, present.now) : {state, effects: []};
+		}
+
+		case 'stop-again': {
+			return phase.kind === 'stopping' ? stopAgain(state, phase, message) : {state, effects: []};
+		}
+
+		case 'step-expired': {
+			return message.attempt === state.record.attempt ? expireStep(state, message, present.now) : {state, effects: []};
+		}
+	}
+}
+
+type GangMessage = Extract<DriverMessage, {kind: 'ended' | 'renewed' | 'renewal-failed' | 'lapsed'}>;
+
+/** Messages about the gang that the job holds at present. */
+function receiveGangMessage(state: DriverState, message: GangMessage, {now, monotonic}: Present): DriverStep {
+	switch (message.kind) {
+		case 'ended': {
+			return receiveEnd(state, message.member, message.state, now);
+		}
+
+		case 'renewed': {
+			return {state: {...state, renewedAt: new Map(state.renewedAt).set(message.worker, monotonic)}, effects: []};
+		}
+
+		case 'renewal-failed': {
+			const renewedAt = state.renewedAt.get(message.worker) ?? monotonic;
+			return renewedAt + gangLeaseMilliseconds + lapseMarginMilliseconds <= monotonic ? receiveLapse(state) : {state, effects: []};
+		}
+
+		case 'lapsed': {
+			return receiveLapse(state);
+		}
+	}
+}
+
+function expireStep(state: DriverState, {step}: Extract<DriverMessage, {kind: 'step-expired'}>, now: Timestamp): DriverStep {
+	const {phase} = state;
+	if (phase.kind === 'agreeing' && phase.step === step) {
+		return failStep(state, phase.step, 'timeout');
+	}
+
+	if (phase.kind === 'finding' && step === 'find') {
+		return beginStopping(state, 'lost', 'timeout');
+	}
+
+	return phase.kind === 'stopping' && step === 'stop' ? concludeStop(state, phase, now) : {state, effects: []};
+}
+
+function receiveLapse(state: DriverState): DriverStep {
+	const {phase} = state;
+	switch (phase.kind) {
+		case 'agreeing': {
+			return failStep(state, phase.step, 'lease-lapsed');
+		}
+
+		case 'running': {
+			return beginStopping(state, 'lost', 'lease-lapsed');
+		}
+
+		case 'writing': {
+			return {state: phase.next.state.kind === 'running' ? {...state, loss: 'lease-lapsed'} : state, effects: []};
+		}
+
+		case 'waiting':
+		case 'placing':
+		case 'finding':
+		case 'stopping':
+		case 'done': {
+			return {state, effects: []};
+		}
+	}
+}
