--- a/packages/entry/plugins/index.ts
+++ b/packages/entry/plugins/index.ts
@@ -6,3 +6,4 @@
 import './announce-agent.js';
 import './report-agent.js';
 import './run-request.js';
+import './show-openapi.js';
--- a/packages/kernel/types.ts
+++ b/packages/kernel/types.ts
@@ -67,10 +67,13 @@
 
 export type HttpMethod = 'GET' | 'POST' | 'PUT' | 'DELETE';
 
-/** Which listener serves a route: the callers' port or the operators' port. */
+/** Serves one method of one path. */
 export type HttpRoutePlugin<Context> = Readonly<{
 	kind: 'http-route';
+	/** Also the operation identifier of the OpenAPI description. */
 	name: string;
+	/** One sentence for the OpenAPI description. */
+	summary?: string;
 	method: HttpMethod;
 	/** Example: `/v1/requests/:requestId`. */
 	path: string;
--- a/packages/transport/index.ts
+++ b/packages/transport/index.ts
@@ -5,6 +5,7 @@
 export * from './http-server.js';
 export * from './listen.js';
 export * from './operations.js';
+export * from './openapi.js';
 export * from './peer.js';
 export * from './problem.js';
 export * from './route.js';
