Validate, compare and write the two lists

Lists were only checked field by field, and a writer whose answer was lost had no way to tell what became of its change.

--- /dev/null
+++ b/packages/command-line/index.ts
@@ -0,0 +1,1 @@
+export * from './write-configuration.js';
