--- /dev/null
+++ b/packages/limits/index.ts
@@ -0,0 +1,1 @@
+export * from './retry-budget.js';
