--- a/packages/limits/index.ts
+++ b/packages/limits/index.ts
@@ -4,3 +4,4 @@
 export * from './choose-next.js';
 export * from './deadlines.js';
 export * from './admission.js';
+export * from './retry-budget.js';
