Keep the layout of a zone in the store and hand agents their slice

Each entry repairs the layout of its own zone every two seconds from its view of the agents and writes it by compare-and-swap only when cells change. A refused write takes over the newer layout; a failed write leaves the one in force. Absences are kept in each entry's memory: storing them would write twice per restarted VM, and entries with differing views would overwrite each other. An entry does not repair a layout that was made for a newer configuration than its own.

Answers to agent.announce and agent.report carry the slice when it is newer than what the agent reported. POST /v1/configuration/check lists guarantees that cannot hold together in the zone.

--- /dev/null
+++ b/packages/entry/layout/slice.ts
@@ -0,0 +1,28 @@
+import type {Configuration} from '#configuration';
+import type {WorkerId} from '#core';
+import type {Layout} from '#placement';
+import type {Slice} from '#protocol';
+
+type Revisions = Pick<Slice, 'configurationRevision' | 'layoutRevision'>;
+
+/** The slice of one agent, if it is newer than what the agent has; a slice that is older in one part is left to another entry. */
+export function chooseSlice(configuration: Configuration, layout: Layout, worker: WorkerId, reported: Revisions): Slice | undefined {
+	const isOlder = configuration.revision < reported.configurationRevision || layout.revision < reported.layoutRevision;
+	const isEqual = configuration.revision === reported.configurationRevision && layout.revision === reported.layoutRevision;
+	return isOlder || isEqual ? undefined : buildSlice(configuration, layout, worker);
+}
+
+function buildSlice({revision, plans, allowances}: Configuration, layout: Layout, worker: WorkerId): Slice {
+	const allowanceOf = new Map(allowances.map(allowance => [allowance.plan, allowance]));
+	return {
+		configurationRevision: revision,
+		layoutRevision: layout.revision,
+		cells: layout.cells.flatMap(({plan, parts}) => parts.filter(part => part.worker === worker).map(({accelerators}) => ({plan, accelerators}))),
+		plans: plans.map(({name, weight}) => {
+			const {maximumSlots = 0, maximumQueued = 0} = allowanceOf.get(name) ?? {};
+			return {
+				plan: name, weight, maximumSlots, maximumQueued,
+			};
+		}),
+	};
+}
--- /dev/null
+++ b/packages/entry/layout/watch.ts
@@ -0,0 +1,84 @@
+import {checkInput} from '#core';
+import type {Cancel} from '#kernel';
+import {layoutSchema, type Layout} from '#placement';
+import {
+	storeBackoffMaximumMilliseconds, storeBackoffMinimumMilliseconds, watchWaitMilliseconds, type KeyValueStore, type StoredValue,
+} from '#store';
+import type {EntryContext} from '../types.js';
+
+export type ObservedLayout = Readonly<{layout: Layout | undefined; version: number}>;
+
+/** Follows one layout in the store and reports every valid value, and once that there is none. Keeps trying through outages. */
+export function watchLayout(key: string, context: EntryContext, store: KeyValueStore, observe: (observed: ObservedLayout) => void): Cancel {
+	let isStopped = false;
+	void (async () => {
+		let revision = 0;
+		while (!isStopped) {
+			revision = await follow(revision);
+		}
+	})();
+
+	return () => {
+		isStopped = true;
+	};
+
+	async function follow(revision: number): Promise<number> {
+		const reply = revision === 0 ? await store.list(key) : await store.watch(key, revision, watchWaitMilliseconds);
+		switch (reply.kind) {
+			case 'listed': {
+				const stored = reply.values.find(value => value.key === key);
+				observeStored(stored);
+				return reply.revision === 0 ? waitAndRetry(context, 0) : reply.revision;
+			}
+
+			case 'events': {
+				for (const event of reply.events) {
+					if (event.kind === 'put' && event.stored.key === key) {
+						observeStored(event.stored);
+					}
+				}
+
+				return reply.revision;
+			}
+
+			case 'compacted': {
+				return 0;
+			}
+
+			case 'unavailable': {
+				return waitAndRetry(context, revision);
+			}
+		}
+	}
+
+	function observeStored(stored: StoredValue | undefined): void {
+		const observed = stored === undefined ? {layout: undefined, version: 0} : decodeLayout(stored, context);
+		if (observed !== undefined) {
+			observe(observed);
+		}
+	}
+}
+
+/** Checks a stored layout; one that is not valid is reported and left aside. */
+export function decodeLayout({key, value, version}: StoredValue, {log}: EntryContext): ObservedLayout | undefined {
+	const checked = checkInput(layoutSchema, value, key);
+	switch (checked.kind) {
+		case 'valid': {
+			return {layout: checked.value, version};
+		}
+
+		case 'invalid': {
+			log.part('layout').error({findings: checked.findings}, 'stored layout is not valid; keeping the present one');
+			return undefined;
+		}
+	}
+}
+
+async function waitAndRetry({clock, random}: EntryContext, revision: number): Promise<number> {
+	const span = storeBackoffMaximumMilliseconds - storeBackoffMinimumMilliseconds;
+	return new Promise(resolve => {
+		clock.schedule(storeBackoffMinimumMilliseconds + (random() * span), () => {
+			resolve(revision);
+		});
+	});
+}
--- /dev/null
+++ b/packages/entry/layout/zone-view.ts
@@ -0,0 +1,52 @@
+import type {WorkerId} from '#core';
+import type {AgentView} from '#membership';
+import type {
+	AbsentWorker, InventoryWorker, Layout, WorkerCell, WorkerView, ZoneView,
+} from '#placement';
+
+export type ZoneViewSource = Readonly<{
+	agents: readonly AgentView[];
+	/** Absent before the store has been read; then no accelerator counts as guaranteed. */
+	layout: Layout | undefined;
+	absent: readonly AbsentWorker[];
+	isComplete: boolean;
+}>;
+
+/** Joins the agents' capacity and holdings with the cells of the layout. Agents that are leaving are only counted as absent. */
+export function buildZoneView({agents, layout, absent, isComplete}: ZoneViewSource): ZoneView {
+	const cells = groupCells(layout);
+	return {
+		workers: agents.filter(({isLeaving}) => !isLeaving).map(agent => toWorkerView(agent, cells)),
+		absent: absent.flatMap(({known}) => known === undefined ? [] : [toAbsentView(known, cells)]),
+		isComplete,
+	};
+}
+
+function groupCells(layout: Layout | undefined): ReadonlyMap<WorkerId, readonly WorkerCell[]> {
+	const cells = new Map<WorkerId, WorkerCell[]>();
+	for (const {plan, parts} of layout?.cells ?? []) {
+		for (const {worker, accelerators} of parts) {
+			const known = cells.get(worker) ?? [];
+			cells.set(worker, known);
+			known.push({plan, accelerators});
+		}
+	}
+
+	return cells;
+}
+
+function toWorkerView({worker, rack, capacity, holdings}: AgentView, cells: ReadonlyMap<WorkerId, readonly WorkerCell[]>): WorkerView {
+	return {
+		worker,
+		rack,
+		accelerators: capacity.accelerators,
+		cells: cells.get(worker) ?? [],
+		holdings: holdings.map(({attempt: _, ...holding}) => holding),
+	};
+}
+
+function toAbsentView({worker, rack, accelerators}: InventoryWorker, cells: ReadonlyMap<WorkerId, readonly WorkerCell[]>): WorkerView {
+	return {
+		worker, rack, accelerators, cells: cells.get(worker) ?? [], holdings: [],
+	};
+}
--- a/packages/entry/plugins/announce-agent.ts
+++ b/packages/entry/plugins/announce-agent.ts
@@ -1,6 +1,7 @@
 import {announceParametersSchema, type AnnounceParameters} from '#protocol';
 import {entryPlugins} from '../plugins.js';
 import {connectionsService} from './connections.js';
+import {layoutService} from './layout-task.js';
 import {membershipService} from './membership.js';
 
 entryPlugins.register({
@@ -23,6 +24,7 @@
 			connections.send({kind: 'closed', worker, peer});
 			membership.send({kind: 'disconnected', worker, incarnation});
 		});
-		return {entry: settings.entry, entries: []};
+		const slice = services.use(layoutService).chooseSlice(worker, {configurationRevision, layoutRevision});
+		return {entry: settings.entry, entries: [], ...(slice === undefined ? {} : {slice})};
 	},
 });
--- a/packages/entry/plugins/index.ts
+++ b/packages/entry/plugins/index.ts
@@ -3,6 +3,8 @@
 import './membership.js';
 import './connections.js';
 import './watch-configuration.js';
+import './layout-task.js';
+import './layout-check.js';
 import './announce-agent.js';
 import './report-agent.js';
 import './run-request.js';
--- a/packages/entry/plugins/report-agent.ts
+++ b/packages/entry/plugins/report-agent.ts
@@ -1,6 +1,7 @@
 import {reportParametersSchema, type ReportParameters} from '#protocol';
 import {entryPlugins} from '../plugins.js';
 import {connectionsService} from './connections.js';
+import {layoutService} from './layout-task.js';
 import {membershipService} from './membership.js';
 
 entryPlugins.register({
@@ -17,6 +18,8 @@
 				membership.send({
 					kind: 'reported', worker, incarnation: agent.incarnation, load, holdings, configurationRevision, layoutRevision,
 				});
+				const slice = services.use(layoutService).chooseSlice(worker, {configurationRevision, layoutRevision});
+				return slice === undefined ? {} : {slice};
 			}
 		}
 
--- a/packages/entry/settings.ts
+++ b/packages/entry/settings.ts
@@ -1,4 +1,5 @@
 import * as valibot from 'valibot';
+import {defaultAbsenceDelayMilliseconds} from '#placement';
 import {entryIdSchema, regionNameSchema, zoneNameSchema} from '#core';
 import {
 	logLevels, portSettingSchema, wholeNumberSettingSchema, type SettingDefinitions, type SettingsOf,
@@ -12,6 +13,11 @@
 	'listen-host': {schema: valibot.string(), description: 'Address to listen on', default: '127.0.0.1'},
 	'listen-port': {schema: portSettingSchema, description: 'Port for callers', default: '8080'},
 	'peer-port': {schema: portSettingSchema, description: 'Port for agents and other entries', default: '8081'},
+	'layout-absence-milliseconds': {
+		schema: wholeNumberSettingSchema(0, 86_400_000),
+		description: 'How long a worker that vanished keeps its guaranteed cells',
+		default: String(defaultAbsenceDelayMilliseconds),
+	},
 	seed: {schema: wholeNumberSettingSchema(0, 4_294_967_295), description: 'Seed of the random generator', default: '1'},
 	'log-level': {schema: valibot.picklist(logLevels, 'must be debug, info, warn or error'), description: 'Least severe level that is logged', default: 'info'},
 } as const satisfies SettingDefinitions;
--- a/packages/placement/blocks.ts
+++ b/packages/placement/blocks.ts
@@ -1,8 +1,8 @@
 import {
-	assertNever, type GangShape, type JobId, type RackName, type WorkerId,
+	assertNever, type GangShape, type JobId,
 } from '#core';
 import type {AcceleratorUse} from './classify.js';
-import {compareScores, groupBy, listRuns} from './ground.js';
+import {compareScores, groupBy} from './ground.js';
 import type {MemberPlacement, WorkerView} from './types.js';
 
 /** A worker with what its accelerators are to one gang. */
@@ -12,46 +12,45 @@
 export type Admission = Readonly<{free: boolean; borrowable: boolean; evicted: ReadonlySet<JobId>}>;
 
 /** Neighbouring accelerators of one worker that a gang may take. */
-export type Block = Readonly<{
-	worker: WorkerId;
-	rack: RackName;
+export type Block = ClassifiedWorker & Readonly<{
 	start: number;
 	length: number;
-	uses: readonly AcceleratorUse[];
 	/** Members that fit into it. */
 	capacity: number;
 	/** Accelerators of the gang's own plan in it. */
 	owned: number;
 	/** Accelerators in cells of other plans. */
 	borrowed: number;
-	/** Whether another borrower holds accelerators of the worker, so that a reclaim there evicts somebody anyway. */
-	isBorrowedFrom: boolean;
 }>;
 
 /** Blocks that are close enough for a whole gang. */
-type Domain = Readonly<{blocks: readonly Block[]; capacity: number; owned: number; borrowed: number}>;
+type Domain = Readonly<{blocks: readonly Block[]; score: readonly number[]}>;
 
-/** Lists the blocks that hold at least one member. */
+/** Lists the blocks that hold at least one member, in one pass over the accelerators, since a zone may have thousands of workers. */
 export function listBlocks(workers: readonly ClassifiedWorker[], admission: Admission, acceleratorsPerMember: number): readonly Block[] {
 	const blocks: Block[] = [];
 	for (const {view, uses} of workers) {
-		for (const {start, length} of listRuns(uses, use => isAdmitted(use, admission))) {
-			if (length < acceleratorsPerMember) {
+		let start = 0;
+		let owned = 0;
+		let borrowed = 0;
+		for (let end = 0; end <= uses.length; end++) {
+			const use = uses[end];
+			if (use !== undefined && isAdmitted(use, admission)) {
+				owned += use.kind === 'own' || use.kind === 'reclaimable' ? 1 : 0;
+				borrowed += use.kind === 'borrowable' ? 1 : 0;
 				continue;
 			}
 
-			const inside = uses.slice(start, start + length);
-			blocks.push({
-				worker: view.worker,
-				rack: view.rack,
-				start,
-				length,
-				uses: inside,
-				capacity: Math.floor(length / acceleratorsPerMember),
-				owned: inside.filter(({kind}) => kind === 'own' || kind === 'reclaimable').length,
-				borrowed: inside.filter(({kind}) => kind === 'borrowable').length,
-				isBorrowedFrom: view.holdings.some(({preemptible}) => preemptible),
-			});
+			const length = end - start;
+			if (length >= acceleratorsPerMember) {
+				blocks.push({
+					view, uses, start, length, owned, borrowed, capacity: Math.floor(length / acceleratorsPerMember),
+				});
+			}
+
+			start = end + 1;
+			owned = 0;
+			borrowed = 0;
 		}
 	}
 
@@ -90,11 +89,11 @@
 export function listDomains(blocks: readonly Block[], adjacency: GangShape['adjacency']): ReadonlyArray<readonly Block[]> {
 	switch (adjacency) {
 		case 'worker': {
-			return [...groupBy(blocks, ({worker}) => worker).values()];
+			return [...groupBy(blocks, ({view}) => view.worker).values()];
 		}
 
 		case 'rack': {
-			return [...groupBy(blocks, ({rack}) => rack).values()];
+			return [...groupBy(blocks, ({view}) => view.rack).values()];
 		}
 
 		case 'zone': {
@@ -119,41 +118,43 @@
 */
 export function fillBlocks(blocks: readonly Block[], {members, acceleratorsPerMember, adjacency}: GangShape): readonly MemberPlacement[] | undefined {
 	let best: Domain | undefined;
-	for (const group of listDomains(blocks, adjacency)) {
-		const domain = summarize(group);
-		if (domain.capacity >= members && (best === undefined || compareScores(scoreDomain(domain), scoreDomain(best)) < 0)) {
-			best = domain;
+	for (const inside of listDomains(blocks, adjacency)) {
+		if (countCapacity(inside) >= members) {
+			const score = scoreDomain(inside);
+			if (best === undefined || compareScores(score, best.score) < 0) {
+				best = {blocks: inside, score};
+			}
 		}
 	}
 
 	return best === undefined ? undefined : fillDomain(best, members, acceleratorsPerMember);
 }
 
-function summarize(blocks: readonly Block[]): Domain {
-	return {
-		blocks,
-		capacity: countCapacity(blocks),
-		owned: blocks.reduce((sum, {owned}) => sum + owned, 0),
-		borrowed: blocks.reduce((sum, {borrowed}) => sum + borrowed, 0),
-	};
-}
+function scoreDomain(blocks: readonly Block[]): readonly number[] {
+	let owned = 0;
+	let borrowed = 0;
+	let total = 0;
+	for (const block of blocks) {
+		owned += block.owned;
+		borrowed += block.borrowed;
+		total += block.length;
+	}
 
-function scoreDomain({capacity, owned, borrowed, blocks}: Domain): readonly number[] {
-	return [-owned, borrowed, capacity, blocks.reduce((sum, {length}) => sum + length, 0)];
+	return [-owned, borrowed, countCapacity(blocks), total];
 }
 
 function fillDomain({blocks}: Domain, members: number, acceleratorsPerMember: number): readonly MemberPlacement[] {
-	const capacityOfRack = new Map([...groupBy(blocks, ({rack}) => rack)].map(([rack, inside]) => [rack, countCapacity(inside)]));
-	const scored = blocks.map(block => ({block, score: scoreBlock(block, capacityOfRack.get(block.rack) ?? 0)}));
+	const capacityOfRack = new Map([...groupBy(blocks, ({view}) => view.rack)].map(([rack, inside]) => [rack, countCapacity(inside)]));
+	const ranked = blocks.map<RankedBlock>(block => ({...rankBlock(block), capacityOfRack: capacityOfRack.get(block.view.rack) ?? 0}));
 	const placements: MemberPlacement[] = [];
-	for (const {block} of scored.toSorted((left, right) => compareScores(left.score, right.score))) {
+	for (const {block} of ranked.toSorted(compareRanks)) {
 		const count = Math.min(block.capacity, members - placements.length);
 		const first = block.start + chooseOffset(block, count * acceleratorsPerMember);
 		for (let position = 0; position < count; position++) {
 			const start = first + (position * acceleratorsPerMember);
 			placements.push({
 				member: placements.length,
-				worker: block.worker,
+				worker: block.view.worker,
 				accelerators: Array.from({length: acceleratorsPerMember}, (_, offset) => start + offset),
 			});
 		}
@@ -166,16 +167,27 @@
 	return placements;
 }
 
-/** Own accelerators first, then blocks that nobody is guaranteed, then those where a reclaim evicts a borrower anyway. */
-function scoreBlock({owned, borrowed, isBorrowedFrom, length}: Block, capacityOfRack: number): readonly number[] {
-	return [owned > 0 ? 0 : 1, borrowed, borrowed > 0 && !isBorrowedFrom ? 1 : 0, length, capacityOfRack];
+type RankedBlock = Readonly<{block: Block; borrowing: number; capacityOfRack: number}>;
+
+/** Borrowing from a worker without borrowers ranks last, since a reclaim there would evict somebody who was safe before. */
+function rankBlock(block: Block): Pick<RankedBlock, 'block' | 'borrowing'> {
+	const isUntouched = block.borrowed > 0 && !block.view.holdings.some(({preemptible}) => preemptible);
+	return {block, borrowing: isUntouched ? block.borrowed + block.length : block.borrowed};
+}
+
+/** Own accelerators first, then blocks that nobody is guaranteed, and among these the shortest in the fullest rack. */
+function compareRanks(first: RankedBlock, second: RankedBlock): number {
+	return (Number(second.block.owned > 0) - Number(first.block.owned > 0))
+		|| (first.borrowing - second.borrowing)
+		|| (first.block.length - second.block.length)
+		|| (first.capacityOfRack - second.capacityOfRack);
 }
 
 /** Where in a block the members go: on own accelerators first, on borrowed ones last, and at an end of the block rather than in its middle. */
-function chooseOffset({uses, length}: Block, wanted: number): number {
+function chooseOffset({uses, start, length}: Block, wanted: number): number {
 	let best: Readonly<{offset: number; score: readonly number[]}> | undefined;
 	for (let offset = 0; offset + wanted <= length; offset++) {
-		const weight = uses.slice(offset, offset + wanted).reduce((sum, use) => sum + weightOf(use), 0);
+		const weight = uses.slice(start + offset, start + offset + wanted).reduce((sum, use) => sum + weightOf(use), 0);
 		const score = [weight, Math.min(offset, length - offset - wanted)];
 		if (best === undefined || compareScores(score, best.score) < 0) {
 			best = {offset, score};
--- a/packages/placement/choose-evictions.ts
+++ b/packages/placement/choose-evictions.ts
@@ -63,9 +63,17 @@
 }
 
 function listBorrowers(workers: readonly ClassifiedWorker[]): readonly Borrower[] {
-	const reclaimable = new Set(workers.flatMap(({uses}) => uses.flatMap(use => use.kind === 'reclaimable' ? [use.job] : [])));
+	const reclaimable = new Set<JobId>();
+	for (const {uses} of workers) {
+		for (const use of uses) {
+			if (use.kind === 'reclaimable') {
+				reclaimable.add(use.job);
+			}
+		}
+	}
+
 	const borrowers = new Map<JobId, Borrower>();
-	for (const {view} of workers) {
+	for (const {view} of reclaimable.size === 0 ? [] : workers) {
 		for (const {job, accelerators, submittedAt} of view.holdings) {
 			if (reclaimable.has(job)) {
 				borrowers.set(job, {job, submittedAt, accelerators: accelerators.length + (borrowers.get(job)?.accelerators ?? 0)});
--- a/packages/placement/classify.ts
+++ b/packages/placement/classify.ts
@@ -21,7 +21,11 @@
 
 /** Classifies the accelerators of a worker by index. */
 export function classifyAccelerators({accelerators, cells, holdings}: WorkerView, {plan}: Pick<GangRequest, 'plan'>): readonly AcceleratorUse[] {
-	const uses = Array.from({length: accelerators}, () => free);
+	const uses: AcceleratorUse[] = [];
+	for (let index = 0; index < accelerators; index++) {
+		uses.push(free);
+	}
+
 	for (const cell of cells) {
 		for (const index of cell.accelerators) {
 			uses[index] = cell.plan === plan ? own : borrowable;
--- a/packages/placement/layout-types.ts
+++ b/packages/placement/layout-types.ts
@@ -1,7 +1,7 @@
 /** The layout of one zone: which accelerators each guaranteed cell is mapped to. */
 import * as valibot from 'valibot';
 import {
-	planNameSchema, workerIdSchema, zoneNameSchema, type AcceleratorIndex, type Milliseconds, type PlanName, type RackName, type Timestamp,
+	planNameSchema, workerIdSchema, zoneNameSchema, type AcceleratorIndex, type Milliseconds, type PlanName, type RackName, type MonotonicTime,
 	type WorkerId, type ZoneName,
 } from '#core';
 import {adjacencySchema} from '#configuration';
@@ -56,7 +56,7 @@
 /** A worker that vanished or is leaving. */
 export type AbsentWorker = Readonly<{
 	worker: WorkerId;
-	since: Timestamp;
+	since: MonotonicTime;
 	/** What it was before, if this process has seen it. */
 	known?: InventoryWorker | undefined;
 }>;
--- a/packages/placement/measure-fragmentation.ts
+++ b/packages/placement/measure-fragmentation.ts
@@ -22,7 +22,7 @@
 		const blocks = listBlocks(classifyWorkers(view, waiting), listAdmissions(waiting).at(-1)!, acceleratorsPerMember);
 		for (const block of listDomains(blocks, adjacency).filter(domain => countCapacity(domain) >= members).flat()) {
 			for (let index = block.start; index < block.start + block.length; index++) {
-				usable.add(`${block.worker} ${index}`);
+				usable.add(`${block.view.worker} ${index}`);
 			}
 		}
 	}
--- a/packages/placement/place-gang.ts
+++ b/packages/placement/place-gang.ts
@@ -23,7 +23,8 @@
 */
 export function placeGang(view: ZoneView, gang: GangRequest): Placement {
 	const workers = classifyWorkers(view, gang);
-	for (const admission of listAdmissions(gang)) {
+	const ownsCells = workers.some(({uses}) => uses.some(({kind}) => kind === 'own' || kind === 'reclaimable'));
+	for (const admission of listAdmissions(gang).filter(({free}) => free || ownsCells)) {
 		const members = fillBlocks(listBlocks(workers, admission, gang.shape.acceleratorsPerMember), gang.shape);
 		if (members !== undefined) {
 			return {kind: 'placed', members, evictions: []};
--- a/packages/placement/repair-layout.ts
+++ b/packages/placement/repair-layout.ts
@@ -1,5 +1,5 @@
 import type {Configuration} from '#configuration';
-import type {Timestamp, WorkerId, ZoneName} from '#core';
+import type {MonotonicTime, WorkerId, ZoneName} from '#core';
 import {chooseParts} from './choose-parts.js';
 import {
 	compareText, countFree, createGround, groupBy, isFreeFor, markParts, type Ground,
@@ -27,7 +27,7 @@
 
 Cells stay where they are while their workers are present or absent for less than the delay. New cells and cells whose worker is gone take free accelerators; if none are adjacent, other cells are moved for them. Returns the previous layout itself if nothing changed.
 */
-export function repairLayout(previous: Layout, configuration: Configuration, inventory: ZoneInventory, now: Timestamp): Layout {
+export function repairLayout(previous: Layout, configuration: Configuration, inventory: ZoneInventory, now: MonotonicTime): Layout {
 	const wanted = listWantedCells(configuration, inventory.zone);
 	const {cells, unmet} = mapCells(previous.cells, wanted, inventory, {now, strategy: 'best-fit'});
 	if (isSame(cells, previous.cells) && isSame(unmet, previous.unmet)) {
@@ -44,7 +44,7 @@
 	previous: readonly Cell[],
 	wanted: readonly WantedCells[],
 	inventory: ZoneInventory,
-	{now, strategy}: Readonly<{now: Timestamp; strategy: CellStrategy}>,
+	{now, strategy}: Readonly<{now: MonotonicTime; strategy: CellStrategy}>,
 ): Readonly<Pick<Layout, 'cells' | 'unmet'>> {
 	const ground = createGround(inventory.workers);
 	const awaited = new Set(inventory.absent.filter(({since}) => now - since < inventory.absenceDelay).map(({worker}) => worker));
