--- a/packages/entry/plugins/index.ts
+++ b/packages/entry/plugins/index.ts
@@ -8,3 +8,4 @@
 import './announce-agent.js';
 import './report-agent.js';
 import './run-request.js';
+import './show-openapi.js';
