Spread the configuration between entries while the store is down

An entry that restarted during an outage had no configuration and refused all work. Entries now register in the store under a lease, connect to each other and exchange revisions; a process never takes a lower one. Peer addresses from the settings let a restarted entry find the others without the store. Pushing each change to every agent was ruled out: the report interval already bounds the delay.

--- /dev/null
+++ b/packages/entry/plugins/exchange.ts
@@ -0,0 +1,44 @@
+import {exchangeParametersSchema, type ExchangeParameters, type ExchangeResult} from '#protocol';
+import {entryPlugins} from '../plugins.js';
+import {
+	describeForPeer, entriesService, exchange, keepLink,
+} from './entries.js';
+import {configurationService} from './watch-configuration.js';
+
+entryPlugins.register({
+	kind: 'rpc-method',
+	name: 'peer.exchange',
+	parametersSchema: exchangeParametersSchema,
+	async handle(parameters, context, peer): Promise<ExchangeResult> {
+		const {record, configurationRevision, summary, records} = parameters as ExchangeParameters;
+		const entries = context.services.use(entriesService);
+		const {self} = entries.read();
+		if (self === undefined) {
+			throw new Error('this entry does not listen yet');
+		}
+
+		const known = [...entries.read().records.values()];
+		const {current} = context.services.use(configurationService).read();
+		if (record.entry !== self.entry) {
+			const link = entries.read().links.get(record.entry);
+			const dialledBy = link?.peer === peer ? link.dialledBy : record.entry;
+			keepLink(peer, {
+				kind: 'heard', record, dialledAddress: undefined, link: {
+					peer, dialledBy, configurationRevision, summary,
+				},
+			}, context);
+			entries.send({kind: 'learnt', records: records ?? []});
+			// The sender has a newer configuration, which only its answer carries.
+			if (configurationRevision > (current?.revision ?? 0)) {
+				void exchange(peer, {dialledBy, isFirst: false}, context);
+			}
+		}
+
+		const isNewerHere = current !== undefined && current.revision > configurationRevision;
+		return {
+			...describeForPeer(context, self),
+			...(isNewerHere ? {configuration: current} : {}),
+			...(records === undefined ? {} : {records: known}),
+		};
+	},
+});
--- a/packages/entry/plugins/watch-configuration.ts
+++ b/packages/entry/plugins/watch-configuration.ts
@@ -4,7 +4,7 @@
 import {checkInput} from '#core';
 import {createServiceKey, startTask, type TaskHandle} from '#kernel';
 import {
-	storeBackoffMaximumMilliseconds, storeBackoffMinimumMilliseconds, watchWaitMilliseconds, type StoredValue,
+	startWatchTask, type Observation, type StoredValue, type WatchHandle,
 } from '#store';
 import {entryPlugins} from '../plugins.js';
 import type {EntryContext} from '../types.js';
@@ -13,13 +13,17 @@
 export type ConfigurationState = Readonly<{current: Configuration | undefined}>;
 export type ConfigurationMessage = Readonly<{kind: 'observed'; configuration: Configuration}>;
 
-/** The task that owns the configuration in force in this process. */
+/** The task that owns the configuration in force in this process. Its revision never goes back. */
 export const configurationService = createServiceKey<TaskHandle<ConfigurationState, ConfigurationMessage>>('configuration');
 
+/** The watch on the store's configuration. */
+export const configurationWatchService = createServiceKey<WatchHandle>('configuration-watch');
+
 entryPlugins.register({
 	kind: 'task',
 	name: 'watch-configuration',
 	start(context) {
+		const log = context.log.part('configuration');
 		const configuration = startTask<ConfigurationState, ConfigurationMessage, never>({
 			name: 'configuration',
 			initialState: {current: undefined},
@@ -28,65 +32,54 @@
 			}),
 		}, {clock: context.clock, perform() {/* The task only keeps state. */}});
 		context.services.provide(configurationService, configuration);
-		let isStopped = false;
-		void (async () => {
-			let revision = 0;
-			while (!isStopped) {
-				revision = await observeChanges(context, revision);
-			}
-		})();
-
+		const watch = startWatchTask({
+			store: context.services.use(storeService),
+			clock: context.clock,
+			random: context.random,
+			prefix: configurationKey,
+			onObserved(observation) {
+				observe(valuesOf(observation), context);
+			},
+			onFailure(reason, failures) {
+				log.warn({reason, failures}, 'store is unavailable; keeping the present configuration');
+			},
+		});
+		context.services.provide(configurationWatchService, watch);
 		return () => {
-			isStopped = true;
+			watch.stop();
 			configuration.stop();
 		};
 	},
 });
 
-/** Waits for the next change of the configuration and returns the store revision to continue from. */
-async function observeChanges(context: EntryContext, revision: number): Promise<number> {
-	const reply = revision === 0
-		? await context.services.use(storeService).list(configurationKey)
-		: await context.services.use(storeService).watch(configurationKey, revision, watchWaitMilliseconds);
-	switch (reply.kind) {
-		case 'listed': {
-			observeAll(context, reply.values);
-			return reply.revision === 0 ? waitAndRetry(context, 0) : reply.revision;
+function valuesOf(observation: Observation): readonly StoredValue[] {
+	switch (observation.kind) {
+		case 'all': {
+			return observation.values;
 		}
 
-		case 'events': {
-			observeAll(context, reply.events.flatMap(event => event.kind === 'put' ? [event.stored] : []));
-			return reply.revision;
-		}
-
-		case 'compacted': {
-			return 0;
-		}
-
-		case 'unavailable': {
-			context.log.part('configuration').warn({reason: reply.message}, 'store is unavailable; watching again after a delay');
-			return waitAndRetry(context, revision);
+		case 'changes': {
+			return observation.events.flatMap(event => event.kind === 'put' ? [event.stored] : []);
 		}
 	}
 }
 
-async function waitAndRetry({clock, random}: EntryContext, revision: number): Promise<number> {
-	const span = storeBackoffMaximumMilliseconds - storeBackoffMinimumMilliseconds;
-	return new Promise(resolve => {
-		clock.schedule(storeBackoffMinimumMilliseconds + (random() * span), () => {
-			resolve(revision);
-		});
-	});
-}
-
-function observeAll(context: EntryContext, values: readonly StoredValue[]): void {
+function observe(values: readonly StoredValue[], context: EntryContext): void {
 	for (const {key, value} of values) {
-		const checked = checkInput(configurationSchema, value, key);
-		if (checked.kind === 'invalid') {
-			context.log.part('configuration').error({findings: checked.findings}, 'stored configuration is not valid; keeping the present one');
+		if (key !== configurationKey) {
 			continue;
 		}
 
-		context.services.use(configurationService).send({kind: 'observed', configuration: checked.value});
+		const checked = checkInput(configurationSchema, value, key);
+		switch (checked.kind) {
+			case 'invalid': {
+				context.log.part('configuration').error({findings: checked.findings}, 'stored configuration is not valid; keeping the present one');
+				break;
+			}
+
+			case 'valid': {
+				context.services.use(configurationService).send({kind: 'observed', configuration: checked.value});
+			}
+		}
 	}
 }
--- a/packages/entry/settings.ts
+++ b/packages/entry/settings.ts
@@ -1,9 +1,11 @@
 import * as valibot from 'valibot';
 import {entryIdSchema, regionNameSchema, zoneNameSchema} from '#core';
 import {
-	logLevels, portSettingSchema, wholeNumberSettingSchema, type SettingDefinitions, type SettingsOf,
+	addressListSettingSchema, logLevels, portSettingSchema, wholeNumberSettingSchema, type SettingDefinitions, type SettingsOf,
 } from '#kernel';
 
+const optionalAddressSettingSchema = valibot.pipe(valibot.string(), valibot.regex(/^(?:[^\s:]+:\d+)?$/, 'must be host:port'));
+
 export const entrySettings = {
 	entry: {schema: entryIdSchema, description: 'Name of this entry'},
 	region: {schema: regionNameSchema, description: 'Region of this entry'},
@@ -12,6 +14,13 @@
 	'listen-host': {schema: valibot.string(), description: 'Address to listen on', default: '127.0.0.1'},
 	'listen-port': {schema: portSettingSchema, description: 'Port for callers', default: '8080'},
 	'peer-port': {schema: portSettingSchema, description: 'Port for agents and other entries', default: '8081'},
+	'advertised-peer-address': {
+		schema: optionalAddressSettingSchema, description: 'host:port where agents and other entries reach this entry; the listening address if empty', default: '',
+	},
+	'advertised-caller-address': {
+		schema: optionalAddressSettingSchema, description: 'host:port where operators reach this entry; the listening address if empty', default: '',
+	},
+	peers: {schema: addressListSettingSchema, description: 'Peer addresses of entries to connect to first, also while the store is down', default: ''},
 	seed: {schema: wholeNumberSettingSchema(0, 4_294_967_295), description: 'Seed of the random generator', default: '1'},
 	'log-level': {schema: valibot.picklist(logLevels, 'must be debug, info, warn or error'), description: 'Least severe level that is logged', default: 'info'},
 } as const satisfies SettingDefinitions;
--- a/packages/entry/start.ts
+++ b/packages/entry/start.ts
@@ -5,12 +5,14 @@
 import {listenForHttp, listenForPeers} from '#transport';
 import {entryPlugins} from './plugins.js';
 import './plugins/index.js';
+import {entryLeaseService} from './plugins/entry-lease.js';
 import type {EntrySettings} from './settings.js';
-import type {EntryContext} from './types.js';
+import type {EntryContext, ListeningPorts} from './types.js';
 
 /** Starts an entry. */
 export async function startEntry(settings: EntrySettings): Promise<RunningDaemon> {
 	const log = createProgramLog('dotterelnotch-entry', settings['log-level'], {entry: settings.entry});
+	let announceListening: (ports: ListeningPorts) => void = () => undefined;
 	const context: EntryContext = {
 		settings,
 		clock: systemClock,
@@ -18,6 +20,9 @@
 		log,
 		counters: createCounters(),
 		services: createServices(),
+		listening: new Promise(resolve => {
+			announceListening = resolve;
+		}),
 	};
 	const stopTasks = startTasks(entryPlugins, context);
 	const peers = await listenForPeers(settings['listen-host'], settings['peer-port'], {
@@ -29,11 +34,13 @@
 		log: log.part('http'),
 		countRefusal: context.counters.countRefusal,
 	});
+	announceListening({callers: http.port, peers: peers.port});
 	log.part('entry').info({port: http.port, peerPort: peers.port}, 'listening');
 	return {
 		ports: {http: http.port, peers: peers.port},
 		async stop() {
 			await http.drain();
+			await context.services.use(entryLeaseService).stop();
 			stopTasks();
 			peers.close();
 		},
--- a/packages/entry/types.ts
+++ b/packages/entry/types.ts
@@ -4,6 +4,9 @@
 } from '#kernel';
 import type {EntrySettings} from './settings.js';
 
+/** Ports that the entry listens on. */
+export type ListeningPorts = Readonly<{callers: number; peers: number}>;
+
 /** What the entry's plug-ins share. */
 export type EntryContext = Readonly<{
 	settings: EntrySettings;
@@ -12,4 +15,6 @@
 	log: ProgramLog;
 	counters: Counters;
 	services: Services;
+	/** Resolves once both listeners are open. */
+	listening: Promise<ListeningPorts>;
 }>;
--- a/packages/protocol/constants.ts
+++ b/packages/protocol/constants.ts
@@ -16,3 +16,10 @@
 export const gangRenewIntervalMilliseconds = 3000;
 /** How long an evicted borrower may take for its checkpoint before it is stopped. */
 export const reclaimGraceMilliseconds = 2000;
+/** How often the entry that opened a connection to another one exchanges revisions and summaries over it. */
+export const peerExchangeIntervalMilliseconds = 2000;
+/** Bounds of the delay before an entry that could not be reached is dialled again. */
+export const peerRedialMinimumMilliseconds = 2000;
+export const peerRedialMaximumMilliseconds = 30_000;
+/** How long an entry stays registered without renewal. */
+export const entryLeaseMilliseconds = 10_000;
--- a/packages/protocol/types.ts
+++ b/packages/protocol/types.ts
@@ -226,18 +226,37 @@
 });
 export type ZoneSummary = Readonly<valibot.InferOutput<typeof zoneSummarySchema>>;
 
-export const exchangeParametersSchema = valibot.object({
+/** How an entry is known to the others: its names and where it listens. */
+export const entryRecordSchema = valibot.object({
 	entry: entryIdSchema,
+	region: regionNameSchema,
+	zone: zoneNameSchema,
+	/** `host:port` for agents and other entries. */
+	peerAddress: valibot.string(),
+	/** `host:port` for callers and operators. */
+	callerAddress: valibot.string(),
+});
+export type EntryRecord = Readonly<valibot.InferOutput<typeof entryRecordSchema>>;
+
+export const exchangeParametersSchema = valibot.object({
+	/** The sender. */
+	record: entryRecordSchema,
 	configurationRevision: countSchema,
 	summary: zoneSummarySchema,
+	/** Entries that the sender knows; present on the first exchange of a connection. */
+	records: valibot.optional(valibot.pipe(valibot.array(entryRecordSchema), valibot.readonly())),
 });
 export type ExchangeParameters = Readonly<valibot.InferOutput<typeof exchangeParametersSchema>>;
 
 /** The configuration is present only if it is newer than the sender's. */
 export const exchangeResultSchema = valibot.object({
+	/** The answering entry. */
+	record: entryRecordSchema,
 	configurationRevision: countSchema,
 	configuration: valibot.optional(configurationSchema),
 	summary: zoneSummarySchema,
+	/** Entries that the answering entry knows; present if the sender told its own. */
+	records: valibot.optional(valibot.pipe(valibot.array(entryRecordSchema), valibot.readonly())),
 });
 export type ExchangeResult = Readonly<valibot.InferOutput<typeof exchangeResultSchema>>;
 
--- a/packages/store/lease-task.ts
+++ b/packages/store/lease-task.ts
@@ -11,8 +11,8 @@
 	findValid(): HeldLease | undefined;
 	/** Calls the listener after each change of the lease identifier; undefined means that the store dropped the lease. */
 	onChanged(listener: (lease: string | undefined) => void): Cancel;
-	/** Gives the lease back. */
-	stop(): void;
+	/** Gives the lease back; resolves when the store answered or the call timed out. */
+	stop(): Promise<void>;
 }>;
 
 export type LeaseTaskOptions = Readonly<{store: KeyValueStore; clock: Clock; random: RandomSource; timeToLive: number}>;
@@ -27,6 +27,7 @@
 ```
 */
 export function startLeaseTask({store, clock, random, timeToLive}: LeaseTaskOptions): LeaseHandle {
+	let revoking: Promise<unknown> = Promise.resolve();
 	const perform = async (effect: LeaseEffect, send: (message: LeaseMessage) => void) => {
 		switch (effect.kind) {
 			case 'grant': {
@@ -40,7 +41,7 @@
 			}
 
 			case 'revoke': {
-				await store.revokeLease(effect.lease);
+				revoking = store.revokeLease(effect.lease);
 				break;
 			}
 
@@ -74,8 +75,9 @@
 				}
 			});
 		},
-		stop() {
+		async stop() {
 			task.send({kind: 'stop'});
+			await revoking;
 		},
 	};
 }
--- a/test/store/tasks.test.ts
+++ b/test/store/tasks.test.ts
@@ -99,7 +99,7 @@
 		name: 'a lease that is given back ends at once, also when the grant was still on its way',
 		async run(fixture) {
 			const lease = startLease(fixture);
-			lease.stop();
+			await lease.stop();
 			await elapse(fixture.clock, 100);
 			expect(lease.findValid()).to.equal(undefined);
 			expect(await fixture.memory.connect().renewLease('lease-1')).to.deep.equal({kind: 'lease-unknown'});
