--- a/packages/entry/plugins/index.ts
+++ b/packages/entry/plugins/index.ts
@@ -12,3 +12,4 @@
 import './exchange.js';
 import './show-configuration.js';
 import './show-fleet.js';
+import './show-openapi.js';
