--- a/packages/entry/settings.ts
+++ b/packages/entry/settings.ts
@@ -2,9 +2,11 @@
 import {defaultAbsenceDelayMilliseconds} from '#placement';
 import {entryIdSchema, regionNameSchema, zoneNameSchema} from '#core';
 import {
-	logLevels, portSettingSchema, wholeNumberSettingSchema, type SettingDefinitions, type SettingsOf,
+	addressListSettingSchema, logLevels, portSettingSchema, wholeNumberSettingSchema, type SettingDefinitions, type SettingsOf,
 } from '#kernel';
 
+const optionalAddressSettingSchema = valibot.pipe(valibot.string(), valibot.regex(/^(?:[^\s:]+:\d+)?$/, 'must be host:port'));
+
 export const entrySettings = {
 	entry: {schema: entryIdSchema, description: 'Name of this entry'},
 	region: {schema: regionNameSchema, description: 'Region of this entry'},
@@ -18,6 +20,13 @@
 		description: 'How long a worker that vanished keeps its guaranteed cells',
 		default: String(defaultAbsenceDelayMilliseconds),
 	},
+	'advertised-peer-address': {
+		schema: optionalAddressSettingSchema, description: 'host:port where agents and other entries reach this entry; the listening address if empty', default: '',
+	},
+	'advertised-caller-address': {
+		schema: optionalAddressSettingSchema, description: 'host:port where operators reach this entry; the listening address if empty', default: '',
+	},
+	peers: {schema: addressListSettingSchema, description: 'Peer addresses of entries to connect to first, also while the store is down', default: ''},
 	seed: {schema: wholeNumberSettingSchema(0, 4_294_967_295), description: 'Seed of the random generator', default: '1'},
 	'log-level': {schema: valibot.picklist(logLevels, 'must be debug, info, warn or error'), description: 'Least severe level that is logged', default: 'info'},
 } as const satisfies SettingDefinitions;
