--- a/packages/agent/worker-client.ts
+++ b/packages/agent/worker-client.ts
@@ -3,7 +3,7 @@
 import type {Clock} from '#kernel';
 import {createHttpClient, type HttpClient, type HttpResult} from '#transport';
 import {
-	workerTaskSchema, type StartOutcome, type TaskEnd, type TaskReply, type TaskStart, type WorkerClient,
+	workerTaskSchema, workerTasksSchema, type StartOutcome, type TaskEnd, type TaskReply, type TaskStart, type WorkerClient,
 } from './worker-types.js';
 
 /** How long one call other than a wait may take. */
@@ -48,6 +48,11 @@
 		throttle: async (taskId, share) => call('POST', `${taskPath(taskId)}/throttle`, {share}),
 		stop,
 		find,
+		async list() {
+			const result = await control.send('GET', '/tasks', {timeout: callTimeoutMilliseconds});
+			const listed = result.kind === 'answered' ? valibot.safeParse(workerTasksSchema, result.body) : undefined;
+			return listed?.success === true ? listed.output.tasks : undefined;
+		},
 		waitForEnd: async (taskId, leaseMilliseconds) => waitForEnd(waits, clock, taskId, leaseMilliseconds),
 		close() {
 			void control.close();
--- a/packages/agent/worker-types.ts
+++ b/packages/agent/worker-types.ts
@@ -9,6 +9,8 @@
 	checkpoint: valibot.optional(valibot.unknown()),
 });
 
+export const workerTasksSchema = valibot.object({tasks: valibot.pipe(valibot.array(workerTaskSchema), valibot.readonly())});
+
 /** A task as the worker last reported it. `never-started` is final: the worker refuses a later start of the identifier. */
 export type WorkerTask = Readonly<valibot.InferOutput<typeof workerTaskSchema>>;
 
@@ -56,6 +58,8 @@
 	/** Slows a task down to a share of its full speed. */
 	throttle(taskId: string, share: number): Promise<TaskReply>;
 	find(taskId: string): Promise<TaskReply>;
+	/** Every task that the worker knows; undefined without an answer. */
+	list(): Promise<readonly WorkerTask[] | undefined>;
 	/** Waits for the end of a task. With a lease, each round of the wait renews it. */
 	waitForEnd(taskId: string, leaseMilliseconds?: Milliseconds): Promise<TaskEnd>;
 	close(): void;
--- a/packages/reservations/start.ts
+++ b/packages/reservations/start.ts
@@ -3,7 +3,7 @@
 	findGang, isEnded, putFence, putGang, readFence, reply, taskOf, type ReservationStep,
 } from './state.js';
 import type {
-	GangRecord, GangReference, Renewal, ReservationAnswer, ReservationMessage, ReservationState, StartMessage,
+	GangRecord, GangReference, Renewal, ReservationAnswer, ReservationEffect, ReservationMessage, ReservationState, StartMessage,
 } from './types.js';
 
 type CommitMessage = Extract<ReservationMessage, {kind: 'commit'}>;
@@ -128,9 +128,8 @@
 		}
 	}
 
-	const renewals = tasks.flatMap(gang => gang.members.filter(member => member.state.kind === 'running').map(member => ({
-		kind: 'renew-task', task: taskOf(gang, member), leaseMilliseconds,
-	}) as const));
+	const running = tasks.flatMap(gang => gang.members.filter(member => member.state.kind === 'running').map(member => taskOf(gang, member)));
+	const renewals: readonly ReservationEffect[] = running.length === 0 ? [] : [{kind: 'renew-tasks', tasks: running, leaseMilliseconds}];
 	return {state: next, effects: [...renewals, reply(replyId, {kind: 'renewed', lapsed})]};
 }
 
--- a/packages/reservations/types.ts
+++ b/packages/reservations/types.ts
@@ -144,7 +144,7 @@
 		accelerators: readonly AcceleratorIndex[];
 		leaseMilliseconds: Milliseconds;
 	}>
-	| Readonly<{kind: 'renew-task'; task: TaskReference; leaseMilliseconds: Milliseconds}>
+	| Readonly<{kind: 'renew-tasks'; tasks: readonly TaskReference[]; leaseMilliseconds: Milliseconds}>
 	| Readonly<{kind: 'checkpoint-task'; task: TaskReference}>
 	| Readonly<{kind: 'stop-task'; task: TaskReference}>
 	| Readonly<{kind: 'notify-ended'; job: JobId; attempt: number; member: number; state: MemberState}>
