Test gangs over faulty agents, entries and networks on virtual time

The cluster runs the decisions of agents and drivers against a network that loses, delays, repeats and reorders messages, and a store that loses answers. A task that the worker does not answer about keeps its accelerators until its stop is confirmed, since the worker may still run it.

--- a/packages/agent/gangs/tasks.ts
+++ b/packages/agent/gangs/tasks.ts
@@ -42,7 +42,7 @@
 
 	const end = await client.waitForEnd(start.taskId);
 	const message = end.kind === 'ended' ? describeTask(task, end.task) : undefined;
-	return message ?? {kind: 'task-stopped', task, wasStarted: true};
+	return message ?? {kind: 'task-lost', task};
 }
 
 /** Stops a task; undefined if the worker did not answer, so that the stop is repeated. */
--- a/packages/reservations/receive.ts
+++ b/packages/reservations/receive.ts
@@ -9,7 +9,9 @@
 import {commitGang, renewGangs, startGang} from './start.js';
 import {putGang, type ReservationStep} from './state.js';
 import {findJob, stopGang} from './stop.js';
-import {finishTask, recordCheckpoint, recordStopped} from './tasks.js';
+import {
+	finishTask, recordCheckpoint, recordStopped, stopLost,
+} from './tasks.js';
 import type {
 	GangRecord, ReservationEffect, ReservationMessage, ReservationState, TaskReference,
 } from './types.js';
@@ -64,6 +66,10 @@
 			return recordStopped(state, message, monotonic);
 		}
 
+		case 'task-lost': {
+			return stopLost(state, message, monotonic);
+		}
+
 		case 'task-checkpointed': {
 			return recordCheckpoint(state, message, monotonic);
 		}
--- a/packages/reservations/tasks.ts
+++ b/packages/reservations/tasks.ts
@@ -69,6 +69,12 @@
 	return endOthers(endMember(state, gang, {member: member.member, state: ended}, monotonic), gang, monotonic);
 }
 
+/** Stops the gang of a task that the worker does not answer about; its accelerators stay taken until the stop is confirmed. */
+export function stopLost(state: ReservationState, {task}: Extract<ReservationMessage, {kind: 'task-lost'}>, monotonic: MonotonicTime): ReservationStep {
+	const found = findTask(state, task);
+	return found === undefined ? {state, effects: []} : endGang(state, found.gang, 'worker-failed', monotonic);
+}
+
 /** Keeps a checkpoint; a gang that is being evicted is stopped as soon as every running member has one. */
 export function recordCheckpoint(state: ReservationState, message: Extract<ReservationMessage, {kind: 'task-checkpointed'}>, monotonic: MonotonicTime): ReservationStep {
 	const found = findTask(state, message.task);
--- a/packages/reservations/types.ts
+++ b/packages/reservations/types.ts
@@ -117,6 +117,8 @@
 	| Readonly<{kind: 'task-finished'; task: TaskReference; status: RunResult['status']; body: unknown}>
 	/** The worker has stopped the task, or never had it. */
 	| Readonly<{kind: 'task-stopped'; task: TaskReference; wasStarted: boolean}>
+	/** The worker does not answer about the task; it is stopped once the worker answers again. */
+	| Readonly<{kind: 'task-lost'; task: TaskReference}>
 	| Readonly<{kind: 'task-checkpointed'; task: TaskReference; checkpoint: unknown}>
 	| TaskReference & Readonly<{kind: 'ended-acknowledged'}>
 	| Readonly<{kind: 'worker-cleared'}>
--- /dev/null
+++ b/test/entry/jobs/gang-schedules.test.ts
@@ -0,0 +1,283 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {
+	planOf, jobIdOf, createCluster, createWork, noFaults, type Cluster,
+} from '#test/support/gang-cluster';
+
+const second = 1000;
+
+type Case = Readonly<{
+	name: string;
+	workers: number;
+	entries: number;
+	expected: Readonly<Record<number, string>>;
+	run(cluster: Cluster): void;
+	check?(cluster: Cluster): void;
+}>;
+
+const cases: readonly Case[] = [
+	{
+		name: 'a gang over two workers runs as a whole and returns the result of every member',
+		workers: 2, entries: 1,
+		run(cluster) {
+			cluster.submit(createWork(1, {gang: {members: 4, acceleratorsPerMember: 4, adjacency: 'zone'}}));
+			cluster.clock.advance(3 * second);
+		},
+		expected: {1: 'finished'},
+		check(cluster) {
+			const {state} = cluster.recordOf(jobIdOf(1));
+			expect(state.kind === 'finished' ? state.results.map(({member}) => member) : []).to.deep.equal([0, 1, 2, 3]);
+		},
+	},
+	{
+		name: 'two gangs that each could hold half of the accelerators both finish',
+		workers: 2, entries: 2,
+		run(cluster) {
+			const gang = {members: 4, acceleratorsPerMember: 4, adjacency: 'zone'} as const;
+			cluster.submit(createWork(1, {gang}), 1);
+			cluster.submit(createWork(2, {gang}), 2);
+			cluster.clock.advance(30 * second);
+		},
+		expected: {1: 'finished', 2: 'finished'},
+	},
+	{
+		name: 'an entry that dies between reserve and commit leaves the job to another entry',
+		workers: 2, entries: 2,
+		run(cluster) {
+			cluster.submit(createWork(1, {idempotent: false}));
+			cluster.clock.advance(15);
+			cluster.killEntry(1);
+			cluster.clock.advance(40 * second);
+		},
+		expected: {1: 'finished'},
+	},
+	{
+		name: 'an entry that dies between commit and start leaves the job to another entry',
+		workers: 2, entries: 2,
+		run(cluster) {
+			cluster.submit(createWork(1, {idempotent: false, gang: {members: 4, acceleratorsPerMember: 4, adjacency: 'zone'}}));
+			while (cluster.stateOf(jobIdOf(1)) !== 'running') {
+				cluster.clock.advance(1);
+			}
+
+			cluster.killEntry(1);
+			cluster.clock.advance(40 * second);
+		},
+		expected: {1: 'finished'},
+	},
+	{
+		name: 'a running gang whose entry dies goes on under the next owner and starts nothing twice',
+		workers: 2, entries: 2,
+		run(cluster) {
+			cluster.submit(createWork(1, {idempotent: false, payload: {milliseconds: 60 * second}}));
+			cluster.clock.advance(5 * second);
+			cluster.killEntry(1);
+			cluster.clock.advance(80 * second);
+		},
+		expected: {1: 'finished'},
+	},
+	{
+		name: 'an agent that was paused past its lease stops its members, and the job is placed again',
+		workers: 3, entries: 1,
+		run(cluster) {
+			cluster.submit(createWork(1, {payload: {milliseconds: 20 * second}, gang: {members: 4, acceleratorsPerMember: 4, adjacency: 'zone'}}));
+			cluster.clock.advance(2 * second);
+			cluster.pauseAgent(1, 30 * second);
+			cluster.clock.advance(100 * second);
+		},
+		expected: {1: 'finished'},
+	},
+	{
+		name: 'a non-idempotent job whose agent restarted is unknown and never started again',
+		workers: 2, entries: 1,
+		run(cluster) {
+			cluster.submit(createWork(1, {idempotent: false, payload: {milliseconds: 20 * second}, gang: {members: 4, acceleratorsPerMember: 4, adjacency: 'zone'}}));
+			cluster.clock.advance(2 * second);
+			cluster.restartAgent(1);
+			cluster.clock.advance(60 * second);
+		},
+		expected: {1: 'unknown'},
+	},
+	{
+		name: 'a member that fails takes the whole gang with it',
+		workers: 2, entries: 1,
+		run(cluster) {
+			cluster.submit(createWork(1, {payload: {milliseconds: 2 * second, fails: true}}));
+			cluster.clock.advance(5 * second);
+		},
+		expected: {1: 'failed'},
+		check(cluster) {
+			expect(cluster.running()).to.deep.equal([]);
+		},
+	},
+	{
+		name: 'a cancelled job that waits has not run',
+		workers: 1, entries: 1,
+		run(cluster) {
+			cluster.submit(createWork(1, {payload: {milliseconds: 60 * second}}));
+			cluster.clock.advance(second);
+			cluster.submit(createWork(2));
+			cluster.clock.advance(second);
+			cluster.cancel(jobIdOf(2));
+			cluster.clock.advance(second);
+		},
+		expected: {1: 'running', 2: 'cancelled'},
+		check(cluster) {
+			expect(cluster.recordOf(jobIdOf(2)).hasStarted).to.equal(false);
+		},
+	},
+	{
+		name: 'a wave of cancellations stops every running gang',
+		workers: 4, entries: 1,
+		run(cluster) {
+			for (const number of [1, 2, 3, 4]) {
+				cluster.submit(createWork(number, {payload: {milliseconds: 60 * second}}));
+			}
+
+			cluster.clock.advance(10 * second);
+			for (const number of [1, 2, 3, 4]) {
+				cluster.cancel(jobIdOf(number));
+			}
+
+			cluster.clock.advance(2 * second);
+		},
+		expected: {
+			1: 'cancelled', 2: 'cancelled', 3: 'cancelled', 4: 'cancelled',
+		},
+		check(cluster) {
+			expect(cluster.running()).to.deep.equal([]);
+		},
+	},
+	{
+		name: 'a job whose record was written but whose answer was lost goes on',
+		workers: 2, entries: 1,
+		run(cluster) {
+			cluster.setFaults({...noFaults, lostWriteAnswers: 0.7});
+			cluster.submit(createWork(1, {idempotent: false}));
+			cluster.clock.advance(60 * second);
+		},
+		expected: {1: 'finished'},
+	},
+	{
+		name: 'an owner that was paused past its lease does not drive a job that another entry adopted',
+		workers: 2, entries: 3,
+		run(cluster) {
+			cluster.submit(createWork(1, {idempotent: false, payload: {milliseconds: 40 * second}}));
+			cluster.clock.advance(3 * second);
+			cluster.pauseEntry(1, 25 * second);
+			cluster.clock.advance(60 * second);
+		},
+		expected: {1: 'finished'},
+		check(cluster) {
+			expect(cluster.recordOf(jobIdOf(1)).owner).to.not.equal('entry-1');
+		},
+	},
+];
+
+describe('gangs over agents, entries and a store', () => {
+	for (const {name, workers, entries, run, expected, check} of cases) {
+		it(name, () => {
+			const cluster = createCluster({
+				seed: 7, workers, accelerators: 8, entries,
+			});
+			run(cluster);
+			const states = Object.fromEntries(Object.keys(expected).map(number => [number, cluster.stateOf(jobIdOf(Number(number)))]));
+			expect(states).to.deep.equal(expected);
+			expect(cluster.violations).to.deep.equal([]);
+			check?.(cluster);
+		});
+	}
+
+	it('a borrower that ignores its checkpoint gives the cell back within the grace', () => {
+		const cluster = createCluster({
+			seed: 7, workers: 1, accelerators: 8, entries: 1, cells: new Map([['worker-1', [{plan: planOf('urgent'), accelerators: [0, 1, 2, 3, 4, 5, 6, 7]}]]]),
+		});
+		cluster.submit(createWork(1, {preemptible: true, payload: {milliseconds: 600 * second, isStubborn: true}}));
+		cluster.clock.advance(2 * second);
+		expect(cluster.stateOf(jobIdOf(1))).to.equal('running');
+		cluster.submit(createWork(2, {plan: planOf('urgent'), payload: {milliseconds: 60 * second}}));
+		cluster.clock.advance(5.9 * second);
+		expect(cluster.stateOf(jobIdOf(2))).to.equal('running');
+		expect(cluster.running()).to.have.length(2);
+		expect(cluster.violations).to.deep.equal([]);
+	});
+
+	it('no schedule of faults runs part of a gang, holds an accelerator twice or loses a job', () => {
+		const event = fc.record({
+			at: fc.integer({min: 0, max: 40}),
+			kind: fc.constantFrom('kill-entry', 'pause-entry', 'pause-agent', 'restart-agent', 'cancel', 'submit'),
+			target: fc.integer({min: 1, max: 3}),
+			seconds: fc.integer({min: 1, max: 25}),
+		});
+		const schedule = fc.record({
+			seed: fc.integer({min: 1, max: 1_000_000}),
+			loss: fc.double({min: 0, max: 0.3, noNaN: true}),
+			repeat: fc.double({min: 0, max: 0.3, noNaN: true}),
+			events: fc.array(event, {maxLength: 8}),
+		});
+		fc.assert(fc.property(schedule, ({seed, loss, repeat, events}) => {
+			const cluster = createCluster({
+				seed, workers: 3, accelerators: 8, entries: 3,
+			});
+			cluster.setFaults({
+				loss, repeat, maximumDelay: 400, lostWriteAnswers: loss,
+			});
+			let next = 1;
+			const submit = (entry: number) => {
+				const gang = {members: 2 + (next % 3), acceleratorsPerMember: 4, adjacency: 'zone'} as const;
+				cluster.submit(createWork(next, {idempotent: next % 2 === 0, gang, payload: {milliseconds: 500 * next}}), entry);
+				next++;
+			};
+
+			submit(1);
+			submit(2);
+			submit(3);
+			for (const {at, kind, target, seconds} of events) {
+				cluster.clock.schedule(at * second, () => {
+					switch (kind) {
+						case 'kill-entry': {
+							// One entry always remains.
+							if (target !== 3) {
+								cluster.killEntry(target);
+							}
+
+							break;
+						}
+
+						case 'pause-entry': {
+							cluster.pauseEntry(target, seconds * second);
+							break;
+						}
+
+						case 'pause-agent': {
+							cluster.pauseAgent(target, seconds * second);
+							break;
+						}
+
+						case 'restart-agent': {
+							cluster.restartAgent(target);
+							break;
+						}
+
+						case 'cancel': {
+							cluster.cancel(jobIdOf(target));
+							break;
+						}
+
+						case 'submit': {
+							submit(3);
+						}
+					}
+				});
+			}
+
+			cluster.clock.advance(45 * second);
+			cluster.setFaults(noFaults);
+			cluster.clock.advance(180 * second);
+			expect(cluster.violations).to.deep.equal([]);
+			for (let number = 1; number < next; number++) {
+				expect(cluster.stateOf(jobIdOf(number))).to.be.oneOf(['finished', 'failed', 'cancelled', 'unknown'], `job ${number}`);
+			}
+		}), {seed: 11, numRuns: 60, endOnFailure: false});
+	});
+});
