--- /dev/null
+++ b/demo/callers.ts
@@ -0,0 +1,119 @@
+/** Callers of the demonstration: each submits one piece of work through the client library and notes what it is told. */
+import {setTimeout as delay} from 'node:timers/promises';
+import {v7 as createUuid} from 'uuid';
+import {createClient, type Client} from '#client';
+import {
+	createRandomSource, hashText, type JobId, type RequestId, type RunResult,
+} from '#core';
+import {systemClock} from '#kernel';
+import type {Arrival} from './arrivals.js';
+import type {Told} from './types.js';
+
+const askAgainMilliseconds = 250;
+/** A caller gives up this long after its submission. */
+const patienceMilliseconds = 25_000;
+
+type End = Pick<Told, 'outcome' | 'isOwnResult'> & Readonly<{reason?: string}>;
+
+/** Submits one arrival through the given entries and follows it to its end. */
+export async function callFor(arrival: Arrival, origins: readonly [string, ...string[]]): Promise<Told> {
+	const id = createUuid();
+	const submittedAt = Date.now();
+	const client = createClient({origins, clock: systemClock, random: createRandomSource(hashText(id))});
+	const end = arrival.workClass === 'gang' ? await runJob(client, arrival, id as JobId) : await runRequest(client, arrival, id as RequestId);
+	await client.close();
+	return {
+		id, workClass: arrival.workClass, plan: arrival.plan, idempotent: arrival.idempotent, submittedAt, endedAt: Date.now(), ...end,
+	};
+}
+
+async function runRequest(client: Client, arrival: Arrival, requestId: RequestId): Promise<End> {
+	const outcome = await client.submitRequest({
+		requestId, plan: arrival.plan, kind: arrival.kind, idempotent: arrival.idempotent, payload: {milliseconds: arrival.runMilliseconds, mark: requestId},
+	});
+	switch (outcome.kind) {
+		case 'completed': {
+			return {outcome: 'completed', isOwnResult: holdsMark(outcome.value, requestId)};
+		}
+
+		case 'not-run': {
+			return {outcome: 'not-run', reason: outcome.reason, isOwnResult: false};
+		}
+
+		case 'unknown': {
+			return findOutOutcome(client, requestId, outcome.reason);
+		}
+	}
+}
+
+/** Asks for the outcome of a request until it is known or the caller loses patience. */
+async function findOutOutcome(client: Client, requestId: RequestId, reason: string): Promise<End> {
+	const deadline = Date.now() + patienceMilliseconds;
+	while (Date.now() < deadline) {
+		const reply = await client.findRequest(requestId);
+		if (reply.kind === 'found' && reply.status.outcome === 'completed') {
+			return {outcome: 'completed', isOwnResult: holdsMark(reply.status.result, requestId)};
+		}
+
+		const isStillOpen = reply.kind === 'unavailable' || (reply.kind === 'found' && reply.status.outcome === 'unknown' && reply.status.isInFlight);
+		if (!isStillOpen) {
+			return reply.kind === 'found' && reply.status.outcome === 'not-run'
+				? {outcome: 'not-run', reason: reply.status.reason, isOwnResult: false}
+				: {outcome: 'unknown', reason, isOwnResult: false};
+		}
+
+		await delay(askAgainMilliseconds);
+	}
+
+	return {outcome: 'unknown', reason, isOwnResult: false};
+}
+
+async function runJob(client: Client, arrival: Arrival, jobId: JobId): Promise<End> {
+	const submitted = await client.submitJob({
+		jobId,
+		plan: arrival.plan,
+		kind: arrival.kind,
+		idempotent: arrival.idempotent,
+		preemptible: arrival.preemptible,
+		gang: {members: arrival.members, acceleratorsPerMember: arrival.acceleratorsPerMember, adjacency: 'zone'},
+		payload: {milliseconds: arrival.runMilliseconds, mark: jobId},
+	});
+	switch (submitted.kind) {
+		case 'not-run': {
+			return {outcome: 'not-run', reason: submitted.reason, isOwnResult: false};
+		}
+
+		case 'completed':
+		case 'unknown': {
+			return followJob(client, jobId);
+		}
+	}
+}
+
+async function followJob(client: Client, jobId: JobId): Promise<End> {
+	const deadline = Date.now() + patienceMilliseconds;
+	let isCancelled = false;
+	for (;;) {
+		const reply = await client.findJob(jobId);
+		const outcome = reply.kind === 'found' ? reply.status.outcome : undefined;
+		if (reply.kind === 'found' && (outcome === 'completed' || outcome === 'not-run' || outcome === 'unknown')) {
+			const reason = reply.status.reason ?? reply.status.state;
+			return {outcome, reason, isOwnResult: outcome === 'completed' && JSON.stringify(reply.status.results).includes(jobId)};
+		}
+
+		if (Date.now() > deadline) {
+			if (isCancelled) {
+				return {outcome: 'none', isOwnResult: false};
+			}
+
+			isCancelled = true;
+			await client.cancelJob(jobId);
+		}
+
+		await delay(askAgainMilliseconds);
+	}
+}
+
+function holdsMark(result: RunResult, mark: string): boolean {
+	return JSON.stringify(result.body).includes(mark);
+}
--- /dev/null
+++ b/demo/demo.ts
@@ -0,0 +1,105 @@
+/** Runs the whole system on loopback under a mixed load with faults, and judges it by the workers' records. */
+import {spawn} from 'node:child_process';
+import process from 'node:process';
+import {setTimeout as delay} from 'node:timers/promises';
+import {createRandomSource} from '#core';
+import {killAll, waitFor, type Daemon} from '#test/support/processes';
+import {createHttpClient} from '#transport';
+import {listArrivals, type Arrival} from './arrivals.js';
+import {callFor} from './callers.js';
+import {compareWithRecords} from './compare.js';
+import {startFleet, startFleetStore, type Fleet} from './fleet.js';
+import {readExecutions} from './records.js';
+import {formatComparison, formatReport} from './report.js';
+import type {Told} from './types.js';
+
+const seed = 16;
+/** One agent is stopped gracefully and one entry is killed at these times after the start of the load. */
+const stopAgentAt = 4000;
+const killEntryAt = 7000;
+const callTimeout = 2000;
+
+function print(line: string): void {
+	process.stdout.write(`${line}\n`);
+}
+
+async function putLists(storeOrigin: string): Promise<void> {
+	const child = spawn(process.execPath, ['dist/dotterelnotch.mjs', 'put', 'demo/lists.yaml', `--store-origin=${storeOrigin}`], {stdio: ['ignore', 'inherit', 'inherit']});
+	const code = await new Promise<number | null>(resolve => {
+		child.once('exit', resolve);
+	});
+	if (code !== 0) {
+		throw new Error(`the configuration was not accepted: exit code ${code}`);
+	}
+}
+
+/** Waits until every entry knows the configuration and its agents. */
+async function waitUntilReady({entries, workers}: Fleet): Promise<void> {
+	await Promise.all(entries.map(async ({origin, name, zone}) => {
+		const client = createHttpClient(origin, 1);
+		const expected = workers.filter(worker => worker.zone === zone).length;
+		await waitFor(`entry ${name}`, async () => {
+			const reply = await client.send('GET', '/v1/fleet', {timeout: callTimeout});
+			const agents = reply.kind === 'answered' ? (reply.body as Readonly<{agents?: ReadonlyArray<Readonly<{configurationRevision: number}>>}>).agents ?? [] : [];
+			const isReady = agents.length === expected && agents.every(({configurationRevision}) => configurationRevision > 0);
+			return isReady ? true : undefined;
+		});
+		await client.close();
+	}));
+}
+
+async function runLoad(arrivals: readonly Arrival[], fleet: Fleet): Promise<readonly Told[]> {
+	const startedAt = Date.now();
+	const calls = arrivals.map(async (arrival, index) => {
+		await delay(Math.max(0, startedAt + arrival.at - Date.now()));
+		return callFor(arrival, rotate(fleet.entries.map(({origin}) => origin), index));
+	});
+	const faults = [
+		(async () => {
+			await delay(stopAgentAt);
+			print(`stopping the agent of ${fleet.workers[0]?.name} gracefully`);
+			fleet.workers[0]?.agent.process.kill('SIGTERM');
+		})(),
+		(async () => {
+			await delay(killEntryAt);
+			print(`killing ${fleet.entries[1]?.name}`);
+			fleet.entries[1]?.daemon.process.kill('SIGKILL');
+		})(),
+	];
+	const told = await Promise.all(calls);
+	await Promise.all(faults);
+	return told;
+}
+
+/** The platform's balancer sends each caller to another entry first. */
+function rotate(origins: readonly string[], index: number): readonly [string, ...string[]] {
+	const first = index % origins.length;
+	return [...origins.slice(first), ...origins.slice(0, first)] as unknown as readonly [string, ...string[]];
+}
+
+async function run(): Promise<number> {
+	const daemons: Daemon[] = [];
+	try {
+		const store = await startFleetStore();
+		daemons.push(store.store);
+		await putLists(store.storeOrigin);
+		const fleet = await startFleet(store);
+		daemons.push(...fleet.daemons);
+		await waitUntilReady(fleet);
+		const arrivals = listArrivals(createRandomSource(seed));
+		print(`started ${fleet.entries.length} entries and ${fleet.workers.length} agents; sending ${arrivals.length} pieces of work`);
+		const told = await runLoad(arrivals, fleet);
+		const executions = await readExecutions(fleet.workers);
+		const sizes = new Map(told.map(({id}, index) => [id, arrivals[index]?.acceleratorsPerMember ?? 0]));
+		const comparison = compareWithRecords(told, executions);
+		for (const line of [...formatReport(told, executions, sizes, fleet.workers.length), '', ...comparison.faults, formatComparison(comparison)]) {
+			print(line);
+		}
+
+		return comparison.lost + comparison.doubled + comparison.misreported === 0 ? 0 : 1;
+	} finally {
+		await killAll(daemons);
+	}
+}
+
+process.exitCode = await run();
--- /dev/null
+++ b/demo/records.ts
@@ -0,0 +1,48 @@
+import {createHttpClient} from '#transport';
+import type {ExecutionRecord} from '#stand-ins';
+import type {Execution} from './types.js';
+import type {FleetWorker} from './fleet.js';
+
+const timeout = 5000;
+
+/** Reads the execution records of every worker. */
+export async function readExecutions(workers: readonly FleetWorker[]): Promise<readonly Execution[]> {
+	const lists = await Promise.all(workers.map(async ({name, origin}) => pairRecords(name, await readRecords(origin))));
+	return lists.flat();
+}
+
+async function readRecords(origin: string): Promise<readonly ExecutionRecord[]> {
+	const client = createHttpClient(origin, 1);
+	const reply = await client.send('GET', '/records', {timeout});
+	await client.close();
+	if (reply.kind === 'failed' || reply.status !== 200) {
+		throw new Error(`worker at ${origin} did not give its records`);
+	}
+
+	return (reply.body as Readonly<{records: readonly ExecutionRecord[]}>).records;
+}
+
+/** Joins the start and the end of each task. */
+export function pairRecords(worker: string, records: readonly ExecutionRecord[]): readonly Execution[] {
+	const executions = new Map<string, Execution>();
+	for (const {taskId, event, at, state} of records) {
+		const started = executions.get(taskId);
+		if (event === 'started') {
+			executions.set(taskId, {
+				...readTaskId(taskId), worker, startedAt: at, endedAt: undefined, state: 'running',
+			});
+		} else if (event === 'ended' && started !== undefined) {
+			executions.set(taskId, {...started, endedAt: at, state: state ?? 'stopped'});
+		}
+	}
+
+	return [...executions.values()];
+}
+
+/** A gang member's task is named `gang/<job>/<attempt>/<member>`, a request's task by its identifier. */
+function readTaskId(taskId: string): Pick<Execution, 'id' | 'attempt' | 'member'> {
+	const [prefix, job, attempt, member] = taskId.split('/');
+	return prefix === 'gang' && job !== undefined
+		? {id: job, attempt: Number(attempt), member: Number(member)}
+		: {id: taskId, attempt: 0, member: 0};
+}
