--- a/demo/report.ts
+++ b/demo/report.ts
@@ -17,7 +17,7 @@
 }
 
 function formatClasses(told: readonly Told[]): readonly string[] {
-	const groups = [...groupBy(told, ({workClass, plan}) => `${workClass.padEnd(6)} ${plan.padEnd(9)}`)].toSorted();
+	const groups = [...groupBy(told, ({workClass, plan}) => `${workClass.padEnd(6)} ${plan.padEnd(9)}`)].toSorted(([first], [second]) => first.localeCompare(second));
 	return groups.map(([name, group]) => {
 		const completed = group.filter(({outcome}) => outcome === 'completed');
 		const histogram = createLatencyHistogram();
@@ -43,7 +43,7 @@
 }
 
 function formatReasons(told: readonly Told[]): readonly string[] {
-	const groups = [...groupBy(told.filter(({outcome}) => outcome !== 'completed'), ({outcome, reason}) => `${outcome} ${reason ?? ''}`)].toSorted();
+	const groups = [...groupBy(told.filter(({outcome}) => outcome !== 'completed'), ({outcome, reason}) => `${outcome} ${reason ?? ''}`)].toSorted(([first], [second]) => first.localeCompare(second));
 	return groups.length === 0 ? ['  none'] : groups.map(([name, group]) => `  ${name}: ${group.length}`);
 }
 
