Serve requests through claims, look-ups, withdrawals and bounded retries

The entry now performs the decisions of the recovery package: it claims non-idempotent identifiers before dispatch, looks broken dispatches up on the agent's next connection, withdraws before it says not-run, and answers GET and DELETE of a request. Requests in flight are bounded per plan and in total, and ended ones are remembered in two generations of bounded size, so that nothing has to be swept. Routing gets slow start, ejection and estimates from observed service times; a choice looks at a few candidates by index instead of listing all. An entry that stops reports not ready first, keeps serving for the notice period and then finishes what is in flight.

Stopping a task sent the actor's own stop event to the task's decisions, which threw and ended the process; the task now ignores it. A connection that closes after its agent has dialled again no longer removes the agent.

Claims are owned by one run of a request, not by an entry: an agent forgets identifiers, so a later run in the same entry cannot vouch for an earlier one.

--- a/packages/entry/plugins/announce-agent.ts
+++ b/packages/entry/plugins/announce-agent.ts
@@ -20,8 +20,12 @@
 		connections.send({kind: 'opened', worker, peer});
 		peer.onClosed(reason => {
 			log.part('membership').info({worker, reason}, 'agent disconnected');
+			// An agent that has dialled again is connected, whenever its former connection closes.
+			const isCurrent = connections.read().peers.get(worker) === peer;
 			connections.send({kind: 'closed', worker, peer});
-			membership.send({kind: 'disconnected', worker, incarnation});
+			if (isCurrent) {
+				membership.send({kind: 'disconnected', worker, incarnation});
+			}
 		});
 		return {entry: settings.entry, entries: []};
 	},
--- /dev/null
+++ b/packages/entry/plugins/find-request.ts
@@ -0,0 +1,82 @@
+import * as valibot from 'valibot';
+import {requestIdSchema, type RequestId} from '#core';
+import type {HttpReply} from '#kernel';
+import {claimKeyOf, decodeClaims, readIdentifierTime} from '#recovery';
+import {entryPlugins} from '../plugins.js';
+import {lookUpTimeoutMilliseconds} from '../requests/constants.js';
+import {findPlace} from '../requests/places.js';
+import {
+	encodeAbsent, encodeFindings, encodeFound, encodeInFlight,
+} from '../requests/reply.js';
+import {findEnded, findInFlight} from '../requests/table.js';
+import type {EntryContext} from '../types.js';
+import {requestsService} from './requests.js';
+import {storeService} from './store.js';
+
+entryPlugins.register({
+	kind: 'http-route',
+	name: 'find-request',
+	method: 'GET',
+	path: '/v1/requests/:requestId',
+	async handle({parameters}, context) {
+		const checked = valibot.safeParse(requestIdSchema, parameters['requestId']);
+		return checked.success ? findRequest(checked.output, context) : encodeFindings([{place: 'requestId', message: 'must be a UUID'}]);
+	},
+});
+
+async function findRequest(requestId: RequestId, context: EntryContext): Promise<HttpReply> {
+	const state = context.services.use(requestsService).read();
+	if (findInFlight(state, requestId) !== undefined) {
+		return encodeInFlight(requestId, 200);
+	}
+
+	const ended = findEnded(state, requestId);
+	if (ended !== undefined && ended.outcome.kind !== 'unknown') {
+		return encodeFound(requestId, ended.outcome);
+	}
+
+	// Another entry may have dispatched it; its claim says where.
+	const claimed = await findAtClaimedPlace(requestId, context);
+	if (claimed !== undefined) {
+		return claimed;
+	}
+
+	return ended === undefined ? encodeAbsent(requestId) : encodeFound(requestId, ended.outcome);
+}
+
+/** Asks the place named in the claim of a non-idempotent request. A refusal there proves nothing, as the claim may have been moved since. */
+async function findAtClaimedPlace(requestId: RequestId, context: EntryContext): Promise<HttpReply | undefined> {
+	if (readIdentifierTime(requestId) === undefined) {
+		return undefined;
+	}
+
+	const key = claimKeyOf(requestId);
+	const reply = await context.services.use(storeService).read(key);
+	const claims = reply.kind === 'found' ? decodeClaims(reply.stored.value, key) : undefined;
+	const claim = claims?.kind === 'valid' ? claims.value.get(requestId) : undefined;
+	const place = claim === undefined ? undefined : findPlace(context, claim.place);
+	if (place?.kind !== 'connected') {
+		return claim === undefined ? undefined : encodeFound(requestId, {kind: 'unknown', reason: 'connection-lost'});
+	}
+
+	const found = await place.peer.call('request.find', {requestId}, lookUpTimeoutMilliseconds);
+	if (found.kind === 'failed') {
+		return encodeFound(requestId, {kind: 'unknown', reason: found.reason});
+	}
+
+	switch (found.result.kind) {
+		case 'queued':
+		case 'running': {
+			return encodeInFlight(requestId, 200);
+		}
+
+		case 'never-seen': {
+			return encodeFound(requestId, {kind: 'unknown', reason: 'connection-lost'});
+		}
+
+		case 'answered': {
+			const {answer} = found.result;
+			return encodeFound(requestId, answer.kind === 'ran' ? {kind: 'completed', result: answer.result} : {kind: 'unknown', reason: answer.reason});
+		}
+	}
+}
--- /dev/null
+++ b/packages/entry/plugins/forwarding.ts
@@ -0,0 +1,64 @@
+import {createReplyTable, createServiceKey, startTask} from '#kernel';
+import {entryPlugins} from '../plugins.js';
+import {forwardTargetsService, takeLinkBytes, type LinkUse} from '../requests/forwarding.js';
+
+export type LinkService = Readonly<{
+	/** Asks for room on the link between regions; the bytes are counted if it is given. */
+	take(bytes: number): Promise<boolean>;
+	/** Counts bytes that came back over the link, even beyond the limit. */
+	charge(bytes: number): void;
+}>;
+
+/** The task that limits what forwarding sends to other regions. */
+export const linkService = createServiceKey<LinkService>('link');
+
+type LinkMessage =
+	| Readonly<{kind: 'take'; bytes: number; replyId: number}>
+	| Readonly<{kind: 'charge'; bytes: number}>;
+type LinkEffect = Readonly<{kind: 'answer'; replyId: number; isAllowed: boolean}>;
+
+entryPlugins.register({
+	kind: 'task',
+	name: 'forwarding',
+	start({clock, services, settings, counters}) {
+		const replies = createReplyTable<boolean>();
+		const link = startTask<LinkUse, LinkMessage, LinkEffect>({
+			name: 'link',
+			initialState: {windowStartedAt: 0, bytes: 0},
+			receive(state, message, {monotonic}) {
+				switch (message.kind) {
+					case 'take': {
+						const {isAllowed, use} = takeLinkBytes(state, {bytes: message.bytes, bytesPerSecond: settings['forward-bytes-per-second'], monotonic});
+						return {state: use, effects: [{kind: 'answer', replyId: message.replyId, isAllowed}]};
+					}
+
+					case 'charge': {
+						return {state: {...state, bytes: state.bytes + message.bytes}, effects: []};
+					}
+				}
+			},
+		}, {
+			clock,
+			perform({replyId, isAllowed}) {
+				replies.answer(replyId, isAllowed);
+			},
+		});
+		services.provide(linkService, {
+			async take(bytes) {
+				const isAllowed = await replies.ask(replyId => {
+					link.send({kind: 'take', bytes, replyId});
+				});
+				counters.countEvent(isAllowed ? 'forwarded-bytes-between-regions' : 'forwarding-limited', isAllowed ? bytes : 1);
+				return isAllowed;
+			},
+			charge(bytes) {
+				counters.countEvent('answered-bytes-between-regions', bytes);
+				link.send({kind: 'charge', bytes});
+			},
+		});
+		services.provide(forwardTargetsService, {list: () => []});
+		return () => {
+			link.stop();
+		};
+	},
+});
--- /dev/null
+++ b/packages/entry/plugins/operations.ts
@@ -0,0 +1,37 @@
+import {createServiceKey, startTask} from '#kernel';
+import {registerOperations} from '#transport';
+import {entryPlugins} from '../plugins.js';
+import {configurationService} from './watch-configuration.js';
+
+export type DrainingService = Readonly<{begin(): void; isDraining(): boolean}>;
+
+/** Says that the entry is about to stop, so that the balancer sends callers elsewhere. */
+export const drainingService = createServiceKey<DrainingService>('draining');
+
+entryPlugins.register({
+	kind: 'task',
+	name: 'draining',
+	start({clock, services}) {
+		const draining = startTask<boolean, Readonly<{kind: 'begin'}>, never>(
+			{name: 'draining', initialState: false, receive: () => ({state: true, effects: []})},
+			{clock, perform() {/* The task only keeps state. */}},
+		);
+		services.provide(drainingService, {
+			begin() {
+				draining.send({kind: 'begin'});
+			},
+			isDraining: draining.read,
+		});
+		return () => {
+			draining.stop();
+		};
+	},
+});
+
+registerOperations(entryPlugins, ({services}) => {
+	if (services.use(drainingService).isDraining()) {
+		return {kind: 'not-ready', reason: 'draining'};
+	}
+
+	return services.use(configurationService).read().current === undefined ? {kind: 'not-ready', reason: 'no-configuration'} : {kind: 'ready'};
+});
--- a/packages/entry/plugins/run-request.ts
+++ b/packages/entry/plugins/run-request.ts
@@ -1,97 +1,73 @@
-import {
-	requestWorkSchema, type AgentAnswer, type RequestWork, type WorkerId,
-} from '#core';
+import * as valibot from 'valibot';
+import {requestWorkSchema, type PlanName, type RequestWork} from '#core';
 import type {HttpReply} from '#kernel';
-import {chooseWorker, type Candidate} from '#routing';
+import {checkIdentifier} from '#recovery';
 import {entryPlugins} from '../plugins.js';
+import {encodeFindings, encodeSubmitReply} from '../requests/reply.js';
+import type {SubmitReply} from '../requests/types.js';
 import type {EntryContext} from '../types.js';
-import {connectionsService} from './connections.js';
-import {membershipService} from './membership.js';
+import {requestsService} from './requests.js';
 import {configurationService} from './watch-configuration.js';
 
-const runTimeoutMilliseconds = 120_000;
-const shortEstimateMilliseconds = 100;
+const submissionSchema = valibot.object({
+	...requestWorkSchema.entries,
+	/** The caller submitted the identifier before. */
+	retry: valibot.optional(valibot.boolean(), false),
+});
 
 entryPlugins.register({
 	kind: 'http-route',
 	name: 'run-request',
 	method: 'POST',
 	path: '/v1/requests',
-	bodySchema: requestWorkSchema,
-	handle: async ({body}, context) => runRequest(body as RequestWork, context),
+	bodySchema: submissionSchema,
+	async handle({body, signal}, context) {
+		const {retry, ...work} = body as RequestWork & Readonly<{retry: boolean}>;
+		return runRequest(work, retry, context, signal);
+	},
 });
 
-async function runRequest(work: RequestWork, context: EntryContext): Promise<HttpReply> {
-	const connections = context.services.use(connectionsService);
-	const membership = context.services.use(membershipService);
-	const plans = context.services.use(configurationService).read().current?.plans;
-	if (plans === undefined) {
-		return refuse(503, 'no-configuration', 'No configuration has been read yet');
-	}
-
-	if (!plans.some(plan => plan.name === work.plan)) {
-		return refuse(403, 'unknown-plan', `Plan ${work.plan} does not exist`);
-	}
-
-	const chosen = chooseWorker(listCandidates(context), context.random);
-	const agent = chosen === undefined ? undefined : membership.read().agents.get(chosen.worker);
-	const peer = chosen === undefined ? undefined : connections.read().peers.get(chosen.worker);
-	if (chosen === undefined || agent === undefined || peer === undefined) {
-		return refuse(503, 'no-worker-available', 'No worker is available');
-	}
+async function runRequest(work: RequestWork, isRetry: boolean, context: EntryContext, signal: AbortSignal): Promise<HttpReply> {
+	const check = work.idempotent ? {kind: 'accepted' as const} : checkIdentifier(work.requestId, context.clock.now());
+	switch (check.kind) {
+		case 'invalid': {
+			return encodeFindings([check.finding]);
+		}
 
-	connections.send({kind: 'sent', worker: chosen.worker});
-	const reply = await peer.call('request.run', {
-		work, incarnation: agent.incarnation, serviceClass: 'short', estimatedMilliseconds: shortEstimateMilliseconds,
-	}, runTimeoutMilliseconds);
-	connections.send({kind: 'answered', worker: chosen.worker});
-	switch (reply.kind) {
-		case 'answered': {
-			return toReply(work, chosen.worker, reply.result);
+		case 'refused': {
+			return encodeSubmitReply(work.requestId, check, isRetry);
 		}
 
-		case 'failed': {
-			return reply.delivery === 'never-sent'
-				? refuse(503, reply.reason, reply.message)
-				: refuse(502, reply.reason, reply.message, 'unknown');
+		case 'accepted': {
+			const reply = await submitRequest(work, {isRetry, mayForward: true}, context, signal);
+			return encodeSubmitReply(work.requestId, reply, isRetry);
 		}
 	}
 }
 
-function listCandidates({services}: EntryContext): readonly Candidate[] {
-	const {outstanding} = services.use(connectionsService).read();
-	return [...services.use(membershipService).read().agents.values()].filter(agent => !agent.isLeaving).map(({worker, capacity, load}) => ({
-		worker,
-		slots: capacity.slots,
-		outstanding: outstanding.get(worker) ?? 0,
-		reported: load.shortQueued + load.shortRunning + load.longQueued + load.longRunning,
-	}));
-}
-
-function toReply({requestId}: RequestWork, worker: WorkerId, answer: AgentAnswer): HttpReply {
-	switch (answer.kind) {
-		case 'ran': {
-			return {
-				kind: 'json', status: 200, body: {
-					requestId, outcome: 'completed', worker, ...answer.result,
-				},
-			};
-		}
-
-		case 'refused': {
-			return refuse(503, answer.reason, 'The worker refused the request');
-		}
+/** Submits a request of a known plan within the plan's bounds. */
+export async function submitRequest(
+	work: RequestWork,
+	options: Readonly<{isRetry: boolean; mayForward: boolean}>,
+	context: EntryContext,
+	signal?: AbortSignal,
+): Promise<SubmitReply> {
+	const {services, settings} = context;
+	const {current} = services.use(configurationService).read();
+	if (current === undefined) {
+		return {kind: 'refused', reason: 'no-configuration'};
+	}
 
-		case 'interrupted': {
-			return refuse(502, answer.reason, 'The request was interrupted', 'unknown');
-		}
+	if (!current.plans.some(plan => plan.name === work.plan)) {
+		return {kind: 'refused', reason: 'unknown-plan'};
 	}
+
+	const planLimit = Math.min(settings['maximum-in-flight-per-plan'], readPlanLimit(work.plan, context));
+	return services.use(requestsService).submit(work, {...options, planLimit, totalLimit: settings['maximum-in-flight']}, signal);
 }
 
-function refuse(status: number, reason: string, title: string, outcome: 'not-run' | 'unknown' = 'not-run'): HttpReply {
-	return {
-		kind: 'problem', problem: {
-			status, reason, title, extensions: {outcome},
-		},
-	};
+/** No entry has more requests of a plan in flight than the plan may have in service and waiting in the whole zone. */
+function readPlanLimit(plan: PlanName, {services}: EntryContext): number {
+	const allowance = services.use(configurationService).read().current?.allowances.find(({plan: name}) => name === plan);
+	return allowance === undefined ? Infinity : allowance.maximumSlots + allowance.maximumQueued;
 }
--- /dev/null
+++ b/packages/entry/requests/run.ts
@@ -0,0 +1,185 @@
+import {
+	assertNever, type Outcome, type Place, type RefusalReason, type RequestWork,
+} from '#core';
+import {startTask, type TaskHandle} from '#kernel';
+import {
+	createRequestState, isSettled, receiveRequestMessage, type HeldClaim, type RequestEffect, type RequestMessage, type RequestState,
+	type Target,
+} from '#recovery';
+import {chooseWorker} from '#routing';
+import {claimsService} from '../plugins/claims.js';
+import {membershipService} from '../plugins/membership.js';
+import type {EntryContext} from '../types.js';
+import {
+	callAgent, findAtAgent, withdrawAtAgent,
+} from './agent-calls.js';
+import {callEntry, chooseEntry, withdrawAtEntry} from './entry-calls.js';
+import {forwardTargetsService} from './forwarding.js';
+import {createCandidateSource} from './places.js';
+
+export type RequestHandle = TaskHandle<RequestState, RequestMessage>;
+
+/** What a run of a request tells the table of requests. */
+export type RunListener = Readonly<{
+	onAnswered(outcome: Outcome): void;
+	onRecorded(outcome: Outcome): void;
+	onCancelRefused(): void;
+	onRetryAsked(reason: RefusalReason): void;
+	onSettled(): void;
+}>;
+
+export type RunOptions = Readonly<{
+	work: RequestWork;
+	isRetry: boolean;
+	mayForward: boolean;
+	/** Name of this run in its claim, unique over all entries. */
+	owner: string;
+}>;
+
+/** Starts the task of one request. It stops itself when nothing is in flight for it any more. */
+export function startRequest(options: RunOptions, context: EntryContext, listener: RunListener): RequestHandle {
+	const cancels = new Set<() => void>();
+	let isOver = false;
+	const request: RequestHandle = startTask(
+		{name: 'request', initialState: createRequestState(options.work, options.isRetry), receive: receiveRequestMessage},
+		{
+			clock: context.clock,
+			perform(effect, sendToTask) {
+				const send = (message: RequestMessage) => {
+					if (!isOver) {
+						sendToTask(message);
+					}
+				};
+
+				if (effect.kind === 'schedule') {
+					cancels.add(context.clock.schedule(effect.delay, () => {
+						send(effect.message);
+					}));
+				} else {
+					performRequestEffect(effect, {
+						...options, send, listener, context,
+					});
+				}
+			},
+		},
+	);
+	request.subscribe(state => {
+		if (!isOver && isSettled(state)) {
+			isOver = true;
+			for (const cancel of cancels) {
+				cancel();
+			}
+
+			listener.onSettled();
+			// Stopping waits for the effects of the message that settled the request.
+			queueMicrotask(request.stop);
+		}
+	});
+	request.send({kind: 'submitted'});
+	return request;
+}
+
+export type RunContext = RunOptions & Readonly<{listener: RunListener; context: EntryContext; send(message: RequestMessage): void}>;
+
+function performRequestEffect(effect: Exclude<RequestEffect, {kind: 'schedule'}>, run: RunContext): void {
+	switch (effect.kind) {
+		case 'choose': {
+			choose(effect, run);
+			break;
+		}
+
+		case 'claim': {
+			void claim(effect, run);
+			break;
+		}
+
+		case 'dispatch': {
+			void (effect.target.kind === 'agent' ? callAgent(effect, effect.target.place, run) : callEntry(effect, effect.target.entry, run));
+			break;
+		}
+
+		case 'find': {
+			if (effect.target.kind === 'agent') {
+				void findAtAgent(effect.dispatch, effect.target.place, run);
+			} else {
+				run.send({kind: 'gone', dispatch: effect.dispatch});
+			}
+
+			break;
+		}
+
+		case 'withdraw': {
+			void (effect.target.kind === 'agent'
+				? withdrawAtAgent(effect.dispatch, effect.target.place, run)
+				: withdrawAtEntry(effect.dispatch, effect.target.entry, run));
+			break;
+		}
+
+		case 'ask-retry': {
+			run.listener.onRetryAsked(effect.reason);
+			break;
+		}
+
+		case 'answer': {
+			run.listener.onAnswered(effect.outcome);
+			break;
+		}
+
+		case 'record': {
+			run.listener.onRecorded(effect.outcome);
+			break;
+		}
+
+		case 'refuse-cancel': {
+			run.listener.onCancelRefused();
+			break;
+		}
+
+		default: {
+			assertNever(effect);
+		}
+	}
+}
+
+function choose({excluded, mayForward}: Extract<RequestEffect, {kind: 'choose'}>, run: RunContext): void {
+	const {context, send, work} = run;
+	const chosen = chooseWorker(createCandidateSource(context, excluded), context.random);
+	const place = chosen === undefined ? undefined : placeOf(chosen.worker, context);
+	if (place !== undefined) {
+		send({kind: 'chosen', target: {kind: 'agent', place, zone: context.settings.zone}});
+	} else if (mayForward && run.mayForward) {
+		void chooseEntry(work, context, send);
+	} else {
+		send({kind: 'none-available', reason: 'no-worker-available'});
+	}
+}
+
+function placeOf(worker: Place['worker'], context: EntryContext): Place | undefined {
+	const agent = context.services.use(membershipService).read().agents.get(worker);
+	return agent === undefined ? undefined : {worker, incarnation: agent.incarnation};
+}
+
+async function claim({target, from}: Extract<RequestEffect, {kind: 'claim'}>, {work, owner, mayForward, context, send}: RunContext): Promise<void> {
+	if (target.kind !== 'agent') {
+		return;
+	}
+
+	const {place, zone} = target;
+	const result = await context.services.use(claimsService).claim({requestId: work.requestId, claim: {place, zone, owner}, from});
+	if (result.kind === 'unavailable') {
+		context.counters.countEvent(`claim-${result.effect}`);
+		send({kind: 'claim-refused', reason: 'claim-unavailable'});
+		return;
+	}
+
+	const held: HeldClaim = {place: result.claim.place, zone: result.claim.zone, isOwner: result.claim.owner === owner};
+	send({kind: 'claimed', claim: held, target: targetOf(held, mayForward, context)});
+}
+
+/** A claim in another zone is followed through an entry of that zone, unless the request came from another entry already. */
+function targetOf({place, zone}: HeldClaim, mayForward: boolean, context: EntryContext): Target {
+	const entry = zone === context.settings.zone || !mayForward
+		? undefined
+		: context.services.use(forwardTargetsService).list().find(target => target.zone === zone);
+	return entry === undefined ? {kind: 'agent', place, zone} : {kind: 'entry', entry: entry.entry};
+}
--- /dev/null
+++ b/packages/entry/requests/table.ts
@@ -0,0 +1,201 @@
+import {
+	assertNever, hashText, type MonotonicTime, type PlanName, type RequestId, type RequestWork, type Step,
+} from '#core';
+import {earnRetry, initialRetryBudget, spendRetry} from '#limits';
+import {
+	generationMilliseconds, maximumGenerationBytes, maximumGenerationSize, overloadRetryMilliseconds,
+} from './constants.js';
+import {
+	emptyShardedMap, readSharded, removeSharded, setSharded,
+} from './sharded-map.js';
+import type {
+	Ended, Generation, InFlight, RequestsEffect, RequestsMessage, RequestsState, SubmitReply,
+} from './types.js';
+
+type RequestsStep = Step<RequestsState, RequestsEffect>;
+type Message<Kind extends RequestsMessage['kind']> = Extract<RequestsMessage, {kind: Kind}>;
+
+const emptyGeneration: Generation = {requests: emptyShardedMap, bytes: 0, startedAt: 0};
+
+export const initialRequestsState: RequestsState = {
+	nextNumber: 1, inFlight: emptyShardedMap, young: emptyGeneration, old: emptyGeneration, total: 0, plans: new Map(), budget: initialRetryBudget,
+};
+
+/** Fingerprint of what a request asks for; an identifier stands for one fingerprint only. */
+export function digestOf({plan, kind, idempotent, payload}: RequestWork): string {
+	const text = JSON.stringify([plan, kind, idempotent, payload]);
+	return `${hashText(text)}-${text.length}`;
+}
+
+/** Finds an ended request that is still remembered. */
+export function findEnded(state: RequestsState, requestId: RequestId): Ended | undefined {
+	return readSharded(state.young.requests, requestId) ?? readSharded(state.old.requests, requestId);
+}
+
+export function findInFlight(state: RequestsState, requestId: RequestId): InFlight | undefined {
+	return readSharded(state.inFlight, requestId);
+}
+
+/** Admits requests, joins submissions of one identifier, and remembers how requests ended. */
+export function receiveRequestsMessage(state: RequestsState, message: RequestsMessage, {monotonic}: Readonly<{monotonic: MonotonicTime}>): RequestsStep {
+	switch (message.kind) {
+		case 'submit': {
+			return submit(state, message);
+		}
+
+		case 'left': {
+			return leave(state, message);
+		}
+
+		case 'cancel': {
+			return cancel(state, message);
+		}
+
+		case 'cancel-refused': {
+			const present = findInFlight(state, message.requestId);
+			if (present?.number !== message.number) {
+				return {state, effects: []};
+			}
+
+			return {
+				state: {...state, inFlight: setSharded(state.inFlight, message.requestId, {...present, cancels: []})},
+				effects: present.cancels.map(replyId => ({kind: 'reply-cancel', replyId, reply: {kind: 'running'}})),
+			};
+		}
+
+		case 'answered': {
+			return answer(state, message, monotonic);
+		}
+
+		case 'recorded': {
+			const ended = findEnded(state, message.requestId);
+			return ended?.number === message.number
+				? {state: remember(state, message.requestId, {...ended, outcome: message.outcome}, {bytes: message.bytes, monotonic}), effects: []}
+				: {state, effects: []};
+		}
+
+		case 'settled': {
+			return {state: countRequest(state, message.plan, -1), effects: []};
+		}
+
+		case 'ask-retry': {
+			const {isAllowed, budget} = spendRetry(state.budget, message.plan);
+			return {state: {...state, budget}, effects: [{kind: 'decide-retry', number: message.number, isAllowed}]};
+		}
+
+		default: {
+			return assertNever(message);
+		}
+	}
+}
+
+function countRequest(state: RequestsState, plan: PlanName, change: 1 | -1): RequestsState {
+	const plans = new Map(state.plans);
+	const count = (plans.get(plan) ?? 0) + change;
+	if (count > 0) {
+		plans.set(plan, count);
+	} else {
+		plans.delete(plan);
+	}
+
+	return {...state, plans, total: state.total + change};
+}
+
+function submit(state: RequestsState, {work, digest, options, replyId}: Message<'submit'>): RequestsStep {
+	const {requestId, plan} = work;
+	const answerNow = (reply: SubmitReply): RequestsStep => ({state, effects: [{kind: 'reply-submit', replyId, reply}]});
+	const running = findInFlight(state, requestId);
+	const ended = findEnded(state, requestId);
+	if ((running ?? ended)?.digest !== undefined && (running ?? ended)?.digest !== digest) {
+		return answerNow({kind: 'refused', reason: 'identifier-reused'});
+	}
+
+	if (running !== undefined) {
+		return {state: {...state, inFlight: setSharded(state.inFlight, requestId, {...running, callers: [...running.callers, replyId]})}, effects: []};
+	}
+
+	if (ended?.outcome.kind === 'completed') {
+		return answerNow({kind: 'outcome', outcome: ended.outcome});
+	}
+
+	if (state.total >= options.totalLimit) {
+		return answerNow({kind: 'refused', reason: 'overloaded', retryAfterMilliseconds: overloadRetryMilliseconds});
+	}
+
+	if ((state.plans.get(plan) ?? 0) >= options.planLimit) {
+		return answerNow({kind: 'refused', reason: 'quota-exceeded', retryAfterMilliseconds: overloadRetryMilliseconds});
+	}
+
+	const number = state.nextNumber;
+	const counted = countRequest(state, plan, 1);
+	return {
+		state: {
+			...counted,
+			nextNumber: number + 1,
+			budget: earnRetry(state.budget, plan),
+			inFlight: setSharded(state.inFlight, requestId, {
+				number, digest, callers: [replyId], cancels: [],
+			}),
+		},
+		effects: [{
+			kind: 'start', number, work, isRetry: options.isRetry, mayForward: options.mayForward,
+		}],
+	};
+}
+
+/** The work is given up once its last caller has gone. */
+function leave(state: RequestsState, {requestId, replyId}: Message<'left'>): RequestsStep {
+	const present = findInFlight(state, requestId);
+	if (present?.callers.includes(replyId) !== true) {
+		return {state, effects: []};
+	}
+
+	const callers = present.callers.filter(caller => caller !== replyId);
+	return {
+		state: {...state, inFlight: setSharded(state.inFlight, requestId, {...present, callers})},
+		effects: callers.length === 0 ? [{kind: 'send', number: present.number, message: {kind: 'caller-left'}}] : [],
+	};
+}
+
+function cancel(state: RequestsState, {requestId, replyId}: Message<'cancel'>): RequestsStep {
+	const present = findInFlight(state, requestId);
+	if (present !== undefined) {
+		return {
+			state: {...state, inFlight: setSharded(state.inFlight, requestId, {...present, cancels: [...present.cancels, replyId]})},
+			effects: [{kind: 'send', number: present.number, message: {kind: 'cancelled'}}],
+		};
+	}
+
+	const ended = findEnded(state, requestId);
+	return {state, effects: [{kind: 'reply-cancel', replyId, reply: ended === undefined ? {kind: 'absent'} : {kind: 'outcome', outcome: ended.outcome}}]};
+}
+
+function answer(state: RequestsState, {requestId, number, outcome, bytes}: Message<'answered'>, monotonic: MonotonicTime): RequestsStep {
+	const present = findInFlight(state, requestId);
+	if (present?.number !== number) {
+		return {state, effects: []};
+	}
+
+	const next = remember({...state, inFlight: removeSharded(state.inFlight, requestId)}, requestId, {number, digest: present.digest, outcome}, {bytes, monotonic});
+	return {
+		state: next,
+		effects: [
+			...present.callers.map((replyId): RequestsEffect => ({kind: 'reply-submit', replyId, reply: {kind: 'outcome', outcome}})),
+			...present.cancels.map((replyId): RequestsEffect => ({kind: 'reply-cancel', replyId, reply: {kind: 'outcome', outcome}})),
+		],
+	};
+}
+
+/** Adds an ended request; a full or old generation is replaced, and the one before it forgotten. */
+function remember(state: RequestsState, requestId: RequestId, ended: Ended, {bytes, monotonic}: Readonly<{bytes: number; monotonic: MonotonicTime}>): RequestsState {
+	const {young} = state;
+	const isFull = young.requests.size >= maximumGenerationSize
+		|| young.bytes + bytes > maximumGenerationBytes
+		|| monotonic - young.startedAt >= generationMilliseconds;
+	const target = isFull ? {...emptyGeneration, startedAt: monotonic} : young;
+	return {
+		...state,
+		old: isFull ? young : state.old,
+		young: {...target, bytes: target.bytes + bytes, requests: setSharded(target.requests, requestId, ended)},
+	};
+}
--- a/packages/entry/start.ts
+++ b/packages/entry/start.ts
@@ -5,6 +5,8 @@
 import {listenForHttp, listenForPeers} from '#transport';
 import {entryPlugins} from './plugins.js';
 import './plugins/index.js';
+import {drainingService} from './plugins/operations.js';
+import {requestsService} from './plugins/requests.js';
 import type {EntrySettings} from './settings.js';
 import type {EntryContext} from './types.js';
 
@@ -33,7 +35,13 @@
 	return {
 		ports: {http: http.port, peers: peers.port},
 		async stop() {
+			context.services.use(drainingService).begin();
+			log.part('entry').info({noticeMilliseconds: settings['notice-milliseconds']}, 'draining; reporting not ready');
+			await new Promise<void>(resolve => {
+				context.clock.schedule(settings['notice-milliseconds'], resolve);
+			});
 			await http.drain();
+			await context.services.use(requestsService).settled();
 			stopTasks();
 			peers.close();
 		},
--- a/packages/kernel/task.ts
+++ b/packages/kernel/task.ts
@@ -21,11 +21,10 @@
 ): TaskHandle<State, Message> {
 	const {clock, perform} = services;
 	const logic = fromTransition(
-		(step: Step<State, Effect>, envelope: Envelope<Message>) => definition.receive(
-			step.state,
-			envelope.message,
-			{now: clock.now(), monotonic: clock.monotonic()},
-		),
+		// Stopping the actor sends an event of its own, which is no message and repeats no effect.
+		(step: Step<State, Effect>, envelope: Envelope<Message> | Readonly<{type: 'xstate.stop'}>) => envelope.type === 'message'
+			? definition.receive(step.state, envelope.message, {now: clock.now(), monotonic: clock.monotonic()})
+			: {state: step.state, effects: []},
 		{state: definition.initialState, effects: []},
 	);
 	const actor = createActor(logic);
--- a/packages/membership/index.ts
+++ b/packages/membership/index.ts
@@ -1,2 +1,3 @@
 export * from './types.js';
+export * from './constants.js';
 export * from './view.js';
--- a/packages/membership/types.ts
+++ b/packages/membership/types.ts
@@ -32,7 +32,16 @@
 	layoutRevision: number;
 }>;
 
-export type MembershipState = Readonly<{agents: ReadonlyMap<WorkerId, AgentView>}>;
+export type MembershipState = Readonly<{
+	agents: ReadonlyMap<WorkerId, AgentView>;
+	/** Agents that may get new work, in a list that a choice can index. */
+	available: readonly AgentView[];
+	/** Incarnations that a newer one replaced, newest last. */
+	replaced: ReadonlyMap<WorkerId, readonly Incarnation[]>;
+}>;
+
+/** Ask an agent whose report is late for a sign of life. */
+export type MembershipEffect = Readonly<{kind: 'probe'; worker: WorkerId; incarnation: Incarnation}>;
 
 export type MembershipMessage =
 	| Readonly<{kind: 'announced'; agent: Omit<AgentView, 'reportedAt' | 'joinedAt'>}>
@@ -47,4 +56,6 @@
 		layoutRevision: number;
 	}>
 	| Readonly<{kind: 'leaving'; worker: WorkerId; incarnation: Incarnation}>
-	| Readonly<{kind: 'disconnected'; worker: WorkerId; incarnation: Incarnation}>;
+	| Readonly<{kind: 'disconnected'; worker: WorkerId; incarnation: Incarnation}>
+	| Readonly<{kind: 'probe-failed'; worker: WorkerId; incarnation: Incarnation}>
+	| Readonly<{kind: 'tick'}>;
--- a/packages/membership/view.ts
+++ b/packages/membership/view.ts
@@ -1,15 +1,20 @@
-import {assertNever, type MonotonicTime, type Step} from '#core';
-import type {AgentView, MembershipMessage, MembershipState} from './types.js';
+import {
+	assertNever, type Incarnation, type MonotonicTime, type Step, type WorkerId,
+} from '#core';
+import {probeAfterMilliseconds, rememberedIncarnations, staleAfterMilliseconds} from './constants.js';
+import type {
+	AgentView, MembershipEffect, MembershipMessage, MembershipState,
+} from './types.js';
 
-export const initialMembershipState: MembershipState = {agents: new Map()};
+type MembershipStep = Step<MembershipState, MembershipEffect>;
+
+export const initialMembershipState: MembershipState = {agents: new Map(), available: [], replaced: new Map()};
 
 /** Keeps the view of the agents that announced themselves to this entry. */
-export function receiveMembershipMessage(state: MembershipState, message: MembershipMessage, {monotonic}: Readonly<{monotonic: MonotonicTime}>): Step<MembershipState, never> {
+export function receiveMembershipMessage(state: MembershipState, message: MembershipMessage, {monotonic}: Readonly<{monotonic: MonotonicTime}>): MembershipStep {
 	switch (message.kind) {
 		case 'announced': {
-			const known = state.agents.get(message.agent.worker);
-			const joinedAt = known?.incarnation === message.agent.incarnation ? known.joinedAt : monotonic;
-			return replaceAgent(state, {...message.agent, joinedAt, reportedAt: monotonic});
+			return announce(state, message.agent, monotonic);
 		}
 
 		case 'reported': {
@@ -27,15 +32,19 @@
 			return updateAgent(state, message, agent => ({...agent, isLeaving: true}));
 		}
 
+		case 'probe-failed':
 		case 'disconnected': {
-			const known = state.agents.get(message.worker);
-			if (known?.incarnation !== message.incarnation) {
+			if (state.agents.get(message.worker)?.incarnation !== message.incarnation) {
 				return {state, effects: []};
 			}
 
 			const agents = new Map(state.agents);
 			agents.delete(message.worker);
-			return {state: {agents}, effects: []};
+			return {state: withAgents(state, agents), effects: []};
+		}
+
+		case 'tick': {
+			return tick(state, monotonic);
 		}
 
 		default: {
@@ -44,16 +53,52 @@
 	}
 }
 
-function replaceAgent(state: MembershipState, agent: AgentView): Step<MembershipState, never> {
-	return {state: {agents: new Map(state.agents).set(agent.worker, agent)}, effects: []};
+/** Whether the agent may get new work: not leaving, and its load is known from a recent report. */
+export function isAvailable(agent: AgentView, monotonic: MonotonicTime): boolean {
+	return !agent.isLeaving && monotonic - agent.reportedAt < staleAfterMilliseconds;
+}
+
+/** A late announcement of an incarnation that was replaced already is ignored. */
+function announce(state: MembershipState, announced: Omit<AgentView, 'reportedAt' | 'joinedAt'>, monotonic: MonotonicTime): MembershipStep {
+	const {worker, incarnation} = announced;
+	const replaced = state.replaced.get(worker) ?? [];
+	if (replaced.includes(incarnation)) {
+		return {state, effects: []};
+	}
+
+	const known = state.agents.get(worker);
+	const isSame = known?.incarnation === incarnation;
+	const agent: AgentView = {
+		...announced,
+		// Leaving is final for an incarnation, whatever a message sent before it says.
+		isLeaving: announced.isLeaving || (isSame && known.isLeaving),
+		joinedAt: isSame ? known.joinedAt : monotonic,
+		reportedAt: monotonic,
+	};
+	const next = withAgents(state, new Map(state.agents).set(worker, agent));
+	return {
+		state: known === undefined || isSame
+			? next
+			: {...next, replaced: new Map(state.replaced).set(worker, [...replaced, known.incarnation].slice(-rememberedIncarnations))},
+		effects: [],
+	};
+}
+
+function withAgents(state: MembershipState, agents: ReadonlyMap<WorkerId, AgentView>): MembershipState {
+	return {...state, agents, available: [...agents.values()].filter(agent => !agent.isLeaving)};
 }
 
 /** Ignores messages of an earlier incarnation that arrive late. */
-function updateAgent(
-	state: MembershipState,
-	{worker, incarnation}: Readonly<Pick<AgentView, 'worker' | 'incarnation'>>,
-	update: (agent: AgentView) => AgentView,
-): Step<MembershipState, never> {
+function updateAgent(state: MembershipState, {worker, incarnation}: Readonly<{worker: WorkerId; incarnation: Incarnation}>, update: (agent: AgentView) => AgentView): MembershipStep {
 	const known = state.agents.get(worker);
-	return known?.incarnation === incarnation ? replaceAgent(state, update(known)) : {state, effects: []};
+	return known?.incarnation === incarnation
+		? {state: withAgents(state, new Map(state.agents).set(worker, update(known))), effects: []}
+		: {state, effects: []};
+}
+
+function tick(state: MembershipState, monotonic: MonotonicTime): MembershipStep {
+	const effects = [...state.agents.values()]
+		.filter(({reportedAt}) => monotonic - reportedAt >= probeAfterMilliseconds)
+		.map(({worker, incarnation}): MembershipEffect => ({kind: 'probe', worker, incarnation}));
+	return {state, effects};
 }
--- a/packages/recovery/claim-types.ts
+++ b/packages/recovery/claim-types.ts
@@ -6,7 +6,11 @@
 export type Claim = Readonly<{
 	place: Place;
 	zone: ZoneName;
-	/** The entry process that wrote it; only this one may move it. */
+	/**
+	Names the run of the request that wrote it, unique over all entries; only this run may move the claim.
+
+	A later run in the same entry is no owner: an agent may have run the identifier and forgotten it since.
+	*/
 	owner: string;
 }>;
 
--- a/packages/recovery/types.ts
+++ b/packages/recovery/types.ts
@@ -26,7 +26,7 @@
 export type HeldClaim = Readonly<{
 	place: Place;
 	zone: ZoneName;
-	/** Whether this entry wrote it. Only the owner may move a claim, or say `not-run` on its ground. */
+	/** Whether this run of the request wrote it. Only the owner may move a claim, or say `not-run` on its ground. */
 	isOwner: boolean;
 }>;
 
--- a/packages/routing/index.ts
+++ b/packages/routing/index.ts
@@ -1,2 +1,5 @@
 export * from './types.js';
+export * from './constants.js';
 export * from './choose-worker.js';
+export * from './health.js';
+export * from './service-times.js';
--- a/test/recovery/model-entry.ts
+++ b/test/recovery/model-entry.ts
@@ -65,7 +65,7 @@
 			}
 
 			case 'claim': {
-				this.claim(submission.requestId, effect, send);
+				this.claim(submission, effect, send);
 				break;
 			}
 
@@ -105,8 +105,8 @@
 		}
 	}
 
-	private claim(requestId: RequestId, {target, from}: Extract<RequestEffect, {kind: 'claim'}>, send: (message: RequestMessage) => void): void {
-		const owner = this.services.name;
+	private claim({requestId, number}: Submission, {target, from}: Extract<RequestEffect, {kind: 'claim'}>, send: (message: RequestMessage) => void): void {
+		const owner = `${this.services.name}/${number}`;
 		if (target.kind !== 'agent') {
 			return;
 		}
