--- a/packages/entry/plugins/announce-agent.ts
+++ b/packages/entry/plugins/announce-agent.ts
@@ -21,8 +21,12 @@
 		connections.send({kind: 'opened', worker, peer});
 		peer.onClosed(reason => {
 			log.part('membership').info({worker, reason}, 'agent disconnected');
+			// An agent that has dialled again is connected, whenever its former connection closes.
+			const isCurrent = connections.read().peers.get(worker) === peer;
 			connections.send({kind: 'closed', worker, peer});
-			membership.send({kind: 'disconnected', worker, incarnation});
+			if (isCurrent) {
+				membership.send({kind: 'disconnected', worker, incarnation});
+			}
 		});
 		const slice = services.use(layoutService).chooseSlice(worker, {configurationRevision, layoutRevision});
 		return {entry: settings.entry, entries: [], ...(slice === undefined ? {} : {slice})};
--- a/packages/entry/settings.ts
+++ b/packages/entry/settings.ts
@@ -27,6 +27,10 @@
 		schema: optionalAddressSettingSchema, description: 'host:port where operators reach this entry; the listening address if empty', default: '',
 	},
 	peers: {schema: addressListSettingSchema, description: 'Peer addresses of entries to connect to first, also while the store is down', default: ''},
+	'maximum-in-flight': {schema: wholeNumberSettingSchema(1, 100_000), description: 'Requests in flight at once in this entry', default: '4000'},
+	'maximum-in-flight-per-plan': {schema: wholeNumberSettingSchema(1, 100_000), description: 'Requests of one plan in flight at once in this entry', default: '1000'},
+	'forward-bytes-per-second': {schema: wholeNumberSettingSchema(0, 1_000_000_000), description: 'Bytes a second that forwarded requests may take of the link between regions', default: '250000'},
+	'notice-milliseconds': {schema: wholeNumberSettingSchema(0, 600_000), description: 'Time between reporting not ready and closing the listener, for the balancer to notice', default: '5000'},
 	seed: {schema: wholeNumberSettingSchema(0, 4_294_967_295), description: 'Seed of the random generator', default: '1'},
 	'log-level': {schema: valibot.picklist(logLevels, 'must be debug, info, warn or error'), description: 'Least severe level that is logged', default: 'info'},
 } as const satisfies SettingDefinitions;
