--- a/packages/entry/plugins/index.ts
+++ b/packages/entry/plugins/index.ts
@@ -6,6 +6,8 @@
 import './entry-lease.js';
 import './register-entry.js';
 import './entries.js';
+import './layout-task.js';
+import './layout-check.js';
 import './announce-agent.js';
 import './report-agent.js';
 import './run-request.js';
--- a/packages/entry/settings.ts
+++ b/packages/entry/settings.ts
@@ -1,4 +1,5 @@
 import * as valibot from 'valibot';
+import {defaultAbsenceDelayMilliseconds} from '#placement';
 import {entryIdSchema, regionNameSchema, zoneNameSchema} from '#core';
 import {
 	addressListSettingSchema, logLevels, portSettingSchema, wholeNumberSettingSchema, type SettingDefinitions, type SettingsOf,
@@ -21,6 +22,11 @@
 		schema: optionalAddressSettingSchema, description: 'host:port where operators reach this entry; the listening address if empty', default: '',
 	},
 	peers: {schema: addressListSettingSchema, description: 'Peer addresses of entries to connect to first, also while the store is down', default: ''},
+	'layout-absence-milliseconds': {
+		schema: wholeNumberSettingSchema(0, 86_400_000),
+		description: 'How long a worker that vanished keeps its guaranteed cells',
+		default: String(defaultAbsenceDelayMilliseconds),
+	},
 	seed: {schema: wholeNumberSettingSchema(0, 4_294_967_295), description: 'Seed of the random generator', default: '1'},
 	'log-level': {schema: valibot.picklist(logLevels, 'must be debug, info, warn or error'), description: 'Least severe level that is logged', default: 'info'},
 } as const satisfies SettingDefinitions;
