Drive jobs from an entry: submit, show, cancel, adopt

A marker under owners/<zone>/<entry>/<job> is written before the record and removed after the job has ended. Another entry finds the jobs of one that died by listing the markers of its zone; listing all records was ruled out, because they carry payloads and results. A cancellation through an entry that does not own the job is left in the marker, which the owner watches.

An agent that drains gives its gangs the grace of a checkpoint and exits once their owners have been told.

--- a/packages/agent/plugins/gang-reservations.ts
+++ b/packages/agent/plugins/gang-reservations.ts
@@ -1,7 +1,7 @@
-import {createReplyTable, startTask} from '#kernel';
+import {createReplyTable, startTask, type TaskHandle} from '#kernel';
 import {gangLeaseMilliseconds, reclaimGraceMilliseconds} from '#protocol';
 import {
-	createReservationState, receiveReservationMessage, type ReservationAnswer, type ReservationEffect, type ReservationMessage,
+	createReservationState, isSettled, listHoldings, receiveReservationMessage, type ReservationAnswer, type ReservationEffect, type ReservationMessage, type ReservationState,
 } from '#reservations';
 import {clearWorker} from '../gangs/clear-worker.js';
 import {initialOwnersState, receiveOwnersMessage} from '../gangs/owners.js';
@@ -11,6 +11,9 @@
 } from '../gangs/tasks.js';
 import {agentPlugins} from '../plugins.js';
 import type {AgentContext} from '../types.js';
+import {drainService} from './drain.js';
+import {holdingsService} from './holdings.js';
+import {sliceService} from './slice.js';
 import {workerClientService} from './worker-client.js';
 
 const endedTimeoutMilliseconds = 2000;
@@ -46,6 +49,16 @@
 		services.provide(reservationAnswersService, answers);
 		services.provide(gangOwnersService, owners);
 		services.provide(reservationsService, reservations);
+		services.provide(holdingsService, () => listHoldings(reservations.read()));
+		const unsubscribe = services.use(sliceService).subscribe(({current}) => {
+			if (current !== undefined && current.layoutRevision > reservations.read().layoutRevision) {
+				reservations.send({kind: 'slice-received', cells: current.cells, layoutRevision: current.layoutRevision});
+			}
+		});
+		services.use(drainService).add(async () => {
+			reservations.send({kind: 'drain'});
+			await waitUntilSettled(reservations);
+		});
 		reservations.send({kind: 'tick'});
 		let isStopped = false;
 		void (async () => {
@@ -55,12 +68,26 @@
 
 		return () => {
 			isStopped = true;
+			unsubscribe();
 			reservations.stop();
 			owners.stop();
 		};
 	},
 });
 
+async function waitUntilSettled(reservations: TaskHandle<ReservationState, ReservationMessage>): Promise<void> {
+	await new Promise<void>(resolve => {
+		const resolveIfSettled = (state: ReservationState) => {
+			if (isSettled(state)) {
+				resolve();
+			}
+		};
+
+		reservations.subscribe(resolveIfSettled);
+		resolveIfSettled(reservations.read());
+	});
+}
+
 type Send = (message: ReservationMessage) => void;
 
 async function performEffect(effect: Exclude<ReservationEffect, {kind: 'reply'}>, context: AgentContext, send: Send): Promise<void> {
--- a/packages/entry/jobs/constants.ts
+++ b/packages/entry/jobs/constants.ts
@@ -17,17 +17,16 @@
 /** How long concluded jobs are answered from memory, and how many of them. */
 export const concludedRetentionMilliseconds = 600_000;
 export const maximumConcludedJobs = 10_000;
-/** Store lease of an entry's registration. */
-export const entryLeaseMilliseconds = 6000;
-export const entryRenewIntervalMilliseconds = 2000;
-/** The registration counts as lost this much before the store ends it. */
-export const entryLeaseMarginMilliseconds = 1000;
-/** How often entries look for jobs whose owner is gone; the delay is spread over half of it. */
+/** How often an entry looks for jobs whose owner is gone; the delay is spread over half of it. */
 export const adoptionIntervalMilliseconds = 2000;
+/** Rounds after which the whole zone is searched again, also for owners that vanished while nobody watched. */
+export const adoptionSearchRounds = 30;
 /** Jobs that one entry adopts per round. */
 export const maximumAdoptionsPerRound = 50;
 /** An owner has to be missing in this many rounds, so that entries can register again after an outage of the store. */
 export const adoptionRounds = 2;
+/** Waiting jobs that are placed again at once when a job ends. */
+export const maximumWakeUps = 50;
 /** How long a caller that cancels a job waits for its end before it is told that cancellation is under way. */
 export const cancelWaitMilliseconds = 4000;
 /** Attempts to learn what became of a write whose answer was lost. */
--- a/packages/entry/jobs/driver-ending.ts
+++ b/packages/entry/jobs/driver-ending.ts
@@ -30,10 +30,12 @@
 	};
 }
 
+/** After these, the evicted members have saved their state in the grace, so the gang can go on if the others do too. */
+const evictions: ReadonlySet<RefusalReason> = new Set(['cell-not-owned', 'draining']);
+
 /** Stops every member of a gang that may have started, and waits until that is certain or every lease has lapsed. */
 export function beginStopping(state: DriverState, cause: StopCause, reason: RefusalReason): DriverStep {
-	// Only a reclaimed gang can go on from checkpoints: its evicted members save theirs in the grace.
-	const mode = cause === 'lost' && reason === 'cell-not-owned' ? 'checkpoint' : 'stop';
+	const mode = cause === 'lost' && evictions.has(reason) ? 'checkpoint' : 'stop';
 	return {
 		state: {
 			...state, loss: undefined, phase: {
--- /dev/null
+++ b/packages/entry/plugins/job-cancellations.ts
@@ -0,0 +1,43 @@
+import {checkInput} from '#core';
+import {startWatchTask, type Observation, type StoredValue} from '#store';
+import {ownersPrefixOf, ownershipSchema, parseOwnershipKey} from '../jobs/ownership.js';
+import {jobsService} from '../jobs/service.js';
+import {entryPlugins} from '../plugins.js';
+import type {EntryContext} from '../types.js';
+import {storeService} from './store.js';
+
+entryPlugins.register({
+	kind: 'task',
+	name: 'job-cancellations',
+	start(context) {
+		const {services, clock, random, settings, log} = context;
+		const watch = startWatchTask({
+			store: services.use(storeService),
+			clock,
+			random,
+			prefix: ownersPrefixOf(settings.zone, settings.entry),
+			onObserved(observation) {
+				for (const stored of listValues(observation)) {
+					cancelIfAsked(stored, context);
+				}
+			},
+			onFailure(reason, failures) {
+				log.part('jobs').debug({reason, failures}, 'store is unavailable; cancellations through other entries wait');
+			},
+		});
+		return () => {
+			watch.stop();
+		};
+	},
+});
+
+function listValues(observation: Observation): readonly StoredValue[] {
+	return observation.kind === 'all' ? observation.values : observation.events.flatMap(event => event.kind === 'put' ? [event.stored] : []);
+}
+
+function cancelIfAsked({key, value}: StoredValue, {services}: EntryContext): void {
+	const checked = checkInput(ownershipSchema, value);
+	if (checked.kind === 'valid' && checked.value.cancelRequested) {
+		services.use(jobsService).find(parseOwnershipKey(key).job)?.send({kind: 'cancel'});
+	}
+}
--- a/packages/protocol/constants.ts
+++ b/packages/protocol/constants.ts
@@ -11,7 +11,7 @@
 /** How long a reservation of gang members holds without a commit. */
 export const reservationLeaseMilliseconds = 5000;
 /** How long a committed or running gang holds without a renewal. Longer than it takes another entry to adopt the job of one that died, so that the gang runs on. */
-export const gangLeaseMilliseconds = 20_000;
+export const gangLeaseMilliseconds = 30_000;
 /** How often the owner of a job renews its gang leases. */
 export const gangRenewIntervalMilliseconds = 3000;
 /** How long an evicted borrower may take for its checkpoint before it is stopped. */
--- a/packages/recovery/jobs/transitions.ts
+++ b/packages/recovery/jobs/transitions.ts
@@ -5,12 +5,16 @@
 	JobRecord, JobState, MemberResult, PlacedMember,
 } from './types.js';
 
+/** An entry that drives jobs. */
+export type JobOwner = Pick<JobRecord, 'owner' | 'zone'>;
+
 /** The record of a job that was just submitted. */
-export function createJobRecord(work: JobWork, owner: EntryId, submittedAt: Timestamp): JobRecord {
+export function createJobRecord(work: JobWork, {owner, zone}: JobOwner, submittedAt: Timestamp): JobRecord {
 	return {
 		work,
 		submittedAt,
 		owner,
+		zone,
 		term: 1,
 		attempt: 0,
 		state: {kind: 'queued'},
@@ -129,10 +133,10 @@
 }
 
 /** Takes over a job whose owner is gone. The compare-and-swap that writes it decides between entries that try at once. */
-export function adoptJob(record: JobRecord, owner: EntryId): JobRecord {
+export function adoptJob(record: JobRecord, {owner, zone}: JobOwner): JobRecord {
 	const term = record.term + 1;
 	return {
-		...record, owner, term, attempt: record.attempt + 1, writeId: nameWrite(owner, term, 0),
+		...record, owner, zone, term, attempt: record.attempt + 1, writeId: nameWrite(owner, term, 0),
 	};
 }
 
--- a/packages/recovery/jobs/types.ts
+++ b/packages/recovery/jobs/types.ts
@@ -1,7 +1,7 @@
 /** Job records as they are stored under `jobs/<id>`. */
 import * as valibot from 'valibot';
 import {
-	entryIdSchema, jobWorkSchema, placeSchema, refusalReasonSchema, runResultSchema, type JobId,
+	entryIdSchema, jobWorkSchema, placeSchema, refusalReasonSchema, runResultSchema, zoneNameSchema, type JobId,
 } from '#core';
 
 const countSchema = valibot.pipe(valibot.number(), valibot.integer(), valibot.minValue(0));
@@ -52,6 +52,8 @@
 	work: jobWorkSchema,
 	submittedAt: timestampSchema,
 	owner: entryIdSchema,
+	/** Zone of the owner and of every place in the record. */
+	zone: zoneNameSchema,
 	/** Raised by each adoption. */
 	term: countSchema,
 	/** Fencing number at the agents; raised by each placement and each adoption. */
--- a/packages/reservations/index.ts
+++ b/packages/reservations/index.ts
@@ -1,5 +1,5 @@
 export * from './types.js';
 export * from './constants.js';
 export * from './receive.js';
-export {createReservationState, listHoldings} from './state.js';
+export {createReservationState, isSettled, listHoldings} from './state.js';
 export {isOlder} from './conflicts.js';
--- a/packages/reservations/receive.ts
+++ b/packages/reservations/receive.ts
@@ -4,7 +4,7 @@
 import {
 	endedRetentionMilliseconds, fenceRetentionMilliseconds, notifyRepeatMilliseconds, reservationTickMilliseconds, stopRepeatMilliseconds,
 } from './constants.js';
-import {endGang, stopTasks} from './ending.js';
+import {endGang, evictGang, stopTasks} from './ending.js';
 import {promoteReservations, reserveGang} from './reserve.js';
 import {commitGang, renewGangs, startGang} from './start.js';
 import {putGang, type ReservationStep} from './state.js';
@@ -83,7 +83,7 @@
 		}
 
 		case 'drain': {
-			return {state: {...state, isDraining: true}, effects: []};
+			return evictAll({...state, isDraining: true}, monotonic);
 		}
 
 		case 'tick': {
@@ -111,6 +111,19 @@
 	return {state: next, effects};
 }
 
+/** The worker is about to leave: every gang gets the grace of a checkpoint, and its owner is told. */
+function evictAll(state: ReservationState, monotonic: MonotonicTime): ReservationStep {
+	const effects: ReservationEffect[] = [];
+	let next = state;
+	for (const gang of state.gangs.values()) {
+		const step = evictGang(next, gang, 'draining', monotonic);
+		next = step.state;
+		effects.push(...step.effects);
+	}
+
+	return {state: next, effects};
+}
+
 function lapseReason({phase}: GangRecord, monotonic: MonotonicTime): RefusalReason | undefined {
 	switch (phase.kind) {
 		case 'reclaiming':
--- a/packages/reservations/state.ts
+++ b/packages/reservations/state.ts
@@ -65,3 +65,8 @@
 		job: gang.job, attempt: gang.attempt, plan: gang.plan, accelerators: listAccelerators(gang), preemptible: gang.preemptible, submittedAt: gang.submittedAt,
 	}));
 }
+
+/** Whether every gang has ended and its owner knows; then the agent may exit. */
+export function isSettled(state: ReservationState): boolean {
+	return [...state.gangs.values()].every(gang => isEnded(gang) && gang.members.every(({notice}) => notice.kind === 'none'));
+}
