--- /dev/null
+++ b/test/execution/driver.ts
@@ -0,0 +1,108 @@
+/** Drives an agent's decisions under virtual time, with a worker that runs each task for `payload.milliseconds`. */
+import type {
+	AgentAnswer, Incarnation, PlanName, RequestId, RequestWork, Step,
+} from '#core';
+import type {
+	ExecutionEffect, ExecutionMessage, FoundState, Present, WithdrawalResult,
+} from '#execution';
+import {createVirtualClock, startTask, type VirtualClock} from '#kernel';
+
+export const incarnation = 'first-run' as Incarnation;
+/** Wall-clock time at which every case begins. */
+export const begin = 1_700_000_000_000;
+
+/** An identifier made at the given time; the serial number tells identifiers of one millisecond apart. */
+export function createIdentifier(madeAt: number, serial: number): RequestId {
+	const time = madeAt.toString(16).padStart(12, '0');
+	return `${time.slice(0, 8)}-${time.slice(8)}-7000-8000-${String(serial).padStart(12, '0')}` as RequestId;
+}
+
+export function createWork(serial: number, milliseconds: number, more: Partial<Readonly<Record<keyof RequestWork, unknown>>> = {}): RequestWork {
+	const work = {
+		requestId: createIdentifier(begin, serial), plan: 'rosters' as PlanName, kind: 'roster', idempotent: false, payload: {milliseconds}, ...more,
+	};
+	return work as RequestWork;
+}
+
+export type Answered = Readonly<{at: number; answer: AgentAnswer | FoundState | WithdrawalResult}>;
+
+type Sendable = ExecutionMessage extends infer Message ? Message extends {replyId: number} ? Omit<Message, 'replyId'> : Message : never;
+
+export type Driver = Readonly<{
+	clock: VirtualClock;
+	/** Identifiers in the order in which their tasks were started. */
+	starts: readonly RequestId[];
+	effects: readonly ExecutionEffect[];
+	/** Sends a message and returns its reply identifier. */
+	send(message: Sendable): number;
+	/** Sends `run` as short work that is expected to take 50 ms. */
+	run(work: RequestWork, more?: Partial<Extract<ExecutionMessage, {kind: 'run'}>>): number;
+	/** The answers to one message, with the virtual time of each. */
+	answersOf(replyId: number): readonly Answered[];
+}>;
+
+export type Decisions<State> = Readonly<{
+	initialState: State;
+	receive(state: State, message: ExecutionMessage, present: Present): Step<State, ExecutionEffect>;
+}>;
+
+export function createDriver<State>({initialState, receive}: Decisions<State>): Driver {
+	const clock = createVirtualClock(begin);
+	const starts: RequestId[] = [];
+	const effects: ExecutionEffect[] = [];
+	const answers = new Map<number, Answered[]>();
+	let nextReplyId = 1;
+	const task = startTask<State, ExecutionMessage, ExecutionEffect>({name: 'execution', initialState, receive}, {
+		clock,
+		perform(effect, send) {
+			effects.push(effect);
+			switch (effect.kind) {
+				case 'start-task': {
+					const {requestId, payload} = effect.work;
+					starts.push(requestId);
+					clock.schedule((payload as Readonly<{milliseconds: number}>).milliseconds, () => {
+						send({kind: 'task-ended', requestId, result: {status: 'succeeded', body: requestId}});
+					});
+					break;
+				}
+
+				case 'answer-run':
+				case 'answer-find':
+				case 'answer-withdraw': {
+					const answer = 'answer' in effect ? effect.answer : ('found' in effect ? effect.found : effect.result);
+					answers.set(effect.replyId, [...answers.get(effect.replyId) ?? [], {at: clock.monotonic(), answer}]);
+					break;
+				}
+
+				case 'schedule-tick': {
+					clock.schedule(effect.delay, () => {
+						send({kind: 'tick'});
+					});
+					break;
+				}
+
+				case 'count-refusal':
+				case 'report-empty': {
+					break;
+				}
+			}
+		},
+	});
+	const send = (message: Sendable) => {
+		const replyId = nextReplyId++;
+		task.send({...message, replyId} as ExecutionMessage);
+		return replyId;
+	};
+
+	send({kind: 'tick'});
+	return {
+		clock,
+		send,
+		run: (work, more = {}) => send({
+			kind: 'run', work, incarnation, serviceClass: 'short', estimatedMilliseconds: 50, ...more,
+		}),
+		answersOf: replyId => answers.get(replyId) ?? [],
+		starts,
+		effects,
+	};
+}
