--- a/packages/entry/layout/zone-view.ts
+++ b/packages/entry/layout/zone-view.ts
@@ -24,11 +24,12 @@
 
 function groupCells(layout: Layout | undefined): ReadonlyMap<WorkerId, readonly WorkerCell[]> {
 	const cells = new Map<WorkerId, WorkerCell[]>();
-	for (const {plan, parts} of layout?.cells ?? []) {
+	for (const [position, {plan, adjacency, accelerators: size, parts}] of (layout?.cells ?? []).entries()) {
+		const cell = {position, adjacency, accelerators: size};
 		for (const {worker, accelerators} of parts) {
 			const known = cells.get(worker) ?? [];
 			cells.set(worker, known);
-			known.push({plan, accelerators});
+			known.push({plan, accelerators, cell});
 		}
 	}
 
--- a/packages/placement/blocks.ts
+++ b/packages/placement/blocks.ts
@@ -3,13 +3,26 @@
 } from '#core';
 import type {AcceleratorUse} from './classify.js';
 import {compareScores, groupBy} from './ground.js';
-import type {MemberPlacement, WorkerView} from './types.js';
+import type {CellReference, MemberPlacement, WorkerView} from './types.js';
 
 /** A worker with what its accelerators are to one gang. */
 export type ClassifiedWorker = Readonly<{view: WorkerView; uses: readonly AcceleratorUse[]}>;
 
+/** The workers of a zone in the order of their names, for one gang. */
+export type ClassifiedZone = Readonly<{
+	workers: readonly ClassifiedWorker[];
+	/** The gang takes one own cell whole or leaves own cells alone. */
+	takesWholeCell: boolean;
+}>;
+
 /** Which accelerators a try to place a gang may take, beside its own free ones. */
-export type Admission = Readonly<{free: boolean; borrowable: boolean; evicted: ReadonlySet<JobId>}>;
+export type Admission = Readonly<{
+	free: boolean;
+	borrowable: boolean;
+	evicted: ReadonlySet<JobId>;
+	/** Blocks end where a cell ends, so that neighbouring small cells do not look like a large one. */
+	isWithinCell: boolean;
+}>;
 
 /** Neighbouring accelerators of one worker that a gang may take. */
 export type Block = ClassifiedWorker & Readonly<{
@@ -35,7 +48,8 @@
 		let borrowed = 0;
 		for (let end = 0; end <= uses.length; end++) {
 			const use = uses[end];
-			if (use !== undefined && isAdmitted(use, admission)) {
+			const isCut = admission.isWithinCell && end > start && cellOf(use) !== cellOf(uses[end - 1]);
+			if (use !== undefined && isAdmitted(use, admission) && !isCut) {
 				owned += use.kind === 'own' || use.kind === 'reclaimable' ? 1 : 0;
 				borrowed += use.kind === 'borrowable' ? 1 : 0;
 				continue;
@@ -48,15 +62,22 @@
 				});
 			}
 
-			start = end + 1;
+			start = isCut ? end : end + 1;
 			owned = 0;
 			borrowed = 0;
+			if (isCut) {
+				end--;
+			}
 		}
 	}
 
 	return blocks;
 }
 
+function cellOf(use: AcceleratorUse | undefined): CellReference | undefined {
+	return use?.kind === 'own' || use?.kind === 'reclaimable' ? use.cell : undefined;
+}
+
 export function isAdmitted(use: AcceleratorUse, {free, borrowable, evicted}: Admission): boolean {
 	switch (use.kind) {
 		case 'own': {
@@ -85,8 +106,13 @@
 	}
 }
 
-/** Groups blocks by what the adjacency of a gang allows: one worker, one rack or the whole zone. */
-export function listDomains(blocks: readonly Block[], adjacency: GangShape['adjacency']): ReadonlyArray<readonly Block[]> {
+/** Groups blocks by what the adjacency of a gang allows: one worker, one rack or the whole zone, and where asked for by their cell. */
+export function listDomains(blocks: readonly Block[], adjacency: GangShape['adjacency'], {isWithinCell}: Pick<Admission, 'isWithinCell'>): ReadonlyArray<readonly Block[]> {
+	const groups = isWithinCell ? [...groupBy(blocks, ({uses, start}) => cellOf(uses[start])?.position).values()] : [blocks];
+	return groups.flatMap(group => splitByAdjacency(group, adjacency));
+}
+
+function splitByAdjacency(blocks: readonly Block[], adjacency: GangShape['adjacency']): ReadonlyArray<readonly Block[]> {
 	switch (adjacency) {
 		case 'worker': {
 			return [...groupBy(blocks, ({view}) => view.worker).values()];
@@ -114,13 +140,13 @@
 /**
 Places the members into the fullest domain that holds all of them, and there into the shortest blocks.
 
-Domains with own accelerators go first and those without borrowed ones before others; the rest of the order keeps long blocks and empty racks whole.
+Domains with enough own accelerators go first and those without borrowed ones before others; the rest of the order keeps long blocks and empty racks whole.
 */
-export function fillBlocks(blocks: readonly Block[], {members, acceleratorsPerMember, adjacency}: GangShape): readonly MemberPlacement[] | undefined {
+export function fillBlocks(blocks: readonly Block[], {members, acceleratorsPerMember, adjacency}: GangShape, admission: Admission): readonly MemberPlacement[] | undefined {
 	let best: Domain | undefined;
-	for (const inside of listDomains(blocks, adjacency)) {
+	for (const inside of listDomains(blocks, adjacency, admission)) {
 		if (countCapacity(inside) >= members) {
-			const score = scoreDomain(inside);
+			const score = scoreDomain(inside, members * acceleratorsPerMember);
 			if (best === undefined || compareScores(score, best.score) < 0) {
 				best = {blocks: inside, score};
 			}
@@ -130,7 +156,7 @@
 	return best === undefined ? undefined : fillDomain(best, members, acceleratorsPerMember);
 }
 
-function scoreDomain(blocks: readonly Block[]): readonly number[] {
+function scoreDomain(blocks: readonly Block[], needed: number): readonly number[] {
 	let owned = 0;
 	let borrowed = 0;
 	let total = 0;
@@ -140,7 +166,7 @@
 		total += block.length;
 	}
 
-	return [-owned, borrowed, countCapacity(blocks), total];
+	return [Math.max(0, needed - owned), borrowed, countCapacity(blocks), total];
 }
 
 function fillDomain({blocks}: Domain, members: number, acceleratorsPerMember: number): readonly MemberPlacement[] {
--- a/packages/placement/choose-evictions.ts
+++ b/packages/placement/choose-evictions.ts
@@ -1,5 +1,5 @@
 import type {JobId} from '#core';
-import {fillBlocks, listBlocks, type ClassifiedWorker} from './blocks.js';
+import {fillBlocks, listBlocks, type ClassifiedZone} from './blocks.js';
 import {maximumEvictionTrials} from './constants.js';
 import {compareScores, compareText} from './ground.js';
 import type {GangRequest, MemberPlacement} from './types.js';
@@ -10,16 +10,16 @@
 export type Reclaim = Readonly<{members: readonly MemberPlacement[]; evictions: readonly JobId[]}>;
 
 /** Places a gang on its own cells under borrowers. Evicts small and young jobs before large and old ones, and none that is not needed. */
-export function chooseEvictions(workers: readonly ClassifiedWorker[], gang: GangRequest): Reclaim | undefined {
-	const borrowers = listBorrowers(workers);
-	let reclaim = findShortestPrefix(workers, gang, borrowers);
+export function chooseEvictions(zone: ClassifiedZone, gang: GangRequest): Reclaim | undefined {
+	const borrowers = listBorrowers(zone);
+	let reclaim = findShortestPrefix(zone, gang, borrowers);
 	if (reclaim === undefined) {
 		return undefined;
 	}
 
 	for (const {job} of borrowers.toReversed().slice(0, maximumEvictionTrials)) {
 		if (reclaim.evictions.includes(job)) {
-			reclaim = tryEvictions(workers, gang, reclaim.evictions.filter(other => other !== job)) ?? reclaim;
+			reclaim = tryEvictions(zone, gang, reclaim.evictions.filter(other => other !== job)) ?? reclaim;
 		}
 	}
 
@@ -27,8 +27,8 @@
 }
 
 /** Halves the range of prefixes, since evicting more jobs never leaves less room. */
-function findShortestPrefix(workers: readonly ClassifiedWorker[], gang: GangRequest, borrowers: readonly Borrower[]): Reclaim | undefined {
-	const tryPrefix = (length: number) => tryEvictions(workers, gang, borrowers.slice(0, length).map(({job}) => job));
+function findShortestPrefix(zone: ClassifiedZone, gang: GangRequest, borrowers: readonly Borrower[]): Reclaim | undefined {
+	const tryPrefix = (length: number) => tryEvictions(zone, gang, borrowers.slice(0, length).map(({job}) => job));
 	let best = borrowers.length === 0 ? undefined : tryPrefix(borrowers.length);
 	let tooShort = 0;
 	let enough = borrowers.length;
@@ -47,14 +47,16 @@
 }
 
 /** Places the gang as if the jobs were gone; the evictions are those of them that the placement touches. */
-function tryEvictions(workers: readonly ClassifiedWorker[], gang: GangRequest, jobs: readonly JobId[]): Reclaim | undefined {
-	const admission = {free: true, borrowable: gang.preemptible, evicted: new Set(jobs)};
-	const members = fillBlocks(listBlocks(workers, admission, gang.shape.acceleratorsPerMember), gang.shape);
+function tryEvictions(zone: ClassifiedZone, gang: GangRequest, jobs: readonly JobId[]): Reclaim | undefined {
+	const admission = {
+		free: true, borrowable: gang.preemptible, evicted: new Set(jobs), isWithinCell: zone.takesWholeCell,
+	};
+	const members = fillBlocks(listBlocks(zone.workers, admission, gang.shape.acceleratorsPerMember), gang.shape, admission);
 	if (members === undefined) {
 		return undefined;
 	}
 
-	const byWorker = new Map(workers.map(({view, uses}) => [view.worker, uses]));
+	const byWorker = new Map(zone.workers.map(({view, uses}) => [view.worker, uses]));
 	const touched = new Set(members.flatMap(({worker, accelerators}) => accelerators.flatMap(index => {
 		const use = byWorker.get(worker)?.[index];
 		return use?.kind === 'reclaimable' ? [use.job] : [];
@@ -62,7 +64,7 @@
 	return {members, evictions: [...touched].toSorted(compareText)};
 }
 
-function listBorrowers(workers: readonly ClassifiedWorker[]): readonly Borrower[] {
+function listBorrowers({workers}: ClassifiedZone): readonly Borrower[] {
 	const reclaimable = new Set<JobId>();
 	for (const {uses} of workers) {
 		for (const use of uses) {
--- a/packages/placement/measure-fragmentation.ts
+++ b/packages/placement/measure-fragmentation.ts
@@ -1,5 +1,5 @@
 import {countCapacity, listBlocks, listDomains} from './blocks.js';
-import {classifyWorkers, listAdmissions} from './place-gang.js';
+import {classifyZone, listAdmissions} from './place-gang.js';
 import type {GangRequest, ZoneView} from './types.js';
 
 /** What fragmentation depends on of a waiting gang. */
@@ -19,8 +19,10 @@
 	const usable = new Set<string>();
 	for (const waiting of keepDistinct(waitingShapes)) {
 		const {members, acceleratorsPerMember, adjacency} = waiting.shape;
-		const blocks = listBlocks(classifyWorkers(view, waiting), listAdmissions(waiting).at(-1)!, acceleratorsPerMember);
-		for (const block of listDomains(blocks, adjacency).filter(domain => countCapacity(domain) >= members).flat()) {
+		const zone = classifyZone(view, waiting);
+		const admission = listAdmissions(zone, waiting).at(-1)!;
+		const blocks = listBlocks(zone.workers, admission, acceleratorsPerMember);
+		for (const block of listDomains(blocks, adjacency, admission).filter(domain => countCapacity(domain) >= members).flat()) {
 			for (let index = block.start; index < block.start + block.length; index++) {
 				usable.add(`${block.view.worker} ${index}`);
 			}
--- a/packages/placement/place-gang.ts
+++ b/packages/placement/place-gang.ts
@@ -1,9 +1,9 @@
 import type {JobId} from '#core';
 import {
-	fillBlocks, listBlocks, type Admission, type ClassifiedWorker,
+	fillBlocks, listBlocks, type Admission, type ClassifiedZone,
 } from './blocks.js';
 import {chooseEvictions} from './choose-evictions.js';
-import {classifyAccelerators} from './classify.js';
+import {classifyAccelerators, createOwnership, type Claimant} from './classify.js';
 import {compareText} from './ground.js';
 import {explainImpossible} from './impossible.js';
 import type {GangRequest, Placement, ZoneView} from './types.js';
@@ -22,16 +22,16 @@
 ```
 */
 export function placeGang(view: ZoneView, gang: GangRequest): Placement {
-	const workers = classifyWorkers(view, gang);
-	const ownsCells = workers.some(({uses}) => uses.some(({kind}) => kind === 'own' || kind === 'reclaimable'));
-	for (const admission of listAdmissions(gang).filter(({free}) => free || ownsCells)) {
-		const members = fillBlocks(listBlocks(workers, admission, gang.shape.acceleratorsPerMember), gang.shape);
+	const zone = classifyZone(view, gang);
+	const ownsCells = zone.workers.some(({uses}) => uses.some(({kind}) => kind === 'own' || kind === 'reclaimable'));
+	for (const admission of listAdmissions(zone, gang).filter(({free}) => free || ownsCells)) {
+		const members = fillBlocks(listBlocks(zone.workers, admission, gang.shape.acceleratorsPerMember), gang.shape, admission);
 		if (members !== undefined) {
 			return {kind: 'placed', members, evictions: []};
 		}
 	}
 
-	const reclaimed = chooseEvictions(workers, gang);
+	const reclaimed = chooseEvictions(zone, gang);
 	if (reclaimed !== undefined) {
 		return {kind: 'placed', ...reclaimed};
 	}
@@ -43,17 +43,20 @@
 }
 
 /** Classifies the accelerators of every worker, in the order of worker names. */
-export function classifyWorkers(view: ZoneView, gang: Pick<GangRequest, 'plan'>): readonly ClassifiedWorker[] {
-	return view.workers
+export function classifyZone(view: ZoneView, gang: Claimant): ClassifiedZone {
+	const ownership = createOwnership(view.workers, gang);
+	const workers = view.workers
 		.toSorted((first, second) => compareText(first.worker, second.worker))
-		.map(worker => ({view: worker, uses: classifyAccelerators(worker, gang)}));
+		.map(worker => ({view: worker, uses: classifyAccelerators(worker, gang, ownership)}));
+	return {workers, takesWholeCell: ownership.takesWholeCell};
 }
 
-/** Tries without evictions, in order. */
-export function listAdmissions({preemptible}: Pick<GangRequest, 'preemptible'>): readonly Admission[] {
-	const ownOnly: Admission = {free: false, borrowable: false, evicted: nobody};
-	return preemptible
-		? [ownOnly, {...ownOnly, free: true}, {...ownOnly, free: true, borrowable: true}]
-		: [ownOnly, {...ownOnly, free: true}];
+/** Tries without evictions, in order: one own cell, several own cells, beside them what is free, and what may be borrowed. */
+export function listAdmissions({takesWholeCell}: Pick<ClassifiedZone, 'takesWholeCell'>, {preemptible}: Pick<GangRequest, 'preemptible'>): readonly Admission[] {
+	const oneCell: Admission = {
+		free: false, borrowable: false, evicted: nobody, isWithinCell: true,
+	};
+	const ownCells: Admission = {...oneCell, isWithinCell: takesWholeCell};
+	const beside: Admission = {...ownCells, free: true};
+	return [oneCell, ownCells, beside, ...(preemptible ? [{...beside, borrowable: true}] : [])];
 }
-
--- a/packages/placement/types.ts
+++ b/packages/placement/types.ts
@@ -3,7 +3,21 @@
 } from '#core';
 
 /** Accelerators of one worker that are guaranteed to a plan. */
-export type WorkerCell = Readonly<{plan: PlanName; accelerators: readonly AcceleratorIndex[]}>;
+export type WorkerCell = Readonly<{
+	plan: PlanName;
+	accelerators: readonly AcceleratorIndex[];
+	/** The whole cell that they are part of; absent where only the plan is known. */
+	cell?: CellReference;
+}>;
+
+/** One cell of a layout. */
+export type CellReference = Readonly<{
+	/** Position in the layout. */
+	position: number;
+	adjacency: GangShape['adjacency'];
+	/** Accelerators of the whole cell, over all workers. */
+	accelerators: number;
+}>;
 
 /** Accelerators of one worker that members of a gang hold. */
 export type WorkerHolding = Readonly<{
