--- a/packages/protocol/constants.ts
+++ b/packages/protocol/constants.ts
@@ -10,9 +10,16 @@
 export const maximumMessageBytes = 2_000_000;
 /** How long a reservation of gang members holds without a commit. */
 export const reservationLeaseMilliseconds = 5000;
-/** How long a committed or running gang holds without a renewal. */
-export const gangLeaseMilliseconds = 10_000;
+/** How long a committed or running gang holds without a renewal. Longer than it takes another entry to adopt the job of one that died, so that the gang runs on. */
+export const gangLeaseMilliseconds = 20_000;
 /** How often the owner of a job renews its gang leases. */
 export const gangRenewIntervalMilliseconds = 3000;
 /** How long an evicted borrower may take for its checkpoint before it is stopped. */
 export const reclaimGraceMilliseconds = 2000;
+/** How often the entry that opened a connection to another one exchanges revisions and summaries over it. */
+export const peerExchangeIntervalMilliseconds = 2000;
+/** Bounds of the delay before an entry that could not be reached is dialled again. */
+export const peerRedialMinimumMilliseconds = 2000;
+export const peerRedialMaximumMilliseconds = 30_000;
+/** How long an entry stays registered without renewal. */
+export const entryLeaseMilliseconds = 10_000;
