--- a/packages/placement/place-gang.ts
+++ b/packages/placement/place-gang.ts
@@ -1,12 +1,16 @@
 import type {JobId} from '#core';
 import {
-	fillBlocks, listBlocks, type Admission, type ClassifiedWorker,
+	fillBlocks, listBlocks, type Admission, type ClassifiedZone,
 } from './blocks.js';
 import {chooseEvictions} from './choose-evictions.js';
-import {classifyAccelerators} from './classify.js';
+import {
+	classifyAccelerators, createOwnership, isOwned, type AcceleratorUse, type Claimant,
+} from './classify.js';
 import {compareText} from './ground.js';
 import {explainImpossible} from './impossible.js';
-import type {GangRequest, Placement, ZoneView} from './types.js';
+import type {
+	GangRequest, Placement, WorkerView, ZoneView,
+} from './types.js';
 
 const nobody: ReadonlySet<JobId> = new Set();
 
@@ -22,16 +26,16 @@
 ```
 */
 export function placeGang(view: ZoneView, gang: GangRequest): Placement {
-	const workers = classifyWorkers(view, gang);
-	const ownsCells = workers.some(({uses}) => uses.some(({kind}) => kind === 'own' || kind === 'reclaimable'));
-	for (const admission of listAdmissions(gang).filter(({free}) => free || ownsCells)) {
-		const members = fillBlocks(listBlocks(workers, admission, gang.shape.acceleratorsPerMember), gang.shape);
+	const zone = classifyZone(view, gang);
+	const owners = zone.workers.filter(({uses}) => uses.some(isOwned));
+	for (const admission of listAdmissions(zone, gang)) {
+		const members = fillBlocks(listBlocks(admission.free ? zone.workers : owners, admission, gang.shape.acceleratorsPerMember), gang.shape, admission);
 		if (members !== undefined) {
 			return {kind: 'placed', members, evictions: []};
 		}
 	}
 
-	const reclaimed = chooseEvictions(workers, gang);
+	const reclaimed = chooseEvictions(zone, gang);
 	if (reclaimed !== undefined) {
 		return {kind: 'placed', ...reclaimed};
 	}
@@ -43,17 +47,32 @@
 }
 
 /** Classifies the accelerators of every worker, in the order of worker names. */
-export function classifyWorkers(view: ZoneView, gang: Pick<GangRequest, 'plan'>): readonly ClassifiedWorker[] {
-	return view.workers
+export function classifyZone(view: ZoneView, gang: Claimant): ClassifiedZone {
+	const ownership = createOwnership(view.workers, gang);
+	const idle = new Map<number, readonly AcceleratorUse[]>();
+	const classify = (worker: WorkerView): readonly AcceleratorUse[] => {
+		// Most workers of a large zone have neither cells nor holdings and share one list.
+		const isIdle = worker.cells.length === 0 && worker.holdings.length === 0;
+		const uses = (isIdle ? idle.get(worker.accelerators) : undefined) ?? classifyAccelerators(worker, gang, ownership);
+		if (isIdle) {
+			idle.set(worker.accelerators, uses);
+		}
+
+		return uses;
+	};
+
+	const workers = view.workers
 		.toSorted((first, second) => compareText(first.worker, second.worker))
-		.map(worker => ({view: worker, uses: classifyAccelerators(worker, gang)}));
+		.map(worker => ({view: worker, uses: classify(worker)}));
+	return {workers, takesWholeCell: ownership.takesWholeCell};
 }
 
-/** Tries without evictions, in order. */
-export function listAdmissions({preemptible}: Pick<GangRequest, 'preemptible'>): readonly Admission[] {
-	const ownOnly: Admission = {free: false, borrowable: false, evicted: nobody};
-	return preemptible
-		? [ownOnly, {...ownOnly, free: true}, {...ownOnly, free: true, borrowable: true}]
-		: [ownOnly, {...ownOnly, free: true}];
+/** Tries without evictions, in order: one own cell, several own cells, beside them what is free, and what may be borrowed. */
+export function listAdmissions({takesWholeCell}: Pick<ClassifiedZone, 'takesWholeCell'>, {preemptible}: Pick<GangRequest, 'preemptible'>): readonly Admission[] {
+	const oneCell: Admission = {
+		free: false, borrowable: false, evicted: nobody, isWithinCell: true,
+	};
+	const ownCells: Admission = {...oneCell, isWithinCell: takesWholeCell};
+	const beside: Admission = {...ownCells, free: true};
+	return [oneCell, ownCells, beside, ...(preemptible ? [{...beside, borrowable: true}] : [])];
 }
-
