Add the operators' and callers' command line

Operators had to write the store's key by hand. put compares and swaps against the revision that the file was made from, prints the difference first and refuses a stale base with both revisions; a file without a base is refused once there is a configuration, since it could undo a change that its author never saw. Exit codes tell a refusal, an unreachable service and an unknown outcome apart.

--- /dev/null
+++ b/binaries/dotterelnotch.ts
@@ -0,0 +1,40 @@
+import {readFile} from 'node:fs/promises';
+import {randomInt} from 'node:crypto';
+import {userInfo} from 'node:os';
+import process from 'node:process';
+import {v7 as createUuid} from 'uuid';
+import {runCommandLine, BadInputError} from '#command-line';
+import {createRandomSource} from '#core';
+import {systemClock} from '#kernel';
+
+const largestSeed = 2 ** 32;
+
+process.exitCode = await runCommandLine(process.argv.slice(2), {
+	environment: process.env,
+	clock: systemClock,
+	random: createRandomSource(randomInt(largestSeed)),
+	userName: findUserName(),
+	createIdentifier: createUuid,
+	print(text) {
+		process.stdout.write(`${text}\n`);
+	},
+	printError(text) {
+		process.stderr.write(`${text}\n`);
+	},
+	async readFile(path) {
+		try {
+			return await readFile(path, 'utf8');
+		} catch (error) {
+			throw new BadInputError([`${path}: cannot be read (${(error as NodeJS.ErrnoException).code ?? 'unknown error'})`]);
+		}
+	},
+});
+
+/** An account without a name, as in some virtual machines, is no reason to refuse a change. */
+function findUserName(): string {
+	try {
+		return userInfo().username;
+	} catch {
+		return 'unknown';
+	}
+}
--- a/packages/client/types.ts
+++ b/packages/client/types.ts
@@ -4,10 +4,10 @@
 } from '#core';
 
 /** A request without an identifier gets one; pass an identifier to submit a request again. */
-export type RequestSubmission = Omit<RequestWork, 'requestId' | 'plan'> & Readonly<{requestId?: RequestId; plan: string}>;
+export type RequestSubmission = Omit<RequestWork, 'requestId' | 'plan'> & Readonly<{requestId?: RequestId | undefined; plan: string}>;
 
 /** A job without an identifier gets one; pass an identifier to submit a job again. */
-export type JobSubmission = Omit<JobWork, 'jobId' | 'plan'> & Readonly<{jobId?: JobId; plan: string}>;
+export type JobSubmission = Omit<JobWork, 'jobId' | 'plan'> & Readonly<{jobId?: JobId | undefined; plan: string}>;
 
 /** What became of a submission; `Value` is what a submission that succeeded gives. */
 export type SubmissionOutcome<Value> =
--- /dev/null
+++ b/packages/command-line/commands/cancel.ts
@@ -0,0 +1,11 @@
+import {requireArgument} from '../arguments.js';
+import {askAbout} from '../ask-about.js';
+import {commandPlugins} from '../plugins.js';
+
+commandPlugins.register({
+	kind: 'command',
+	name: 'cancel [id]',
+	description: 'Cancel a request that has not started, or a job',
+	options: [],
+	perform: async (commandArguments, _options, context) => askAbout(requireArgument(commandArguments, 0, 'id'), 'cancel', context),
+});
--- /dev/null
+++ b/packages/command-line/commands/index.ts
@@ -0,0 +1,9 @@
+import './validate.js';
+import './show.js';
+import './put.js';
+import './history.js';
+import './diff.js';
+import './submit.js';
+import './status.js';
+import './cancel.js';
+import './fleet.js';
