--- a/packages/entry/plugins/index.ts
+++ b/packages/entry/plugins/index.ts
@@ -3,6 +3,8 @@
 import './membership.js';
 import './connections.js';
 import './watch-configuration.js';
+import './layout-task.js';
+import './layout-check.js';
 import './entry-lease.js';
 import './register-entry.js';
 import './entries.js';
--- a/packages/entry/settings.ts
+++ b/packages/entry/settings.ts
@@ -1,4 +1,5 @@
 import * as valibot from 'valibot';
+import {defaultAbsenceDelayMilliseconds} from '#placement';
 import {entryIdSchema, regionNameSchema, zoneNameSchema} from '#core';
 import {
 	addressListSettingSchema, logLevels, portSettingSchema, wholeNumberSettingSchema, type SettingDefinitions, type SettingsOf,
@@ -14,6 +15,11 @@
 	'listen-host': {schema: valibot.string(), description: 'Address to listen on', default: '127.0.0.1'},
 	'listen-port': {schema: portSettingSchema, description: 'Port for callers', default: '8080'},
 	'peer-port': {schema: portSettingSchema, description: 'Port for agents and other entries', default: '8081'},
+	'layout-absence-milliseconds': {
+		schema: wholeNumberSettingSchema(0, 86_400_000),
+		description: 'How long a worker that vanished keeps its guaranteed cells',
+		default: String(defaultAbsenceDelayMilliseconds),
+	},
 	'advertised-peer-address': {
 		schema: optionalAddressSettingSchema, description: 'host:port where agents and other entries reach this entry; the listening address if empty', default: '',
 	},
