--- a/demo/callers.ts
+++ b/demo/callers.ts
@@ -103,7 +103,7 @@
 
 		if (Date.now() > deadline) {
 			if (isCancelled) {
-				return {outcome: 'none', isOwnResult: false};
+				return {outcome: 'none', reason: reply.kind === 'found' ? `still ${reply.status.state} ${reply.status.reason ?? ''}` : reply.kind, isOwnResult: false};
 			}
 
 			isCancelled = true;
