Bound tombstones of a draining agent and test queue and ledger apart

A draining agent wrote tombstones without asking for room, so a wave of withdrawals could grow its ledger; the random schedules now check the bound. They also draw more identifiers and check that a refused identifier never starts.

--- a/packages/execution/withdraw.ts
+++ b/packages/execution/withdraw.ts
@@ -39,9 +39,9 @@
 }
 
 function leaveTombstone(state: ExecutionState, {requestId, replyId}: Extract<ExecutionMessage, {kind: 'withdraw'}>, {monotonic}: Present): ExecutionStep {
-	// A full ledger cannot keep the promise of a tombstone; a draining agent starts nothing anyway.
-	if (state.phase === 'serving' && !hasRoom(state.ledger, state.settings)) {
-		return {state, effects: [{kind: 'answer-withdraw', replyId, result: {kind: 'running'}}]};
+	if (!hasRoom(state.ledger, state.settings)) {
+		// Without a tombstone the identifier might still start, unless the agent drains and starts nothing.
+		return {state, effects: [{kind: 'answer-withdraw', replyId, result: {kind: state.phase === 'serving' ? 'running' : 'withdrawn'}}]};
 	}
 
 	const ledger = putAnswer(state.ledger, {
--- a/test/execution/properties.test.ts
+++ b/test/execution/properties.test.ts
@@ -8,7 +8,7 @@
 
 const slots = 3;
 const settings = {
-	...createExecutionSettings(incarnation, slots), maximumRememberedAnswers: 6, queue: {slots, reservedForShort: 1, maximumQueued: 4},
+	...createExecutionSettings(incarnation, slots), maximumRememberedAnswers: 8, queue: {slots, reservedForShort: 1, maximumQueued: 4},
 };
 const runs = 500;
 const seed = 20_261_204;
@@ -21,7 +21,9 @@
 	| Readonly<{kind: 'limit'; maximumSlots: number}>
 	| Readonly<{kind: 'drain'}>;
 
-const serial = fastCheck.nat({max: 9});
+const serial = fastCheck.nat({max: 29});
+/** The plan is a part of the content of a request, so it goes with the identifier. */
+const plans = ['domes', 'rosters', 'layouts'] as const;
 const actionArbitrary: fastCheck.Arbitrary<Action> = fastCheck.oneof(
 	{
 		weight: 6, arbitrary: fastCheck.record({
@@ -29,8 +31,8 @@
 		}),
 	},
 	{weight: 20, arbitrary: fastCheck.record({kind: fastCheck.constantFrom('withdraw' as const, 'find' as const), serial})},
-	{weight: 40, arbitrary: fastCheck.record({kind: fastCheck.constantFrom('end' as const, 'lose' as const, 'refuse' as const), position: fastCheck.nat({max: slots})})},
-	{weight: 20, arbitrary: fastCheck.record({kind: fastCheck.constant('wait' as const), milliseconds: fastCheck.constantFrom(10, 500, 1500, 100_000, 400_000)})},
+	{weight: 15, arbitrary: fastCheck.record({kind: fastCheck.constantFrom('end' as const, 'lose' as const, 'refuse' as const), position: fastCheck.nat({max: slots})})},
+	{weight: 10, arbitrary: fastCheck.record({kind: fastCheck.constant('wait' as const), milliseconds: fastCheck.constantFrom(10, 500, 1500, 100_000, 400_000)})},
 	{weight: 10, arbitrary: fastCheck.record({kind: fastCheck.constant('limit' as const), maximumSlots: fastCheck.nat({max: slots})})},
 	{weight: 1, arbitrary: fastCheck.record({kind: fastCheck.constant('drain' as const)})},
 );
@@ -44,6 +46,7 @@
 	const running: RequestId[] = [];
 	const startsOf = new Map<RequestId, number>();
 	const answersOf = new Map<number, number>();
+	const refused = new Set<RequestId>();
 	const withdrawnAt = new Map<RequestId, number>();
 	const madeAt = new Map<number, number>();
 
@@ -54,6 +57,7 @@
 				// A tombstone outlives every message that may still be on its way; a new submission after that is another request if running it twice does no harm.
 				const isTombstoneDue = elapsed - (withdrawnAt.get(requestId) ?? -Infinity) < settings.retentionMilliseconds;
 				expect(isTombstoneDue || (!idempotent && withdrawnAt.has(requestId)), 'a withdrawn identifier started').to.equal(false);
+				expect(!idempotent && refused.has(requestId), 'a refused identifier started').to.equal(false);
 				expect(running.includes(requestId), 'an identifier runs twice at once').to.equal(false);
 				running.push(requestId);
 				startsOf.set(requestId, (startsOf.get(requestId) ?? 0) + 1);
@@ -64,6 +68,10 @@
 			case 'answer-find':
 			case 'answer-withdraw': {
 				answersOf.set(effect.replyId, (answersOf.get(effect.replyId) ?? 0) + 1);
+				if (effect.kind === 'answer-run' && effect.answer.kind === 'refused' && message.kind === 'run') {
+					refused.add(message.work.requestId);
+				}
+
 				if (effect.kind === 'answer-withdraw' && effect.result.kind === 'withdrawn' && message.kind === 'withdraw') {
 					expect(running.includes(message.requestId), 'a running identifier counts as withdrawn').to.equal(false);
 					withdrawnAt.set(message.requestId, elapsed);
@@ -93,6 +101,7 @@
 
 		expect(running.length, 'more tasks than slots').to.be.at.most(slots);
 		expect(state.queue.running.size).to.equal(running.length);
+		expect(state.ledger.remembered.answers, 'remembered answers').to.be.at.most(settings.maximumRememberedAnswers);
 		expect(state.queue.queued).to.be.at.most(settings.queue.maximumQueued);
 	};
 
@@ -130,7 +139,7 @@
 				case 'run': {
 					const {idempotent, isLong, isUrgent} = action;
 					const work = createWork(0, 0, {
-						requestId: idOf(action), idempotent, plan: (isLong ? 'domes' : 'rosters'), ...(isUrgent ? {latestUsefulAt: begin + elapsed + 1000} : {}),
+						requestId: idOf(action), idempotent, plan: plans[action.serial % plans.length], ...(isUrgent ? {latestUsefulAt: begin + elapsed + 1000} : {}),
 					});
 					ask({
 						kind: 'run', work, incarnation, serviceClass: isLong ? 'long' : 'short', estimatedMilliseconds: isLong ? 5000 : 50,
