--- a/packages/entry/settings.ts
+++ b/packages/entry/settings.ts
@@ -1,9 +1,12 @@
 import * as valibot from 'valibot';
+import {defaultAbsenceDelayMilliseconds} from '#placement';
 import {entryIdSchema, regionNameSchema, zoneNameSchema} from '#core';
 import {
-	logLevels, portSettingSchema, wholeNumberSettingSchema, type SettingDefinitions, type SettingsOf,
+	addressListSettingSchema, logLevels, portSettingSchema, wholeNumberSettingSchema, type SettingDefinitions, type SettingsOf,
 } from '#kernel';
 
+const optionalAddressSettingSchema = valibot.pipe(valibot.string(), valibot.regex(/^(?:[^\s:]+:\d+)?$/, 'must be host:port'));
+
 export const entrySettings = {
 	entry: {schema: entryIdSchema, description: 'Name of this entry'},
 	region: {schema: regionNameSchema, description: 'Region of this entry'},
@@ -12,6 +15,22 @@
 	'listen-host': {schema: valibot.string(), description: 'Address to listen on', default: '127.0.0.1'},
 	'listen-port': {schema: portSettingSchema, description: 'Port for callers', default: '8080'},
 	'peer-port': {schema: portSettingSchema, description: 'Port for agents and other entries', default: '8081'},
+	'layout-absence-milliseconds': {
+		schema: wholeNumberSettingSchema(0, 86_400_000),
+		description: 'How long a worker that vanished keeps its guaranteed cells',
+		default: String(defaultAbsenceDelayMilliseconds),
+	},
+	'advertised-peer-address': {
+		schema: optionalAddressSettingSchema, description: 'host:port where agents and other entries reach this entry; the listening address if empty', default: '',
+	},
+	'advertised-caller-address': {
+		schema: optionalAddressSettingSchema, description: 'host:port where operators reach this entry; the listening address if empty', default: '',
+	},
+	peers: {schema: addressListSettingSchema, description: 'Peer addresses of entries to connect to first, also while the store is down', default: ''},
+	'maximum-in-flight': {schema: wholeNumberSettingSchema(1, 100_000), description: 'Requests in flight at once in this entry', default: '4000'},
+	'maximum-in-flight-per-plan': {schema: wholeNumberSettingSchema(1, 100_000), description: 'Requests of one plan in flight at once in this entry', default: '1000'},
+	'forward-bytes-per-second': {schema: wholeNumberSettingSchema(0, 1_000_000_000), description: 'Bytes a second that forwarded requests may take of the link between regions', default: '250000'},
+	'notice-milliseconds': {schema: wholeNumberSettingSchema(0, 600_000), description: 'Time between reporting not ready and closing the listener, for the balancer to notice', default: '5000'},
 	seed: {schema: wholeNumberSettingSchema(0, 4_294_967_295), description: 'Seed of the random generator', default: '1'},
 	'log-level': {schema: valibot.picklist(logLevels, 'must be debug, info, warn or error'), description: 'Least severe level that is logged', default: 'info'},
 } as const satisfies SettingDefinitions;
--- a/packages/entry/start.ts
+++ b/packages/entry/start.ts
@@ -5,12 +5,16 @@
 import {listenForHttp, listenForPeers} from '#transport';
 import {entryPlugins} from './plugins.js';
 import './plugins/index.js';
+import {entryLeaseService} from './plugins/entry-lease.js';
+import {drainingService} from './plugins/operations.js';
+import {requestsService} from './plugins/requests.js';
 import type {EntrySettings} from './settings.js';
-import type {EntryContext} from './types.js';
+import type {EntryContext, ListeningPorts} from './types.js';
 
 /** Starts an entry. */
 export async function startEntry(settings: EntrySettings): Promise<RunningDaemon> {
 	const log = createProgramLog('dotterelnotch-entry', settings['log-level'], {entry: settings.entry});
+	let announceListening: (ports: ListeningPorts) => void = () => undefined;
 	const context: EntryContext = {
 		settings,
 		clock: systemClock,
@@ -18,6 +22,9 @@
 		log,
 		counters: createCounters(),
 		services: createServices(),
+		listening: new Promise(resolve => {
+			announceListening = resolve;
+		}),
 	};
 	const stopTasks = startTasks(entryPlugins, context);
 	const peers = await listenForPeers(settings['listen-host'], settings['peer-port'], {
@@ -29,11 +36,19 @@
 		log: log.part('http'),
 		countRefusal: context.counters.countRefusal,
 	});
+	announceListening({callers: http.port, peers: peers.port});
 	log.part('entry').info({port: http.port, peerPort: peers.port}, 'listening');
 	return {
 		ports: {http: http.port, peers: peers.port},
 		async stop() {
+			context.services.use(drainingService).begin();
+			log.part('entry').info({noticeMilliseconds: settings['notice-milliseconds']}, 'draining; reporting not ready');
+			await new Promise<void>(resolve => {
+				context.clock.schedule(settings['notice-milliseconds'], resolve);
+			});
 			await http.drain();
+			await context.services.use(requestsService).settled();
+			await context.services.use(entryLeaseService).stop();
 			stopTasks();
 			peers.close();
 		},
--- a/packages/placement/blocks.ts
+++ b/packages/placement/blocks.ts
@@ -1,63 +1,83 @@
 import {
-	assertNever, type GangShape, type JobId, type RackName, type WorkerId,
+	assertNever, type GangShape, type JobId,
 } from '#core';
-import type {AcceleratorUse} from './classify.js';
-import {compareScores, groupBy, listRuns} from './ground.js';
-import type {MemberPlacement, WorkerView} from './types.js';
+import {isOwned, type AcceleratorUse} from './classify.js';
+import {compareScores, groupBy} from './ground.js';
+import type {CellReference, MemberPlacement, WorkerView} from './types.js';
 
 /** A worker with what its accelerators are to one gang. */
 export type ClassifiedWorker = Readonly<{view: WorkerView; uses: readonly AcceleratorUse[]}>;
 
+/** The workers of a zone in the order of their names, for one gang. */
+export type ClassifiedZone = Readonly<{
+	workers: readonly ClassifiedWorker[];
+	/** The gang takes one own cell whole or leaves own cells alone. */
+	takesWholeCell: boolean;
+}>;
+
 /** Which accelerators a try to place a gang may take, beside its own free ones. */
-export type Admission = Readonly<{free: boolean; borrowable: boolean; evicted: ReadonlySet<JobId>}>;
+export type Admission = Readonly<{
+	free: boolean;
+	borrowable: boolean;
+	evicted: ReadonlySet<JobId>;
+	/** Blocks end where a cell ends, so that neighbouring small cells do not look like a large one. */
+	isWithinCell: boolean;
+}>;
 
 /** Neighbouring accelerators of one worker that a gang may take. */
-export type Block = Readonly<{
-	worker: WorkerId;
-	rack: RackName;
+export type Block = ClassifiedWorker & Readonly<{
 	start: number;
 	length: number;
-	uses: readonly AcceleratorUse[];
 	/** Members that fit into it. */
 	capacity: number;
 	/** Accelerators of the gang's own plan in it. */
 	owned: number;
 	/** Accelerators in cells of other plans. */
 	borrowed: number;
-	/** Whether another borrower holds accelerators of the worker, so that a reclaim there evicts somebody anyway. */
-	isBorrowedFrom: boolean;
 }>;
 
 /** Blocks that are close enough for a whole gang. */
-type Domain = Readonly<{blocks: readonly Block[]; capacity: number; owned: number; borrowed: number}>;
+type Domain = Readonly<{blocks: readonly Block[]; score: readonly number[]}>;
 
-/** Lists the blocks that hold at least one member. */
+/** Lists the blocks that hold at least one member, in one pass over the accelerators, since a zone may have thousands of workers. */
 export function listBlocks(workers: readonly ClassifiedWorker[], admission: Admission, acceleratorsPerMember: number): readonly Block[] {
 	const blocks: Block[] = [];
 	for (const {view, uses} of workers) {
-		for (const {start, length} of listRuns(uses, use => isAdmitted(use, admission))) {
-			if (length < acceleratorsPerMember) {
+		let start = 0;
+		let owned = 0;
+		let borrowed = 0;
+		for (let end = 0; end <= uses.length; end++) {
+			const use = uses[end];
+			const isCut = admission.isWithinCell && end > start && cellOf(use) !== cellOf(uses[end - 1]);
+			if (use !== undefined && isAdmitted(use, admission) && !isCut) {
+				owned += isOwned(use) ? 1 : 0;
+				borrowed += use.kind === 'borrowable' ? 1 : 0;
 				continue;
 			}
 
-			const inside = uses.slice(start, start + length);
-			blocks.push({
-				worker: view.worker,
-				rack: view.rack,
-				start,
-				length,
-				uses: inside,
-				capacity: Math.floor(length / acceleratorsPerMember),
-				owned: inside.filter(({kind}) => kind === 'own' || kind === 'reclaimable').length,
-				borrowed: inside.filter(({kind}) => kind === 'borrowable').length,
-				isBorrowedFrom: view.holdings.some(({preemptible}) => preemptible),
-			});
+			const length = end - start;
+			if (length >= acceleratorsPerMember) {
+				blocks.push({
+					view, uses, start, length, owned, borrowed, capacity: Math.floor(length / acceleratorsPerMember),
+				});
+			}
+
+			start = isCut ? end : end + 1;
+			owned = 0;
+			borrowed = 0;
+			if (isCut) {
+				end--;
+			}
 		}
 	}
 
 	return blocks;
 }
 
+function cellOf(use: AcceleratorUse | undefined): CellReference | undefined {
+	return use?.kind === 'own' || use?.kind === 'reclaimable' ? use.cell : undefined;
+}
+
 export function isAdmitted(use: AcceleratorUse, {free, borrowable, evicted}: Admission): boolean {
 	switch (use.kind) {
 		case 'own': {
@@ -86,15 +106,20 @@
 	}
 }
 
-/** Groups blocks by what the adjacency of a gang allows: one worker, one rack or the whole zone. */
-export function listDomains(blocks: readonly Block[], adjacency: GangShape['adjacency']): ReadonlyArray<readonly Block[]> {
+/** Groups blocks by what the adjacency of a gang allows: one worker, one rack or the whole zone, and where asked for by their cell. */
+export function listDomains(blocks: readonly Block[], adjacency: GangShape['adjacency'], {isWithinCell}: Pick<Admission, 'isWithinCell'>): ReadonlyArray<readonly Block[]> {
+	const groups = isWithinCell ? [...groupBy(blocks, ({uses, start}) => cellOf(uses[start])?.position).values()] : [blocks];
+	return groups.flatMap(group => splitByAdjacency(group, adjacency));
+}
+
+function splitByAdjacency(blocks: readonly Block[], adjacency: GangShape['adjacency']): ReadonlyArray<readonly Block[]> {
 	switch (adjacency) {
 		case 'worker': {
-			return [...groupBy(blocks, ({worker}) => worker).values()];
+			return [...groupBy(blocks, ({view}) => view.worker).values()];
 		}
 
 		case 'rack': {
-			return [...groupBy(blocks, ({rack}) => rack).values()];
+			return [...groupBy(blocks, ({view}) => view.rack).values()];
 		}
 
 		case 'zone': {
@@ -115,45 +140,47 @@
 /**
 Places the members into the fullest domain that holds all of them, and there into the shortest blocks.
 
-Domains with own accelerators go first and those without borrowed ones before others; the rest of the order keeps long blocks and empty racks whole.
+Domains with enough own accelerators go first and those without borrowed ones before others; the rest of the order keeps long blocks and empty racks whole.
 */
-export function fillBlocks(blocks: readonly Block[], {members, acceleratorsPerMember, adjacency}: GangShape): readonly MemberPlacement[] | undefined {
+export function fillBlocks(blocks: readonly Block[], {members, acceleratorsPerMember, adjacency}: GangShape, admission: Admission): readonly MemberPlacement[] | undefined {
 	let best: Domain | undefined;
-	for (const group of listDomains(blocks, adjacency)) {
-		const domain = summarize(group);
-		if (domain.capacity >= members && (best === undefined || compareScores(scoreDomain(domain), scoreDomain(best)) < 0)) {
-			best = domain;
+	for (const inside of listDomains(blocks, adjacency, admission)) {
+		if (countCapacity(inside) >= members) {
+			const score = scoreDomain(inside, members * acceleratorsPerMember);
+			if (best === undefined || compareScores(score, best.score) < 0) {
+				best = {blocks: inside, score};
+			}
 		}
 	}
 
 	return best === undefined ? undefined : fillDomain(best, members, acceleratorsPerMember);
 }
 
-function summarize(blocks: readonly Block[]): Domain {
-	return {
-		blocks,
-		capacity: countCapacity(blocks),
-		owned: blocks.reduce((sum, {owned}) => sum + owned, 0),
-		borrowed: blocks.reduce((sum, {borrowed}) => sum + borrowed, 0),
-	};
-}
+function scoreDomain(blocks: readonly Block[], needed: number): readonly number[] {
+	let owned = 0;
+	let borrowed = 0;
+	let total = 0;
+	for (const block of blocks) {
+		owned += block.owned;
+		borrowed += block.borrowed;
+		total += block.length;
+	}
 
-function scoreDomain({capacity, owned, borrowed, blocks}: Domain): readonly number[] {
-	return [-owned, borrowed, capacity, blocks.reduce((sum, {length}) => sum + length, 0)];
+	return [Math.max(0, needed - owned), borrowed, countCapacity(blocks), total];
 }
 
 function fillDomain({blocks}: Domain, members: number, acceleratorsPerMember: number): readonly MemberPlacement[] {
-	const capacityOfRack = new Map([...groupBy(blocks, ({rack}) => rack)].map(([rack, inside]) => [rack, countCapacity(inside)]));
-	const scored = blocks.map(block => ({block, score: scoreBlock(block, capacityOfRack.get(block.rack) ?? 0)}));
+	const capacityOfRack = new Map([...groupBy(blocks, ({view}) => view.rack)].map(([rack, inside]) => [rack, countCapacity(inside)]));
+	const ranked = blocks.map<RankedBlock>(block => ({block, borrowing: weighBorrowing(block), capacityOfRack: capacityOfRack.get(block.view.rack) ?? 0}));
 	const placements: MemberPlacement[] = [];
-	for (const {block} of scored.toSorted((left, right) => compareScores(left.score, right.score))) {
+	for (const {block} of ranked.toSorted(compareRanks)) {
 		const count = Math.min(block.capacity, members - placements.length);
 		const first = block.start + chooseOffset(block, count * acceleratorsPerMember);
 		for (let position = 0; position < count; position++) {
 			const start = first + (position * acceleratorsPerMember);
 			placements.push({
 				member: placements.length,
-				worker: block.worker,
+				worker: block.view.worker,
 				accelerators: Array.from({length: acceleratorsPerMember}, (_, offset) => start + offset),
 			});
 		}
@@ -166,16 +193,27 @@
 	return placements;
 }
 
-/** Own accelerators first, then blocks that nobody is guaranteed, then those where a reclaim evicts a borrower anyway. */
-function scoreBlock({owned, borrowed, isBorrowedFrom, length}: Block, capacityOfRack: number): readonly number[] {
-	return [owned > 0 ? 0 : 1, borrowed, borrowed > 0 && !isBorrowedFrom ? 1 : 0, length, capacityOfRack];
+type RankedBlock = Readonly<{block: Block; borrowing: number; capacityOfRack: number}>;
+
+/** Borrowing from a worker without borrowers ranks last, since a reclaim there would evict somebody who was safe before. */
+function weighBorrowing({borrowed, length, view}: Block): number {
+	const isUntouched = borrowed > 0 && !view.holdings.some(({preemptible}) => preemptible);
+	return isUntouched ? borrowed + length : borrowed;
+}
+
+/** Own accelerators first, then blocks that nobody is guaranteed, and among these the shortest in the fullest rack. */
+function compareRanks(first: RankedBlock, second: RankedBlock): number {
+	return (Number(second.block.owned > 0) - Number(first.block.owned > 0))
+		|| (first.borrowing - second.borrowing)
+		|| (first.block.length - second.block.length)
+		|| (first.capacityOfRack - second.capacityOfRack);
 }
 
 /** Where in a block the members go: on own accelerators first, on borrowed ones last, and at an end of the block rather than in its middle. */
-function chooseOffset({uses, length}: Block, wanted: number): number {
+function chooseOffset({uses, start, length}: Block, wanted: number): number {
 	let best: Readonly<{offset: number; score: readonly number[]}> | undefined;
 	for (let offset = 0; offset + wanted <= length; offset++) {
-		const weight = uses.slice(offset, offset + wanted).reduce((sum, use) => sum + weightOf(use), 0);
+		const weight = uses.slice(start + offset, start + offset + wanted).reduce((sum, use) => sum + weightOf(use), 0);
 		const score = [weight, Math.min(offset, length - offset - wanted)];
 		if (best === undefined || compareScores(score, best.score) < 0) {
 			best = {offset, score};
--- a/packages/reservations/types.ts
+++ b/packages/reservations/types.ts
@@ -117,6 +117,8 @@
 	| Readonly<{kind: 'task-finished'; task: TaskReference; status: RunResult['status']; body: unknown}>
 	/** The worker has stopped the task, or never had it. */
 	| Readonly<{kind: 'task-stopped'; task: TaskReference; wasStarted: boolean}>
+	/** The worker does not answer about the task; it is stopped once the worker answers again. */
+	| Readonly<{kind: 'task-lost'; task: TaskReference}>
 	| Readonly<{kind: 'task-checkpointed'; task: TaskReference; checkpoint: unknown}>
 	| TaskReference & Readonly<{kind: 'ended-acknowledged'}>
 	| Readonly<{kind: 'worker-cleared'}>
@@ -144,7 +146,7 @@
 		accelerators: readonly AcceleratorIndex[];
 		leaseMilliseconds: Milliseconds;
 	}>
-	| Readonly<{kind: 'renew-task'; task: TaskReference; leaseMilliseconds: Milliseconds}>
+	| Readonly<{kind: 'renew-tasks'; tasks: readonly TaskReference[]; leaseMilliseconds: Milliseconds}>
 	| Readonly<{kind: 'checkpoint-task'; task: TaskReference}>
 	| Readonly<{kind: 'stop-task'; task: TaskReference}>
 	| Readonly<{kind: 'notify-ended'; job: JobId; attempt: number; member: number; state: MemberState}>
