--- a/packages/command-line/lists-file.ts
+++ b/packages/command-line/lists-file.ts
@@ -31,7 +31,7 @@
 	const input: unknown = document.toJS();
 	const locate = ({place, message}: Finding) => `${file}:${findLine(document, lineCounter, place)}: ${formatFinding({place, message})}`;
 	const base = checkInput(baseSchema, input, 'lists');
-	const checked = validateLists(withoutRevision(input));
+	const checked = validateLists(withoutOwnKeys(input));
 	if (checked.kind === 'valid' && base.kind === 'valid') {
 		return {lists: checked.value, base: base.value.revision, locate};
 	}
@@ -40,12 +40,13 @@
 	throw new BadInputError([...new Set(findings.map(finding => locate(finding)))]);
 }
 
-function withoutRevision(input: unknown): unknown {
+/** Leaves out what a file has besides the lists: its base and the schema that its editor uses. */
+function withoutOwnKeys(input: unknown): unknown {
 	if (typeof input !== 'object' || input === null || Array.isArray(input)) {
 		return input;
 	}
 
-	return Object.fromEntries(Object.entries(input).filter(([key]) => key !== 'revision'));
+	return Object.fromEntries(Object.entries(input).filter(([key]) => key !== 'revision' && key !== '$schema'));
 }
 
 /** Finds the line of a place, or of the nearest element around it that the file has. */
--- a/packages/entry/entries.ts
+++ b/packages/entry/entries.ts
@@ -3,7 +3,7 @@
 } from '#core';
 import type {Present} from '#kernel';
 import {
-	peerExchangeIntervalMilliseconds, peerRedialMaximumMilliseconds, peerRedialMinimumMilliseconds, type EntryRecord, type ZoneSummary,
+	peerExchangeIntervalMilliseconds, peerRedialMaximumMilliseconds, peerRedialMinimumMilliseconds, type EntryAddress, type EntryRecord, type ZoneSummary,
 } from '#protocol';
 import type {RpcPeer} from '#transport';
 
@@ -115,6 +115,17 @@
 	}
 }
 
+/** Entries of this entry's zone, itself included, as agents are told. */
+export function listZoneEntries({self, records}: EntriesState): readonly EntryAddress[] {
+	if (self === undefined) {
+		return [];
+	}
+
+	return [self, ...records.values()]
+		.filter(({zone}) => zone === self.zone)
+		.map(({entry, peerAddress}) => ({entry, address: peerAddress}));
+}
+
 function unchanged(state: EntriesState): EntriesStep {
 	return {state, effects: []};
 }
--- a/packages/entry/plugins/announce-agent.ts
+++ b/packages/entry/plugins/announce-agent.ts
@@ -1,6 +1,8 @@
 import {announceParametersSchema, type AnnounceParameters} from '#protocol';
+import {listZoneEntries} from '../entries.js';
 import {entryPlugins} from '../plugins.js';
 import {connectionsService} from './connections.js';
+import {entriesService} from './entries.js';
 import {layoutService} from './layout-task.js';
 import {membershipService} from './membership.js';
 
@@ -25,6 +27,6 @@
 			membership.send({kind: 'disconnected', worker, incarnation});
 		});
 		const slice = services.use(layoutService).chooseSlice(worker, {configurationRevision, layoutRevision});
-		return {entry: settings.entry, entries: [], ...(slice === undefined ? {} : {slice})};
+		return {entry: settings.entry, entries: listZoneEntries(services.use(entriesService).read()), ...(slice === undefined ? {} : {slice})};
 	},
 });
--- a/packages/entry/plugins/report-agent.ts
+++ b/packages/entry/plugins/report-agent.ts
@@ -1,6 +1,8 @@
 import {reportParametersSchema, type ReportParameters} from '#protocol';
+import {listZoneEntries} from '../entries.js';
 import {entryPlugins} from '../plugins.js';
 import {connectionsService} from './connections.js';
+import {entriesService} from './entries.js';
 import {layoutService} from './layout-task.js';
 import {membershipService} from './membership.js';
 
@@ -19,7 +21,7 @@
 					kind: 'reported', worker, incarnation: agent.incarnation, load, holdings, configurationRevision, layoutRevision,
 				});
 				const slice = services.use(layoutService).chooseSlice(worker, {configurationRevision, layoutRevision});
-				return slice === undefined ? {} : {slice};
+				return {entries: listZoneEntries(services.use(entriesService).read()), ...(slice === undefined ? {} : {slice})};
 			}
 		}
 
--- a/packages/entry/plugins/show-fleet.ts
+++ b/packages/entry/plugins/show-fleet.ts
@@ -1,5 +1,6 @@
 import {entryPlugins} from '../plugins.js';
 import {entriesService} from './entries.js';
+import {layoutService} from './layout-task.js';
 import {membershipService} from './membership.js';
 import {configurationService, configurationWatchService} from './watch-configuration.js';
 
@@ -17,6 +18,7 @@
 				region: settings.region,
 				zone: settings.zone,
 				configurationRevision: services.use(configurationService).read().current?.revision ?? 0,
+				layoutRevision: services.use(layoutService).read()?.revision ?? 0,
 				isStoreAvailable: services.use(configurationWatchService).isCurrent(),
 				agentsByConfigurationRevision: countBy(agents.map(agent => agent.configurationRevision)),
 				agentsByLayoutRevision: countBy(agents.map(agent => agent.layoutRevision)),
--- a/packages/protocol/types.ts
+++ b/packages/protocol/types.ts
@@ -81,7 +81,7 @@
 });
 export type ReportParameters = Readonly<valibot.InferOutput<typeof reportParametersSchema>>;
 
-/** The slice is present only if it is newer than what the agent reported; likewise the list of entries. */
+/** The slice is present only if it is newer than what the agent reported. The entries are those of the agent's zone. */
 export const reportResultSchema = valibot.object({
 	slice: valibot.optional(sliceSchema),
 	entries: valibot.optional(valibot.pipe(valibot.array(entryAddressSchema), valibot.readonly())),
--- a/test/processes/configuration.test.ts
+++ b/test/processes/configuration.test.ts
@@ -1,3 +1,4 @@
+import {execFile} from 'node:child_process';
 import {expect} from 'chai';
 import {configurationKey} from '#configuration';
 import {createHttpStore, type KeyValueStore} from '#store';
@@ -19,8 +20,10 @@
 
 type Fixture = Readonly<{
 	store: KeyValueStore;
+	storeOrigin: string;
 	switchOutage(outage: boolean): Promise<void>;
 	startEntry(entry: string, peers: readonly Daemon[]): Promise<Daemon>;
+	startAgent(entry: Daemon): Promise<Daemon>;
 	write(revision: number): Promise<void>;
 }>;
 
@@ -101,8 +104,41 @@
 			expect(await store.read('entries/north-a/entry-1')).to.deep.equal({kind: 'absent'});
 		},
 	},
+	{
+		name: 'put --wait ends only when entries and agents have the revision, within the 13 s that it may take',
+		async run({startEntry, startAgent, storeOrigin}) {
+			const first = await startEntry('entry-1', []);
+			const second = await startEntry('entry-2', []);
+			await startAgent(first);
+			await waitForPeers(first, ['entry-2']);
+			await waitForAgents(first, 1);
+			await waitForAgents(second, 1);
+			const put = await runProgram(['put', 'examples/maracas-bay-snowcraft-academy.yaml', '--wait', '--wait-seconds=13', `--store-origin=${storeOrigin}`]);
+			expect(put, put.errors).to.include({exitCode: 0});
+			expect(put.output.trimEnd().split('\n').at(-1)).to.equal('revision 1 is in force on 2 of 2 entries and 1 of 1 agents');
+			const fleet = await runProgram(['fleet', '--agents', `--entry-origin=${originOf(first)}`]);
+			expect(fleet.output).to.match(/entry-2 +north +north-a +1 +available +1 of 1 +1 +1: 1/);
+			expect(fleet.output).to.match(/worker-1 +north-a +rack-1 +present +1/);
+		},
+	},
 ];
 
+async function waitForAgents(daemon: Daemon, expected: number): Promise<void> {
+	await waitFor(`${expected} agents`, async () => {
+		const fleet = await ask(originOf(daemon), '/v1/fleet');
+		return (fleet?.['agents'] as readonly unknown[] | undefined)?.length === expected ? true : undefined;
+	});
+}
+
+/** Runs the command line as a process of its own. */
+async function runProgram(words: readonly string[]): Promise<Readonly<{exitCode: number | null; output: string; errors: string}>> {
+	return new Promise(resolve => {
+		const child = execFile(process.execPath, ['dist/dotterelnotch.mjs', ...words], (_error, output, errors) => {
+			resolve({exitCode: child.exitCode, output, errors});
+		});
+	});
+}
+
 describe('configuration across entries', () => {
 	for (const {name, run} of cases) {
 		it(name, async () => {
@@ -114,6 +150,7 @@
 			try {
 				await run({
 					store,
+					storeOrigin: originOf(service),
 					async switchOutage(outage) {
 						await control.send('POST', '/switches', {body: {outage}, timeout});
 					},
@@ -125,6 +162,15 @@
 						daemons.push(daemon);
 						return daemon;
 					},
+					async startAgent(entry) {
+						const worker = await startDaemon('stand-in-worker', {'listen-port': 0});
+						const agent = await startDaemon('dotterelnotch-agent', {
+							worker: 'worker-1', region: 'north', zone: 'north-a', rack: 'rack-1', 'log-level': 'error',
+							'worker-origin': originOf(worker), entries: `127.0.0.1:${entry.ports['peers']}`,
+						});
+						daemons.push(worker, agent);
+						return agent;
+					},
 					async write(revision) {
 						const present = await store.read(configurationKey);
 						await store.write(configurationKey, {
