--- a/packages/entry/start.ts
+++ b/packages/entry/start.ts
@@ -6,6 +6,8 @@
 import {entryPlugins} from './plugins.js';
 import './plugins/index.js';
 import {entryLeaseService} from './plugins/entry-lease.js';
+import {drainingService} from './plugins/operations.js';
+import {requestsService} from './plugins/requests.js';
 import type {EntrySettings} from './settings.js';
 import type {EntryContext, ListeningPorts} from './types.js';
 
@@ -39,7 +41,13 @@
 	return {
 		ports: {http: http.port, peers: peers.port},
 		async stop() {
+			context.services.use(drainingService).begin();
+			log.part('entry').info({noticeMilliseconds: settings['notice-milliseconds']}, 'draining; reporting not ready');
+			await new Promise<void>(resolve => {
+				context.clock.schedule(settings['notice-milliseconds'], resolve);
+			});
 			await http.drain();
+			await context.services.use(requestsService).settled();
 			await context.services.use(entryLeaseService).stop();
 			stopTasks();
 			peers.close();
