--- a/packages/client/client.ts
+++ b/packages/client/client.ts
@@ -4,7 +4,9 @@
 import {createHttpClient, type HttpClient, type HttpResult} from '#transport';
 import {callMilliseconds, maximumClientConnections, requestAttemptMilliseconds} from './constants.js';
 import {decideNext, type SubmissionState} from './decide.js';
-import type {Client, SubmissionAnswer, SubmissionOutcome} from './types.js';
+import type {
+	Client, FindReply, SubmissionAnswer, SubmissionOutcome,
+} from './types.js';
 import {
 	decodeJobStatus, decodeJobSubmission, decodeRequestStatus, decodeRequestSubmission,
 } from './wire.js';
@@ -69,7 +71,32 @@
 		}
 	};
 
-	const ask = async (method: 'GET' | 'DELETE', path: string) => clientOf(0).send(method, path, {timeout: callMilliseconds});
+	// An entry that cannot be reached or does not know the identifier says nothing about what another one knows.
+	const ask = async <Status>(method: 'GET' | 'DELETE', path: string, decode: (result: HttpResult) => FindReply<Status>): Promise<FindReply<Status>> => {
+		let isAbsent = false;
+		let message = '';
+		for (const client of clients) {
+			const reply = decode(await client.send(method, path, {timeout: callMilliseconds}));
+			switch (reply.kind) {
+				case 'found':
+				case 'invalid': {
+					return reply;
+				}
+
+				case 'absent': {
+					isAbsent = true;
+					break;
+				}
+
+				case 'unavailable': {
+					message = reply.message;
+				}
+			}
+		}
+
+		return isAbsent ? {kind: 'absent'} : {kind: 'unavailable', message};
+	};
+
 	const requestPath = (requestId: string) => `/v1/requests/${encodeURIComponent(requestId)}`;
 	const jobPath = (jobId: string) => `/v1/jobs/${encodeURIComponent(jobId)}`;
 
@@ -80,16 +107,16 @@
 				path: '/v1/requests', body: {...submission, requestId: id}, timeout: requestAttemptMilliseconds, decode: decodeRequestSubmission,
 			});
 		},
-		findRequest: async requestId => decodeRequestStatus(await ask('GET', requestPath(requestId))),
-		cancelRequest: async requestId => decodeRequestStatus(await ask('DELETE', requestPath(requestId))),
+		findRequest: async requestId => ask('GET', requestPath(requestId), decodeRequestStatus),
+		cancelRequest: async requestId => ask('DELETE', requestPath(requestId), decodeRequestStatus),
 		async submitJob(submission, {isRetry = false} = {}) {
 			const id = submission.jobId ?? createIdentifier();
 			return submit({id, attempts: 0, isUncertain: isRetry}, {
 				path: '/v1/jobs', body: {...submission, jobId: id}, timeout: callMilliseconds, decode: decodeJobSubmission,
 			});
 		},
-		findJob: async jobId => decodeJobStatus(await ask('GET', jobPath(jobId))),
-		cancelJob: async jobId => decodeJobStatus(await ask('DELETE', jobPath(jobId))),
+		findJob: async jobId => ask('GET', jobPath(jobId), decodeJobStatus),
+		cancelJob: async jobId => ask('DELETE', jobPath(jobId), decodeJobStatus),
 		async close() {
 			await Promise.all(clients.map(async client => client.close()));
 		},
--- a/test/client/client.test.ts
+++ b/test/client/client.test.ts
@@ -107,3 +107,32 @@
 		});
 	}
 });
+
+type FindCase = Readonly<{name: string; answers: readonly [HttpResult, HttpResult]; expected: Readonly<Record<string, unknown>>}>;
+
+const found = problem(200, {jobId: 'id-1', state: 'running'});
+const absent = problem(404, {reason: 'not-found'});
+
+const findCases: readonly FindCase[] = [
+	{name: 'a dead entry does not hide what another one knows', answers: [neverSent, found], expected: {kind: 'found'}},
+	{name: 'an entry that does not know a job does not hide what another one knows', answers: [absent, found], expected: {kind: 'found'}},
+	{name: 'a dead entry is no evidence that nobody knows the job', answers: [neverSent, absent], expected: {kind: 'absent'}},
+	{name: 'unreachable entries are not taken for an absent job', answers: [neverSent, neverSent], expected: {kind: 'unavailable'}},
+];
+
+describe('looking up through several entries', () => {
+	for (const {name, answers, expected} of findCases) {
+		it(name, async () => {
+			const client = createClient({
+				origins: ['http://first', 'http://second'],
+				clock: createVirtualClock(),
+				random: createRandomSource(1),
+				connect: origin => ({
+					send: async () => origin === 'http://first' ? answers[0] : answers[1],
+					async close() {/* There is no connection. */},
+				}),
+			});
+			expect(await client.findJob('id-1')).to.deep.include(expected);
+		});
+	}
+});
