Let a plan's own preemptible gang give way on its agent too

placeGang names a preemptible gang of the same plan among the evictions when it sits in the guaranteed cell; the agent refused that claim with accelerators-busy, so the placement would have been tried for as long as the preemptible gang ran. Two preemptible gangs of one plan still do not evict each other.

--- a/packages/placement/place-gang.ts
+++ b/packages/placement/place-gang.ts
@@ -26,6 +26,11 @@
 ```
 */
 export function placeGang(view: ZoneView, gang: GangRequest): Placement {
+	const detail = explainImpossible(view, gang);
+	if (detail !== undefined) {
+		return {kind: 'impossible', reason: 'impossible-shape', detail};
+	}
+
 	const zone = classifyZone(view, gang);
 	const owners = zone.workers.filter(({uses}) => uses.some(isOwned));
 	for (const admission of listAdmissions(zone, gang)) {
@@ -40,10 +45,7 @@
 		return {kind: 'placed', ...reclaimed};
 	}
 
-	const detail = explainImpossible(view, gang);
-	return detail === undefined
-		? {kind: 'waiting', reason: 'accelerators-busy'}
-		: {kind: 'impossible', reason: 'impossible-shape', detail};
+	return {kind: 'waiting', reason: 'accelerators-busy'};
 }
 
 /** Classifies the accelerators of every worker, in the order of worker names. */
--- a/packages/reservations/conflicts.ts
+++ b/packages/reservations/conflicts.ts
@@ -75,7 +75,9 @@
 }
 
 function judgeHolder(state: ReservationState, claim: Claim, holder: GangRecord, shared: readonly AcceleratorIndex[]): Verdict {
-	const isReclaim = holder.plan !== claim.plan && shared.some(accelerator => ownerOf(state, accelerator) === claim.plan);
+	// A plan's own preemptible gang must not keep the plan from the shape that it is guaranteed.
+	const givesWay = holder.plan !== claim.plan || (holder.preemptible && !claim.preemptible);
+	const isReclaim = givesWay && shared.some(accelerator => ownerOf(state, accelerator) === claim.plan);
 	const isBorrow = holder.plan !== claim.plan && shared.some(accelerator => ownerOf(state, accelerator) === holder.plan);
 	switch (holder.phase.kind) {
 		case 'reclaiming':
--- /dev/null
+++ b/test/reservations/own-plan.test.ts
@@ -0,0 +1,53 @@
+import {expect} from 'chai';
+import type {JobId, PlanName} from '#core';
+import {decideConflicts} from '../../packages/reservations/conflicts.js';
+import {createReservationState, putGang} from '../../packages/reservations/state.js';
+
+type Case = Readonly<{name: string; isHolderPreemptible: boolean; isClaimPreemptible: boolean; expected: 'evicted' | 'accelerators-busy'}>;
+
+const cases: readonly Case[] = [
+	{
+		name: 'a preemptible gang gives way to a gang of its own plan in the cell, or it keeps the plan from its guaranteed shape',
+		isHolderPreemptible: true,
+		isClaimPreemptible: false,
+		expected: 'evicted',
+	},
+	{
+		name: 'two preemptible gangs of one plan do not evict each other in turn',
+		isHolderPreemptible: true,
+		isClaimPreemptible: true,
+		expected: 'accelerators-busy',
+	},
+	{
+		name: 'a gang that may not be preempted is not evicted by its own plan',
+		isHolderPreemptible: false,
+		isClaimPreemptible: false,
+		expected: 'accelerators-busy',
+	},
+];
+
+describe('reclaim from gangs of the same plan', () => {
+	for (const {name, isHolderPreemptible, isClaimPreemptible, expected} of cases) {
+		it(name, () => {
+			const plan = 'a' as PlanName;
+			const empty = createReservationState({accelerators: 2, graceMilliseconds: 2000, acceptsFrom: 0});
+			const state = putGang({...empty, cells: [{plan, accelerators: [0, 1]}]}, {
+				job: 'holder' as JobId,
+				attempt: 1,
+				taskAttempt: 1,
+				plan,
+				submittedAt: 0,
+				preemptible: isHolderPreemptible,
+				members: [{
+					member: 0, accelerators: [0], state: {kind: 'running'}, startedAt: 0, notice: {kind: 'none'},
+				}],
+				phase: {kind: 'started', leaseEndsAt: 10_000},
+				waiting: [],
+			});
+			const decision = decideConflicts(state, {
+				job: 'claim' as JobId, attempt: 1, plan, submittedAt: 1, preemptible: isClaimPreemptible, members: [{member: 0, accelerators: [0, 1]}],
+			});
+			expect(decision.kind === 'granted' ? decision.evicted.map(() => 'evicted') : [decision.reason]).to.deep.equal([expected]);
+		});
+	}
+});
