--- a/demo/callers.ts
+++ b/demo/callers.ts
@@ -96,7 +96,7 @@
 	for (;;) {
 		const reply = await client.findJob(jobId);
 		const outcome = reply.kind === 'found' ? reply.status.outcome : undefined;
-		if (reply.kind === 'found' && (outcome === 'completed' || outcome === 'not-run' || outcome === 'unknown')) {
+		if (reply.kind === 'found' && (outcome === 'completed' || outcome === 'not-run' || outcome === 'stopped' || outcome === 'unknown')) {
 			const reason = reply.status.reason ?? reply.status.state;
 			return {outcome, reason, isOwnResult: outcome === 'completed' && JSON.stringify(reply.status.results).includes(jobId)};
 		}
@@ -117,3 +117,9 @@
 function holdsMark(result: RunResult, mark: string): boolean {
 	return JSON.stringify(result.body).includes(mark);
 }
+
+/** The platform's balancer sends each caller to another entry first. */
+export function rotateOrigins(origins: readonly string[], index: number): readonly [string, ...string[]] {
+	const first = index % origins.length;
+	return [...origins.slice(first), ...origins.slice(0, first)] as unknown as readonly [string, ...string[]];
+}
--- a/demo/compare.ts
+++ b/demo/compare.ts
@@ -13,7 +13,7 @@
 		submitted: told.length,
 		completed: countOutcome('completed'),
 		notRun: countOutcome('not-run'),
-		unknown: countOutcome('unknown'),
+		unknown: countOutcome('unknown') + countOutcome('stopped'),
 		lost: count('lost'),
 		doubled: count('doubled'),
 		misreported: count('misreported'),
@@ -63,6 +63,10 @@
 			return executions.length > 0;
 		}
 
+		case 'stopped': {
+			return executions.length === 0;
+		}
+
 		case 'unknown':
 		case 'none': {
 			return false;
--- a/demo/demo.ts
+++ b/demo/demo.ts
@@ -3,12 +3,13 @@
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import {createRandomSource} from '#core';
-import {killAll, waitFor, type Daemon} from '#test/support/processes';
-import {createHttpClient} from '#transport';
+import {killAll, type Daemon} from '#test/support/processes';
 import {listArrivals, type Arrival} from './arrivals.js';
-import {callFor} from './callers.js';
+import {callFor, rotateOrigins} from './callers.js';
 import {compareWithRecords} from './compare.js';
-import {startFleet, startFleetStore, type Fleet} from './fleet.js';
+import {
+	demoZones, startFleet, startFleetStore, waitUntilReady, type Fleet,
+} from './fleet.js';
 import {readExecutions} from './records.js';
 import {formatComparison, formatReport} from './report.js';
 import type {Told} from './types.js';
@@ -17,7 +18,6 @@
 /** One agent is stopped gracefully and one entry is killed at these times after the start of the load. */
 const stopAgentAt = 4000;
 const killEntryAt = 7000;
-const callTimeout = 2000;
 
 function print(line: string): void {
 	process.stdout.write(`${line}\n`);
@@ -33,26 +33,11 @@
 	}
 }
 
-/** Waits until every entry knows the configuration and its agents. */
-async function waitUntilReady({entries, workers}: Fleet): Promise<void> {
-	await Promise.all(entries.map(async ({origin, name, zone}) => {
-		const client = createHttpClient(origin, 1);
-		const expected = workers.filter(worker => worker.zone === zone).length;
-		await waitFor(`entry ${name}`, async () => {
-			const reply = await client.send('GET', '/v1/fleet', {timeout: callTimeout});
-			const agents = reply.kind === 'answered' ? (reply.body as Readonly<{agents?: ReadonlyArray<Readonly<{configurationRevision: number}>>}>).agents ?? [] : [];
-			const isReady = agents.length === expected && agents.every(({configurationRevision}) => configurationRevision > 0);
-			return isReady ? true : undefined;
-		});
-		await client.close();
-	}));
-}
-
 async function runLoad(arrivals: readonly Arrival[], fleet: Fleet): Promise<readonly Told[]> {
 	const startedAt = Date.now();
 	const calls = arrivals.map(async (arrival, index) => {
 		await delay(Math.max(0, startedAt + arrival.at - Date.now()));
-		return callFor(arrival, rotate(fleet.entries.map(({origin}) => origin), index));
+		return callFor(arrival, rotateOrigins(fleet.entries.map(({origin}) => origin), index));
 	});
 	const faults = [
 		(async () => {
@@ -71,19 +56,13 @@
 	return told;
 }
 
-/** The platform's balancer sends each caller to another entry first. */
-function rotate(origins: readonly string[], index: number): readonly [string, ...string[]] {
-	const first = index % origins.length;
-	return [...origins.slice(first), ...origins.slice(0, first)] as unknown as readonly [string, ...string[]];
-}
-
 async function run(): Promise<number> {
 	const daemons: Daemon[] = [];
 	try {
 		const store = await startFleetStore();
 		daemons.push(store.store);
 		await putLists(store.storeOrigin);
-		const fleet = await startFleet(store);
+		const fleet = await startFleet(store, demoZones);
 		daemons.push(...fleet.daemons);
 		await waitUntilReady(fleet);
 		const arrivals = listArrivals(createRandomSource(seed));
--- a/demo/fleet.ts
+++ b/demo/fleet.ts
@@ -1,7 +1,17 @@
 /** Starts the stand-ins and programs of the demonstration as separate processes in two regions and three availability zones. */
-import {startDaemon, type Daemon} from '#test/support/processes';
+import {startDaemon, waitFor, type Daemon} from '#test/support/processes';
+import {createHttpClient} from '#transport';
+
+export type FleetWorker = Readonly<{
+	name: string;
+	zone: string;
+	origin: string;
+	worker: Daemon;
+	agent: Daemon;
+	/** Settings of the agent, to start a replacement with. */
+	agentSettings: Readonly<Record<string, string | number>>;
+}>;
 
-export type FleetWorker = Readonly<{name: string; zone: string; origin: string; worker: Daemon; agent: Daemon}>;
 export type FleetEntry = Readonly<{name: string; zone: string; origin: string; daemon: Daemon}>;
 
 export type Fleet = Readonly<{
@@ -12,9 +22,10 @@
 	daemons: readonly Daemon[];
 }>;
 
-type ZonePlan = Readonly<{region: string; zone: string; entries: number; workers: number}>;
+export type ZonePlan = Readonly<{region: string; zone: string; entries: number; workers: number}>;
 
-const zones: readonly ZonePlan[] = [
+/** Two regions with three availability zones, as the users have them. */
+export const demoZones: readonly ZonePlan[] = [
 	{
 		region: 'north', zone: 'north-a', entries: 2, workers: 3,
 	},
@@ -27,6 +38,7 @@
 ];
 
 export const acceleratorsPerWorker = 8;
+const callTimeout = 2000;
 
 /** Starts the stand-in of the platform's key-value service. */
 export async function startFleetStore(): Promise<Readonly<{store: Daemon; storeOrigin: string}>> {
@@ -35,7 +47,7 @@
 }
 
 /** Starts every entry, worker and agent. */
-export async function startFleet({store, storeOrigin}: Readonly<{store: Daemon; storeOrigin: string}>): Promise<Fleet> {
+export async function startFleet({store, storeOrigin}: Readonly<{store: Daemon; storeOrigin: string}>, zones: readonly ZonePlan[]): Promise<Fleet> {
 	const parts = await Promise.all(zones.map(async zone => startZone(zone, storeOrigin)));
 	const entries = parts.flatMap(part => part.entries);
 	const workers = parts.flatMap(part => part.workers);
@@ -64,12 +76,27 @@
 		const name = `worker-${zone}-${index + 1}`;
 		const worker = await startDaemon('stand-in-worker', {'listen-port': 0});
 		const origin = `http://127.0.0.1:${worker.ports['http']}`;
-		const agent = await startDaemon('dotterelnotch-agent', {
+		const agentSettings = {
 			worker: name, region, zone, rack: `rack-${zone}-1`, 'worker-origin': origin, entries: seeds, accelerators: acceleratorsPerWorker, 'log-level': 'error',
-		});
+		};
 		return {
-			name, zone, origin, worker, agent,
+			name, zone, origin, worker, agent: await startDaemon('dotterelnotch-agent', agentSettings), agentSettings,
 		};
 	}));
 	return {entries, workers};
 }
+
+/** Waits until every entry knows the configuration and its agents. */
+export async function waitUntilReady({entries, workers}: Fleet): Promise<void> {
+	await Promise.all(entries.map(async ({origin, name, zone}) => {
+		const client = createHttpClient(origin, 1);
+		const expected = workers.filter(worker => worker.zone === zone).length;
+		await waitFor(`entry ${name}`, async () => {
+			const reply = await client.send('GET', '/v1/fleet', {timeout: callTimeout});
+			const agents = reply.kind === 'answered' ? (reply.body as Readonly<{agents?: ReadonlyArray<Readonly<{configurationRevision: number}>>}>).agents ?? [] : [];
+			const isReady = agents.length === expected && agents.every(({configurationRevision}) => configurationRevision > 0);
+			return isReady ? true : undefined;
+		});
+		await client.close();
+	}));
+}
--- a/demo/types.ts
+++ b/demo/types.ts
@@ -3,13 +3,13 @@
 
 export type WorkClass = 'short' | 'long' | 'gang';
 
-/** What a caller knows about one piece of work in the end. `none` means that no answer came at all. */
+/** What a caller knows about one piece of work in the end. `stopped` means that a gang started and did not finish; `none`, that no answer came at all. */
 export type Told = Readonly<{
 	id: string;
 	workClass: WorkClass;
 	plan: string;
 	idempotent: boolean;
-	outcome: 'completed' | 'not-run' | 'unknown' | 'none';
+	outcome: 'completed' | 'not-run' | 'stopped' | 'unknown' | 'none';
 	/** Reason of a refusal. */
 	reason?: string;
 	/** Whether a completed answer holds the result of this very piece of work. */
@@ -37,6 +37,7 @@
 	submitted: number;
 	completed: number;
 	notRun: number;
+	/** Unknown or stopped. */
 	unknown: number;
 	lost: number;
 	doubled: number;
--- a/test/demo/compare.test.ts
+++ b/test/demo/compare.test.ts
@@ -43,6 +43,9 @@
 	{
 		name: 'an answer with the result of other work is misreported', told: {...told, isOwnResult: false}, executions: [run], expected: {...fine, misreported: 1},
 	},
+	{
+		name: 'a gang that is said to have been stopped must have started', told: {...idempotentGang, outcome: 'stopped'}, executions: [], expected: {...fine, misreported: 1},
+	},
 	{
 		name: 'an unknown outcome claims nothing', told: {...told, outcome: 'unknown'}, executions: [run], expected: fine,
 	},
