Remember answers longer than entries accept their identifiers

Entries let identifiers of up to 600 s through, agents forgot answers after 300 s and would have refused the retry of a request that had run. A refusal counts as not run, so the caller would have been told wrong. Agents now keep answers for one minute longer than entries accept identifiers; a test compares the two.

--- a/packages/execution/sharded-map.ts
+++ b/packages/execution/sharded-map.ts
@@ -1,8 +1,8 @@
 import {hashText} from '#core';
 
-const shardCount = 256;
+const shardCount = 1024;
 
-/** A read-only map whose copy with one change touches one of 256 parts; tens of thousands of answers are remembered at once. */
+/** A read-only map whose copy with one change touches one of 1024 parts; tens of thousands of answers are remembered at once. */
 export type ShardedMap<Value> = Readonly<{shards: ReadonlyArray<ReadonlyMap<string, Value>>; size: number}>;
 
 export function createShardedMap<Value>(): ShardedMap<Value> {
--- a/test/execution/ledger.test.ts
+++ b/test/execution/ledger.test.ts
@@ -1,5 +1,6 @@
 import {expect} from 'chai';
 import type {RequestWork} from '#core';
+import {identifierFutureMilliseconds, identifierRetentionMilliseconds} from '#recovery';
 import {
 	createExecutionSettings, createExecutionState, receiveExecutionMessage, type ExecutionEffect, type ExecutionSettings, type ExecutionState,
 } from '#execution';
@@ -37,12 +38,12 @@
 		name: 'a request that a full ledger refused without remembering it starts later',
 		settings: {maximumRememberedAnswers: 1},
 		events: [
-			{kind: 'run', work: createWork(1, 0, {requestId: createIdentifier(begin - 299_000, 1)})},
-			{kind: 'end', work: createWork(1, 0, {requestId: createIdentifier(begin - 299_000, 1)})},
+			{kind: 'run', work: createWork(1, 0, {requestId: createIdentifier(begin - 659_000, 1)})},
+			{kind: 'end', work: createWork(1, 0, {requestId: createIdentifier(begin - 659_000, 1)})},
 			{kind: 'run', work: createWork(2, 0, {requestId: createIdentifier(begin + 55_000, 2)})},
-			{kind: 'clock', wall: begin + 354_000, monotonic: 361_000},
+			{kind: 'clock', wall: begin + 714_000, monotonic: 721_000},
 			{kind: 'run', work: createWork(2, 0, {requestId: createIdentifier(begin + 55_000, 2)})},
-			{kind: 'run', work: createWork(4, 0, {requestId: createIdentifier(begin + 354_000, 4)})},
+			{kind: 'run', work: createWork(4, 0, {requestId: createIdentifier(begin + 714_000, 4)})},
 		],
 		expected: ['start', 'ran', 'overloaded', 'overloaded', 'start'],
 	},
@@ -132,6 +133,10 @@
 }
 
 describe('ledger of request identifiers', () => {
+	it('an agent forgets an identifier that entries still let through', () => {
+		expect(agreed.retentionMilliseconds).to.be.at.least(identifierRetentionMilliseconds + identifierFutureMilliseconds);
+	});
+
 	for (const {
 		name, settings, events, expected,
 	} of cases) {
--- a/test/execution/properties.test.ts
+++ b/test/execution/properties.test.ts
@@ -8,7 +8,7 @@
 
 const slots = 3;
 const settings = {
-	...createExecutionSettings(incarnation, slots), maximumRememberedAnswers: 8, queue: {slots, reservedForShort: 1, maximumQueued: 4},
+	...createExecutionSettings(incarnation, slots), maximumRememberedAnswers: 8, retentionMilliseconds: 300_000, queue: {slots, reservedForShort: 1, maximumQueued: 4},
 };
 const runs = 500;
 const seed = 20_261_204;
