Keep a draining agent alive until broken answers are asked for

An answer whose connection broke stays in the ledger for request.find, but a draining agent exited right after its last request and took it along. It now waits up to 10 s for an entry to dial in and ask, which is longer than a redial takes.

--- a/packages/agent/constants.ts
+++ b/packages/agent/constants.ts
@@ -10,3 +10,7 @@
 export const entryCallTimeoutMilliseconds = 5000;
 /** How long an agent that drained waits for its last answers to be read by the entries. */
 export const flushTimeoutMilliseconds = 2000;
+/** How long a draining agent waits for an entry to dial in and ask for an answer whose connection broke; longer than a redial takes. */
+export const deliveryGraceMilliseconds = 10_000;
+export const maximumUndelivered = 1024;
+export const deliveryTickMilliseconds = 250;
--- a/packages/agent/plugins/find-request.ts
+++ b/packages/agent/plugins/find-request.ts
@@ -1,6 +1,7 @@
 import {findParametersSchema, type FindResult} from '#protocol';
 import type {RequestId} from '#core';
 import {agentPlugins} from '../plugins.js';
+import {deliveriesService} from './deliveries.js';
 import {executionRepliesService, executionService} from './execution.js';
 
 agentPlugins.register({
@@ -9,8 +10,13 @@
 	parametersSchema: findParametersSchema,
 	async handle(parameters, {services}): Promise<FindResult> {
 		const {requestId} = parameters as Readonly<{requestId: RequestId}>;
-		return services.use(executionRepliesService).find.ask(replyId => {
+		const found = await services.use(executionRepliesService).find.ask(replyId => {
 			services.use(executionService).send({kind: 'find', requestId, replyId});
 		});
+		if (found.kind === 'answered') {
+			services.use(deliveriesService).send({kind: 'delivered', requestId});
+		}
+
+		return found;
 	},
 });
--- a/packages/agent/plugins/index.ts
+++ b/packages/agent/plugins/index.ts
@@ -4,6 +4,7 @@
 import './slice.js';
 import './holdings.js';
 import './execution.js';
+import './deliveries.js';
 import './gang-reservations.js';
 import './entries.js';
 import './run-request.js';
--- a/packages/agent/start.ts
+++ b/packages/agent/start.ts
@@ -7,6 +7,7 @@
 import {flushTimeoutMilliseconds} from './constants.js';
 import {listPeers} from './entries.js';
 import {agentPlugins} from './plugins.js';
+import {waitForDeliveries} from './plugins/deliveries.js';
 import {drainService} from './plugins/drain.js';
 import {entriesService} from './plugins/entries.js';
 import './plugins/index.js';
@@ -41,10 +42,12 @@
 	};
 }
 
-async function drain({services, clock, settings}: AgentContext): Promise<void> {
+async function drain(context: AgentContext): Promise<void> {
+	const {services, clock, settings} = context;
 	const entries = services.use(entriesService);
 	entries.send({kind: 'leave'});
 	await withLimit(services.use(drainService).drain(), settings['drain-milliseconds'], clock);
+	await waitForDeliveries(context);
 	// An entry answers a probe after it has read everything that was sent before it, the last answers included.
 	const probes = listPeers(entries.read()).map(async peer => peer.call('probe', {}, flushTimeoutMilliseconds));
 	await withLimit(Promise.all(probes), flushTimeoutMilliseconds, clock);
--- a/test/processes/agent.test.ts
+++ b/test/processes/agent.test.ts
@@ -80,6 +80,20 @@
 		},
 		expected: ['connection-lost', 'succeeded', 'succeeded'],
 	},
+	{
+		name: 'a draining agent exits with an answer whose connection broke',
+		async observe(cluster) {
+			const requestId = createIdentifier();
+			const answer = run(cluster, requestId, 300);
+			await delay(100);
+			cluster.agent.process.kill('SIGTERM');
+			cluster.present().peer.close('the entry closes the connection');
+			await delay(1500);
+			const found = await find(cluster, requestId);
+			return [await answer, found?.kind, await cluster.agent.exited];
+		},
+		expected: ['connection-lost', 'answered', 0],
+	},
 	{
 		name: 'a start whose answer was lost is reported as not run, or is started again',
 		async observe(cluster) {
