--- a/test/processes/layout.test.ts
+++ b/test/processes/layout.test.ts
@@ -17,7 +17,7 @@
 
 	after(async () => killAll(daemons));
 
-	it('two entries agree on one layout, and a guarantee that no worker can hold is found', async () => {
+	it('two entries agree on one layout, a guarantee that no worker can hold is found, and a new agent gets its cells while the store is down', async () => {
 		const store = await startDaemon('stand-in-store', {'listen-port': 0});
 		daemons.push(store);
 		const storeOrigin = `http://127.0.0.1:${store.ports['http']}`;
@@ -33,9 +33,11 @@
 			entryAddresses.push(`127.0.0.1:${daemon.ports['peers']}`);
 		}
 
-		daemons.push(await startDaemon('dotterelnotch-agent', {
+		const startAgent = async () => startDaemon('dotterelnotch-agent', {
 			...shared, worker: 'worker-1', rack: 'rack-1', 'worker-origin': `http://127.0.0.1:${worker.ports['http']}`, entries: entryAddresses.join(','), accelerators: 8,
-		}));
+		});
+		const agent = await startAgent();
+		daemons.push(agent);
 		const keyValueStore = createHttpStore(storeOrigin);
 		await keyValueStore.write(configurationKey, {
 			plans: [{name: 'rosters'}], allowances: [{plan: 'rosters', guarantees: guarantee(4)}], revision: 1, changeId: 'first', changedBy: 'test', changedAt: 0,
@@ -51,8 +53,22 @@
 		const caller = createHttpClient(`http://127.0.0.1:${daemons[2]!.ports['http']}`, 1);
 		const lists = {plans: [{name: 'rosters'}], allowances: [{plan: 'rosters', guarantees: guarantee(9)}]};
 		const checked = await caller.send('POST', '/v1/configuration/check', {body: lists, timeout: 5000});
-		await caller.close();
 		expect(checked).to.have.property('status', 200);
 		expect(checked).to.have.nested.property('body.findings[0].place', 'allowances[0].guarantees[0]');
+
+		const waitForSlice = async () => waitFor('an agent with the layout in force', async () => {
+			const reply = await caller.send('GET', '/v1/fleet', {timeout: 5000});
+			const body = reply.kind === 'answered' ? reply.body as Readonly<{agentsByLayoutRevision: unknown}> : undefined;
+			return JSON.stringify(body?.agentsByLayoutRevision) === '{"1":1}' ? body : undefined;
+		});
+		await waitForSlice();
+		await killAll([store, agent]);
+		await waitFor('the loss of the agent', async () => {
+			const reply = await caller.send('GET', '/v1/fleet', {timeout: 5000});
+			return reply.kind === 'answered' && JSON.stringify(reply.body).includes('"agentsByLayoutRevision":{}') ? reply : undefined;
+		});
+		daemons.push(await startAgent());
+		await waitForSlice();
+		await caller.close();
 	});
 });
