--- a/packages/entry/layout/receive.ts
+++ b/packages/entry/layout/receive.ts
@@ -18,6 +18,7 @@
 		stored: undefined,
 		isStoreBehind: false,
 		isWriting: false,
+		repairedFrom: '',
 		isComplete: false,
 		workers: new Map(),
 		absent: new Map<WorkerId, never>(),
@@ -72,8 +73,23 @@
 		return {state, effects: []};
 	}
 
+	const repairedFrom = describeSources(state, stored.layout, {configuration, now});
+	if (repairedFrom === state.repairedFrom && !state.isStoreBehind) {
+		return {state, effects: []};
+	}
+
 	const layout = repairLayout(stored.layout, configuration, describeInventory(state), now);
 	return layout === stored.layout && !state.isStoreBehind
-		? {state, effects: []}
+		? {state: {...state, repairedFrom}, effects: []}
 		: {state: {...state, isWriting: true}, effects: [{kind: 'write', layout, expectedVersion: stored.version}]};
 }
+
+/** Everything that decides where cells can be. A repair with many unmet cells takes long, so it is not repeated for the same. */
+function describeSources({workers, absent, absenceDelay}: LayoutState, layout: Layout, {configuration, now}: Readonly<{configuration: Configuration; now: MonotonicTime}>): string {
+	return JSON.stringify([
+		layout.revision,
+		configuration.revision,
+		[...workers.values()].map(({worker, rack, accelerators}) => [worker, rack, accelerators]),
+		[...absent.values()].map(({worker, since}) => [worker, now - since < absenceDelay]),
+	]);
+}
--- a/packages/entry/layout/types.ts
+++ b/packages/entry/layout/types.ts
@@ -16,6 +16,8 @@
 	/** The store holds an older layout than the one in force. */
 	isStoreBehind: boolean;
 	isWriting: boolean;
+	/** What the last repair was made from; the same again would change nothing. */
+	repairedFrom: string;
 	workers: ReadonlyMap<WorkerId, InventoryWorker>;
 	absent: ReadonlyMap<WorkerId, AbsentWorker>;
 	startedAt: MonotonicTime;
--- a/packages/placement/choose-parts.ts
+++ b/packages/placement/choose-parts.ts
@@ -9,7 +9,8 @@
 
 /** Chooses free accelerators for one cell, first beside gangs that may not be preempted, then under them. */
 export function chooseParts(ground: Ground, cell: CellShape, strategy: CellStrategy): readonly CellPart[] | undefined {
-	return chooseFreeParts(withoutPinned(ground, cell.plan), cell, strategy) ?? chooseFreeParts(ground, cell, strategy);
+	const unpinned = withoutPinned(ground, cell.plan);
+	return chooseFreeParts(unpinned, cell, strategy) ?? (unpinned === ground ? undefined : chooseFreeParts(ground, cell, strategy));
 }
 
 function chooseFreeParts(ground: Ground, cell: CellShape, strategy: CellStrategy): readonly CellPart[] | undefined {
--- a/packages/placement/ground.ts
+++ b/packages/placement/ground.ts
@@ -36,6 +36,10 @@
 
 /** Takes away the accelerators that gangs of other plans hold and may keep. */
 export function withoutPinned(ground: Ground, plan: PlanName): Ground {
+	if ([...ground.values()].every(({pinned}) => pinned.every(holding => holding.plan === plan))) {
+		return ground;
+	}
+
 	return new Map([...ground].map(([worker, known]) => {
 		const pinned = new Set<number>(known.pinned.filter(holding => holding.plan !== plan).flatMap(({accelerators}) => accelerators));
 		return [worker, pinned.size === 0 ? known : {...known, free: known.free.map((free, index) => free && !pinned.has(index))}];
--- a/packages/placement/repair-layout.ts
+++ b/packages/placement/repair-layout.ts
@@ -106,18 +106,22 @@
 	return parts.flatMap(({worker, accelerators}) => accelerators.map(index => `${worker} ${index}`));
 }
 
+/** What is left only shrinks here, so a shape without a place is not tried again for its next cell. */
 function placeMissing(plan: Plan, strategy: CellStrategy): Plan {
 	return plan.missing.toSorted(compareShapes).reduce<Plan>((current, shape) => {
-		const parts = chooseParts(current.ground, shape, strategy);
+		const isHopeless = current.missing.some(other => keyOfShape(other) === keyOfShape(shape));
+		const parts = isHopeless ? undefined : chooseParts(current.ground, shape, strategy);
 		return parts === undefined
 			? {...current, missing: [...current.missing, shape]}
 			: {...current, ground: markParts(current.ground, parts, false), cells: [...current.cells, {...shape, parts}]};
 	}, {...plan, missing: []});
 }
 
+/** Moves cells for those without a place. Whether there is room does not depend on the plan, so each size is given up once. */
 function moveForMissing(plan: Plan, strategy: CellStrategy): Plan {
 	return plan.missing.reduce<Plan>((current, shape) => {
-		const roomier = makeRoom(current, shape, strategy);
+		const isHopeless = current.missing.some(other => other.adjacency === shape.adjacency && other.accelerators === shape.accelerators);
+		const roomier = isHopeless ? undefined : makeRoom(current, shape, strategy);
 		return roomier === undefined
 			? {...current, missing: [...current.missing, shape]}
 			: {...current, ...roomier};
