--- /dev/null
+++ b/packages/command-line/check-lists.ts
@@ -0,0 +1,24 @@
+import type {ListsFile} from './lists-file.js';
+import {checkGuarantees} from './check-guarantees.js';
+import {BadInputError} from './errors.js';
+import type {CommandContext} from './types.js';
+
+/**
+Checks the guarantees of a file against the present workers, if an entry was named, and says what was checked.
+
+@throws {BadInputError} with every finding, each with file, line and path.
+*/
+export async function checkLists({lists, locate}: ListsFile, context: CommandContext): Promise<string> {
+	if (!context.hasEntry) {
+		return 'the guarantees were not checked against workers, as no entry was named';
+	}
+
+	const {findings, uncheckedZones} = await checkGuarantees(context.useEntryOrigin(), lists);
+	if (findings.length > 0) {
+		throw new BadInputError(findings.map(finding => locate(finding)));
+	}
+
+	return uncheckedZones.length === 0
+		? 'the guarantees fit the present workers'
+		: `the guarantees could not be checked in ${uncheckedZones.join(', ')}`;
+}
--- a/packages/command-line/commands/put.ts
+++ b/packages/command-line/commands/put.ts
@@ -3,12 +3,12 @@
 } from '#configuration';
 import {assertNever} from '#core';
 import {readWholeNumber, requireArgument} from '../arguments.js';
-import {checkGuarantees} from '../ask-entry.js';
+import {checkLists} from '../check-lists.js';
 import {
 	defaultWaitSeconds, exitCodeDone, exitCodeFailure, exitCodeStaleBase, exitCodeUnavailable, exitCodeUnknown, putTimeoutMilliseconds,
 } from '../constants.js';
 import {BadInputError} from '../errors.js';
-import {readListsFile, type ListsFile} from '../lists-file.js';
+import {readListsFile} from '../lists-file.js';
 import {commandPlugins} from '../plugins.js';
 import {readCurrent} from '../read-configuration.js';
 import type {CommandContext} from '../types.js';
@@ -33,12 +33,13 @@
 		const waitSeconds = readWholeNumber(options, 'wait-seconds') ?? defaultWaitSeconds;
 		const givenBase = readWholeNumber(options, 'base');
 		const listsFile = readListsFile(file, await context.readFile(file));
-		await checkFit(listsFile, context);
+		const check = await checkLists(listsFile, context);
 		const current = await readCurrent(context.useStore());
 		const base = chooseBase(givenBase ?? listsFile.base, current);
 		const differences = describeDifferences(current ?? noLists, listsFile.lists).map(difference => formatDifference(difference));
 		if (!context.isJson) {
 			context.print(differences.length === 0 ? 'no difference' : differences.join('\n'));
+			context.print(check);
 		}
 
 		const isUnchanged = differences.length === 0 && current?.revision === base;
@@ -69,17 +70,6 @@
 	return named ?? 0;
 }
 
-async function checkFit({lists, locate}: ListsFile, context: CommandContext): Promise<void> {
-	if (!context.hasEntry) {
-		return;
-	}
-
-	const check = await checkGuarantees(context.useEntryOrigin(), lists);
-	if (check.kind === 'checked' && check.findings.length > 0) {
-		throw new BadInputError(check.findings.map(finding => locate(finding)));
-	}
-}
-
 type ReportOptions = Readonly<{differences: readonly string[]; waitSeconds: number}>;
 
 async function report(outcome: ChangeOutcome, {differences, waitSeconds}: ReportOptions, context: CommandContext): Promise<number> {
--- a/packages/command-line/commands/validate.ts
+++ b/packages/command-line/commands/validate.ts
@@ -1,7 +1,6 @@
 import {requireArgument} from '../arguments.js';
-import {checkGuarantees} from '../ask-entry.js';
+import {checkLists} from '../check-lists.js';
 import {exitCodeDone} from '../constants.js';
-import {BadInputError} from '../errors.js';
 import {readListsFile} from '../lists-file.js';
 import {commandPlugins} from '../plugins.js';
 
@@ -12,16 +11,10 @@
 	options: [],
 	async perform(commandArguments, _options, context) {
 		const file = requireArgument(commandArguments, 0, 'file');
-		const {lists, locate} = readListsFile(file, await context.readFile(file));
-		const check = context.hasEntry ? await checkGuarantees(context.useEntryOrigin(), lists) : {kind: 'not-offered' as const};
-		if (check.kind === 'checked' && check.findings.length > 0) {
-			throw new BadInputError(check.findings.map(finding => locate(finding)));
-		}
-
-		const areGuaranteesChecked = check.kind === 'checked';
-		context.print(context.isJson
-			? JSON.stringify({valid: true, areGuaranteesChecked, plans: lists.plans.length})
-			: `${file}: ${lists.plans.length} plans are valid; the guarantees were ${areGuaranteesChecked ? '' : 'not '}checked against the present workers`);
+		const listsFile = readListsFile(file, await context.readFile(file));
+		const check = await checkLists(listsFile, context);
+		const plans = listsFile.lists.plans.length;
+		context.print(context.isJson ? JSON.stringify({valid: true, plans, check}) : `${file}: ${plans} plans are valid; ${check}`);
 		return exitCodeDone;
 	},
 });
--- a/packages/command-line/fleet.ts
+++ b/packages/command-line/fleet.ts
@@ -2,7 +2,7 @@
 import {checkInput} from '#core';
 import {entryRecordSchema, type EntryRecord} from '#protocol';
 import type {KeyValueStore} from '#store';
-import {callEntry} from './ask-entry.js';
+import {callEntry} from './call-entry.js';
 import {UnavailableError} from './errors.js';
 
 const countSchema = valibot.number();
--- a/packages/entry/index.ts
+++ b/packages/entry/index.ts
@@ -1,2 +1,3 @@
+export * from './entries.js';
 export * from './settings.js';
 export * from './start.js';
--- a/test/command-line/commands.test.ts
+++ b/test/command-line/commands.test.ts
@@ -21,6 +21,8 @@
 	'job.yaml': 'plan: rosters\nkind: render\n',
 };
 
+const unchecked = 'the guarantees were not checked against workers, as no entry was named';
+
 type Step = Readonly<{words: string; exitCode: number; output?: readonly string[]; errors?: readonly string[]}>;
 type Case = Readonly<{name: string; switches?: unknown; steps: readonly Step[]}>;
 
@@ -52,10 +54,11 @@
 					'+ allowance of rosters',
 					'~ allowance of rosters: maximumSlots 0 -> 4',
 					'~ allowance of rosters: maximumQueued 0 -> 100',
+					unchecked,
 					'revision 1 is stored',
 				],
 			},
-			{words: 'put second.yaml --changed-by ana', exitCode: 0, output: ['~ allowance of rosters: maximumSlots 4 -> 5', 'revision 2 is stored']},
+			{words: 'put second.yaml --changed-by ana', exitCode: 0, output: ['~ allowance of rosters: maximumSlots 4 -> 5', unchecked, 'revision 2 is stored']},
 			{words: 'put second.yaml --changed-by luis', exitCode: 3, errors: ['the base is revision 1, but the store holds revision 2, changed by ana; nothing was changed']},
 		],
 	},
@@ -67,7 +70,7 @@
 			{words: 'put third.json --base 1', exitCode: 0},
 			{words: 'diff 1', exitCode: 0, output: ['~ allowance of rosters: maximumSlots 4 -> 6']},
 			{words: 'diff 1 first.yaml', exitCode: 0, output: ['no difference']},
-			{words: 'put third.json --base 2', exitCode: 0, output: ['no difference']},
+			{words: 'put third.json --base 2', exitCode: 0, output: ['no difference', unchecked]},
 		],
 	},
 	{
--- a/test/processes/configuration.test.ts
+++ b/test/processes/configuration.test.ts
@@ -119,6 +119,9 @@
 			const fleet = await runProgram(['fleet', '--agents', `--entry-origin=${originOf(first)}`]);
 			expect(fleet.output).to.match(/entry-2 +north +north-a +1 +available +1 of 1 +1 +1: 1/);
 			expect(fleet.output).to.match(/worker-1 +north-a +rack-1 +present +1/);
+			// A zone without an entry cannot be checked, which is said rather than passed over.
+			const validate = await runProgram(['validate', 'examples/clonado-remoto-andino.yaml', `--entry-origin=${originOf(first)}`]);
+			expect(validate.output).to.include('could not be checked in cusco-a, cusco-b, puno-a');
 		},
 	},
 ];
