--- a/packages/entry/entries.ts
+++ b/packages/entry/entries.ts
@@ -30,6 +30,8 @@
 	registered: ReadonlySet<EntryId> | undefined;
 	links: ReadonlyMap<EntryId, EntryLink>;
 	dialling: ReadonlySet<string>;
+	/** Entries that answered at an address that is not the one they advertise, such as a host name among the seeds. */
+	aliases: ReadonlyMap<string, EntryId>;
 	redials: ReadonlyMap<string, Redial>;
 }>;
 
@@ -57,7 +59,7 @@
 
 export function createEntriesState(seeds: readonly string[]): EntriesState {
 	return {
-		self: undefined, seeds, records: new Map(), registered: undefined, links: new Map(), dialling: new Set(), redials: new Map(),
+		self: undefined, seeds, records: new Map(), registered: undefined, links: new Map(), dialling: new Set(), aliases: new Map(), redials: new Map(),
 	};
 }
 
@@ -149,11 +151,7 @@
 
 /** Between entries of two zones there is one connection; both sides keep the one that the lower name opened. */
 function hear(state: EntriesState, {record, link, dialledAddress}: Extract<EntriesMessage, {kind: 'heard'}>): EntriesStep {
-	const redials = new Map(state.redials);
-	redials.delete(dialledAddress ?? '');
-	const known = addRecords({
-		...state, redials, dialling: dialledAddress === undefined ? state.dialling : without(state.dialling, dialledAddress),
-	}, [record]);
+	const known = addRecords(dialledAddress === undefined ? state : noteAnswer(state, dialledAddress, record.entry), [record]);
 	const present = state.links.get(record.entry);
 	if (present !== undefined && present.peer !== link.peer && present.peer.isOpen() && present.dialledBy < link.dialledBy) {
 		return {state: known, effects: [{kind: 'close', peer: link.peer, reason: 'second connection between two entries'}]};
@@ -167,6 +165,14 @@
 	};
 }
 
+function noteAnswer(state: EntriesState, address: string, entry: EntryId): EntriesState {
+	const redials = new Map(state.redials);
+	redials.delete(address);
+	return {
+		...state, redials, dialling: without(state.dialling, address), aliases: new Map(state.aliases).set(address, entry),
+	};
+}
+
 function loseLink(state: EntriesState, entry: EntryId): EntriesStep {
 	const links = new Map(state.links);
 	links.delete(entry);
@@ -204,6 +210,7 @@
 	const wanted = new Set([...state.seeds, ...[...state.records.values()].map(({peerAddress}) => peerAddress)]);
 	const addresses = [...wanted].filter(address => address !== self.peerAddress
 		&& !linked.has(address)
+		&& !isLinkedByAlias(state, address)
 		&& !state.dialling.has(address)
 		&& (state.redials.get(address)?.notBefore ?? monotonic) <= monotonic);
 	return {
@@ -217,3 +224,8 @@
 		],
 	};
 }
+
+function isLinkedByAlias({aliases, links}: EntriesState, address: string): boolean {
+	const entry = aliases.get(address);
+	return entry !== undefined && links.has(entry);
+}
--- a/packages/entry/plugins/show-configuration.ts
+++ b/packages/entry/plugins/show-configuration.ts
@@ -4,6 +4,7 @@
 entryPlugins.register({
 	kind: 'http-route',
 	name: 'show-configuration',
+	summary: 'The configuration in force in this entry',
 	method: 'GET',
 	path: '/v1/configuration',
 	async handle({query}, {services, settings}) {
--- a/packages/entry/plugins/show-fleet.ts
+++ b/packages/entry/plugins/show-fleet.ts
@@ -7,6 +7,7 @@
 entryPlugins.register({
 	kind: 'http-route',
 	name: 'show-fleet',
+	summary: 'Agents, peers and the revisions in force',
 	method: 'GET',
 	path: '/v1/fleet',
 	async handle(_request, {services, settings}) {
--- a/packages/entry/start.ts
+++ b/packages/entry/start.ts
@@ -1,4 +1,4 @@
-import {createRandomSource} from '#core';
+import {createRandomSource, hashText} from '#core';
 import {
 	createCounters, createProgramLog, createServices, startTasks, systemClock, type RunningDaemon,
 } from '#kernel';
@@ -18,7 +18,8 @@
 	const context: EntryContext = {
 		settings,
 		clock: systemClock,
-		random: createRandomSource(settings.seed),
+		// Entries with the same seed setting must not draw the same delays, or they would call the store together when it returns.
+		random: createRandomSource(hashText(`${settings.seed} ${settings.entry}`)),
 		log,
 		counters: createCounters(),
 		services: createServices(),
--- a/test/entry/entries.test.ts
+++ b/test/entry/entries.test.ts
@@ -17,7 +17,7 @@
 const inbound = peer('inbound');
 const outbound = peer('outbound');
 const listening: EntriesMessage = {kind: 'listening', self: record('b')};
-const heard = (name: string, connection: RpcPeer, dialledBy: string): EntriesMessage => ({
+const heard = (name: string, connection: RpcPeer, dialledBy: string): Extract<EntriesMessage, {kind: 'heard'}> => ({
 	kind: 'heard',
 	record: record(name),
 	dialledAddress: undefined,
@@ -72,6 +72,11 @@
 		messages: [listening, {kind: 'dialled-self', address: 'seed:1'}, {kind: 'tick'}],
 		dialled: [],
 	},
+	{
+		name: 'an entry connected through a seed is not dialled again under that address (connection replaced at every tick)',
+		messages: [listening, {...heard('a', outbound, 'b'), dialledAddress: 'seed:1'}, {kind: 'tick'}],
+		dialled: [],
+	},
 	{
 		name: 'a connected entry whose lease lapsed in an outage stays known',
 		messages: [listening, {kind: 'listed', records: [record('a')]}, heard('a', inbound, 'a'), {kind: 'deregistered', entry: 'a' as EntryId}],
