--- a/test/entry/jobs/gang-schedules.test.ts
+++ b/test/entry/jobs/gang-schedules.test.ts
@@ -1,8 +1,10 @@
 import {expect} from 'chai';
 import fc from 'fast-check';
+import {createCluster, type Cluster} from '#test/support/gangs/cluster';
+import {noFaults} from '#test/support/gangs/network';
 import {
-	planOf, jobIdOf, createCluster, createWork, noFaults, type Cluster,
-} from '#test/support/gang-cluster';
+	createWork, gangOf, jobIdOf, planOf,
+} from '#test/support/gangs/work';
 
 const second = 1000;
 
@@ -20,7 +22,7 @@
 		name: 'a gang over two workers runs as a whole and returns the result of every member',
 		workers: 2, entries: 1,
 		run(cluster) {
-			cluster.submit(createWork(1, {gang: {members: 4, acceleratorsPerMember: 4, adjacency: 'zone'}}));
+			cluster.submit(createWork(1, {gang: gangOf(4)}));
 			cluster.clock.advance(3 * second);
 		},
 		expected: {1: 'finished'},
@@ -33,7 +35,7 @@
 		name: 'two gangs that each could hold half of the accelerators both finish',
 		workers: 2, entries: 2,
 		run(cluster) {
-			const gang = {members: 4, acceleratorsPerMember: 4, adjacency: 'zone'} as const;
+			const gang = gangOf(4);
 			cluster.submit(createWork(1, {gang}), 1);
 			cluster.submit(createWork(2, {gang}), 2);
 			cluster.clock.advance(30 * second);
@@ -55,7 +57,7 @@
 		name: 'an entry that dies between commit and start leaves the job to another entry',
 		workers: 2, entries: 2,
 		run(cluster) {
-			cluster.submit(createWork(1, {idempotent: false, gang: {members: 4, acceleratorsPerMember: 4, adjacency: 'zone'}}));
+			cluster.submit(createWork(1, {idempotent: false, gang: gangOf(4)}));
 			while (cluster.stateOf(jobIdOf(1)) !== 'running') {
 				cluster.clock.advance(1);
 			}
@@ -80,7 +82,7 @@
 		name: 'an agent that was paused past its lease stops its members, and the job is placed again',
 		workers: 3, entries: 1,
 		run(cluster) {
-			cluster.submit(createWork(1, {payload: {milliseconds: 20 * second}, gang: {members: 4, acceleratorsPerMember: 4, adjacency: 'zone'}}));
+			cluster.submit(createWork(1, {payload: {milliseconds: 20 * second}, gang: gangOf(4)}));
 			cluster.clock.advance(2 * second);
 			cluster.pauseAgent(1, 30 * second);
 			cluster.clock.advance(100 * second);
@@ -91,7 +93,7 @@
 		name: 'a non-idempotent job whose agent restarted is unknown and never started again',
 		workers: 2, entries: 1,
 		run(cluster) {
-			cluster.submit(createWork(1, {idempotent: false, payload: {milliseconds: 20 * second}, gang: {members: 4, acceleratorsPerMember: 4, adjacency: 'zone'}}));
+			cluster.submit(createWork(1, {idempotent: false, payload: {milliseconds: 20 * second}, gang: gangOf(4)}));
 			cluster.clock.advance(2 * second);
 			cluster.restartAgent(1);
 			cluster.clock.advance(60 * second);
@@ -172,6 +174,21 @@
 			expect(cluster.recordOf(jobIdOf(1)).owner).to.not.equal('entry-1');
 		},
 	},
+	{
+		name: 'of several entries that adopt a job at once, one wins and drives it alone',
+		workers: 2, entries: 4,
+		run(cluster) {
+			cluster.submit(createWork(1, {idempotent: false, payload: {milliseconds: 40 * second}}));
+			cluster.clock.advance(3 * second);
+			cluster.killEntry(1);
+			cluster.clock.advance(30 * second);
+		},
+		expected: {1: 'running'},
+		check(cluster) {
+			expect(cluster.recordOf(jobIdOf(1)).term).to.equal(2);
+			expect(cluster.countDrivers(jobIdOf(1))).to.equal(1);
+		},
+	},
 ];
 
 describe('gangs over agents, entries and a store', () => {
@@ -183,14 +200,14 @@
 			run(cluster);
 			const states = Object.fromEntries(Object.keys(expected).map(number => [number, cluster.stateOf(jobIdOf(Number(number)))]));
 			expect(states).to.deep.equal(expected);
-			expect(cluster.violations).to.deep.equal([]);
+			expect(cluster.observer.violations).to.deep.equal([]);
 			check?.(cluster);
 		});
 	}
 
 	it('a borrower that ignores its checkpoint gives the cell back within the grace', () => {
 		const cluster = createCluster({
-			seed: 7, workers: 1, accelerators: 8, entries: 1, cells: new Map([['worker-1', [{plan: planOf('urgent'), accelerators: [0, 1, 2, 3, 4, 5, 6, 7]}]]]),
+			seed: 7, workers: 1, accelerators: 8, entries: 1, cells: new Map([[1, [{plan: planOf('urgent'), accelerators: [0, 1, 2, 3, 4, 5, 6, 7]}]]]),
 		});
 		cluster.submit(createWork(1, {preemptible: true, payload: {milliseconds: 600 * second, isStubborn: true}}));
 		cluster.clock.advance(2 * second);
@@ -199,7 +216,42 @@
 		cluster.clock.advance(5.9 * second);
 		expect(cluster.stateOf(jobIdOf(2))).to.equal('running');
 		expect(cluster.running()).to.have.length(2);
-		expect(cluster.violations).to.deep.equal([]);
+		expect(cluster.observer.violations).to.deep.equal([]);
+	});
+
+	it('starting members one by one leaves two halves of gangs running, and the product neither', () => {
+		const gangs = [1, 2].map(number => createWork(number, {gang: gangOf(4), payload: {milliseconds: 600 * second}}));
+		const naive = createCluster({
+			seed: 7, workers: 2, accelerators: 8, entries: 1,
+		});
+		// Each job starts the members that it could place on the worker where it was first.
+		for (const [index, {jobId: job, plan}] of gangs.entries()) {
+			const reference = {
+				job, attempt: 1, replyId: 0, leaseMilliseconds: 60 * second,
+			};
+			const members = [0, 1].map(member => ({member, accelerators: [0, 1, 2, 3].map(accelerator => accelerator + (4 * member))}));
+			naive.tellAgent(index + 1, {
+				kind: 'reserve', ...reference, plan, submittedAt: index, preemptible: false, members,
+			});
+			naive.tellAgent(index + 1, {kind: 'commit', ...reference});
+			naive.tellAgent(index + 1, {
+				kind: 'start', ...reference, operation: 'cut', payload: {milliseconds: 600 * second}, checkpoints: {},
+			});
+		}
+
+		naive.clock.advance(30 * second);
+		expect(naive.observer.longestPartial()).to.be.greaterThan(29 * second);
+
+		const product = createCluster({
+			seed: 7, workers: 2, accelerators: 8, entries: 1,
+		});
+		for (const work of gangs) {
+			product.submit(work);
+		}
+
+		product.clock.advance(30 * second);
+		expect(gangs.map(({jobId}) => product.stateOf(jobId))).to.have.members(['running', 'placing']);
+		expect(product.observer.longestPartial()).to.be.lessThan(10);
 	});
 
 	it('no schedule of faults runs part of a gang, holds an accelerator twice or loses a job', () => {
@@ -217,15 +269,18 @@
 		});
 		fc.assert(fc.property(schedule, ({seed, loss, repeat, events}) => {
 			const cluster = createCluster({
-				seed, workers: 3, accelerators: 8, entries: 3,
+				seed, workers: 3, accelerators: 8, entries: 3, cells: new Map([[1, [{plan: planOf('urgent'), accelerators: [0, 1, 2, 3, 4, 5, 6, 7]}]]]),
 			});
 			cluster.setFaults({
 				loss, repeat, maximumDelay: 400, lostWriteAnswers: loss,
 			});
 			let next = 1;
 			const submit = (entry: number) => {
-				const gang = {members: 2 + (next % 3), acceleratorsPerMember: 4, adjacency: 'zone'} as const;
-				cluster.submit(createWork(next, {idempotent: next % 2 === 0, gang, payload: {milliseconds: 500 * next}}), entry);
+				const gang = gangOf(1 + (next % 4));
+				const kinds = [{plan: planOf('urgent')}, {preemptible: true}, {}];
+				cluster.submit(createWork(next, {
+					idempotent: next % 2 === 0, gang, payload: {milliseconds: 2000 * next, isStubborn: next % 4 === 1}, ...kinds[next % kinds.length],
+				}), entry);
 				next++;
 			};
 
@@ -274,7 +329,7 @@
 			cluster.clock.advance(45 * second);
 			cluster.setFaults(noFaults);
 			cluster.clock.advance(180 * second);
-			expect(cluster.violations).to.deep.equal([]);
+			expect(cluster.observer.violations).to.deep.equal([]);
 			for (let number = 1; number < next; number++) {
 				expect(cluster.stateOf(jobIdOf(number))).to.be.oneOf(['finished', 'failed', 'cancelled', 'unknown'], `job ${number}`);
 			}
