--- a/packages/entry/plugins/announce-agent.ts
+++ b/packages/entry/plugins/announce-agent.ts
@@ -1,6 +1,8 @@
 import {announceParametersSchema, type AnnounceParameters} from '#protocol';
+import {listZoneEntries} from '../entries.js';
 import {entryPlugins} from '../plugins.js';
 import {connectionsService} from './connections.js';
+import {entriesService} from './entries.js';
 import {layoutService} from './layout-task.js';
 import {membershipService} from './membership.js';
 
@@ -21,10 +23,14 @@
 		connections.send({kind: 'opened', worker, peer});
 		peer.onClosed(reason => {
 			log.part('membership').info({worker, reason}, 'agent disconnected');
+			// An agent that has dialled again is connected, whenever its former connection closes.
+			const isCurrent = connections.read().peers.get(worker) === peer;
 			connections.send({kind: 'closed', worker, peer});
-			membership.send({kind: 'disconnected', worker, incarnation});
+			if (isCurrent) {
+				membership.send({kind: 'disconnected', worker, incarnation});
+			}
 		});
 		const slice = services.use(layoutService).chooseSlice(worker, {configurationRevision, layoutRevision});
-		return {entry: settings.entry, entries: [], ...(slice === undefined ? {} : {slice})};
+		return {entry: settings.entry, entries: listZoneEntries(services.use(entriesService).read()), ...(slice === undefined ? {} : {slice})};
 	},
 });
