--- /dev/null
+++ b/bench/bench.ts
@@ -0,0 +1,16 @@
+/** Runs every benchmark and prints its report. Decisions run in seeded virtual time, so their figures repeat exactly. */
+import process from 'node:process';
+import {benchPlacement} from './placement/index.js';
+
+const sections = [
+	{title: 'Placement of gangs and guaranteed shapes', run: benchPlacement},
+] as const;
+
+for (const {title, run} of sections) {
+	process.stdout.write(`# ${title}\n\n`);
+	for (const line of await run()) {
+		process.stdout.write(`${line}\n`);
+	}
+
+	process.stdout.write('\n');
+}
