--- a/packages/agent/plugins/entries.ts
+++ b/packages/agent/plugins/entries.ts
@@ -132,6 +132,10 @@
 
 async function report(peer: RpcPeer, send: Send, context: AgentContext, reportedHoldings: WeakMap<RpcPeer, string>): Promise<void> {
 	const {holdings, ...description} = describeReport(context);
+	for (const [name, value] of Object.entries(description.load)) {
+		context.counters.setGauge(name, value);
+	}
+
 	const holdingsText = JSON.stringify(holdings);
 	const isChanged = reportedHoldings.get(peer) !== holdingsText;
 	const reply = await peer.call('agent.report', isChanged ? {...description, holdings} : description, entryCallTimeoutMilliseconds);
