--- /dev/null
+++ b/test/entry/jobs/placement-queue.test.ts
@@ -0,0 +1,77 @@
+import {expect} from 'chai';
+import type {
+	EntryId, Incarnation, PlanName, RackName, WorkerId, ZoneName,
+} from '#core';
+import type {GangRequest, ZoneView} from '#placement';
+import {beginPlacing, createJobRecord} from '#recovery';
+import {createDriverState} from '../../../packages/entry/jobs/driver-state.js';
+import {applyDrivers, placeInOrder, type PlanLimits} from '../../../packages/entry/jobs/placement-queue.js';
+import {
+	createWork, gangOf, jobIdOf, planOf,
+} from '#test/support/gangs/work';
+
+const worker = 'worker-1' as WorkerId;
+const view: ZoneView = {
+	workers: [{
+		worker, rack: 'rack-1' as RackName, accelerators: 8, cells: [], holdings: [],
+	}], isComplete: true,
+};
+const limits = new Map<PlanName, PlanLimits>([
+	[planOf('rosters'), {isUrgent: false, maximumAccelerators: 8}],
+	[planOf('urgent'), {isUrgent: true, maximumAccelerators: 8}],
+	[planOf('small'), {isUrgent: false, maximumAccelerators: 4}],
+]);
+
+function request(number: number, plan: string, submittedAt: number): GangRequest {
+	return {
+		job: jobIdOf(number), plan: planOf(plan), shape: gangOf(2), preemptible: false, submittedAt,
+	};
+}
+
+const placing = {
+	...createDriverState(beginPlacing(
+		createJobRecord(createWork(9), {owner: 'entry-1' as EntryId, zone: 'north-a' as ZoneName}, 5),
+		[{member: 0, accelerators: [0, 1, 2, 3], place: {worker, incarnation: 'first' as Incarnation}}],
+	), 1), phase: {kind: 'placing'} as const,
+};
+
+type Case = Readonly<{name: string; view: ZoneView; requests: readonly GangRequest[]; expected: ReadonlyArray<readonly [number, string]>}>;
+
+const cases: readonly Case[] = [
+	{
+		name: 'an older job is not overtaken by a younger one that asked first',
+		view, requests: [request(1, 'rosters', 20), request(2, 'rosters', 10)], expected: [[2, 'placed'], [1, 'quota-exceeded']],
+	},
+	{
+		name: 'an urgent plan does not wait behind older work',
+		view, requests: [request(1, 'rosters', 10), request(2, 'urgent', 20)], expected: [[2, 'placed'], [1, 'accelerators-busy']],
+	},
+	{
+		name: 'a plan does not get more accelerators than it may use',
+		view, requests: [request(1, 'small', 10)], expected: [[1, 'quota-exceeded']],
+	},
+	{
+		name: 'accelerators that another job is about to reserve are not given out again before the agents report them',
+		view: applyDrivers(view, [placing]), requests: [request(1, 'urgent', 10)], expected: [[1, 'accelerators-busy']],
+	},
+	{
+		name: 'accelerators of a job that has ended are free before the agents report it',
+		view: applyDrivers({
+			...view, workers: view.workers.map(known => ({
+				...known, holdings: [{
+					job: jobIdOf(9), plan: planOf('rosters'), accelerators: [0, 1, 2, 3], preemptible: false, submittedAt: 5,
+				}],
+			})),
+		}, [{...placing, phase: {kind: 'done', isOwner: true}}]),
+		requests: [request(1, 'urgent', 10)], expected: [[1, 'placed']],
+	},
+];
+
+describe('order of placements', () => {
+	for (const {name, view: present, requests, expected} of cases) {
+		it(name, () => {
+			const placed = placeInOrder(present, requests, limits).map(({job, placement}) => [job, placement.kind === 'waiting' ? placement.reason : placement.kind]);
+			expect(placed).to.deep.equal(expected.map(([number, outcome]) => [jobIdOf(number), outcome]));
+		});
+	}
+});
