--- a/packages/entry/plugins/report-agent.ts
+++ b/packages/entry/plugins/report-agent.ts
@@ -1,7 +1,9 @@
 import {reportParametersSchema, type ReportParameters} from '#protocol';
 import {entryPlugins} from '../plugins.js';
 import {connectionsService} from './connections.js';
+import {layoutService} from './layout-task.js';
 import {membershipService} from './membership.js';
+import {routingService} from './routing.js';
 
 entryPlugins.register({
 	kind: 'rpc-method',
@@ -17,6 +19,11 @@
 				membership.send({
 					kind: 'reported', worker, incarnation: agent.incarnation, load, holdings, configurationRevision, layoutRevision,
 				});
+				services.use(routingService).send({
+					kind: 'reported', worker, load: {short: load.shortQueued + load.shortRunning, long: load.longQueued + load.longRunning},
+				});
+				const slice = services.use(layoutService).chooseSlice(worker, {configurationRevision, layoutRevision});
+				return slice === undefined ? {} : {slice};
 			}
 		}
 
--- a/packages/entry/plugins/routing.ts
+++ b/packages/entry/plugins/routing.ts
@@ -1,15 +1,24 @@
-import type {RequestWork, WorkerId} from '#core';
-import {createServiceKey, startTask, type TaskHandle} from '#kernel';
 import {
-	initialServiceTimes, observeServiceTime, receiveHealthMessage, type HealthMessage, type HealthState, type ServiceTimes,
+	assertNever, type RequestWork, type ServiceClass, type WorkerId,
+} from '#core';
+import {
+	createServiceKey, startTask, type Present, type TaskHandle,
+} from '#kernel';
+import {
+	initialServiceTimes, observeServiceTime, receiveHealthMessage, receiveLoadMessage, type ClassLoad, type HealthState, type LoadState,
+	type ServiceTimes,
 } from '#routing';
 import {entryPlugins} from '../plugins.js';
 import {membershipService} from './membership.js';
 
-export type RoutingState = Readonly<{health: HealthState; times: ServiceTimes}>;
+export type RoutingState = Readonly<{health: HealthState; loads: LoadState; times: ServiceTimes}>;
 
 export type RoutingMessage =
-	| Readonly<{kind: 'health'; message: HealthMessage}>
+	| Readonly<{kind: 'joined'; worker: WorkerId}>
+	| Readonly<{kind: 'left'; worker: WorkerId}>
+	| Readonly<{kind: 'dispatched'; worker: WorkerId; serviceClass: ServiceClass}>
+	| Readonly<{kind: 'ended'; worker: WorkerId; serviceClass: ServiceClass; end: 'succeeded' | 'failed' | 'not-started'}>
+	| Readonly<{kind: 'reported'; worker: WorkerId; load: ClassLoad}>
 	| Readonly<{kind: 'observed'; work: RequestWork; serviceMilliseconds: number}>;
 
 /** The task that owns what the entry has seen of workers and of the service times of each plan and kind. */
@@ -21,18 +30,8 @@
 	start({clock, services, log, counters}) {
 		const routing = startTask<RoutingState, RoutingMessage, never>({
 			name: 'routing',
-			initialState: {health: new Map(), times: initialServiceTimes},
-			receive(state, message, present) {
-				switch (message.kind) {
-					case 'health': {
-						return {state: {...state, health: receiveHealthMessage(state.health, message.message, present)}, effects: []};
-					}
-
-					case 'observed': {
-						return {state: {...state, times: observeServiceTime(state.times, message.work, message.serviceMilliseconds)}, effects: []};
-					}
-				}
-			},
+			initialState: {health: new Map(), loads: new Map(), times: initialServiceTimes},
+			receive: (state, message, present) => ({state: receiveRoutingMessage(state, message, present), effects: []}),
 		}, {clock, perform() {/* The task only keeps state. */}});
 		services.provide(routingService, routing);
 
@@ -40,13 +39,13 @@
 		const stopWatching = services.use(membershipService).subscribe(({agents}) => {
 			for (const worker of incarnations.keys()) {
 				if (!agents.has(worker)) {
-					routing.send({kind: 'health', message: {kind: 'left', worker}});
+					routing.send({kind: 'left', worker});
 				}
 			}
 
 			for (const {worker, incarnation} of agents.values()) {
 				if (incarnations.get(worker) !== incarnation) {
-					routing.send({kind: 'health', message: {kind: 'joined', worker}});
+					routing.send({kind: 'joined', worker});
 				}
 			}
 
@@ -64,3 +63,26 @@
 		};
 	},
 });
+
+function receiveRoutingMessage(state: RoutingState, message: RoutingMessage, present: Present): RoutingState {
+	switch (message.kind) {
+		case 'joined':
+		case 'left':
+		case 'dispatched':
+		case 'ended': {
+			return {...state, health: receiveHealthMessage(state.health, message, present), loads: receiveLoadMessage(state.loads, message)};
+		}
+
+		case 'reported': {
+			return {...state, loads: receiveLoadMessage(state.loads, message)};
+		}
+
+		case 'observed': {
+			return {...state, times: observeServiceTime(state.times, message.work, message.serviceMilliseconds)};
+		}
+
+		default: {
+			return assertNever(message);
+		}
+	}
+}
--- a/packages/entry/requests/places.ts
+++ b/packages/entry/requests/places.ts
@@ -1,9 +1,10 @@
 import type {
 	Milliseconds, Place, WorkerId,
 } from '#core';
+import {createQueueSettings} from '#limits';
 import {isAvailable} from '#membership';
 import {
-	readShare, type Candidate, type CandidateSource,
+	noLoad, readShare, type Candidate, type CandidateSource,
 } from '#routing';
 import type {RpcPeer} from '#transport';
 import {connectionsService} from '../plugins/connections.js';
@@ -14,8 +15,8 @@
 /** Lists the workers of the own zone that may take a request, without building the list. */
 export function createCandidateSource({services, clock}: EntryContext, excluded: readonly WorkerId[]): CandidateSource {
 	const {available} = services.use(membershipService).read();
-	const {peers, outstanding} = services.use(connectionsService).read();
-	const {health} = services.use(routingService).read();
+	const {peers} = services.use(connectionsService).read();
+	const {health, loads} = services.use(routingService).read();
 	const monotonic = clock.monotonic();
 	return {
 		count: available.length,
@@ -26,15 +27,12 @@
 			}
 
 			const share = readShare(health, agent.worker, monotonic);
-			const {shortQueued, shortRunning, longQueued, longRunning} = agent.load;
+			const {outstanding, others} = loads.get(agent.worker) ?? {outstanding: noLoad, others: noLoad};
+			const {slots} = agent.capacity;
 			return share === 0
 				? undefined
 				: {
-					worker: agent.worker,
-					slots: agent.capacity.slots,
-					outstanding: outstanding.get(agent.worker) ?? 0,
-					reported: shortQueued + shortRunning + longQueued + longRunning,
-					share,
+					worker: agent.worker, slots, longSlots: slots - createQueueSettings(slots).reservedForShort, outstanding, others, share,
 				};
 		},
 	};
--- a/packages/routing/choose-worker.ts
+++ b/packages/routing/choose-worker.ts
@@ -1,4 +1,6 @@
-import {pickInteger, type RandomSource} from '#core';
+import {
+	assertNever, pickInteger, type RandomSource, type ServiceClass,
+} from '#core';
 import {maximumPicks} from './constants.js';
 import type {Candidate, CandidateSource} from './types.js';
 
@@ -7,7 +9,7 @@
 
 Two choices keep the longest queue close to the shortest one without the herd that the least loaded worker attracts when several entries decide on old reports (Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing", 2001).
 */
-export function chooseWorker(source: CandidateSource, random: RandomSource): Candidate | undefined {
+export function chooseWorker(source: CandidateSource, serviceClass: ServiceClass, random: RandomSource): Candidate | undefined {
 	let first: Candidate | undefined;
 	for (let picks = 0; picks < maximumPicks && source.count > 0; picks++) {
 		const picked = source.at(pickInteger(random, source.count));
@@ -16,7 +18,7 @@
 		}
 
 		if (first !== undefined) {
-			return estimateLoad(first) <= estimateLoad(picked) ? first : picked;
+			return estimateLoad(first, serviceClass) <= estimateLoad(picked, serviceClass) ? first : picked;
 		}
 
 		first = picked;
@@ -38,7 +40,26 @@
 	return undefined;
 }
 
-/** Work per slot once the request is added; a worker in slow start counts for fewer slots. */
-export function estimateLoad({outstanding, reported, slots, share}: Candidate): number {
-	return (Math.max(outstanding, reported) + 1) / (Math.max(1, slots) * share);
+/**
+Work per slot that a new request of the class meets at a worker; a worker in slow start counts for fewer slots.
+
+Short work does not wait for queued long work, so of the long work only what can run counts for it.
+*/
+export function estimateLoad({outstanding, others, slots, longSlots, share}: Candidate, serviceClass: ServiceClass): number {
+	const short = outstanding.short + others.short;
+	const long = outstanding.long + others.long;
+	const capacity = Math.max(1, slots) * share;
+	switch (serviceClass) {
+		case 'short': {
+			return (short + Math.min(long, longSlots) + 1) / capacity;
+		}
+
+		case 'long': {
+			return (short + long + 1) / capacity;
+		}
+
+		default: {
+			return assertNever(serviceClass);
+		}
+	}
 }
--- a/packages/routing/health.ts
+++ b/packages/routing/health.ts
@@ -125,19 +125,23 @@
 	return new Map(state).set(worker, next);
 }
 
-/** Bounds the ejected share and leaves everybody in place where all workers fail alike. */
+/**
+Bounds the ejected share, and leaves everybody in place where most workers fail: then the requests are at fault.
+
+Workers are counted rather than requests, because the few that fail attract most requests and would protect each other.
+*/
 function mayEject(state: HealthState, worker: WorkerId): boolean {
 	let ejected = 0;
-	let succeeded = 0;
-	let failed = 0;
-	for (const [other, health] of state) {
-		if (health.condition.kind !== 'active') {
+	let judged = 0;
+	let failing = 0;
+	for (const [other, {condition, succeeded, failed}] of state) {
+		if (condition.kind !== 'active') {
 			ejected++;
-		} else if (other !== worker) {
-			succeeded += health.succeeded;
-			failed += health.failed;
+		} else if (other !== worker && succeeded + failed >= 1) {
+			judged++;
+			failing += failed / (succeeded + failed) > ejectionFailureShare ? 1 : 0;
 		}
 	}
 
-	return ejected + 1 <= state.size * maximumEjectedShare && failed <= (succeeded + failed) * commonFailureShare;
+	return ejected + 1 <= state.size * maximumEjectedShare && failing <= judged * commonFailureShare;
 }
--- /dev/null
+++ b/test/membership/view.test.ts
@@ -0,0 +1,85 @@
+import {expect} from 'chai';
+import type {Incarnation, WorkerId} from '#core';
+import {
+	initialMembershipState, isAvailable, receiveMembershipMessage, type MembershipMessage, type MembershipState,
+} from '#membership';
+
+const worker = 'worker-1' as WorkerId;
+const load = {
+	shortQueued: 0, shortRunning: 0, longQueued: 0, longRunning: 0, started: 0, failed: 0,
+};
+
+function announce(incarnation: string, isLeaving = false): MembershipMessage {
+	const agent: unknown = {
+		worker, incarnation, rack: 'rack-1', capacity: {slots: 8}, load, holdings: [], isLeaving, configurationRevision: 1, layoutRevision: 1,
+	};
+	return {kind: 'announced', agent: agent as Extract<MembershipMessage, {kind: 'announced'}>['agent']};
+}
+
+const report = (incarnation: string): MembershipMessage => ({
+	kind: 'reported', worker, incarnation: incarnation as Incarnation, load: {...load, longQueued: 7}, configurationRevision: 2, layoutRevision: 1,
+});
+const about = (kind: 'leaving' | 'disconnected' | 'probe-failed', incarnation: string): MembershipMessage => ({kind, worker, incarnation: incarnation as Incarnation});
+
+type Case = Readonly<{
+	name: string;
+	messages: ReadonlyArray<Readonly<[at: number, message: MembershipMessage]>>;
+	at: number;
+	incarnation: string | undefined;
+	available: boolean;
+	probes?: number;
+}>;
+
+const cases: readonly Case[] = [
+	{
+		name: 'an announced agent may get work', messages: [[0, announce('a')]], at: 0, incarnation: 'a', available: true,
+	},
+	{
+		name: 'an agent that is leaving gets nothing new at once', messages: [[0, announce('a')], [1, about('leaving', 'a')]], at: 1, incarnation: 'a', available: false,
+	},
+	{
+		name: 'an announcement that overtook the leaving does not bring an agent back',
+		messages: [[0, announce('a')], [1, about('leaving', 'a')], [2, announce('a')]], at: 2, incarnation: 'a', available: false,
+	},
+	{
+		name: 'an agent without a report for three intervals gets nothing new', messages: [[0, announce('a')]], at: 6000, incarnation: 'a', available: false,
+	},
+	{
+		name: 'a report makes a stale agent available again', messages: [[0, announce('a')], [7000, report('a')]], at: 7000, incarnation: 'a', available: true,
+	},
+	{
+		name: 'an agent whose report is late is probed', messages: [[0, announce('a')], [3000, {kind: 'tick'}]], at: 3000, incarnation: 'a', available: true, probes: 1,
+	},
+	{
+		name: 'an agent that fails its probe is removed',
+		messages: [[0, announce('a')], [3000, {kind: 'tick'}], [6000, about('probe-failed', 'a')]], at: 6000, incarnation: undefined, available: false, probes: 1,
+	},
+	{
+		name: 'a restarted agent replaces its former incarnation', messages: [[0, announce('a')], [1, announce('b')]], at: 1, incarnation: 'b', available: true,
+	},
+	{
+		name: 'a late announcement of a former incarnation is ignored', messages: [[0, announce('a')], [1, announce('b')], [2, announce('a')]], at: 2, incarnation: 'b', available: true,
+	},
+	{
+		name: 'a late disconnection of a former incarnation is ignored', messages: [[0, announce('a')], [1, announce('b')], [2, about('disconnected', 'a')]], at: 2, incarnation: 'b', available: true,
+	},
+];
+
+describe('view of the agents', () => {
+	for (const {name, messages, at, incarnation, available, probes = 0} of cases) {
+		it(name, () => {
+			let state: MembershipState = initialMembershipState;
+			let probed = 0;
+			for (const [monotonic, message] of messages) {
+				const step = receiveMembershipMessage(state, message, {monotonic});
+				state = step.state;
+				probed += step.effects.length;
+			}
+
+			const agent = state.agents.get(worker);
+			expect(agent?.incarnation).to.equal(incarnation);
+			expect(state.available.some(listed => isAvailable(listed, at))).to.equal(available);
+			expect(probed).to.equal(probes);
+		});
+	}
+});
