--- a/packages/entry/plugins/report-agent.ts
+++ b/packages/entry/plugins/report-agent.ts
@@ -1,6 +1,8 @@
 import {reportParametersSchema, type ReportParameters} from '#protocol';
+import {listZoneEntries} from '../entries.js';
 import {entryPlugins} from '../plugins.js';
 import {connectionsService} from './connections.js';
+import {entriesService} from './entries.js';
 import {layoutService} from './layout-task.js';
 import {membershipService} from './membership.js';
 import {routingService} from './routing.js';
@@ -23,7 +25,7 @@
 					kind: 'reported', worker, load: {short: load.shortQueued + load.shortRunning, long: load.longQueued + load.longRunning},
 				});
 				const slice = services.use(layoutService).chooseSlice(worker, {configurationRevision, layoutRevision});
-				return slice === undefined ? {} : {slice};
+				return {entries: listZoneEntries(services.use(entriesService).read()), ...(slice === undefined ? {} : {slice})};
 			}
 		}
 
--- a/packages/entry/start.ts
+++ b/packages/entry/start.ts
@@ -5,9 +5,9 @@
 import {listenForHttp, listenForPeers} from '#transport';
 import {entryPlugins} from './plugins.js';
 import './plugins/index.js';
+import {entryLeaseService} from './plugins/entry-lease.js';
 import {drainingService} from './plugins/operations.js';
 import {requestsService} from './plugins/requests.js';
-import {entryLeaseService} from './plugins/entry-lease.js';
 import type {EntrySettings} from './settings.js';
 import type {EntryContext, ListeningPorts} from './types.js';
 
--- a/packages/transport/http-server.ts
+++ b/packages/transport/http-server.ts
@@ -27,6 +27,7 @@
 /** Serves the program's HTTP routes. Bodies, headers and connections are bounded and slow senders time out. */
 export async function listenForHttp<Context>(host: string, port: number, services: HttpServices<Context>): Promise<HttpListener> {
 	let isDraining = false;
+	const active = new Set<ServerResponse>();
 	const server = createServer({
 		headersTimeout: headersTimeoutMilliseconds,
 		requestTimeout: requestTimeoutMilliseconds,
@@ -37,6 +38,10 @@
 			response.setHeader('connection', 'close');
 		}
 
+		active.add(response);
+		response.once('close', () => {
+			active.delete(response);
+		});
 		void serve(request, response, services);
 	});
 	server.maxConnections = maximumHttpConnections;
@@ -49,6 +54,13 @@
 		port: typeof address === 'object' && address !== null ? address.port : port,
 		async drain() {
 			isDraining = true;
+			// Without this, a connection stays open after its last answer until its keep-alive time is over.
+			for (const response of active) {
+				if (!response.headersSent) {
+					response.setHeader('connection', 'close');
+				}
+			}
+
 			await new Promise<void>(resolve => {
 				server.close(() => {
 					resolve();
