--- a/packages/entry/plugins/forwarding.ts
+++ b/packages/entry/plugins/forwarding.ts
@@ -62,12 +62,12 @@
 		services.provide(forwardTargetsService, {
 			list() {
 				const {links, records} = services.use(entriesService).read();
-				return [...links].flatMap(([entry, {peer}]): readonly ForwardTarget[] => {
+				return [...links].flatMap(([entry, {peer, summary}]): readonly ForwardTarget[] => {
 					const record = records.get(entry);
 					return record === undefined
 						? []
 						: [{
-							entry, zone: record.zone, region: record.region, peer,
+							entry, zone: record.zone, region: record.region, peer, workers: summary?.workers,
 						}];
 				});
 			},
--- a/packages/entry/requests/forwarding.ts
+++ b/packages/entry/requests/forwarding.ts
@@ -5,8 +5,8 @@
 import type {RpcPeer} from '#transport';
 import {linkWindowMilliseconds} from './constants.js';
 
-/** An entry of another zone with its open connection. */
-export type ForwardTarget = Readonly<{entry: EntryId; zone: ZoneName; region: RegionName; peer: RpcPeer}>;
+/** An entry of another zone with its open connection, and the number of workers in its zone if it has told. */
+export type ForwardTarget = Readonly<{entry: EntryId; zone: ZoneName; region: RegionName; peer: RpcPeer; workers: number | undefined}>;
 
 /** Port to the entries that a request can be forwarded to. */
 export type ForwardTargets = Readonly<{list(): readonly ForwardTarget[]}>;
@@ -30,11 +30,11 @@
 	return {isAllowed, use: isAllowed ? {...present, bytes: present.bytes + bytes} : present};
 }
 
-/** Orders targets: entries of the own region first, in random order within each group. */
+/** Orders targets in zones with workers: entries of the own region first, in random order within each group. */
 export function orderTargets(targets: readonly ForwardTarget[], own: Readonly<{zone: ZoneName; region: RegionName}>, random: () => number): readonly ForwardTarget[] {
 	const rank = ({region}: ForwardTarget) => region === own.region ? 0 : 1;
 	return targets
-		.filter(({zone}) => zone !== own.zone)
+		.filter(({zone, workers}) => zone !== own.zone && workers !== 0)
 		.map(target => ({target, order: rank(target) + random()}))
 		.toSorted((left, right) => left.order - right.order)
 		.map(({target}) => target);
