--- /dev/null
+++ b/test/entry/requests-table.test.ts
@@ -0,0 +1,148 @@
+import {expect} from 'chai';
+import type {Outcome, RequestWork} from '#core';
+import {
+	digestOf, findEnded, initialRequestsState, receiveRequestsMessage,
+} from '../../packages/entry/requests/table.js';
+import type {RequestsEffect, RequestsMessage, RequestsState} from '../../packages/entry/requests/types.js';
+
+const completed: Outcome = {
+	kind: 'completed', result: {
+		status: 'succeeded', body: 'whole', serviceMilliseconds: 1, queueMilliseconds: 0,
+	},
+};
+const unknown: Outcome = {kind: 'unknown', reason: 'timeout'};
+
+function workOf(requestId: string, plan = 'rosters', payload = 'a'): RequestWork {
+	const work: unknown = {
+		requestId, plan, kind: 'roster', idempotent: true, payload,
+	};
+	return work as RequestWork;
+}
+
+const submit = (replyId: number, work: RequestWork, planLimit = 2, totalLimit = 3): RequestsMessage => ({
+	kind: 'submit', work, digest: digestOf(work), replyId, options: {
+		isRetry: false, mayForward: true, planLimit, totalLimit,
+	},
+});
+const {requestId} = workOf('one');
+const answered = (number: number, outcome: Outcome): RequestsMessage => ({
+	kind: 'answered', requestId, number, outcome, bytes: 10,
+});
+const settled: RequestsMessage = {kind: 'settled', plan: workOf('one').plan};
+
+type Case = Readonly<{name: string; messages: readonly RequestsMessage[]; expected: readonly string[]}>;
+
+const cases: readonly Case[] = [
+	{
+		name: 'two submissions of one identifier share a run and both get its answer',
+		messages: [submit(1, workOf('one')), submit(2, workOf('one')), answered(1, completed)],
+		expected: ['start 1', 'completed to 1', 'completed to 2'],
+	},
+	{
+		name: 'a late second answer reaches nobody',
+		messages: [submit(1, workOf('one')), answered(1, completed), answered(1, unknown)],
+		expected: ['start 1', 'completed to 1'],
+	},
+	{
+		name: 'an identifier that stands for another request does not get its result',
+		messages: [submit(1, workOf('one')), submit(2, workOf('one', 'rosters', 'b')), answered(1, completed), submit(3, workOf('one', 'layouts'))],
+		expected: ['start 1', 'identifier-reused to 2', 'completed to 1', 'identifier-reused to 3'],
+	},
+	{
+		name: 'a completed request is replayed, one of unknown outcome is looked up again',
+		messages: [submit(1, workOf('one')), answered(1, unknown), settled, submit(2, workOf('one')), answered(2, completed), submit(3, workOf('one'))],
+		expected: ['start 1', 'unknown to 1', 'start 2', 'completed to 2', 'completed to 3'],
+	},
+	{
+		name: 'an answer of an earlier run does not end the present one',
+		messages: [submit(1, workOf('one')), answered(1, unknown), submit(2, workOf('one')), answered(1, completed)],
+		expected: ['start 1', 'unknown to 1', 'start 2'],
+	},
+	{
+		name: 'one plan cannot take the places of all',
+		messages: [submit(1, workOf('one')), submit(2, workOf('two')), submit(3, workOf('three')), submit(4, workOf('four', 'layouts')), submit(5, workOf('five', 'layouts'))],
+		expected: ['start 1', 'start 2', 'quota-exceeded to 3', 'start 3', 'overloaded to 5'],
+	},
+	{
+		name: 'a place is free again once the request is settled, not when the caller is answered',
+		messages: [submit(1, workOf('one'), 1), answered(1, unknown), submit(2, workOf('two'), 1), settled, submit(3, workOf('two'), 1)],
+		expected: ['start 1', 'unknown to 1', 'quota-exceeded to 2', 'start 2'],
+	},
+	{
+		name: 'the work is given up only when its last caller has gone',
+		messages: [submit(1, workOf('one')), submit(2, workOf('one')), {kind: 'left', requestId, replyId: 1}, {kind: 'left', requestId, replyId: 2}],
+		expected: ['start 1', 'caller-left to run 1'],
+	},
+	{
+		name: 'a cancel that comes too late is told so',
+		messages: [submit(1, workOf('one')), {kind: 'cancel', requestId, replyId: 7}, {kind: 'cancel-refused', requestId, number: 1}],
+		expected: ['start 1', 'cancelled to run 1', 'running to cancel 7'],
+	},
+	{
+		name: 'a cancel of a request that nobody knows claims nothing',
+		messages: [{kind: 'cancel', requestId, replyId: 7}],
+		expected: ['absent to cancel 7'],
+	},
+];
+
+function describeEffect(effect: RequestsEffect): string {
+	switch (effect.kind) {
+		case 'start': {
+			return `start ${effect.number}`;
+		}
+
+		case 'send': {
+			return `${effect.message.kind} to run ${effect.number}`;
+		}
+
+		case 'decide-retry': {
+			return `retry ${effect.isAllowed ? 'granted' : 'denied'}`;
+		}
+
+		case 'reply-submit': {
+			const {replyId, reply} = effect;
+			return `${reply.kind === 'outcome' ? reply.outcome.kind : reply.reason} to ${replyId}`;
+		}
+
+		case 'reply-cancel': {
+			const {replyId, reply} = effect;
+			return `${reply.kind === 'outcome' ? reply.outcome.kind : reply.kind} to cancel ${replyId}`;
+		}
+	}
+}
+
+function play(messages: readonly RequestsMessage[], start: RequestsState = initialRequestsState): Readonly<{state: RequestsState; done: readonly string[]}> {
+	let state = start;
+	const done: string[] = [];
+	for (const message of messages) {
+		const step = receiveRequestsMessage(state, message, {monotonic: 0});
+		state = step.state;
+		done.push(...step.effects.map(describeEffect));
+	}
+
+	return {state, done};
+}
+
+describe('requests of an entry', () => {
+	for (const {name, messages, expected} of cases) {
+		it(name, () => {
+			expect(play(messages).done).to.deep.equal(expected);
+		});
+	}
+
+	it('a result that arrives after the caller was told unknown is found', () => {
+		const {state} = play([submit(1, workOf('one')), answered(1, unknown), {
+			kind: 'recorded', requestId, number: 1, outcome: completed, bytes: 10,
+		}]);
+		expect(findEnded(state, requestId)?.outcome).to.deep.equal(completed);
+	});
+
+	it('large results push out older ones instead of growing without bound', () => {
+		const big = (number: number): RequestsMessage[] => [submit(number, workOf(`big-${number}`), 9, 9), {
+			kind: 'answered', requestId: workOf(`big-${number}`).requestId, number, outcome: completed, bytes: 5_000_000,
+		}, settled];
+		const {state} = play([1, 2, 3, 4].flatMap(big));
+		const kept = [1, 2, 3, 4].filter(number => findEnded(state, workOf(`big-${number}`).requestId) !== undefined);
+		expect(kept).to.deep.equal([3, 4]);
+	});
+});
