--- a/packages/entry/plugins/forwarding.ts
+++ b/packages/entry/plugins/forwarding.ts
@@ -1,6 +1,9 @@
 import {createReplyTable, createServiceKey, startTask} from '#kernel';
 import {entryPlugins} from '../plugins.js';
-import {forwardTargetsService, takeLinkBytes, type LinkUse} from '../requests/forwarding.js';
+import {
+	forwardTargetsService, takeLinkBytes, type ForwardTarget, type LinkUse,
+} from '../requests/forwarding.js';
+import {entriesService} from './entries.js';
 
 export type LinkService = Readonly<{
 	/** Asks for room on the link between regions; the bytes are counted if it is given. */
@@ -56,7 +59,19 @@
 				link.send({kind: 'charge', bytes});
 			},
 		});
-		services.provide(forwardTargetsService, {list: () => []});
+		services.provide(forwardTargetsService, {
+			list() {
+				const {links, records} = services.use(entriesService).read();
+				return [...links].flatMap(([entry, {peer, summary}]): readonly ForwardTarget[] => {
+					const record = records.get(entry);
+					return record === undefined
+						? []
+						: [{
+							entry, zone: record.zone, region: record.region, peer, workers: summary?.workers,
+						}];
+				});
+			},
+		});
 		return () => {
 			link.stop();
 		};
--- a/packages/entry/plugins/report-agent.ts
+++ b/packages/entry/plugins/report-agent.ts
@@ -5,6 +5,7 @@
 import {entriesService} from './entries.js';
 import {layoutService} from './layout-task.js';
 import {membershipService} from './membership.js';
+import {routingService} from './routing.js';
 
 entryPlugins.register({
 	kind: 'rpc-method',
@@ -20,6 +21,9 @@
 				membership.send({
 					kind: 'reported', worker, incarnation: agent.incarnation, load, holdings, configurationRevision, layoutRevision,
 				});
+				services.use(routingService).send({
+					kind: 'reported', worker, load: {short: load.shortQueued + load.shortRunning, long: load.longQueued + load.longRunning},
+				});
 				const slice = services.use(layoutService).chooseSlice(worker, {configurationRevision, layoutRevision});
 				return {entries: listZoneEntries(services.use(entriesService).read()), ...(slice === undefined ? {} : {slice})};
 			}
--- a/packages/entry/requests/agent-calls.ts
+++ b/packages/entry/requests/agent-calls.ts
@@ -1,7 +1,6 @@
 import type {AgentAnswer, Place} from '#core';
 import {deadlineDelay, type RequestEffect} from '#recovery';
 import {estimateService} from '#routing';
-import {connectionsService} from '../plugins/connections.js';
 import {routingService} from '../plugins/routing.js';
 import {
 	findRetryMilliseconds, findWaitMilliseconds, lookUpTimeoutMilliseconds, runMarginMilliseconds, withdrawWaitMilliseconds,
@@ -20,29 +19,31 @@
 		return;
 	}
 
-	const connections = services.use(connectionsService);
 	const routing = services.use(routingService);
 	const {worker, incarnation} = place;
 	const startedAt = clock.monotonic();
-	connections.send({kind: 'sent', worker});
-	routing.send({kind: 'health', message: {kind: 'dispatched', worker}});
+	const {serviceClass, estimatedMilliseconds} = estimateService(routing.read().times, work);
+	routing.send({kind: 'dispatched', worker, serviceClass});
 	const reply = await found.peer.call('request.run', {
-		work, incarnation, ...estimateService(routing.read().times, work),
+		work, incarnation, serviceClass, estimatedMilliseconds,
 	}, deadlineDelay(work, clock.now()) + runMarginMilliseconds);
-	connections.send({kind: 'answered', worker});
 	counters.recordLatency('dispatch', clock.monotonic() - startedAt);
 	if (reply.kind === 'failed') {
-		routing.send({kind: 'health', message: {kind: 'ended', worker, end: 'not-started'}});
+		routing.send({
+			kind: 'ended', worker, serviceClass, end: 'not-started',
+		});
 		send({
 			kind: 'failed', dispatch, call, delivery: reply.delivery, reason: reply.reason,
 		});
 		return;
 	}
 
-	routing.send({kind: 'health', message: {kind: 'ended', worker, end: readEnd(reply.result)}});
-	if (reply.result.kind === 'ran') {
+	routing.send({
+		kind: 'ended', worker, serviceClass, end: readEnd(reply.result),
+	});
+	if (reply.result.kind === 'ran' && reply.result.result.status === 'succeeded') {
 		routing.send({kind: 'observed', work, serviceMilliseconds: reply.result.result.serviceMilliseconds});
-	} else {
+	} else if (reply.result.kind !== 'ran') {
 		counters.countEvent(`agent-${reply.result.kind}-${reply.result.reason}`);
 	}
 
--- a/packages/entry/requests/run.ts
+++ b/packages/entry/requests/run.ts
@@ -6,9 +6,10 @@
 	createRequestState, isSettled, receiveRequestMessage, type HeldClaim, type RequestEffect, type RequestMessage, type RequestState,
 	type Target,
 } from '#recovery';
-import {chooseWorker} from '#routing';
+import {chooseWorker, estimateService} from '#routing';
 import {claimsService} from '../plugins/claims.js';
 import {membershipService} from '../plugins/membership.js';
+import {routingService} from '../plugins/routing.js';
 import type {EntryContext} from '../types.js';
 import {
 	callAgent, findAtAgent, withdrawAtAgent,
@@ -143,7 +144,8 @@
 
 function choose({excluded, mayForward}: Extract<RequestEffect, {kind: 'choose'}>, run: RunContext): void {
 	const {context, send, work} = run;
-	const chosen = chooseWorker(createCandidateSource(context, excluded), context.random);
+	const {serviceClass} = estimateService(context.services.use(routingService).read().times, work);
+	const chosen = chooseWorker(createCandidateSource(context, excluded), serviceClass, context.random);
 	const place = chosen === undefined ? undefined : placeOf(chosen.worker, context);
 	if (place !== undefined) {
 		send({kind: 'chosen', target: {kind: 'agent', place, zone: context.settings.zone}});
--- a/packages/routing/constants.ts
+++ b/packages/routing/constants.ts
@@ -1,5 +1,5 @@
-/** Requests whose service takes longer than this count as long. */
-export const shortLimitMilliseconds = 250;
+/** Requests whose service takes longer than this count as long; the agents use the same limit. */
+export const shortLimitMilliseconds = 1000;
 /** First guess of the service time where the caller declares none. */
 export const defaultEstimateMilliseconds = 100;
 /** Observed service times kept per plan and kind. */
@@ -10,6 +10,8 @@
 export const maximumObservedKinds = 4096;
 /** Random picks before the candidates are scanned in order. */
 export const maximumPicks = 6;
+/** Weight of the newest report in the estimate of what other entries have at a worker. */
+export const reportWeight = 0.2;
 /** How long a new or returning worker takes to get its full share. */
 export const slowStartMilliseconds = 10_000;
 /** Share of its slots that a worker counts for when slow start begins. */
@@ -19,8 +21,8 @@
 export const healthHalfLifeMilliseconds = 10_000;
 /** A worker is ejected if more than this share of what it started failed. */
 export const ejectionFailureShare = 0.5;
-/** Nobody is ejected if the other workers fail as well: then the requests are at fault. */
-export const commonFailureShare = 0.25;
+/** Nobody is ejected while more than this share of the other workers fails most requests. */
+export const commonFailureShare = 0.5;
 /** At most this share of the workers is ejected. */
 export const maximumEjectedShare = 1 / 3;
 /** Duration of the first ejection; it doubles with each failed trial. */
