--- a/bench/bench.ts
+++ b/bench/bench.ts
@@ -1,8 +1,10 @@
 /** Runs every benchmark and prints its report. Decisions run in seeded virtual time, so their figures repeat exactly. */
 import process from 'node:process';
 import {benchPlacement} from './placement/index.js';
+import {benchRouting} from './routing/index.js';
 
 const sections = [
+	{title: 'Routing and queues of requests', run: benchRouting},
 	{title: 'Placement of gangs and guaranteed shapes', run: benchPlacement},
 ] as const;
 
