Keep a plan's own borrowing from blocking its guarantee

Cause: placement counted a plan's preemptible holdings against maximumAccelerators before any eviction, so with a maximum equal to the guarantee the guaranteed gang waited as quota-exceeded. Preemptible work no longer counts against the plan's other gangs; it still counts when a preemptible gang starts. A submission of a job with retry: true that is refused now answers unknown, because the earlier one may have been recorded through another entry.

--- a/packages/configuration/types.ts
+++ b/packages/configuration/types.ts
@@ -33,7 +33,7 @@
 export const allowanceSchema = valibot.strictObject({
 	plan: planNameSchema,
 	guarantees: valibot.optional(valibot.pipe(valibot.array(guaranteeSchema), valibot.readonly()), []),
-	/** Upper bound of accelerators in use at once, guaranteed and borrowed together. */
+	/** Upper bound of accelerators in use at once in one zone. A preemptible gang starts only below it; the plan's preemptible work does not count against its other gangs. */
 	maximumAccelerators: valibot.optional(countSchema, 0),
 	/** Upper bound of requests in service at once in one zone. */
 	maximumSlots: valibot.optional(countSchema, 0),
--- a/packages/entry/jobs/placement-queue.ts
+++ b/packages/entry/jobs/placement-queue.ts
@@ -48,7 +48,7 @@
 	for (const request of ordered) {
 		const others = withoutJobs(present, new Set([request.job]));
 		const wanted = request.shape.members * request.shape.acceleratorsPerMember;
-		if (countHeld(others, request.plan) + wanted > (limits.get(request.plan)?.maximumAccelerators ?? 0)) {
+		if (countHeld(others, request) + wanted > (limits.get(request.plan)?.maximumAccelerators ?? 0)) {
 			placed.push({job: request.job, placement: {kind: 'waiting', reason: 'quota-exceeded'}});
 			continue;
 		}
@@ -71,8 +71,12 @@
 	};
 }
 
-function countHeld(view: ZoneView, plan: PlanName): number {
-	return view.workers.flatMap(({holdings}) => holdings).filter(holding => holding.plan === plan).reduce((sum, {accelerators}) => sum + accelerators.length, 0);
+/** A plan's preemptible work does not count against its non-preemptible gangs, or borrowing would keep the plan from its own guarantee. */
+function countHeld(view: ZoneView, {plan, preemptible}: GangRequest): number {
+	return view.workers
+		.flatMap(({holdings}) => holdings)
+		.filter(holding => holding.plan === plan && (preemptible || !holding.preemptible))
+		.reduce((sum, {accelerators}) => sum + accelerators.length, 0);
 }
 
 type Placed = ReadonlyArray<Readonly<{worker: string; accelerators: readonly number[]}>>;
--- a/packages/entry/plugins/job-submit.ts
+++ b/packages/entry/plugins/job-submit.ts
@@ -1,4 +1,5 @@
 import {isDeepStrictEqual} from 'node:util';
+import * as valibot from 'valibot';
 import {
 	checkInput, jobWorkSchema, type JobWork, type RefusalReason,
 } from '#core';
@@ -17,16 +18,33 @@
 import {storeService} from './store.js';
 import {configurationService} from './watch-configuration.js';
 
+const submissionSchema = valibot.object({
+	...jobWorkSchema.entries,
+	/** The caller submitted the identifier before. */
+	retry: valibot.optional(valibot.boolean(), false),
+});
+
 entryPlugins.register({
 	kind: 'http-route',
 	name: 'submit-job',
 	summary: 'Records a job; the same identifier again returns its present state',
 	method: 'POST',
 	path: '/v1/jobs',
-	bodySchema: jobWorkSchema,
-	handle: async ({body}, context) => submitJob(body as JobWork, context),
+	bodySchema: submissionSchema,
+	async handle({body}, context) {
+		const {retry, ...work} = body as JobWork & Readonly<{retry: boolean}>;
+		const reply = await submitJob(work, context);
+		return retry ? withoutPromise(reply) : reply;
+	},
 });
 
+/** The earlier submission may have been recorded through another entry, so a refusal of the retry does not say that the job did not run. */
+function withoutPromise(reply: HttpReply): HttpReply {
+	return reply.kind === 'problem'
+		? {...reply, problem: {...reply.problem, extensions: {...reply.problem.extensions, outcome: 'unknown'}}}
+		: reply;
+}
+
 async function submitJob(work: JobWork, context: EntryContext): Promise<HttpReply> {
 	const known = context.services.use(jobsService).find(work.jobId);
 	if (known !== undefined) {
--- a/test/entry/jobs/placement-queue.test.ts
+++ b/test/entry/jobs/placement-queue.test.ts
@@ -50,6 +50,18 @@
 		name: 'a plan does not get more accelerators than it may use',
 		view, requests: [request(1, 'small', 10)], expected: [[1, 'quota-exceeded']],
 	},
+	{
+		name: 'preemptible work of a plan does not keep the plan from its own guarantee',
+		view: {
+			...view, workers: view.workers.map(known => ({
+				...known, cells: [{plan: planOf('small'), accelerators: [0, 1, 2, 3]}], holdings: [{
+					job: jobIdOf(9), plan: planOf('small'), accelerators: [4, 5, 6, 7], preemptible: true, submittedAt: 5,
+				}],
+			})),
+		},
+		requests: [{...request(1, 'small', 10), shape: {...gangOf(2), members: 1, acceleratorsPerMember: 4}}, {...request(2, 'small', 20), preemptible: true}],
+		expected: [[1, 'placed'], [2, 'quota-exceeded']],
+	},
 	{
 		name: 'accelerators that another job is about to reserve are not given out again before the agents report them',
 		view: applyDrivers(view, [placing]), requests: [request(1, 'urgent', 10)], expected: [[1, 'accelerators-busy']],
