Keep one sharded map and one short limit; measure capacity

Two packages had the same read-only sharded map and the same limit of short work, which would have drifted apart.

--- a/packages/core/index.ts
+++ b/packages/core/index.ts
@@ -6,4 +6,5 @@
 export * from './hash.js';
 export * from './random.js';
 export * from './refusals.js';
+export * from './sharded-map.js';
 export * from './work.js';
--- a/packages/execution/sharded-map.ts
+++ b/packages/core/sharded-map.ts
@@ -1,17 +1,17 @@
-import {hashText} from '#core';
+import {hashText} from './hash.js';
 
-const shardCount = 1024;
+const defaultShardCount = 1024;
 
-/** A read-only map whose copy with one change touches one of 1024 parts; tens of thousands of answers are remembered at once. */
+/** A read-only map split by key, so that its copy with one change touches one part only; tens of thousands of answers are remembered at once. */
 export type ShardedMap<Value> = Readonly<{shards: ReadonlyArray<ReadonlyMap<string, Value>>; size: number}>;
 
-export function createShardedMap<Value>(): ShardedMap<Value> {
+export function createShardedMap<Value>(shardCount = defaultShardCount): ShardedMap<Value> {
 	const empty: ReadonlyMap<string, Value> = new Map();
 	return {shards: Array.from({length: shardCount}, () => empty), size: 0};
 }
 
 export function getValue<Value>({shards}: ShardedMap<Value>, key: string): Value | undefined {
-	return shards[hashText(key) % shardCount]?.get(key);
+	return shards[hashText(key) % shards.length]?.get(key);
 }
 
 export function withValue<Value>(map: ShardedMap<Value>, key: string, value: Value): ShardedMap<Value> {
@@ -25,10 +25,10 @@
 }
 
 function shardOf<Value>({shards}: ShardedMap<Value>, key: string): ReadonlyMap<string, Value> {
-	return shards[hashText(key) % shardCount] ?? new Map<string, Value>();
+	return shards[hashText(key) % shards.length] ?? new Map<string, Value>();
 }
 
 function replaceShard<Value>(map: ShardedMap<Value>, key: string, shard: ReadonlyMap<string, Value>): ShardedMap<Value> {
 	const difference = shard.size - shardOf(map, key).size;
-	return {shards: map.shards.with(hashText(key) % shardCount, shard), size: map.size + difference};
+	return {shards: map.shards.with(hashText(key) % map.shards.length, shard), size: map.size + difference};
 }
--- a/packages/entry/requests/table.ts
+++ b/packages/entry/requests/table.ts
@@ -1,13 +1,10 @@
 import {
-	assertNever, hashText, type MonotonicTime, type PlanName, type RequestId, type RequestWork, type Step,
+	assertNever, createShardedMap, getValue, hashText, withoutValue, withValue, type MonotonicTime, type PlanName, type RequestId, type RequestWork, type Step,
 } from '#core';
 import {earnRetry, initialRetryBudget, spendRetry} from '#limits';
 import {
 	generationMilliseconds, maximumGenerationBytes, maximumGenerationSize, overloadRetryMilliseconds,
 } from './constants.js';
-import {
-	emptyShardedMap, readSharded, removeSharded, setSharded,
-} from './sharded-map.js';
 import type {
 	Ended, Generation, InFlight, RequestsEffect, RequestsMessage, RequestsState, SubmitReply,
 } from './types.js';
@@ -15,10 +12,12 @@
 type RequestsStep = Step<RequestsState, RequestsEffect>;
 type Message<Kind extends RequestsMessage['kind']> = Extract<RequestsMessage, {kind: Kind}>;
 
-const emptyGeneration: Generation = {requests: emptyShardedMap, bytes: 0, startedAt: 0};
+const shardCount = 256;
+
+const emptyGeneration: Generation = {requests: createShardedMap(shardCount), bytes: 0, startedAt: 0};
 
 export const initialRequestsState: RequestsState = {
-	nextNumber: 1, inFlight: emptyShardedMap, young: emptyGeneration, old: emptyGeneration, total: 0, plans: new Map(), budget: initialRetryBudget,
+	nextNumber: 1, inFlight: createShardedMap(shardCount), young: emptyGeneration, old: emptyGeneration, total: 0, plans: new Map(), budget: initialRetryBudget,
 };
 
 /** Fingerprint of what a request asks for; an identifier stands for one fingerprint only. */
@@ -29,11 +28,11 @@
 
 /** Finds an ended request that is still remembered. */
 export function findEnded(state: RequestsState, requestId: RequestId): Ended | undefined {
-	return readSharded(state.young.requests, requestId) ?? readSharded(state.old.requests, requestId);
+	return getValue(state.young.requests, requestId) ?? getValue(state.old.requests, requestId);
 }
 
 export function findInFlight(state: RequestsState, requestId: RequestId): InFlight | undefined {
-	return readSharded(state.inFlight, requestId);
+	return getValue(state.inFlight, requestId);
 }
 
 /** Admits requests, joins submissions of one identifier, and remembers how requests ended. */
@@ -58,7 +57,7 @@
 			}
 
 			return {
-				state: {...state, inFlight: setSharded(state.inFlight, message.requestId, {...present, cancels: []})},
+				state: {...state, inFlight: withValue(state.inFlight, message.requestId, {...present, cancels: []})},
 				effects: present.cancels.map(replyId => ({kind: 'reply-cancel', replyId, reply: {kind: 'running'}})),
 			};
 		}
@@ -111,7 +110,7 @@
 	}
 
 	if (running !== undefined) {
-		return {state: {...state, inFlight: setSharded(state.inFlight, requestId, {...running, callers: [...running.callers, replyId]})}, effects: []};
+		return {state: {...state, inFlight: withValue(state.inFlight, requestId, {...running, callers: [...running.callers, replyId]})}, effects: []};
 	}
 
 	if (ended?.outcome.kind === 'completed') {
@@ -133,7 +132,7 @@
 			...counted,
 			nextNumber: number + 1,
 			budget: earnRetry(state.budget, plan),
-			inFlight: setSharded(state.inFlight, requestId, {
+			inFlight: withValue(state.inFlight, requestId, {
 				number, digest, callers: [replyId], cancels: [],
 			}),
 		},
@@ -152,7 +151,7 @@
 
 	const callers = present.callers.filter(caller => caller !== replyId);
 	return {
-		state: {...state, inFlight: setSharded(state.inFlight, requestId, {...present, callers})},
+		state: {...state, inFlight: withValue(state.inFlight, requestId, {...present, callers})},
 		effects: callers.length === 0 ? [{kind: 'send', number: present.number, message: {kind: 'caller-left'}}] : [],
 	};
 }
@@ -161,7 +160,7 @@
 	const present = findInFlight(state, requestId);
 	if (present !== undefined) {
 		return {
-			state: {...state, inFlight: setSharded(state.inFlight, requestId, {...present, cancels: [...present.cancels, replyId]})},
+			state: {...state, inFlight: withValue(state.inFlight, requestId, {...present, cancels: [...present.cancels, replyId]})},
 			effects: [{kind: 'send', number: present.number, message: {kind: 'cancelled'}}],
 		};
 	}
@@ -176,7 +175,7 @@
 		return {state, effects: []};
 	}
 
-	const next = remember({...state, inFlight: removeSharded(state.inFlight, requestId)}, requestId, {number, digest: present.digest, outcome}, {bytes, monotonic});
+	const next = remember({...state, inFlight: withoutValue(state.inFlight, requestId)}, requestId, {number, digest: present.digest, outcome}, {bytes, monotonic});
 	return {
 		state: next,
 		effects: [
@@ -196,6 +195,6 @@
 	return {
 		...state,
 		old: isFull ? young : state.old,
-		young: {...target, bytes: target.bytes + bytes, requests: setSharded(target.requests, requestId, ended)},
+		young: {...target, bytes: target.bytes + bytes, requests: withValue(target.requests, requestId, ended)},
 	};
 }
--- a/packages/entry/requests/types.ts
+++ b/packages/entry/requests/types.ts
@@ -1,9 +1,8 @@
 import type {
-	MonotonicTime, Outcome, PlanName, RefusalReason, RequestId, RequestWork,
+	MonotonicTime, Outcome, PlanName, RefusalReason, RequestId, RequestWork, ShardedMap,
 } from '#core';
 import type {ReplyId} from '#kernel';
 import type {RetryBudget} from '#limits';
-import type {ShardedMap} from './sharded-map.js';
 
 /** A request that this entry is working on. */
 export type InFlight = Readonly<{
--- a/packages/execution/constants.ts
+++ b/packages/execution/constants.ts
@@ -6,8 +6,6 @@
 export const identifierRetentionMilliseconds = 660_000;
 /** Clocks of callers may be ahead by this much. */
 export const identifierToleranceMilliseconds = 60_000;
-/** Running `short` work counts as long after this time, and kinds that usually take longer are `long`. */
-export const shortLimitMilliseconds = 1000;
 /** Answers that are remembered: about 45 non-idempotent requests a second over their retention. */
 export const maximumRememberedAnswers = 32_768;
 /** Bytes of remembered answers, estimated from their JSON text. */
--- a/packages/execution/ledger.ts
+++ b/packages/execution/ledger.ts
@@ -1,13 +1,10 @@
-import type {
-	AgentAnswer, MonotonicTime, RequestId, Timestamp,
+import {
+	createShardedMap, getValue, withoutValue, withValue, type AgentAnswer, type MonotonicTime, type RequestId, type Timestamp,
 } from '#core';
 import {answerOverheadBytes} from './constants.js';
 import {
 	emptyFifo, pushLast, settle, takeFirst,
 } from './fifo.js';
-import {
-	createShardedMap, getValue, withoutValue, withValue,
-} from './sharded-map.js';
 import type {
 	AnsweredRecord, ExecutionSettings, Ledger, LedgerRecord, LedgerSize, QueuedRecord, RunningRecord,
 } from './types.js';
--- a/packages/execution/receive.ts
+++ b/packages/execution/receive.ts
@@ -2,11 +2,11 @@
 import {
 	createQueueSettings, createSlotQueue, demoteOverdue, setLimits,
 } from '#limits';
+import {shortLimitMilliseconds} from '#routing';
 import {acceptRun} from './accept-run.js';
 import type {ExecutionStep} from './answers.js';
 import {
 	executionTickMilliseconds, identifierRetentionMilliseconds, identifierToleranceMilliseconds, maximumRememberedAnswers, maximumRememberedBytes,
-	shortLimitMilliseconds,
 } from './constants.js';
 import {startDraining} from './drain.js';
 import {endTask} from './end-task.js';
--- a/packages/execution/types.ts
+++ b/packages/execution/types.ts
@@ -1,13 +1,12 @@
 /** What an agent knows about requests, and the messages that change it. */
 import type {
-	AgentAnswer, Incarnation, Milliseconds, MonotonicTime, PlanName, RefusalReason, RequestId, RequestWork, RunResult, ServiceClass, Timestamp,
+	AgentAnswer, Incarnation, Milliseconds, MonotonicTime, PlanName, RefusalReason, RequestId, RequestWork, RunResult, ServiceClass, ShardedMap, Timestamp,
 } from '#core';
 import type {
 	PlanLimit, QueueItem, SlotQueue, SlotQueueSettings,
 } from '#limits';
 import type {Fifo} from './fifo.js';
 import type {Observations} from './observations.js';
-import type {ShardedMap} from './sharded-map.js';
 
 /** The present time as a deciding function sees it. */
 export type Present = Readonly<{now: Timestamp; monotonic: MonotonicTime}>;
--- a/packages/routing/constants.ts
+++ b/packages/routing/constants.ts
@@ -1,4 +1,4 @@
-/** Requests whose service takes longer than this count as long; the agents use the same limit. */
+/** Requests whose service takes longer than this count as long, also in agents, where running `short` work counts as long after this time. */
 export const shortLimitMilliseconds = 1000;
 /** First guess of the service time where the caller declares none. */
 export const defaultEstimateMilliseconds = 100;
--- a/tools/capacity/fake-agents.ts
+++ b/tools/capacity/fake-agents.ts
@@ -17,7 +17,7 @@
 	close(): void;
 }>;
 
-/** Opens the given number of announced connections to one entry and reports on each at the product's interval. */
+/** Opens the given number of announced connections to one entry and reports on each at the product's interval, with nothing changed, as an idle agent does. */
 export async function connectFakeAgents(address: string, count: number): Promise<FakeAgents> {
 	const peers: RpcPeer[] = [];
 	let isClosed = false;
@@ -37,7 +37,7 @@
 		await delay((reportIntervalMilliseconds * index) / count);
 		while (!isClosed) {
 			await Promise.all([
-				peer.call('agent.report', {load: idleLoad, configurationRevision: 1, layoutRevision: 1}, callTimeoutMilliseconds),
+				peer.call('agent.report', {}, callTimeoutMilliseconds),
 				delay(reportIntervalMilliseconds),
 			]);
 		}
