--- a/test/entry/plan-changes.test.ts
+++ b/test/entry/plan-changes.test.ts
@@ -48,7 +48,8 @@
 		name: 'an entry that started later than the agent\'s revision sends all of it', seen: history.slice(1), agent: history[0], sent: ['a', 'b', 'd'],
 	},
 	{
-		name: 'a change for one of 590 teams does not repeat the other 589', seen: [configurationOf(1, teams), configurationOf(2, {...teams, 'team-7': 3})], agent: configurationOf(1, teams), sent: ['team-7'],
+		name: 'a change for one of 590 teams does not repeat the other 589',
+		seen: [configurationOf(1, teams), configurationOf(2, {...teams, 'team-7': 3})], agent: configurationOf(1, teams), sent: ['team-7'],
 	},
 ];
 
