--- a/demo/demo.ts
+++ b/demo/demo.ts
@@ -4,11 +4,12 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {createRandomSource} from '#core';
 import {killAll, type Daemon} from '#test/support/processes';
+import {measureAcceleratorUse} from './accelerator-use.js';
 import {listArrivals, type Arrival} from './arrivals.js';
 import {callFor, rotateOrigins} from './callers.js';
 import {compareWithRecords} from './compare.js';
 import {
-	demoZones, startFleet, startFleetStore, waitUntilReady, type Fleet,
+	acceleratorsPerWorker, demoZones, startFleet, startFleetStore, waitUntilReady, type Fleet,
 } from './fleet.js';
 import {readExecutions} from './records.js';
 import {formatComparison, formatReport} from './report.js';
@@ -69,9 +70,12 @@
 		print(`started ${fleet.entries.length} entries and ${fleet.workers.length} agents; sending ${arrivals.length} pieces of work`);
 		const told = await runLoad(arrivals, fleet);
 		const executions = await readExecutions(fleet.workers);
-		const sizes = new Map(told.map(({id}, index) => [id, arrivals[index]?.acceleratorsPerMember ?? 0]));
+		const gangs = told.flatMap((answer, index) => answer.workClass === 'gang' ? [{told: answer, arrival: arrivals[index]!}] : []);
+		const use = measureAcceleratorUse({
+			gangs, executions, workers: fleet.workers, acceleratorsPerWorker,
+		});
 		const comparison = compareWithRecords(told, executions);
-		for (const line of [...formatReport(told, executions, sizes, fleet.workers.length), '', ...comparison.faults, formatComparison(comparison)]) {
+		for (const line of [...formatReport(told, use), '', ...comparison.faults, formatComparison(comparison)]) {
 			print(line);
 		}
 
--- a/demo/records.ts
+++ b/demo/records.ts
@@ -25,11 +25,13 @@
 /** Joins the start and the end of each task. */
 export function pairRecords(worker: string, records: readonly ExecutionRecord[]): readonly Execution[] {
 	const executions = new Map<string, Execution>();
-	for (const {taskId, event, at, state} of records) {
+	for (const {
+		taskId, event, at, state, accelerators = [],
+	} of records) {
 		const started = executions.get(taskId);
 		if (event === 'started') {
 			executions.set(taskId, {
-				...readTaskId(taskId), worker, startedAt: at, endedAt: undefined, state: 'running',
+				...readTaskId(taskId), worker, accelerators, startedAt: at, endedAt: undefined, state: 'running',
 			});
 		} else if (event === 'ended' && started !== undefined) {
 			executions.set(taskId, {...started, endedAt: at, state: state ?? 'stopped'});
--- a/demo/report.ts
+++ b/demo/report.ts
@@ -1,15 +1,15 @@
 import {createLatencyHistogram} from '#kernel';
 import {groupBy} from '#core';
-import {acceleratorsPerWorker} from './fleet.js';
-import type {Comparison, Execution, Told} from './types.js';
+import type {AcceleratorUse} from './accelerator-use.js';
+import type {Comparison, Told} from './types.js';
 
-/** Formats what callers saw: completion time per class, utilisation, refusals. */
-export function formatReport(told: readonly Told[], executions: readonly Execution[], sizes: ReadonlyMap<string, number>, workers: number): readonly string[] {
+/** Formats what callers saw: completion time per class, use of accelerators, refusals. */
+export function formatReport(told: readonly Told[], use: AcceleratorUse): readonly string[] {
 	return [
 		'class  plan      submitted  completed  p50 ms  p99 ms',
 		...formatClasses(told),
 		'',
-		`utilisation of accelerators while gangs were submitted: ${(measureUtilisation(told, executions, sizes, workers) * 100).toFixed(1)}%`,
+		`accelerators while gangs were submitted: utilisation ${formatShare(use.utilisation)}, fragmentation ${formatShare(use.fragmentation)} (free ones that no waiting gang could use)`,
 		'',
 		'refusals and unknown outcomes by reason:',
 		...formatReasons(told),
@@ -30,18 +30,6 @@
 	});
 }
 
-/** Share of all accelerators in use between the first and the last submission of a gang. */
-function measureUtilisation(told: readonly Told[], executions: readonly Execution[], sizes: ReadonlyMap<string, number>, workers: number): number {
-	const submissions = told.filter(({workClass}) => workClass === 'gang').map(({submittedAt}) => submittedAt);
-	const from = Math.min(...submissions);
-	const until = Math.max(...submissions);
-	const used = executions.reduce((sum, {id, startedAt, endedAt}) => {
-		const overlap = Math.max(0, Math.min(endedAt ?? until, until) - Math.max(startedAt, from));
-		return sum + (overlap * (sizes.get(id) ?? 0));
-	}, 0);
-	return used / ((until - from) * workers * acceleratorsPerWorker);
-}
-
 function formatReasons(told: readonly Told[]): readonly string[] {
 	const groups = [...groupBy(told.filter(({outcome}) => outcome !== 'completed'), ({outcome, reason}) => `${outcome} ${reason ?? ''}`)].toSorted(([first], [second]) => first.localeCompare(second));
 	return groups.length === 0 ? ['  none'] : groups.map(([name, group]) => `  ${name}: ${group.length}`);
@@ -52,3 +40,7 @@
 	const {submitted, completed, notRun, unknown, lost, doubled, misreported} = comparison;
 	return `demo: submitted ${submitted}, completed ${completed}, not run ${notRun}, unknown ${unknown}, lost ${lost}, doubled ${doubled}, misreported ${misreported}`;
 }
+
+function formatShare(share: number): string {
+	return `${(share * 100).toFixed(1)}%`;
+}
--- a/demo/types.ts
+++ b/demo/types.ts
@@ -27,6 +27,7 @@
 	attempt: number;
 	/** Member of a gang; 0 for a request. */
 	member: number;
+	accelerators: readonly number[];
 	startedAt: Timestamp;
 	endedAt: Timestamp | undefined;
 	state: 'running' | 'succeeded' | 'failed' | 'stopped';
--- a/packages/stand-ins/worker/starts.ts
+++ b/packages/stand-ins/worker/starts.ts
@@ -42,7 +42,9 @@
 
 	const task = createTask(state, start, present);
 	const tasks = new Map(pruneEnded(state.tasks, present)).set(task.taskId, task);
-	const started = addRecord({...state, tasks}, {taskId: task.taskId, event: 'started', at: present.now});
+	const started = addRecord({...state, tasks}, {
+		taskId: task.taskId, event: 'started', at: present.now, accelerators: task.accelerators,
+	});
 	return {
 		state: noteUsage(started, present.now),
 		effects: [
--- a/packages/stand-ins/worker/types.ts
+++ b/packages/stand-ins/worker/types.ts
@@ -84,6 +84,8 @@
 	taskId: string;
 	event: 'started' | 'ended' | 'duplicate-start';
 	at: Timestamp;
+	/** Accelerators of a task that started. */
+	accelerators?: readonly number[];
 	state?: TaskEndState;
 }>;
 
--- a/test/demo/compare.test.ts
+++ b/test/demo/compare.test.ts
@@ -6,7 +6,7 @@
 	id: 'a', workClass: 'short', plan: 'rosters', idempotent: false, outcome: 'completed', isOwnResult: true, submittedAt: 0, endedAt: 10,
 };
 const run: Execution = {
-	id: 'a', worker: 'w', attempt: 0, member: 0, startedAt: 1, endedAt: 5, state: 'succeeded',
+	id: 'a', worker: 'w', attempt: 0, member: 0, accelerators: [], startedAt: 1, endedAt: 5, state: 'succeeded',
 };
 
 const idempotentGang: Told = {...told, idempotent: true, workClass: 'gang'};
