Read the revision in force from reports that leave it out

Cause: since reports leave out what has not changed, the last report of an agent names no revision, and the check of a lower revision read it as none. The check now takes the last revision that any report named, which is as strict: an agent that took revision 4 would report it.

--- a/test/processes/agent.test.ts
+++ b/test/processes/agent.test.ts
@@ -126,7 +126,8 @@
 			entry.offer(createSlice(4));
 			const before = entry.reports.length;
 			await waitFor('two more reports', async () => entry.reports.length >= before + 2 ? true : undefined);
-			return entry.reports.at(-1)?.configurationRevision;
+			// A report that leaves the revision out says that the last one named is still in force.
+			return entry.reports.flatMap(report => report.configurationRevision ?? []).at(-1);
 		},
 		expected: 5,
 	},
