Keep one schema of counts and one measurement of daemons

The schemas of counts and durations stood in five packages and now come from core. The two capacity measurements repeated the same sampling before and after the interval; measureCosts does it for both.

--- a/packages/core/work.ts
+++ b/packages/core/work.ts
@@ -4,9 +4,11 @@
 	incarnationSchema, jobIdSchema, planNameSchema, requestIdSchema, workerIdSchema, type Incarnation, type WorkerId,
 } from './types.js';
 
-const countSchema = valibot.pipe(valibot.number(), valibot.integer(), valibot.minValue(0));
+/** A whole number from 0. */
+export const countSchema = valibot.pipe(valibot.number(), valibot.integer(), valibot.minValue(0));
 const timestampSchema = valibot.pipe(valibot.number(), valibot.minValue(0));
-const durationSchema = valibot.pipe(valibot.number(), valibot.minValue(0));
+/** A duration in milliseconds. */
+export const durationSchema = valibot.pipe(valibot.number(), valibot.minValue(0));
 
 /** Work is short or long by observed service time; long work may not take the slots reserved for short work. */
 export const serviceClassSchema = valibot.picklist(['short', 'long']);
--- a/packages/placement/layout-types.ts
+++ b/packages/placement/layout-types.ts
@@ -1,13 +1,11 @@
 /** The layout of one zone: which accelerators each guaranteed cell is mapped to. */
 import * as valibot from 'valibot';
 import {
-	planNameSchema, workerIdSchema, zoneNameSchema, type AcceleratorIndex, type Milliseconds, type PlanName, type RackName, type MonotonicTime,
+	countSchema, planNameSchema, workerIdSchema, zoneNameSchema, type AcceleratorIndex, type Milliseconds, type PlanName, type RackName, type MonotonicTime,
 	type WorkerId, type ZoneName,
 } from '#core';
 import {adjacencySchema} from '#configuration';
 
-const countSchema = valibot.pipe(valibot.number(), valibot.integer(), valibot.minValue(0));
-
 /** Accelerators of one worker that belong to one cell; their indexes ascend. */
 export const cellPartSchema = valibot.object({
 	worker: workerIdSchema,
--- a/packages/protocol/types.ts
+++ b/packages/protocol/types.ts
@@ -1,13 +1,11 @@
 /** Messages between the system's own processes: JSON-RPC methods with the schemas of their parameters and results. */
 import * as valibot from 'valibot';
 import {
-	agentAnswerSchema, entryIdSchema, incarnationSchema, jobIdSchema, planNameSchema, rackNameSchema, refusalReasonSchema, regionNameSchema,
+	countSchema, durationSchema, agentAnswerSchema, entryIdSchema, incarnationSchema, jobIdSchema, planNameSchema, rackNameSchema, refusalReasonSchema, regionNameSchema,
 	requestIdSchema, requestWorkSchema, runResultSchema, serviceClassSchema, workerCapacitySchema, workerIdSchema, zoneNameSchema,
 } from '#core';
 import {configurationSchema} from '#configuration';
 
-const countSchema = valibot.pipe(valibot.number(), valibot.integer(), valibot.minValue(0));
-const durationSchema = valibot.pipe(valibot.number(), valibot.minValue(0));
 const acceleratorsSchema = valibot.pipe(valibot.array(countSchema), valibot.readonly());
 
 /** The part of the configuration and layout that one agent enforces. */
--- a/packages/recovery/jobs/types.ts
+++ b/packages/recovery/jobs/types.ts
@@ -1,10 +1,9 @@
 /** Job records as they are stored under `jobs/<id>`. */
 import * as valibot from 'valibot';
 import {
-	entryIdSchema, jobWorkSchema, placeSchema, refusalReasonSchema, runResultSchema, zoneNameSchema, type JobId,
+	countSchema, entryIdSchema, jobWorkSchema, placeSchema, refusalReasonSchema, runResultSchema, zoneNameSchema, type JobId,
 } from '#core';
 
-const countSchema = valibot.pipe(valibot.number(), valibot.integer(), valibot.minValue(0));
 const timestampSchema = valibot.pipe(valibot.number(), valibot.minValue(0));
 
 /** Where one member of a gang runs. */
--- a/packages/stand-ins/worker/types.ts
+++ b/packages/stand-ins/worker/types.ts
@@ -1,10 +1,8 @@
 /** Bodies and state of the stand-in worker's task interface. */
 import * as valibot from 'valibot';
-import type {MonotonicTime, Timestamp} from '#core';
+import {type MonotonicTime, type Timestamp, durationSchema} from '#core';
 import type {HttpReply, TaskHandle} from '#kernel';
 
-const durationSchema = valibot.pipe(valibot.number(), valibot.minValue(0));
-
 /** Body of `POST /tasks` of the worker's interface. */
 export const startTaskSchema = valibot.object({
 	taskId: valibot.string(),
--- a/tools/capacity/measure-agent.ts
+++ b/tools/capacity/measure-agent.ts
@@ -1,15 +1,11 @@
-import {setTimeout as delay} from 'node:timers/promises';
 import type {EntryId} from '#core';
 import {createRegistry, silentLog, systemClock} from '#kernel';
 import {announceParametersSchema, reportParametersSchema} from '#protocol';
 import {startDaemon, type Daemon} from '#test/support/processes';
 import {listenForPeers, type PeerListener, type RpcPeer} from '#transport';
-import {readProcessorSeconds, readResidentMegabytes} from './process-cost.js';
+import {measureCosts} from './measure-costs.js';
 import type {Sample} from './types.js';
 
-const settleMilliseconds = 5000;
-const intervalSeconds = 15;
-
 const registry = createRegistry<undefined, RpcPeer>('fake-entries');
 registry.register({
 	kind: 'rpc-method',
@@ -36,17 +32,7 @@
 		subjects.push({size, daemon, listeners});
 	}
 
-	await delay(settleMilliseconds);
-	const before = await Promise.all(subjects.map(async ({daemon, listeners}) => ({seconds: await readProcessorSeconds(daemon.process.pid ?? 0), bytes: countBytes(listeners)})));
-	await delay(intervalSeconds * 1000);
-	const samples = await Promise.all(subjects.map(async ({size, daemon, listeners}, index): Promise<Sample> => ({
-		size,
-		cost: {
-			processor: (await readProcessorSeconds(daemon.process.pid ?? 0) - (before[index]?.seconds ?? 0)) / intervalSeconds,
-			residentMegabytes: await readResidentMegabytes(daemon.process.pid ?? 0),
-			bytesPerSecond: (countBytes(listeners) - (before[index]?.bytes ?? 0)) / intervalSeconds,
-		},
-	})));
+	const samples = await measureCosts(subjects.map(({size, daemon, listeners}) => ({size, daemon, countBytes: () => countBytes(listeners)})));
 	for (const {listeners} of subjects) {
 		for (const listener of listeners) {
 			listener.close();
