--- /dev/null
+++ b/packages/coordinator/callers/pending.ts
@@ -0,0 +1,44 @@
+import {checkInput} from '#core';
+import {jobRecordSchema, type QueueName} from '#jobs';
+import type {CallerAnswer} from '#protocol';
+import {countPending} from '#scheduling';
+import {entryCallTimeoutMilliseconds, storeRetryAfterMilliseconds} from '../constants.js';
+import {
+	jobsPrefix, progressPrefix, readJobPath,
+} from '../keys.js';
+import {storePort} from '../ports.js';
+import {directoryService, findLeader} from '../plugins/directory.js';
+import {entryPeersService} from '../plugins/entry-peers.js';
+import {schedulerService} from '../plugins/scheduler.js';
+import type {CoordinatorContext} from '../types.js';
+
+/** Counts the jobs of a queue of which no task has started: the scheduler knows; while there is none, the store tells. */
+export async function showPending(queue: QueueName, context: CoordinatorContext): Promise<CallerAnswer> {
+	const {services} = context;
+	const own = services.use(schedulerService).read();
+	if (own?.isLoaded === true) {
+		return {kind: 'pending', count: countPending(own).get(queue) ?? 0};
+	}
+
+	const leader = findLeader(services.use(directoryService).read());
+	const peer = leader === undefined ? undefined : services.use(entryPeersService).find(leader.value.entry);
+	const reply = await peer?.call('entry.count-pending', {queue}, entryCallTimeoutMilliseconds);
+	return reply?.kind === 'answered' && reply.result.kind === 'counted' ? {kind: 'pending', count: reply.result.count} : countStored(queue, context);
+}
+
+async function countStored(queue: QueueName, {services}: CoordinatorContext): Promise<CallerAnswer> {
+	const store = services.use(storePort);
+	const [jobs, progress] = await Promise.all([store.list(jobsPrefix), store.list(progressPrefix)]);
+	if (jobs.kind === 'unavailable' || progress.kind === 'unavailable') {
+		return {kind: 'refused', reason: 'store-unavailable', retryAfterMilliseconds: storeRetryAfterMilliseconds};
+	}
+
+	const begun = new Set(progress.values.map(({key}) => key.slice(progressPrefix.length)));
+	const cancelled = new Set<string>(jobs.values.flatMap(({key}) => readJobPath(key).isCancellation ? [readJobPath(key).job] : []));
+	const waiting = jobs.values.filter(({key, value}) => {
+		const {job, isCancellation} = readJobPath(key);
+		const checked = isCancellation ? undefined : checkInput(jobRecordSchema, value, key);
+		return checked?.kind === 'valid' && checked.value.kind === 'accepted' && checked.value.submission.queue.name === queue && !begun.has(job) && !cancelled.has(job);
+	});
+	return {kind: 'pending', count: waiting.length};
+}
--- /dev/null
+++ b/packages/coordinator/keys.ts
@@ -0,0 +1,44 @@
+/** Keys of the store and what they hold. */
+import * as valibot from 'valibot';
+import {countSchema, entryIdSchema, workerIdSchema} from '#core';
+import type {JobKey} from '#jobs';
+
+export const clusterPrefix = 'cluster/';
+/** Kept under the lease of the entry that schedules. */
+export const leaderKey = 'cluster/leader';
+/** Counts the schedulers; never removed. */
+export const epochKey = 'cluster/epoch';
+/** Workers that a scheduler has used, outside of the watched prefix. */
+export const workersKey = 'workers';
+export const jobsPrefix = 'jobs/';
+export const progressPrefix = 'progress/';
+
+const cancellationSuffix = '/cancellation';
+
+export const leaderRecordSchema = valibot.object({
+	entry: entryIdSchema, epoch: countSchema, address: valibot.string(), lease: valibot.string(),
+});
+export type LeaderRecord = Readonly<valibot.InferOutput<typeof leaderRecordSchema>>;
+
+export const epochRecordSchema = valibot.object({epoch: countSchema});
+
+export const workersRecordSchema = valibot.object({workers: valibot.pipe(valibot.array(workerIdSchema), valibot.readonly())});
+
+export function jobKeyPath(job: JobKey): string {
+	return jobsPrefix + job;
+}
+
+export function cancellationPath(job: JobKey): string {
+	return jobsPrefix + job + cancellationSuffix;
+}
+
+export function progressPath(job: JobKey): string {
+	return progressPrefix + job;
+}
+
+/** Tells the job of a key under the prefix of jobs, and whether the key is its cancellation. */
+export function readJobPath(key: string): Readonly<{job: JobKey; isCancellation: boolean}> {
+	const name = key.slice(jobsPrefix.length);
+	const isCancellation = name.endsWith(cancellationSuffix);
+	return {job: (isCancellation ? name.slice(0, -cancellationSuffix.length) : name) as JobKey, isCancellation};
+}
--- /dev/null
+++ b/packages/coordinator/leadership.ts
@@ -0,0 +1,180 @@
+/** Which entry schedules: decided by one key of the store under a lease, with an epoch that only grows. */
+import {
+	assertNever, type EntryId, type Milliseconds, type Step,
+} from '#core';
+import type {LeaderRecord} from './keys.js';
+
+/** A record with the version of its key. */
+export type Versioned<Value> = Readonly<{value: Value; version: number}>;
+
+export type LeadershipState = Readonly<{
+	self: EntryId;
+	/** What the store holds, as far as it was observed; undefined before the first observation. */
+	view: Readonly<{leader: Versioned<LeaderRecord> | undefined; epoch: Versioned<number> | undefined}> | undefined;
+	/** The term of this entry while it schedules. */
+	term: Readonly<{epoch: number; leaderVersion: number; isObserved: boolean}> | undefined;
+	lease: string | undefined;
+	/** Highest epoch heard of from the store, agents or entries. */
+	highestEpoch: number;
+	isElectionDue: boolean;
+	isResigned: boolean;
+}>;
+
+export type LeadershipMessage =
+	| Readonly<{kind: 'observed'; leader: Versioned<LeaderRecord> | undefined; epoch: Versioned<number> | undefined}>
+	| Readonly<{kind: 'lease-changed'; lease: string | undefined}>
+	| Readonly<{kind: 'epoch-heard'; epoch: number}>
+	| Readonly<{kind: 'election-due'}>
+	| Readonly<{kind: 'election-ended'; outcome: 'won' | 'lost' | 'unknown'; epoch: number; version: number}>
+	/** The store showed that another scheduler is in charge. */
+	| Readonly<{kind: 'deposed'}>
+	| Readonly<{kind: 'resign'}>;
+
+export type LeadershipEffect =
+	| Readonly<{kind: 'schedule-election'}>
+	| Readonly<{kind: 'elect'; lease: string; epoch: number; epochVersion: number}>
+	| Readonly<{kind: 'lead'; epoch: number; leaderVersion: number}>
+	| Readonly<{kind: 'step-down'; epoch: number; reason: string}>
+	| Readonly<{kind: 'retry-later'; delay: Milliseconds}>;
+
+/** Delay before an entry looks again whether nobody schedules. */
+const electionRetryMilliseconds = 300;
+
+type LeadershipStep = Step<LeadershipState, LeadershipEffect>;
+
+export function createLeadershipState(self: EntryId): LeadershipState {
+	return {
+		self, view: undefined, term: undefined, lease: undefined, highestEpoch: 0, isElectionDue: false, isResigned: false,
+	};
+}
+
+export function receiveLeadershipMessage(state: LeadershipState, message: LeadershipMessage): LeadershipStep {
+	switch (message.kind) {
+		case 'observed': {
+			const {leader, epoch} = message;
+			const highestEpoch = Math.max(state.highestEpoch, epoch?.value ?? 0, leader?.value.epoch ?? 0);
+			return review({...state, view: {leader, epoch}, highestEpoch});
+		}
+
+		case 'lease-changed': {
+			return review({...state, lease: message.lease});
+		}
+
+		case 'epoch-heard': {
+			const next = {...state, highestEpoch: Math.max(state.highestEpoch, message.epoch)};
+			return next.term !== undefined && message.epoch > next.term.epoch ? stepDown(next, `epoch ${message.epoch} is in charge`) : unchanged(next);
+		}
+
+		case 'election-due': {
+			return elect({...state, isElectionDue: false});
+		}
+
+		case 'election-ended': {
+			return endElection(state, message);
+		}
+
+		case 'deposed': {
+			return stepDown(state, 'the store refused a write of this scheduler');
+		}
+
+		case 'resign': {
+			return stepDown({...state, isResigned: true}, 'this entry stops');
+		}
+
+		default: {
+			return assertNever(message);
+		}
+	}
+}
+
+function unchanged(state: LeadershipState): LeadershipStep {
+	return {state, effects: []};
+}
+
+/** Compares what the store holds with what this entry believes. */
+function review(state: LeadershipState): LeadershipStep {
+	const {view, term, lease, self} = state;
+	if (view === undefined) {
+		return unchanged(state);
+	}
+
+	const {leader} = view;
+	const isOwn = leader !== undefined && lease !== undefined && leader.value.entry === self && leader.value.lease === lease;
+	if (term !== undefined) {
+		return reviewTerm(state, term);
+	}
+
+	// The answer to the election was lost, and it was won.
+	if (isOwn && !state.isResigned) {
+		return {
+			state: {...state, term: {epoch: leader.value.epoch, leaderVersion: leader.version, isObserved: true}},
+			effects: [{kind: 'lead', epoch: leader.value.epoch, leaderVersion: leader.version}],
+		};
+	}
+
+	return campaign(state);
+}
+
+/** Observations may be older than the answer to the election, so that absence counts only after the own record was seen. */
+function reviewTerm(state: LeadershipState, term: NonNullable<LeadershipState['term']>): LeadershipStep {
+	const leader = state.view?.leader;
+	if (leader === undefined) {
+		return term.isObserved ? stepDownAndCampaign(state, 'the lease of the scheduler ended') : unchanged(state);
+	}
+
+	if (leader.version === term.leaderVersion) {
+		return unchanged({...state, term: {...term, isObserved: true}});
+	}
+
+	return leader.value.epoch < term.epoch ? unchanged(state) : stepDownAndCampaign(state, `entry ${leader.value.entry} schedules`);
+}
+
+function campaign(state: LeadershipState): LeadershipStep {
+	const isOpen = state.view !== undefined && state.view.leader === undefined && state.lease !== undefined && !state.isResigned && state.term === undefined;
+	return isOpen && !state.isElectionDue ? {state: {...state, isElectionDue: true}, effects: [{kind: 'schedule-election'}]} : unchanged(state);
+}
+
+function elect(state: LeadershipState): LeadershipStep {
+	const {view, lease} = state;
+	if (view === undefined || view.leader !== undefined || lease === undefined || state.isResigned || state.term !== undefined) {
+		return unchanged(state);
+	}
+
+	return {
+		state,
+		effects: [{
+			kind: 'elect', lease, epoch: Math.max(state.highestEpoch, view.epoch?.value ?? 0) + 1, epochVersion: view.epoch?.version ?? 0,
+		}],
+	};
+}
+
+function endElection(state: LeadershipState, {outcome, epoch, version}: Extract<LeadershipMessage, {kind: 'election-ended'}>): LeadershipStep {
+	switch (outcome) {
+		case 'won': {
+			return state.isResigned || state.term !== undefined
+				? unchanged(state)
+				: {
+					state: {
+						...state, term: {epoch, leaderVersion: version, isObserved: false}, highestEpoch: Math.max(state.highestEpoch, epoch),
+					},
+					effects: [{kind: 'lead', epoch, leaderVersion: version}],
+				};
+		}
+
+		// The watch tells who won; if nobody did, the next election follows.
+		case 'lost':
+		case 'unknown': {
+			return state.isElectionDue ? unchanged(state) : {state: {...state, isElectionDue: true}, effects: [{kind: 'retry-later', delay: electionRetryMilliseconds}]};
+		}
+	}
+}
+
+function stepDown(state: LeadershipState, reason: string): LeadershipStep {
+	return state.term === undefined ? unchanged(state) : {state: {...state, term: undefined}, effects: [{kind: 'step-down', epoch: state.term.epoch, reason}]};
+}
+
+function stepDownAndCampaign(state: LeadershipState, reason: string): LeadershipStep {
+	const down = stepDown(state, reason);
+	const next = campaign(down.state);
+	return {state: next.state, effects: [...down.effects, ...next.effects]};
+}
--- /dev/null
+++ b/packages/coordinator/plugins/agents.ts
@@ -0,0 +1,56 @@
+import {createServiceKey} from '#kernel';
+import type {AgentName} from '#scheduling';
+import type {RpcPeer} from '#transport';
+import {orderTimeoutMilliseconds} from '../constants.js';
+import {coordinatorPlugins} from '../plugins.js';
+import {schedulerService} from './scheduler.js';
+
+/** Connections of the agents that are attached to this entry. */
+export type AttachedAgents = Readonly<{
+	attach(agent: AgentName, peer: RpcPeer): void;
+	find(agent: AgentName): RpcPeer | undefined;
+	/** Tells every agent that this entry schedules. */
+	announceEpoch(epoch: number): void;
+}>;
+
+export const agentsService = createServiceKey<AttachedAgents>('agents');
+
+coordinatorPlugins.register({
+	kind: 'task',
+	name: 'agents',
+	start({services, log, counters}) {
+		const peers = new Map<AgentName, RpcPeer>();
+		const lead = (peer: RpcPeer, epoch: number) => {
+			void peer.call('worker.lead', {epoch}, orderTimeoutMilliseconds);
+		};
+
+		services.provide(agentsService, {
+			attach(agent, peer) {
+				if (peers.get(agent) === peer) {
+					return;
+				}
+
+				peers.set(agent, peer);
+				counters.setGauge('attached-agents', peers.size);
+				log.part('agents').info({agent, address: peer.address}, 'agent attached');
+				peer.onClosed(reason => {
+					if (peers.get(agent) === peer) {
+						peers.delete(agent);
+						counters.setGauge('attached-agents', peers.size);
+						log.part('agents').info({agent, reason}, 'agent detached');
+						services.use(schedulerService).send({kind: 'detached', agent});
+					}
+				});
+			},
+			find: agent => peers.get(agent),
+			announceEpoch(epoch) {
+				for (const peer of peers.values()) {
+					lead(peer, epoch);
+				}
+			},
+		});
+		return () => {
+			peers.clear();
+		};
+	},
+});
--- /dev/null
+++ b/packages/coordinator/plugins/callers.ts
@@ -0,0 +1,160 @@
+import {
+	findQueue, findTenant, readJobKey, type JobSubmission, type Queue, type Tenant,
+} from '#jobs';
+import {createServiceKey} from '#kernel';
+import {callerCallSchema, type CallerAnswer, type CallerCall} from '#protocol';
+import {callerMarginMilliseconds, entryCallTimeoutMilliseconds, storeRetryAfterMilliseconds} from '../constants.js';
+import {coordinatorPlugins} from '../plugins.js';
+import {showPending} from '../callers/pending.js';
+import {cancelJob, showJob} from '../callers/show.js';
+import {submitJob} from '../callers/submit.js';
+import type {CoordinatorContext} from '../types.js';
+import {configurationService} from './configuration.js';
+import {entryPeersService} from './entry-peers.js';
+
+/** Answers callers; a front end decodes their requests and encodes the answers. */
+export type Callers = Readonly<{answer(call: CallerCall): Promise<CallerAnswer>}>;
+
+export const callersService = createServiceKey<Callers>('callers');
+
+coordinatorPlugins.register({
+	kind: 'task',
+	name: 'callers',
+	start(context) {
+		context.services.provide(callersService, {
+			async answer(call) {
+				const startedAt = context.clock.monotonic();
+				const answer = await answerOrForward(call, context);
+				const elapsed = context.clock.monotonic() - startedAt;
+				context.counters.recordLatency(`caller-${call.action.kind}`, elapsed);
+				logAnswer(call, answer, elapsed, context);
+				return answer;
+			},
+		});
+		return () => undefined;
+	},
+});
+
+coordinatorPlugins.register({
+	kind: 'rpc-method',
+	name: 'entry.call',
+	parametersSchema: callerCallSchema,
+	handle: async (parameters, context) => answerHere(parameters as CallerCall, context),
+});
+
+function logAnswer({path, action}: CallerCall, answer: CallerAnswer, elapsed: number, {log, counters, services}: CoordinatorContext): void {
+	const fields = {
+		path, action: action.kind, answer: answer.kind, milliseconds: Math.round(elapsed), configuration: services.use(configurationService).read().current?.version ?? 0,
+	};
+	switch (answer.kind) {
+		case 'accepted':
+		case 'cancelled': {
+			log.part('callers').info(fields, 'request answered');
+			break;
+		}
+
+		case 'state':
+		case 'pending': {
+			log.part('callers').debug({...fields, ...answer}, 'request answered');
+			break;
+		}
+
+		case 'absent':
+		case 'unknown-queue':
+		case 'unauthorized':
+		case 'invalid': {
+			counters.countRefusal(answer.kind);
+			log.part('callers').info({...fields, ...answer}, 'request refused');
+			break;
+		}
+
+		case 'refused':
+		case 'undecided': {
+			counters.countRefusal(answer.reason);
+			log.part('callers').warn({...fields, ...answer}, 'request not served');
+		}
+	}
+}
+
+/** An entry that the store turns away lets another one answer. */
+async function answerOrForward(call: CallerCall, context: CoordinatorContext): Promise<CallerAnswer> {
+	const answer = await answerHere(call, context);
+	const isUnserved = (answer.kind === 'refused' && answer.reason === 'store-unavailable') || answer.kind === 'undecided';
+	if (!isUnserved) {
+		return answer;
+	}
+
+	for (const peer of context.services.use(entryPeersService).list().slice(0, maximumForwards)) {
+		const reply = await peer.call('entry.call', call, entryCallTimeoutMilliseconds);
+		const isServed = reply.kind === 'answered' && reply.result.kind !== 'refused' && reply.result.kind !== 'undecided';
+		context.counters.countRetry(isServed ? 'forwarded' : 'forward-failed');
+		if (isServed) {
+			return reply.result;
+		}
+
+		// The other entry may have stored the job without an answer coming back.
+		if (reply.kind === 'failed' && reply.delivery === 'perhaps-sent' && call.action.kind === 'submit') {
+			return {kind: 'undecided', reason: 'another entry did not answer'};
+		}
+
+		if (reply.kind === 'answered' && reply.result.kind === 'undecided' && call.action.kind === 'submit') {
+			return reply.result;
+		}
+	}
+
+	return answer;
+}
+
+/** Entries that are asked one after the other; each takes up to a third of a caller's usual patience. */
+const maximumForwards = 2;
+
+async function answerHere(call: CallerCall, context: CoordinatorContext): Promise<CallerAnswer> {
+	const configuration = context.services.use(configurationService).read().current;
+	if (configuration === undefined) {
+		return {kind: 'refused', reason: 'no-configuration', retryAfterMilliseconds: storeRetryAfterMilliseconds};
+	}
+
+	const queue = findQueue(configuration, call.host, call.path);
+	if (queue === undefined) {
+		return {kind: 'unknown-queue'};
+	}
+
+	const tenant = call.apiKey === undefined ? undefined : findTenant(configuration, call.apiKey);
+	if (tenant === undefined && !queue.isPublic) {
+		return {kind: 'unauthorized'};
+	}
+
+	return perform(call, {queue, tenant}, context);
+}
+
+async function perform(call: CallerCall, {queue, tenant}: Readonly<{queue: Queue; tenant: Tenant | undefined}>, context: CoordinatorContext): Promise<CallerAnswer> {
+	if (call.action.kind === 'show' && call.path.length <= queue.pathPrefix.length) {
+		return showPending(queue.name, context);
+	}
+
+	const job = readJobKey(queue, call.path);
+	if (job.kind === 'invalid') {
+		return call.action.kind === 'submit' ? job : {kind: 'absent'};
+	}
+
+	const deadline = context.clock.monotonic() + Math.max(0, Math.min(call.timeoutMilliseconds, longestCallMilliseconds) - callerMarginMilliseconds);
+	switch (call.action.kind) {
+		case 'submit': {
+			const submission: JobSubmission = {
+				job: job.value, queue, ...(tenant === undefined ? {} : {tenant: tenant.name}), submittedAt: context.clock.now(), request: call.action.request,
+			};
+			return submitJob(submission, deadline, context);
+		}
+
+		case 'show': {
+			return showJob(job.value, context);
+		}
+
+		case 'cancel': {
+			return cancelJob(job.value, {deadline, context});
+		}
+	}
+}
+
+/** Longest time that a call is worked on; callers of the platform wait 3 s. */
+const longestCallMilliseconds = 2500;
--- /dev/null
+++ b/packages/coordinator/plugins/directory.ts
@@ -0,0 +1,152 @@
+import * as valibot from 'valibot';
+import {checkInput} from '#core';
+import {createServiceKey, startTask, type TaskHandle} from '#kernel';
+import {registeredEntriesPrefix, registeredEntrySchema, type RegisteredEntry} from '#protocol';
+import {
+	chooseBackoff, startWatchTask, type Observation, type StoredValue,
+} from '#store';
+import {storeRetryMaximumMilliseconds, watchMilliseconds} from '../constants.js';
+import {
+	clusterPrefix, epochKey, epochRecordSchema, leaderKey, leaderRecordSchema, type LeaderRecord,
+} from '../keys.js';
+import type {Versioned} from '../leadership.js';
+import {peerAddressOf} from '../peer-address.js';
+import {coordinatorPlugins} from '../plugins.js';
+import {storePort} from '../ports.js';
+import type {CoordinatorContext} from '../types.js';
+import {leadershipService} from './leadership.js';
+import {leaseService} from './lease.js';
+
+/** What the store holds about the entries, by key. */
+export type DirectoryState = Readonly<{values: ReadonlyMap<string, StoredValue>}>;
+
+/** The task that owns this entry's view of the other ones. */
+export const directoryService = createServiceKey<TaskHandle<DirectoryState, Observation>>('directory');
+
+/** The registered entries. */
+export function listEntries({values}: DirectoryState): readonly RegisteredEntry[] {
+	return [...values.values()].flatMap(({key, value}) => {
+		const record = key.startsWith(registeredEntriesPrefix) ? valibot.safeParse(registeredEntrySchema, value) : undefined;
+		return record?.success === true ? [record.output] : [];
+	});
+}
+
+/** The entry that schedules, by the store. */
+export function findLeader({values}: DirectoryState): Versioned<LeaderRecord> | undefined {
+	const stored = values.get(leaderKey);
+	const checked = stored === undefined ? undefined : checkInput(leaderRecordSchema, stored.value, leaderKey);
+	return stored !== undefined && checked?.kind === 'valid' ? {value: checked.value, version: stored.version} : undefined;
+}
+
+function findEpoch({values}: DirectoryState): Versioned<number> | undefined {
+	const stored = values.get(epochKey);
+	const checked = stored === undefined ? undefined : checkInput(epochRecordSchema, stored.value, epochKey);
+	return stored !== undefined && checked?.kind === 'valid' ? {value: checked.value.epoch, version: stored.version} : undefined;
+}
+
+coordinatorPlugins.register({
+	kind: 'task',
+	name: 'directory',
+	start(context) {
+		const {clock, random, services, log} = context;
+		const directory = startTask<DirectoryState, Observation, 'changed'>({
+			name: 'directory',
+			initialState: {values: new Map()},
+			receive: (state, observation) => ({state: {values: applyObservation(state.values, observation)}, effects: ['changed']}),
+		}, {
+			clock,
+			perform() {
+				const state = directory.read();
+				services.use(leadershipService).send({kind: 'observed', leader: findLeader(state), epoch: findEpoch(state)});
+			},
+		});
+		services.provide(directoryService, directory);
+		const watch = startWatchTask({
+			store: services.use(storePort),
+			clock,
+			random,
+			prefix: clusterPrefix,
+			wait: watchMilliseconds,
+			maximumBackoff: storeRetryMaximumMilliseconds,
+			onObserved(observation) {
+				directory.send(observation);
+			},
+			onFailure(reason, failures) {
+				context.counters.countRetry('directory-watch');
+				log.part('directory').warn({reason, failures}, 'store is unavailable; keeping the known entries');
+			},
+		});
+		const stopRegistering = keepRegistered(context);
+		return () => {
+			stopRegistering();
+			watch.stop();
+			directory.stop();
+		};
+	},
+});
+
+export function applyObservation(values: ReadonlyMap<string, StoredValue>, observation: Observation): ReadonlyMap<string, StoredValue> {
+	switch (observation.kind) {
+		case 'all': {
+			return new Map(observation.values.map(stored => [stored.key, stored]));
+		}
+
+		case 'changes': {
+			const next = new Map(values);
+			for (const event of observation.events) {
+				switch (event.kind) {
+					case 'put': {
+						next.set(event.stored.key, event.stored);
+						break;
+					}
+
+					case 'deleted': {
+						next.delete(event.key);
+					}
+				}
+			}
+
+			return next;
+		}
+	}
+}
+
+/** Writes this entry's record under each new lease, in place of one that an earlier process of the same name left. */
+function keepRegistered(context: CoordinatorContext): () => void {
+	const {services, clock, random, settings, log} = context;
+	const key = registeredEntriesPrefix + settings.entry;
+	const record: RegisteredEntry = {entry: settings.entry, address: peerAddressOf(settings), zone: settings.zone};
+	let isStopped = false;
+	const register = async (failures: number) => {
+		const held = services.use(leaseService).findValid();
+		if (isStopped || held === undefined) {
+			return;
+		}
+
+		const store = services.use(storePort);
+		const present = await store.read(key);
+		const version = present.kind === 'found' ? present.stored.version : 0;
+		const reply = present.kind === 'unavailable' ? present : await store.write(key, record, {expectedVersion: version, lease: held.lease});
+		if (reply.kind === 'written') {
+			log.part('directory').info({key}, 'registered');
+			return;
+		}
+
+		// A lease that ended meanwhile is replaced, which starts the next registration.
+		if (reply.kind !== 'lease-unknown') {
+			clock.schedule(chooseBackoff(failures + 1, random, 0, storeRetryMaximumMilliseconds), () => {
+				void register(failures + 1);
+			});
+		}
+	};
+
+	const cancel = services.use(leaseService).onChanged(lease => {
+		if (lease !== undefined) {
+			void register(0);
+		}
+	});
+	return () => {
+		isStopped = true;
+		cancel();
+	};
+}
--- /dev/null
+++ b/packages/coordinator/plugins/entry-peers.ts
@@ -0,0 +1,139 @@
+import type {EntryId} from '#core';
+import {createServiceKey} from '#kernel';
+import {dialPeer, type RpcPeer} from '#transport';
+import {exchangeNewsParametersSchema} from '#protocol';
+import type {SchedulingConfiguration} from '#jobs';
+import {entryCallTimeoutMilliseconds, exchangeIntervalMilliseconds} from '../constants.js';
+import {listAddresses} from '../addresses.js';
+import {peerAddressOf} from '../peer-address.js';
+import {coordinatorPlugins} from '../plugins.js';
+import type {CoordinatorContext} from '../types.js';
+import {configurationService} from './configuration.js';
+import {directoryService, listEntries} from './directory.js';
+import {leadershipService} from './leadership.js';
+
+/** Connections that this entry opened to the others. */
+export type EntryPeers = Readonly<{
+	find(entry: EntryId): RpcPeer | undefined;
+	list(): readonly RpcPeer[];
+}>;
+
+export const entryPeersService = createServiceKey<EntryPeers>('entry-peers');
+
+type News = Readonly<{configurationVersion: number; configuration?: SchedulingConfiguration | undefined; epoch: number}>;
+
+coordinatorPlugins.register({
+	kind: 'task',
+	name: 'entry-peers',
+	start(context) {
+		const {services, clock, settings, log} = context;
+		const peers = new Map<string, RpcPeer>();
+		const dialling = new Set<string>();
+		let isStopped = false;
+		services.provide(entryPeersService, {
+			find(entry) {
+				const address = listEntries(services.use(directoryService).read()).find(record => record.entry === entry)?.address;
+				return address === undefined ? undefined : peers.get(address);
+			},
+			list: () => [...peers.values()].filter(peer => peer.isOpen()),
+		});
+
+		const dial = async (address: string) => {
+			dialling.add(address);
+			const peer = await dialPeer(address, {
+				registry: coordinatorPlugins, context, clock, log: log.part('entries'),
+			});
+			dialling.delete(address);
+			if (peer === undefined || isStopped) {
+				peer?.close('entry stops');
+				return;
+			}
+
+			log.part('entries').info({address}, 'connected to an entry');
+			peers.set(address, peer);
+			peer.onClosed(reason => {
+				peers.delete(address);
+				log.part('entries').info({address, reason}, 'connection to an entry closed');
+			});
+		};
+
+		const tick = () => {
+			if (isStopped) {
+				return;
+			}
+
+			const wanted = new Set(listAddresses(context).filter(address => address !== peerAddressOf(settings)));
+			for (const [address, peer] of peers) {
+				if (!wanted.has(address)) {
+					peer.close('entry is no longer registered');
+				}
+			}
+
+			for (const address of wanted) {
+				const peer = peers.get(address);
+				if (peer !== undefined) {
+					void exchange(peer, context);
+				} else if (!dialling.has(address)) {
+					void dial(address);
+				}
+			}
+
+			clock.schedule(exchangeIntervalMilliseconds, tick);
+		};
+
+		tick();
+		return () => {
+			isStopped = true;
+			for (const peer of peers.values()) {
+				peer.close('entry stops');
+			}
+		};
+	},
+});
+
+coordinatorPlugins.register({
+	kind: 'rpc-method',
+	name: 'entry.exchange',
+	parametersSchema: exchangeNewsParametersSchema,
+	async handle(parameters, context) {
+		const news = parameters as News;
+		learn(news, context);
+		return describeNews(news.configurationVersion, context);
+	},
+});
+
+async function exchange(peer: RpcPeer, context: CoordinatorContext): Promise<void> {
+	const reply = await peer.call('entry.exchange', {
+		entry: context.settings.entry, ...describeNews(Infinity, context),
+	}, entryCallTimeoutMilliseconds);
+	switch (reply.kind) {
+		case 'answered': {
+			learn(reply.result, context);
+			break;
+		}
+
+		// A connection that does not answer is replaced.
+		case 'failed': {
+			peer.close(`exchange failed: ${reply.message}`);
+		}
+	}
+}
+
+function learn({configuration, epoch}: News, {services}: CoordinatorContext): void {
+	if (configuration !== undefined) {
+		services.use(configurationService).send({kind: 'learned', configuration, source: 'entry'});
+	}
+
+	services.use(leadershipService).send({kind: 'epoch-heard', epoch});
+}
+
+/** Sends the configuration only to an entry with an older one. */
+function describeNews(knownVersion: number, {services}: CoordinatorContext): News {
+	const configuration = services.use(configurationService).read().current;
+	const {highestEpoch} = services.use(leadershipService).read();
+	return {
+		configurationVersion: configuration?.version ?? 0,
+		...(configuration !== undefined && configuration.version > knownVersion ? {configuration} : {}),
+		epoch: highestEpoch,
+	};
+}
--- /dev/null
+++ b/packages/coordinator/plugins/index.ts
@@ -0,0 +1,14 @@
+// Tasks start in this order; a task may use services of tasks before it.
+import './fronts.js';
+import './operations.js';
+import './agents.js';
+import './lease.js';
+import './leadership.js';
+import './configuration.js';
+import './scheduler.js';
+import './directory.js';
+import './entry-peers.js';
+import './callers.js';
+import './attach-agent.js';
+import './renew-worker.js';
+import './count-pending.js';
--- /dev/null
+++ b/packages/coordinator/plugins/leadership.ts
@@ -0,0 +1,126 @@
+import type {Milliseconds} from '#core';
+import {createServiceKey, startTask, type TaskHandle} from '#kernel';
+import {unconfirmedLeadershipMilliseconds} from '#scheduling';
+import {electionAnswerTimeFactor, electionSpreadMilliseconds} from '../constants.js';
+import {epochKey, leaderKey, type LeaderRecord} from '../keys.js';
+import {
+	createLeadershipState, receiveLeadershipMessage, type LeadershipEffect, type LeadershipMessage, type LeadershipState,
+} from '../leadership.js';
+import {peerAddressOf} from '../peer-address.js';
+import {coordinatorPlugins} from '../plugins.js';
+import {storePort} from '../ports.js';
+import type {CoordinatorContext} from '../types.js';
+import {leaseService} from './lease.js';
+import {schedulerService} from './scheduler.js';
+
+/** The task that decides whether this entry schedules. */
+export const leadershipService = createServiceKey<TaskHandle<LeadershipState, LeadershipMessage>>('leadership');
+
+/** Whether this entry may still give orders: its lease was confirmed not too long ago. */
+export function mayLead({services, clock}: CoordinatorContext): boolean {
+	const held = services.use(leaseService).findLast();
+	return services.use(leadershipService).read().term !== undefined
+		&& held !== undefined
+		&& clock.monotonic() < held.validUntil + unconfirmedLeadershipMilliseconds;
+}
+
+type Send = (message: LeadershipMessage) => void;
+
+coordinatorPlugins.register({
+	kind: 'task',
+	name: 'leadership',
+	start(context) {
+		const {clock, services, settings} = context;
+		const leadership = startTask<LeadershipState, LeadershipMessage, LeadershipEffect>(
+			{name: 'leadership', initialState: createLeadershipState(settings.entry), receive: receiveLeadershipMessage},
+			{
+				clock,
+				perform(effect, send) {
+					performEffect(effect, send, context);
+				},
+			},
+		);
+		services.provide(leadershipService, leadership);
+		const cancel = services.use(leaseService).onChanged(lease => {
+			leadership.send({kind: 'lease-changed', lease});
+		});
+		return () => {
+			cancel();
+			leadership.stop();
+		};
+	},
+});
+
+function performEffect(effect: LeadershipEffect, send: Send, context: CoordinatorContext): void {
+	const {clock, random, services, counters} = context;
+	const log = context.log.part('leadership');
+	switch (effect.kind) {
+		case 'schedule-election': {
+			void scheduleElection(send, context);
+			break;
+		}
+
+		case 'retry-later': {
+			clock.schedule(effect.delay * (1 + random()), () => {
+				send({kind: 'election-due'});
+			});
+			break;
+		}
+
+		case 'elect': {
+			void elect(effect, send, context);
+			break;
+		}
+
+		case 'lead': {
+			counters.countEvent('leadership-gained');
+			log.info({epoch: effect.epoch}, 'this entry schedules');
+			services.use(schedulerService).begin(effect.epoch, effect.leaderVersion);
+			break;
+		}
+
+		case 'step-down': {
+			counters.countEvent('leadership-lost');
+			log.info({epoch: effect.epoch, reason: effect.reason}, 'this entry no longer schedules');
+			services.use(schedulerService).end();
+		}
+	}
+}
+
+/** Entries near the store go first: whoever schedules writes there often. */
+async function scheduleElection(send: Send, {clock, random, services}: CoordinatorContext): Promise<void> {
+	const before = clock.monotonic();
+	await services.use(storePort).read(epochKey);
+	const answerTime: Milliseconds = clock.monotonic() - before;
+	clock.schedule((answerTime * electionAnswerTimeFactor) + (random() * electionSpreadMilliseconds), () => {
+		send({kind: 'election-due'});
+	});
+}
+
+async function elect({lease, epoch, epochVersion}: Extract<LeadershipEffect, {kind: 'elect'}>, send: Send, {services, settings, log}: CoordinatorContext): Promise<void> {
+	const record: LeaderRecord = {
+		entry: settings.entry, epoch, address: peerAddressOf(settings), lease,
+	};
+	const reply = await services.use(storePort).commit({
+		conditions: [{key: leaderKey, expectedVersion: 0}, {key: epochKey, expectedVersion: epochVersion}],
+		puts: [{key: leaderKey, value: record, lease}, {key: epochKey, value: {epoch}}],
+		removals: [],
+	});
+	log.part('leadership').info({epoch, outcome: reply.kind}, 'election ended');
+	switch (reply.kind) {
+		case 'committed': {
+			send({
+				kind: 'election-ended', outcome: 'won', epoch, version: reply.version,
+			});
+			break;
+		}
+
+		case 'conflict':
+		case 'lease-unknown':
+		case 'unavailable': {
+			send({
+				kind: 'election-ended', outcome: reply.kind === 'unavailable' ? 'unknown' : 'lost', epoch, version: 0,
+			});
+		}
+	}
+}
--- /dev/null
+++ b/packages/coordinator/plugins/lease.ts
@@ -0,0 +1,29 @@
+import {createServiceKey} from '#kernel';
+import {startLeaseTask, type LeaseHandle} from '#store';
+import {entryLeaseMilliseconds, storeRetryMaximumMilliseconds} from '../constants.js';
+import {coordinatorPlugins} from '../plugins.js';
+import {storePort} from '../ports.js';
+
+/** The lease of this entry in the store, which its registration and its term as scheduler are kept under. */
+export const leaseService = createServiceKey<LeaseHandle>('lease');
+
+coordinatorPlugins.register({
+	kind: 'task',
+	name: 'lease',
+	start({clock, random, services, log}) {
+		const lease = startLeaseTask({
+			store: services.use(storePort), clock, random, timeToLive: entryLeaseMilliseconds, maximumBackoff: storeRetryMaximumMilliseconds,
+		});
+		services.provide(leaseService, lease);
+		lease.onChanged(identifier => {
+			if (identifier === undefined) {
+				log.part('lease').warn({}, 'store dropped the lease of this entry');
+			} else {
+				log.part('lease').info({lease: identifier}, 'store granted a lease');
+			}
+		});
+		return () => {
+			void lease.stop();
+		};
+	},
+});
--- /dev/null
+++ b/packages/coordinator/plugins/operations.ts
@@ -0,0 +1,36 @@
+import {createServiceKey} from '#kernel';
+import {registerOperations, type Readiness} from '#transport';
+import {coordinatorPlugins} from '../plugins.js';
+import type {CoordinatorContext} from '../types.js';
+import {configurationService} from './configuration.js';
+
+/** Whether the entry is about to stop. */
+export type Draining = Readonly<{begin(): void; isDraining(): boolean}>;
+
+export const drainingService = createServiceKey<Draining>('draining');
+
+coordinatorPlugins.register({
+	kind: 'task',
+	name: 'draining',
+	start({services}) {
+		let isDraining = false;
+		services.provide(drainingService, {
+			begin() {
+				isDraining = true;
+			},
+			isDraining: () => isDraining,
+		});
+		return () => undefined;
+	},
+});
+
+/** An entry serves as soon as it knows a configuration, also while the store is down. */
+export function readReadiness({services}: CoordinatorContext): Readiness {
+	if (services.use(drainingService).isDraining()) {
+		return {kind: 'not-ready', reason: 'draining'};
+	}
+
+	return services.use(configurationService).read().current === undefined ? {kind: 'not-ready', reason: 'no-configuration'} : {kind: 'ready'};
+}
+
+registerOperations(coordinatorPlugins, readReadiness);
--- /dev/null
+++ b/packages/coordinator/plugins/renew-worker.ts
@@ -0,0 +1,42 @@
+import {renewWorkerParametersSchema} from '#protocol';
+import {grantValidityMilliseconds} from '#scheduling';
+import type {WorkerLife, WorkerSnapshot} from '#jobs';
+import {listAddresses} from '../addresses.js';
+import {coordinatorPlugins} from '../plugins.js';
+import {agentsService} from './agents.js';
+import {leadershipService, mayLead} from './leadership.js';
+import {schedulerService} from './scheduler.js';
+
+type Renewal = Readonly<{agent: string; snapshot?: WorkerSnapshot; left?: WorkerLife; epoch: number}>;
+
+coordinatorPlugins.register({
+	kind: 'rpc-method',
+	name: 'worker.renew',
+	parametersSchema: renewWorkerParametersSchema,
+	async handle(parameters, context, peer) {
+		const {agent, snapshot, left, epoch} = parameters as Renewal;
+		const leadership = context.services.use(leadershipService);
+		const scheduler = context.services.use(schedulerService);
+		context.services.use(agentsService).attach(agent, peer);
+		leadership.send({kind: 'epoch-heard', epoch});
+		const {term, highestEpoch} = leadership.read();
+		if (term === undefined || !mayLead(context)) {
+			return {kind: 'not-scheduler', epoch: highestEpoch, entries: listAddresses(context)};
+		}
+
+		if (left !== undefined) {
+			scheduler.send({kind: 'left', agent, life: left});
+		}
+
+		// A snapshot that was read with an earlier epoch may miss runs that an earlier scheduler started since.
+		scheduler.send({kind: 'renewed', agent, snapshot: epoch === term.epoch ? snapshot : undefined});
+		const worker = scheduler.read()?.workers.get(agent);
+		return {
+			kind: 'granted',
+			epoch: term.epoch,
+			validityMilliseconds: grantValidityMilliseconds,
+			...(worker === undefined ? {} : {incarnation: worker.snapshot.incarnation}),
+			notedEnd: worker?.notedEnd ?? 0,
+		};
+	},
+});
--- /dev/null
+++ b/packages/coordinator/plugins/scheduler.ts
@@ -0,0 +1,156 @@
+import {
+	createServiceKey, startTask, type Cancel, type TaskHandle,
+} from '#kernel';
+import {
+	createSchedulerState, receiveSchedulerMessage, type SchedulerEffect, type SchedulerMessage, type SchedulerState,
+} from '#scheduling';
+import {schedulerTickMilliseconds} from '../constants.js';
+import {startJobWatch} from '../job-watch.js';
+import {sendStarts, sendStops} from '../orders.js';
+import {coordinatorPlugins} from '../plugins.js';
+import {startProgressWriter, type ProgressWriter} from '../progress-writer.js';
+import type {CoordinatorContext} from '../types.js';
+import {createWorkersRecord, type WorkersRecord} from '../workers-record.js';
+import {agentsService} from './agents.js';
+import {configurationService} from './configuration.js';
+
+/** The scheduler of this entry; it exists only during the entry's terms. */
+export type Scheduler = Readonly<{
+	begin(epoch: number, leaderVersion: number): void;
+	end(): void;
+	/** Messages outside a term are dropped: whoever schedules next learns the same from the store and the workers. */
+	send(message: SchedulerMessage): void;
+	read(): SchedulerState | undefined;
+}>;
+
+export const schedulerService = createServiceKey<Scheduler>('scheduler');
+
+/** Everything that lives for one term. */
+export type Term = Readonly<{
+	epoch: number;
+	leaderVersion: number;
+	task: TaskHandle<SchedulerState, SchedulerMessage>;
+	writer: ProgressWriter;
+	workers: WorkersRecord;
+	isOver(): boolean;
+}>;
+
+coordinatorPlugins.register({
+	kind: 'task',
+	name: 'scheduler',
+	start(context) {
+		let running: Readonly<{term: Term; stop: Cancel}> | undefined;
+		const end = () => {
+			running?.stop();
+			running = undefined;
+		};
+
+		context.services.provide(schedulerService, {
+			begin(epoch, leaderVersion) {
+				end();
+				running = startTerm(epoch, leaderVersion, context);
+			},
+			end,
+			send(message) {
+				running?.term.task.send(message);
+			},
+			read: () => running?.term.task.read(),
+		});
+		return end;
+	},
+});
+
+function startTerm(epoch: number, leaderVersion: number, context: CoordinatorContext): Readonly<{term: Term; stop: Cancel}> {
+	const {clock, services} = context;
+	let isOver = false;
+	const isTermOver = () => isOver;
+	const task = startTask<SchedulerState, SchedulerMessage, SchedulerEffect>(
+		{name: 'scheduler', initialState: createSchedulerState(epoch), receive: receiveSchedulerMessage},
+		{
+			clock,
+			perform(effect) {
+				if (!isOver) {
+					performEffect(effect, term, context);
+				}
+			},
+		},
+	);
+	const termBase = {
+		epoch, leaderVersion, task, isOver: isTermOver,
+	};
+	const term: Term = {...termBase, writer: startProgressWriter(termBase, context), workers: createWorkersRecord(termBase, context)};
+
+	const configuration = services.use(configurationService);
+	const configure = () => {
+		const {current} = configuration.read();
+		if (current !== undefined) {
+			task.send({kind: 'configured', configuration: current});
+		}
+	};
+
+	configure();
+	const cancelConfiguration = configuration.subscribe(configure);
+	const stopWatch = startJobWatch(term, context);
+	services.use(agentsService).announceEpoch(epoch);
+	const tick = () => {
+		if (!isOver) {
+			task.send({kind: 'tick'});
+			clock.schedule(schedulerTickMilliseconds, tick);
+		}
+	};
+
+	tick();
+	return {
+		term,
+		stop() {
+			isOver = true;
+			cancelConfiguration();
+			stopWatch();
+			task.stop();
+		},
+	};
+}
+
+function performEffect(effect: SchedulerEffect, term: Term, context: CoordinatorContext): void {
+	switch (effect.kind) {
+		case 'start': {
+			void sendStarts(effect, term, context);
+			break;
+		}
+
+		case 'stop': {
+			void sendStops(effect, term, context);
+			break;
+		}
+
+		case 'store-progress': {
+			term.writer.store(effect.job);
+			break;
+		}
+
+		// The agent is told with its next renewal, which comes at once after this call.
+		case 'acknowledge': {
+			void context.services.use(agentsService).find(effect.agent)?.call('worker.lead', {epoch: term.epoch}, acknowledgeTimeoutMilliseconds);
+			break;
+		}
+
+		case 'remove-records': {
+			term.writer.remove(effect.job);
+			break;
+		}
+
+		case 'log': {
+			context.counters.countEvent(effect.event);
+			context.log.part('scheduler').info({epoch: term.epoch, ...effect.fields}, describeEvent(effect.event));
+		}
+	}
+}
+
+/** How long an agent may take to confirm that it heard of news. */
+const acknowledgeTimeoutMilliseconds = 1000;
+
+/** `stop-ordered` becomes `stop ordered`. */
+function describeEvent(event: string): string {
+	return event.replaceAll('-', ' ');
+}
+
--- /dev/null
+++ b/packages/coordinator/types.ts
@@ -0,0 +1,15 @@
+import type {RandomSource} from '#core';
+import type {
+	Clock, Counters, ProgramLog, Services,
+} from '#kernel';
+import type {CoordinatorSettings} from './settings.js';
+
+/** What every plug-in of the entry gets. */
+export type CoordinatorContext = Readonly<{
+	settings: CoordinatorSettings;
+	clock: Clock;
+	random: RandomSource;
+	log: ProgramLog;
+	counters: Counters;
+	services: Services;
+}>;
--- a/packages/core/types.ts
+++ b/packages/core/types.ts
@@ -13,6 +13,9 @@
 /** Monotonic time of one process in milliseconds; meaningless in any other process. */
 export type MonotonicTime = Unit<number, 'monotonic'>;
 
+/** The present time as seen by a deciding function. */
+export type Present = Readonly<{now: Timestamp; monotonic: MonotonicTime}>;
+
 /** A source of numbers in [0, 1), always seeded. */
 export type RandomSource = () => number;
 
--- a/packages/execution/types.ts
+++ b/packages/execution/types.ts
@@ -8,8 +8,7 @@
 import type {Fifo} from './fifo.js';
 import type {Observations} from './observations.js';
 
-/** The present time as a deciding function sees it. */
-export type Present = Readonly<{now: Timestamp; monotonic: MonotonicTime}>;
+export type {Present} from '#core';
 
 /** Identifies a caller that waits for an answer of the execution task. */
 export type ReplyId = number;
--- /dev/null
+++ b/packages/jobs/types.ts
@@ -0,0 +1,205 @@
+/** Jobs made of steps, the queues that take them, and what is stored of them. */
+import * as valibot from 'valibot';
+import {workerIdSchema} from '#core';
+
+const textSchema = valibot.pipe(valibot.string(), valibot.minLength(1), valibot.maxLength(200));
+const countSchema = valibot.pipe(valibot.number(), valibot.integer(), valibot.minValue(0));
+
+/** The caller's identifier of one job: 16 hexadecimal digits. */
+export const jobKeySchema = valibot.pipe(valibot.string(), valibot.regex(/^[\da-f]{16}$/, 'must be 16 hexadecimal digits'), valibot.brand('JobKey'));
+export type JobKey = valibot.InferOutput<typeof jobKeySchema>;
+
+export const queueNameSchema = valibot.pipe(textSchema, valibot.brand('QueueName'));
+export type QueueName = valibot.InferOutput<typeof queueNameSchema>;
+
+export const tenantNameSchema = valibot.pipe(textSchema, valibot.brand('TenantName'));
+export type TenantName = valibot.InferOutput<typeof tenantNameSchema>;
+
+export const serviceNameSchema = valibot.pipe(textSchema, valibot.brand('ServiceName'));
+export type ServiceName = valibot.InferOutput<typeof serviceNameSchema>;
+
+/** Name of one task: job, occurrence, step and index, joined by dots. */
+export const taskNameSchema = valibot.pipe(valibot.string(), valibot.regex(/^[\da-f]{16}(?:\.\d+){3}$/, 'must name a task'), valibot.brand('TaskName'));
+export type TaskName = valibot.InferOutput<typeof taskNameSchema>;
+
+export const stepSchema = valibot.pipe(valibot.object({
+	/** Number of tasks. */
+	count: valibot.pipe(countSchema, valibot.minValue(1), valibot.maxValue(10_000)),
+	/** Processor need of a task, in thousandths of a core. */
+	processorMillicores: countSchema,
+	memoryMegabytes: countSchema,
+	accelerators: countSchema,
+	/** The caller's rough estimate of a task's duration. */
+	estimatedMilliseconds: valibot.number(),
+	/** Steps whose tasks must all be done before a task of this one starts. */
+	after: valibot.pipe(valibot.array(countSchema), valibot.readonly()),
+	/** Whether the tasks save their progress. */
+	isCheckpointing: valibot.boolean(),
+	/** Whether the tasks work only while all of them run. */
+	isGang: valibot.boolean(),
+	/** Whether the tasks run slower unless all are in one rack. */
+	prefersOneRack: valibot.boolean(),
+	/** Label that the worker must have. */
+	requiredLabel: valibot.optional(valibot.string()),
+	/** Rack of the data; tasks run slower in other racks. */
+	dataRack: valibot.optional(valibot.string()),
+	/** At most this many tasks of one occurrence on one worker; 0 means no limit. */
+	maximumPerWorker: countSchema,
+	/** Whether the tasks run until the job is cancelled. */
+	isLongRunning: valibot.boolean(),
+	/** Whether the tasks take only processor time that others leave unused. */
+	isFilling: valibot.boolean(),
+	/** Tasks of a long-running step that planned actions may stop at the same time. */
+	maximumUnavailable: countSchema,
+}), valibot.readonly());
+export type JobStep = valibot.InferOutput<typeof stepSchema>;
+
+/** Occurrence `k` of a scheduled job is due at `firstRunAt + k * intervalMilliseconds`. */
+export const scheduleSchema = valibot.pipe(valibot.object({
+	firstRunAt: valibot.number(),
+	intervalMilliseconds: valibot.number(),
+	occurrences: valibot.pipe(countSchema, valibot.minValue(1), valibot.maxValue(1000)),
+}), valibot.readonly());
+export type Schedule = valibot.InferOutput<typeof scheduleSchema>;
+
+/** What a caller asks for. */
+export const jobRequestSchema = valibot.pipe(valibot.object({
+	specification: valibot.pipe(valibot.string(), valibot.maxLength(4000)),
+	steps: valibot.pipe(valibot.pipe(valibot.array(stepSchema), valibot.minLength(1), valibot.maxLength(100)), valibot.readonly()),
+	schedule: valibot.optional(scheduleSchema),
+}), valibot.readonly());
+export type JobRequest = valibot.InferOutput<typeof jobRequestSchema>;
+
+export const queueSchema = valibot.pipe(valibot.object({
+	name: queueNameSchema,
+	/** Host name that callers address. */
+	host: valibot.string(),
+	/** Path prefix that callers address; the longest match wins. */
+	pathPrefix: valibot.string(),
+	/** Workers of this service run the queue's tasks. */
+	service: serviceNameSchema,
+	/** 0 comes first and may preempt others. */
+	priority: countSchema,
+	/** A task that failed this many times fails its job. */
+	maximumAttempts: valibot.pipe(countSchema, valibot.minValue(1)),
+	/** A job is on time within `stretch` times its longest chain of work plus the target duration. */
+	stretch: valibot.number(),
+	targetMilliseconds: valibot.number(),
+	isPublic: valibot.boolean(),
+}), valibot.readonly());
+export type Queue = valibot.InferOutput<typeof queueSchema>;
+
+export const tenantSchema = valibot.pipe(valibot.object({
+	name: tenantNameSchema,
+	apiKeys: valibot.pipe(valibot.array(valibot.string()), valibot.readonly()),
+	/** Accelerators that belong to the tenant's jobs of priority 0 at all times. */
+	guaranteedAccelerators: countSchema,
+}), valibot.readonly());
+export type Tenant = valibot.InferOutput<typeof tenantSchema>;
+
+/** The operators' lists in force; `version` only grows. */
+export const schedulingConfigurationSchema = valibot.pipe(valibot.object({
+	version: valibot.number(),
+	queues: valibot.pipe(valibot.array(queueSchema), valibot.readonly()),
+	tenants: valibot.pipe(valibot.array(tenantSchema), valibot.readonly()),
+}), valibot.readonly());
+export type SchedulingConfiguration = valibot.InferOutput<typeof schedulingConfigurationSchema>;
+
+/** A job as it is stored when it is accepted; never changed afterwards. */
+export const jobSubmissionSchema = valibot.pipe(valibot.object({
+	job: jobKeySchema,
+	/** The queue as it was when the job was accepted; used if the queue is removed later. */
+	queue: queueSchema,
+	tenant: valibot.optional(tenantNameSchema),
+	submittedAt: valibot.number(),
+	request: jobRequestSchema,
+}), valibot.readonly());
+export type JobSubmission = valibot.InferOutput<typeof jobSubmissionSchema>;
+
+/** The value of a job's key: an accepted job, or a refusal that keeps a delayed write from creating the job. */
+export const jobRecordSchema = valibot.variant('kind', [
+	valibot.pipe(valibot.object({kind: valibot.literal('accepted'), submission: jobSubmissionSchema}), valibot.readonly()),
+	valibot.pipe(valibot.object({kind: valibot.literal('refused'), refusedAt: valibot.number()}), valibot.readonly()),
+]);
+export type JobRecord = valibot.InferOutput<typeof jobRecordSchema>;
+
+export const jobOutcomeSchema = valibot.picklist(['running', 'completed', 'failed', 'cancelled']);
+export type JobOutcome = valibot.InferOutput<typeof jobOutcomeSchema>;
+
+/** What is kept of one task. */
+export const taskProgressSchema = valibot.pipe(valibot.object({
+	isDone: valibot.optional(valibot.boolean()),
+	/** Numbers of the runs that failed; each counts once, however often it is reported. */
+	failedRuns: valibot.optional(valibot.pipe(valibot.array(valibot.number()), valibot.readonly())),
+	checkpoint: valibot.optional(valibot.string()),
+}), valibot.readonly());
+export type TaskProgress = valibot.InferOutput<typeof taskProgressSchema>;
+
+/** What is kept of a job that has begun; written by the scheduler alone. */
+export const jobProgressSchema = valibot.pipe(valibot.object({
+	outcome: jobOutcomeSchema,
+	/** By task name without the job. Tasks without progress are left out. */
+	tasks: valibot.pipe(valibot.record(valibot.string(), taskProgressSchema), valibot.readonly()),
+	/** When the job ended. */
+	endedAt: valibot.optional(valibot.number()),
+}), valibot.readonly());
+export type JobProgress = valibot.InferOutput<typeof jobProgressSchema>;
+
+/** State of a job as callers see it. */
+export type JobState = 'queued' | 'running' | 'completed' | 'failed' | 'cancelled';
+
+export type Resources = Readonly<{processorMillicores: number; memoryMegabytes: number; accelerators: number}>;
+
+export const resourcesSchema = valibot.pipe(valibot.object({
+	processorMillicores: valibot.number(),
+	memoryMegabytes: valibot.number(),
+	accelerators: valibot.number(),
+}), valibot.readonly());
+
+/** How a run ended on its worker. */
+export const runEndings = ['done', 'failed', 'stopped', 'lapsed', 'broken', 'alone'] as const;
+export type RunEnding = typeof runEndings[number];
+
+/** A run that a worker reports. */
+export const runningRowSchema = valibot.pipe(valibot.object({
+	task: taskNameSchema,
+	run: valibot.number(),
+	/** Empty if there is none. */
+	checkpoint: valibot.string(),
+	/** Share of the work that is done, 0 to 100. */
+	percent: valibot.number(),
+}), valibot.readonly());
+export type RunningRow = valibot.InferOutput<typeof runningRowSchema>;
+
+/** The end of a run that a worker lists until it is acknowledged. */
+export const endedRowSchema = valibot.pipe(valibot.object({
+	/** Counts the ends of one incarnation from 1. */
+	number: valibot.number(),
+	task: taskNameSchema,
+	run: valibot.number(),
+	ending: valibot.picklist(runEndings),
+	checkpoint: valibot.string(),
+}), valibot.readonly());
+export type EndedRow = valibot.InferOutput<typeof endedRowSchema>;
+
+/** A worker as its agent sees it. */
+export const workerSnapshotSchema = valibot.pipe(valibot.object({
+	worker: workerIdSchema,
+	/** One life of the worker; a worker that starts again has a new one. */
+	incarnation: valibot.string(),
+	service: serviceNameSchema,
+	zone: valibot.string(),
+	labels: valibot.pipe(valibot.array(valibot.string()), valibot.readonly()),
+	rack: valibot.string(),
+	capacity: resourcesSchema,
+	state: valibot.picklist(['ready', 'draining']),
+	/** Least time until a draining worker leaves. */
+	leavesInMilliseconds: valibot.optional(valibot.number()),
+	/** Whether the worker answered its agent's last call. */
+	isResponsive: valibot.boolean(),
+	/** Whether the lease of everything that ran there is certainly over. */
+	isLeaseOver: valibot.boolean(),
+	running: valibot.pipe(valibot.array(runningRowSchema), valibot.readonly()),
+	ended: valibot.pipe(valibot.array(endedRowSchema), valibot.readonly()),
+}), valibot.readonly());
+export type WorkerSnapshot = valibot.InferOutput<typeof workerSnapshotSchema>;
--- a/packages/kernel/index.ts
+++ b/packages/kernel/index.ts
@@ -4,6 +4,7 @@
 export * from './counters.js';
 export * from './errors.js';
 export * from './log.js';
+export * from './log-output.js';
 export * from './program.js';
 export * from './registry.js';
 export * from './replies.js';
--- a/packages/kernel/log.ts
+++ b/packages/kernel/log.ts
@@ -1,4 +1,8 @@
 import bunyan from 'bunyan';
+import {maximumLogLinesPerSecond} from './constants.js';
+import {createLogOutput} from './log-output.js';
+
+const standardOutput = 1;
 
 export type Logger = Readonly<{
 	debug(fields: Readonly<Record<string, unknown>>, message: string): void;
@@ -17,10 +21,11 @@
 	setLevel(level: LogLevel): void;
 }>;
 
-/** Creates the log of a program as JSON lines on standard error. */
+/** Creates the log of a program as JSON lines on standard output; lines over the rate that the program may write are counted and left out. */
 export function createProgramLog(program: string, level: LogLevel, fields: Readonly<Record<string, unknown>> = {}): ProgramLog {
+	const output = createLogOutput(standardOutput, maximumLogLinesPerSecond, Date.now);
 	const logger = bunyan.createLogger({
-		name: program, level, stream: process.stderr, ...fields,
+		name: program, level, stream: output as unknown as NodeJS.WritableStream, ...fields,
 	});
 	return {
 		part: prefix => ({
--- a/packages/kernel/program.ts
+++ b/packages/kernel/program.ts
@@ -10,6 +10,8 @@
 export type RunningDaemon = Readonly<{
 	/** Ports it listens on, by purpose; printed as one JSON line on standard output once it is ready. */
 	ports: Readonly<Record<string, number>>;
+	/** Called on SIGHUP. */
+	onReload?(): void;
 	/** Drains and stops the daemon. */
 	stop(): Promise<void>;
 }>;
@@ -63,7 +65,7 @@
 
 async function startAndWait(starting: Promise<RunningDaemon>): Promise<void> {
 	try {
-		const {ports, stop} = await starting;
+		const {ports, stop, onReload} = await starting;
 		process.stdout.write(`${JSON.stringify({ready: true, ports})}\n`);
 		let isStopping = false;
 		const handleSignal = () => {
@@ -75,6 +77,10 @@
 			void stopAndExit(stop);
 		};
 
+		// Settings come from flags and environment variables, which do not change while the process runs.
+		process.on('SIGHUP', () => {
+			onReload?.();
+		});
 		process.on('SIGTERM', handleSignal);
 		process.on('SIGINT', handleSignal);
 	} catch (error) {
--- a/packages/kernel/settings.ts
+++ b/packages/kernel/settings.ts
@@ -85,3 +85,15 @@
 	valibot.array(valibot.pipe(valibot.string(), valibot.regex(/^[^\s:]+:\d+$/, 'must be a list of host:port'))),
 	valibot.readonly(),
 );
+
+/** One `host:port`. */
+export const addressSettingSchema = valibot.pipe(valibot.string(), valibot.regex(/^[^\s:]+:\d+$/, 'must be host:port'));
+
+/** Two ports as text, joined by a comma. Example: `7000,7015`. */
+export const portRangeSettingSchema = valibot.pipe(
+	valibot.string(),
+	valibot.regex(/^\d+,\d+$/, 'must be two ports, joined by a comma'),
+	valibot.transform(text => text.split(',').map(Number)),
+	valibot.check(ports => ports.every(port => port > 0 && port < 65_536), 'must be ports from 1 to 65535'),
+	valibot.readonly(),
+);
--- a/packages/kernel/types.ts
+++ b/packages/kernel/types.ts
@@ -1,9 +1,11 @@
 /** Plug-ins, tasks and the services that a program gives them. */
 import type {GenericSchema, InferOutput} from 'valibot';
 import type {
-	Finding, Milliseconds, MonotonicTime, Step, Timestamp,
+	Finding, Milliseconds, MonotonicTime, Present, Step, Timestamp,
 } from '#core';
 
+export type {Present} from '#core';
+
 /** Ends something that was started: a timer, a task, a listener. */
 export type Cancel = () => void;
 
@@ -14,9 +16,6 @@
 	schedule(delay: Milliseconds, callback: () => void): Cancel;
 }>;
 
-/** The present time as seen by a deciding function. */
-export type Present = Readonly<{now: Timestamp; monotonic: MonotonicTime}>;
-
 /** A task's decisions: pure functions of its state, a message and the present time. */
 export type TaskDefinition<State, Message, Effect> = Readonly<{
 	name: string;
@@ -93,6 +92,8 @@
 export type TaskPlugin<Context> = Readonly<{
 	kind: 'task';
 	name: string;
+	/** Ports are started before all other tasks, since those use them. */
+	isPort?: boolean;
 	start(context: Context): Cancel;
 }>;
 
--- a/packages/protocol/index.ts
+++ b/packages/protocol/index.ts
@@ -1,3 +1,4 @@
 export * from './types.js';
 export * from './constants.js';
 export * from './methods.js';
+export * from './scheduling.js';
--- a/packages/protocol/methods.ts
+++ b/packages/protocol/methods.ts
@@ -7,6 +7,11 @@
 	reserveParametersSchema, runParametersSchema, startParametersSchema, stopParametersSchema, stopResultSchema, withdrawParametersSchema,
 	withdrawResultSchema,
 } from './types.js';
+import {
+	attachParametersSchema, attachResultSchema, callerAnswerSchema, callerCallSchema, countPendingParametersSchema, countPendingResultSchema,
+	exchangeNewsParametersSchema, exchangeNewsResultSchema, leadParametersSchema, renewWorkerParametersSchema, renewWorkerResultSchema,
+	startTasksParametersSchema, startTasksResultSchema, stopTasksParametersSchema, stopTasksResultSchema,
+} from './scheduling.js';
 
 /** Every JSON-RPC method between processes with the schemas of its parameters and result. */
 export const methods = {
@@ -25,6 +30,14 @@
 	'gang.ended': {parameters: endedParametersSchema, result: emptySchema},
 	'peer.forward': {parameters: forwardParametersSchema, result: agentAnswerSchema},
 	'peer.exchange': {parameters: exchangeParametersSchema, result: exchangeResultSchema},
+	'worker.attach': {parameters: attachParametersSchema, result: attachResultSchema},
+	'worker.renew': {parameters: renewWorkerParametersSchema, result: renewWorkerResultSchema},
+	'worker.lead': {parameters: leadParametersSchema, result: emptySchema},
+	'worker.start': {parameters: startTasksParametersSchema, result: startTasksResultSchema},
+	'worker.stop': {parameters: stopTasksParametersSchema, result: stopTasksResultSchema},
+	'entry.exchange': {parameters: exchangeNewsParametersSchema, result: exchangeNewsResultSchema},
+	'entry.call': {parameters: callerCallSchema, result: callerAnswerSchema},
+	'entry.count-pending': {parameters: countPendingParametersSchema, result: countPendingResultSchema},
 	probe: {parameters: emptySchema, result: emptySchema},
 } as const satisfies Readonly<Record<string, Readonly<{parameters: GenericSchema; result: GenericSchema}>>>;
 
--- /dev/null
+++ b/packages/scheduling/constants.ts
@@ -0,0 +1,36 @@
+/** How long an agent keeps what runs on its worker alive after the scheduler's last grant. Longer than the cuts of single machines that the platform announces (5.5 s). */
+export const grantValidityMilliseconds = 7500;
+/** A worker's clock may be this much slower than the scheduler's, from the platform's description of its workers. */
+export const slowClockFactor = 1.02;
+/** Allowance for the delivery of a grant and a lease on top of the validity. */
+export const grantSlackMilliseconds = 400;
+/** How long a scheduler that cannot reach the store still gives grants; with the validity of a grant it outlasts the store's usual outages. */
+export const unconfirmedLeadershipMilliseconds = 4000;
+/** Numbers of runs start at this multiple of the epoch, so that they rise although a new scheduler does not know the last one. */
+export const runsPerEpoch = 1000;
+/** A start without an answer that the worker does not list after this time is stopped and tried again. */
+export const startConfirmationMilliseconds = 1200;
+/** A stop whose end is not listed after this time is ordered again. */
+export const stopRetryMilliseconds = 1000;
+/** A run without progress for this time counts as stuck. Slow workers take up to 1 s for a percent of usual work. */
+export const stuckMilliseconds = 3500;
+/** A run may be quiet for this many times as long as its earlier percents took. */
+export const stuckPercentFactor = 6;
+/** A worker on which this many jobs failed in a row is avoided. */
+export const failuresBeforeAvoidance = 2;
+/** How long a failing worker is avoided before it is tried again; the platform's disturbances last 4 to 7 s. */
+export const avoidanceMilliseconds = 4000;
+/** How long a worker that refused a start for want of room or of health gets no other. */
+export const refusalPauseMilliseconds = 400;
+/** A gang waits for one rack, or a task for the rack of its data, for this share of its estimated duration; elsewhere it takes three times as long. */
+export const rackPatienceShare = 1;
+/** Urgent work within a guarantee waits no longer than this for a rack, since its start has a deadline. */
+export const guaranteedRackPatienceMilliseconds = 500;
+/** Work that cannot save its progress is preempted by urgent work over the guarantee only while it has lost less than this. */
+export const cheapLossMilliseconds = 1500;
+/** Wide work that waited this long keeps younger work of its rank from the workers it needs. */
+export const reservationDelayMilliseconds = 1000;
+/** How long the records of an ended job are kept. The platform asks for 120 s. */
+export const endedJobRetentionMilliseconds = 150_000;
+/** Occurrences start at most this much before they are due. */
+export const earlyStartMilliseconds = 50;
--- /dev/null
+++ b/packages/scheduling/index.ts
@@ -0,0 +1,4 @@
+export * from './types.js';
+export * from './constants.js';
+export * from './receive.js';
+export {countPending, createSchedulerState, describeProgress} from './state.js';
--- /dev/null
+++ b/packages/scheduling/place.ts
@@ -0,0 +1,179 @@
+import type {MonotonicTime} from '#core';
+import {parseTaskName, type TaskName} from '#jobs';
+import {
+	countFitting, take, type Board, type BoardWorker,
+} from './board.js';
+import {guaranteedRackPatienceMilliseconds, rackPatienceShare} from './constants.js';
+import {needOf} from './state.js';
+import type {AgentName} from './types.js';
+import type {Unit} from './units.js';
+
+export type Placement = Readonly<{task: TaskName; agent: AgentName}>;
+
+/** How many tasks of a unit each worker takes. */
+export type Shares = ReadonlyMap<AgentName, number>;
+
+/** Workers that may run the unit's tasks at all. */
+export function listCandidates(unit: Unit, board: Board): readonly BoardWorker[] {
+	const {step, queue} = unit;
+	return [...board.values()].filter(({worker: {snapshot}, isUsable}) => isUsable
+		&& snapshot.service === queue.service
+		&& (step.requiredLabel === undefined || snapshot.labels.includes(step.requiredLabel)));
+}
+
+/** Places as many of the unit's tasks as fit now; a gang is placed whole or not at all. */
+export function placeUnit(unit: Unit, board: Board, monotonic: MonotonicTime): readonly Placement[] {
+	const candidates = listCandidates(unit, board);
+	return unit.step.isGang ? placeGang(unit, candidates, board, monotonic) : placeTasks(unit, candidates, board, monotonic);
+}
+
+/** Whether the unit should still wait for a rack of its own rather than run slower elsewhere. */
+export function isPatient({rank, step, waitingSince}: Unit, monotonic: MonotonicTime): boolean {
+	const patience = step.estimatedMilliseconds * rackPatienceShare;
+	return monotonic - waitingSince < (rank === 0 ? Math.min(patience, guaranteedRackPatienceMilliseconds) : patience);
+}
+
+/** Groups candidates by rack. */
+export function listRacks(candidates: readonly BoardWorker[]): ReadonlyArray<readonly BoardWorker[]> {
+	const racks = new Map<string, BoardWorker[]>();
+	for (const candidate of candidates) {
+		const {rack} = candidate.worker.snapshot;
+		racks.set(rack, [...(racks.get(rack) ?? []), candidate]);
+	}
+
+	return [...racks.values()];
+}
+
+/** How many more tasks of the unit's step one worker may run at once. */
+export function limitOf({step: {maximumPerWorker}, occurrence, stepIndex, job, tasks}: Unit, {runs}: BoardWorker): number {
+	if (maximumPerWorker === 0) {
+		return tasks.length;
+	}
+
+	const present = runs.filter(({task}) => {
+		const address = parseTaskName(task);
+		return address.job === job.submission.job && address.occurrence === occurrence && address.step === stepIndex;
+	});
+	return Math.max(0, maximumPerWorker - present.length);
+}
+
+function placeGang(unit: Unit, candidates: readonly BoardWorker[], board: Board, monotonic: MonotonicTime): readonly Placement[] {
+	const {step, tasks} = unit;
+	const wanted = isAvoidanceUseful(unit, candidates) ? candidates.filter(candidate => !isAvoided(unit, candidate)) : candidates;
+	const preferred = step.dataRack === undefined ? listRacks(wanted) : listRacks(wanted).filter(([first]) => first?.worker.snapshot.rack === step.dataRack);
+	if (step.prefersOneRack || step.dataRack !== undefined) {
+		const fitting = preferred.map(rack => fill(unit, rack)).filter(shares => countPlaced(shares) >= tasks.length);
+		const best = fitting.toSorted((first, second) => leftover(first, board) - leftover(second, board))[0];
+		if (best !== undefined) {
+			return assign(tasks, best);
+		}
+
+		const couldFit = preferred.some(rack => countPlaced(fill(unit, rack.map(candidate => emptied(candidate)))) >= tasks.length);
+		if (couldFit && isPatient(unit, monotonic)) {
+			return [];
+		}
+	}
+
+	const shares = fill(unit, wanted);
+	return countPlaced(shares) >= tasks.length ? assign(tasks, shares) : [];
+}
+
+function placeTasks(unit: Unit, candidates: readonly BoardWorker[], board: Board, monotonic: MonotonicTime): readonly Placement[] {
+	const placements: Placement[] = [];
+	let rest = board;
+	for (const task of unit.tasks) {
+		const agent = placeTask(unit, task, {
+			board: rest, monotonic, candidates, placements,
+		});
+		if (agent !== undefined) {
+			rest = take(rest, agent, needOf(unit.step));
+			placements.push({task, agent});
+		}
+	}
+
+	return placements;
+}
+
+/** Places one task; workers on which it failed are left out while there are others. */
+function placeTask(unit: Unit, task: TaskName, context: PickContext & Readonly<{placements: readonly Placement[]}>): AgentName | undefined {
+	const {board, candidates, placements} = context;
+	const avoided = unit.job.tasks.get(task)?.avoided ?? [];
+	const open = candidates.filter(({worker: {agent}}) => {
+		const present = board.get(agent);
+		return present !== undefined
+			&& countFitting(present.free, needOf(unit.step), 1) === 1
+			&& placements.filter(placement => placement.agent === agent).length < limitOf(unit, present);
+	});
+	const trusted = open.filter(({worker}) => !avoided.includes(worker.snapshot.worker));
+	const isElsewhere = candidates.some(({worker}) => !avoided.includes(worker.snapshot.worker));
+	return pickWorker(unit, isElsewhere ? trusted : open, context)?.worker.agent;
+}
+
+type PickContext = Readonly<{board: Board; monotonic: MonotonicTime; candidates: readonly BoardWorker[]}>;
+
+/** Best fit, in the rack of the data while the unit is patient. */
+function pickWorker(unit: Unit, open: readonly BoardWorker[], {board, monotonic, candidates}: PickContext): BoardWorker | undefined {
+	const {dataRack} = unit.step;
+	const isNear = ({worker}: BoardWorker) => worker.snapshot.rack === dataRack;
+	const near = dataRack === undefined ? open : open.filter(candidate => isNear(candidate));
+	if (near.length === 0 && dataRack !== undefined && candidates.some(candidate => isNear(candidate)) && isPatient(unit, monotonic)) {
+		return undefined;
+	}
+
+	const freeOf = ({worker: {agent}}: BoardWorker) => board.get(agent)?.free.accelerators ?? 0;
+	return (near.length > 0 ? near : open).toSorted((first, second) => freeOf(first) - freeOf(second))[0];
+}
+
+/** Spreads the unit over workers, those with the fewest free accelerators first, so that wide room stays together. */
+export function fill(unit: Unit, candidates: readonly BoardWorker[]): Shares {
+	const need = needOf(unit.step);
+	const shares = new Map<AgentName, number>();
+	let rest = unit.tasks.length;
+	const ordered = candidates
+		.map(candidate => ({candidate, fitting: countFitting(candidate.free, need, Math.min(unit.tasks.length, limitOf(unit, candidate)))}))
+		.filter(({fitting}) => fitting > 0)
+		.toSorted((first, second) => first.candidate.free.accelerators - second.candidate.free.accelerators);
+	const whole = ordered.find(({fitting}) => fitting >= unit.tasks.length);
+	for (const {candidate, fitting} of whole === undefined ? ordered.toSorted((first, second) => second.fitting - first.fitting) : [whole]) {
+		const share = Math.min(rest, fitting);
+		if (share > 0) {
+			shares.set(candidate.worker.agent, share);
+			rest -= share;
+		}
+	}
+
+	return shares;
+}
+
+export function countPlaced(shares: Shares): number {
+	return [...shares.values()].reduce((total, share) => total + share, 0);
+}
+
+export function assign(tasks: readonly TaskName[], shares: Shares): readonly Placement[] {
+	const agents = [...shares].flatMap(([agent, share]) => Array.from({length: share}, () => agent));
+	return tasks.flatMap((task, index) => {
+		const agent = agents[index];
+		return agent === undefined ? [] : [{task, agent}];
+	});
+}
+
+/** The worker as if nothing ran there. */
+export function emptied(candidate: BoardWorker): BoardWorker {
+	return {...candidate, free: candidate.worker.snapshot.capacity};
+}
+
+/** Accelerators that stay free on the chosen workers; less means a tighter fit. */
+function leftover(shares: Shares, board: Board): number {
+	return [...shares.keys()].reduce((total, agent) => total + (board.get(agent)?.free.accelerators ?? 0), 0);
+}
+
+function isAvoided({job, tasks}: Unit, {worker}: BoardWorker): boolean {
+	return tasks.some(task => job.tasks.get(task)?.avoided.includes(worker.snapshot.worker) === true);
+}
+
+/** Workers on which the gang failed are left out unless the others could never hold it. */
+function isAvoidanceUseful(unit: Unit, candidates: readonly BoardWorker[]): boolean {
+	const others = candidates.filter(candidate => !isAvoided(unit, candidate)).map(candidate => emptied(candidate));
+	return countPlaced(fill(unit, others)) >= unit.tasks.length;
+}
+
--- /dev/null
+++ b/packages/scheduling/rank.ts
@@ -0,0 +1,40 @@
+import type {JobKey, TenantName} from '#jobs';
+import {listOpenJobs, queueOf} from './state.js';
+import type {SchedulerJob, SchedulerState} from './types.js';
+
+/**
+Order of precedence of a job's tasks; lower ranks may preempt higher ones.
+
+0 is work of priority 0 within its tenant's guarantee, 1 other work of priority 0, and n + 1 work of priority n.
+*/
+export type Rank = number;
+
+/** Ranks the open jobs. A tenant's oldest jobs of priority 0 fill its guarantee first. */
+export function rankJobs(state: SchedulerState): ReadonlyMap<JobKey, Rank> {
+	const used = new Map<TenantName, number>();
+	const ranks = new Map<JobKey, Rank>();
+	for (const job of listOpenJobs(state)) {
+		const {job: key, tenant} = job.submission;
+		const {priority} = queueOf(state, job);
+		if (priority > 0) {
+			ranks.set(key, priority + 1);
+			continue;
+		}
+
+		const guaranteed = state.configuration?.tenants.find(({name}) => name === tenant)?.guaranteedAccelerators ?? 0;
+		const total = (tenant === undefined ? 0 : used.get(tenant) ?? 0) + countAccelerators(job);
+		if (tenant !== undefined && total <= guaranteed) {
+			used.set(tenant, total);
+			ranks.set(key, 0);
+		} else {
+			ranks.set(key, 1);
+		}
+	}
+
+	return ranks;
+}
+
+/** Accelerators that all tasks of one occurrence need together. */
+function countAccelerators({submission: {request: {steps}}}: SchedulerJob): number {
+	return steps.reduce((total, {count, accelerators}) => total + (count * accelerators), 0);
+}
--- /dev/null
+++ b/packages/scheduling/receive.ts
@@ -0,0 +1,129 @@
+import {assertNever, type Present} from '#core';
+import {isNewerConfiguration} from '#jobs';
+import {
+	grantSlackMilliseconds, grantValidityMilliseconds, slowClockFactor, unconfirmedLeadershipMilliseconds,
+} from './constants.js';
+import {raiseNoted} from './ends.js';
+import {
+	handleDetached, handleLeft, handleRenewal, handleStartAnswers, handleStopAnswers,
+} from './reports.js';
+import {
+	chain, closeJob, unchanged, type SchedulerStep,
+} from './runs.js';
+import {schedule} from './schedule.js';
+import {createJob, withJob} from './state.js';
+import {handleTick} from './tick.js';
+import type {
+	LoadedJob, SchedulerMessage, SchedulerState,
+} from './types.js';
+
+/** How long a worker that cannot be read may go on with the runs of an earlier scheduler. */
+export const unreadMilliseconds = unconfirmedLeadershipMilliseconds + (grantValidityMilliseconds * slowClockFactor) + grantSlackMilliseconds;
+
+/**
+Decides what the scheduler does about a message.
+
+@example
+```
+const {state: next, effects} = receiveSchedulerMessage(state, {kind: 'submitted', submission}, {now, monotonic});
+```
+*/
+export function receiveSchedulerMessage(state: SchedulerState, message: SchedulerMessage, present: Present): SchedulerStep {
+	return chain(state, [
+		next => handleMessage(next, message, present),
+		next => next.isScheduleDue ? schedule(next, present) : unchanged(next),
+	]);
+}
+
+function handleMessage(state: SchedulerState, message: SchedulerMessage, present: Present): SchedulerStep {
+	switch (message.kind) {
+		case 'configured': {
+			return unchanged(isNewerConfiguration(message.configuration, state.configuration)
+				? {...state, configuration: message.configuration, isScheduleDue: true}
+				: state);
+		}
+
+		case 'loaded': {
+			return load(state, message, present);
+		}
+
+		case 'submitted': {
+			const {job} = message.submission;
+			return unchanged(state.jobs.has(job)
+				? state
+				: withJob(state, createJob(message.submission, {progress: undefined, keyVersion: 0}, {epoch: state.epoch, monotonic: present.monotonic, isInherited: false})));
+		}
+
+		case 'cancelled': {
+			return closeJob(state, message.job, 'cancelled', present);
+		}
+
+		case 'renewed': {
+			return handleRenewal(state, message.agent, message.snapshot, present);
+		}
+
+		case 'left': {
+			return handleLeft(state, message.agent, message.life, present);
+		}
+
+		case 'detached': {
+			return handleDetached(state, message.agent);
+		}
+
+		case 'start-answered': {
+			return handleStartAnswers(state, message.agent, message.answers, present);
+		}
+
+		case 'stop-answered': {
+			return handleStopAnswers(state, message.agent, message.orders);
+		}
+
+		case 'stored': {
+			return handleStored(state, message);
+		}
+
+		case 'tick': {
+			return handleTick(state, present);
+		}
+
+		default: {
+			return assertNever(message);
+		}
+	}
+}
+
+/** Takes over the stored jobs. Workers that are not attached may still run tasks of an earlier scheduler. */
+function load(state: SchedulerState, {jobs, workers}: Extract<SchedulerMessage, {kind: 'loaded'}>, present: Present): SchedulerStep {
+	let next: SchedulerState = {...state, isLoaded: true, isScheduleDue: true};
+	for (const loaded of jobs) {
+		next = withJob(next, restore(loaded, state.epoch, present));
+	}
+
+	const read = new Set([...state.workers.values()].map(({snapshot}) => snapshot.worker));
+	const unread = workers.filter(worker => !read.has(worker)).map(worker => [worker, present.monotonic + unreadMilliseconds] as const);
+	next = {...next, unread: new Map(unread)};
+	return chain(next, [
+		// The ends that were listed before the jobs were known are handled again.
+		...[...state.workers.values()].map(worker => (after: SchedulerState) => handleRenewal({
+			...after, workers: new Map(after.workers).set(worker.agent, {
+				...worker, seenEnd: 0, notedEnd: 0, pendingEnds: [],
+			}),
+		}, worker.agent, worker.snapshot, present)),
+		...jobs.filter(({isCancelled}) => isCancelled).map(({submission: {job}}) => (after: SchedulerState) => closeJob(after, job, 'cancelled', present)),
+	]);
+}
+
+function restore({submission, progress, keyVersion}: LoadedJob, epoch: number, {monotonic}: Present) {
+	return createJob(submission, {progress, keyVersion}, {epoch, monotonic, isInherited: true});
+}
+
+function handleStored(state: SchedulerState, {job: key, version, keyVersion}: Extract<SchedulerMessage, {kind: 'stored'}>): SchedulerStep {
+	const job = state.jobs.get(key);
+	if (job === undefined) {
+		return unchanged(state);
+	}
+
+	const stored = withJob(state, {...job, storedVersion: Math.max(job.storedVersion, version), keyVersion});
+	const agents = [...stored.workers.values()].filter(({pendingEnds}) => pendingEnds.length > 0).map(({agent}) => agent);
+	return chain(stored, agents.map(agent => next => raiseNoted(next, agent)));
+}
--- /dev/null
+++ b/packages/scheduling/reports.ts
@@ -0,0 +1,278 @@
+/** What the renewals of agents change: which runs are there, which ended, which are lost. */
+import type {MonotonicTime, Present} from '#core';
+import {
+	isSameLife, type RunningRow, type WorkerLife, type WorkerSnapshot,
+} from '#jobs';
+import {
+	grantSlackMilliseconds, grantValidityMilliseconds, refusalPauseMilliseconds, avoidanceMilliseconds, slowClockFactor,
+} from './constants.js';
+import {handleEnd, releaseLife} from './ends.js';
+import {
+	chain, releaseRun, stopRuns, unchanged, type SchedulerStep,
+} from './runs.js';
+import {
+	isOpen, isRunOn, jobOf, siblingsOf, stepOf, withJob, withTask, withWorker,
+} from './state.js';
+import type {
+	AgentName, SchedulerJob, SchedulerState, SchedulerWorker, StartAnswer, StopOrder, TaskState,
+} from './types.js';
+
+/** When everything that an agent kept alive is certainly over, counted from its last renewal. */
+export function latestEndOfRuns(grantedAt: MonotonicTime): MonotonicTime {
+	return grantedAt + (grantValidityMilliseconds * slowClockFactor) + grantSlackMilliseconds;
+}
+
+export function handleRenewal(state: SchedulerState, agent: AgentName, snapshot: WorkerSnapshot | undefined, present: Present): SchedulerStep {
+	const worker = state.workers.get(agent);
+	if (snapshot === undefined) {
+		return unchanged(worker === undefined
+			? state
+			: {
+				...state, workers: new Map(state.workers).set(agent, {...worker, contact: {kind: 'attached'}, grantedAt: present.monotonic}),
+			});
+	}
+
+	const isKnown = worker !== undefined && isSameLife(worker.snapshot, snapshot);
+	const isReplaced = worker !== undefined && !isKnown;
+	return chain(state, [
+		next => isReplaced ? adoptLife(next, worker, snapshot, present) : unchanged(next),
+		next => unchanged(withSnapshot(next, agent, snapshot, present.monotonic)),
+		...snapshot.ended.map(row => (next: SchedulerState) => handleEnd(next, agent, row, present)),
+		next => snapshot.isLeaseOver && isKnown ? releaseLife(next, worker, 'worker is silent and its lease is over', present) : reconcile(next, agent, snapshot, present),
+	]);
+}
+
+/** A new life of a worker ends the earlier one. Runs that the new one lists already are kept. */
+function adoptLife(state: SchedulerState, earlier: SchedulerWorker, snapshot: WorkerSnapshot, present: Present): SchedulerStep {
+	let next = state;
+	for (const row of snapshot.running) {
+		const job = jobOf(next, row.task);
+		const task = job?.tasks.get(row.task);
+		if (job !== undefined && task !== undefined && isRunOn(task.run, earlier) && task.run.run === row.run) {
+			const life = {worker: snapshot.worker, incarnation: snapshot.incarnation};
+			next = withJob(next, withTask(job, row.task, {...task, run: {...task.run, life}}));
+		}
+	}
+
+	return releaseLife(next, earlier, 'worker started again', present);
+}
+
+function withSnapshot(state: SchedulerState, agent: AgentName, snapshot: WorkerSnapshot, monotonic: MonotonicTime): SchedulerState {
+	const worker = state.workers.get(agent);
+	const unread = new Map(state.unread);
+	unread.delete(snapshot.worker);
+	return withWorker({...state, unread}, worker !== undefined && isSameLife(worker.snapshot, snapshot)
+		? {
+			...worker, snapshot, contact: {kind: 'attached'}, grantedAt: monotonic,
+		}
+		: {
+			agent,
+			snapshot,
+			contact: {kind: 'attached'},
+			grantedAt: monotonic,
+			health: worker?.snapshot.worker === snapshot.worker ? worker.health : {failedJobs: [], avoidedUntil: 0},
+			seenEnd: 0,
+			notedEnd: 0,
+			pendingEnds: [],
+		});
+}
+
+/** Compares the runs that a worker lists with those that were ordered there. */
+function reconcile(state: SchedulerState, agent: AgentName, snapshot: WorkerSnapshot, present: Present): SchedulerStep {
+	if (!state.isLoaded) {
+		return unchanged(state);
+	}
+
+	const listed = new Set(snapshot.running.map(({task, run}) => `${task} ${run}`));
+	return chain(state, [
+		...snapshot.running.map(row => (next: SchedulerState) => reconcileRow(next, agent, row, present)),
+		next => releaseMissing(next, agent, listed, present),
+	]);
+}
+
+function reconcileRow(state: SchedulerState, agent: AgentName, row: RunningRow, present: Present): SchedulerStep {
+	const worker = state.workers.get(agent);
+	const job = jobOf(state, row.task);
+	const task = job?.tasks.get(row.task);
+	if (worker === undefined) {
+		return unchanged(state);
+	}
+
+	if (job === undefined || task === undefined || !isOpen(job) || task.isDone) {
+		return stopRow(state, worker, row, 'task is not wanted');
+	}
+
+	if (task.run === undefined) {
+		const life = {worker: worker.snapshot.worker, incarnation: worker.snapshot.incarnation};
+		return {
+			state: withJob(state, withTask(job, row.task, {
+				...task,
+				lastRun: Math.max(task.lastRun, row.run),
+				run: {
+					life, run: row.run, stage: 'running', isStopConfirmed: false, orderedAt: present.monotonic, startedAt: present.monotonic, percent: row.percent, progressedAt: present.monotonic,
+				},
+			})),
+			effects: [{kind: 'log', event: 'run-adopted', fields: {task: row.task, run: row.run, worker: worker.snapshot.worker}}],
+		};
+	}
+
+	return isRunOn(task.run, worker) && task.run.run === row.run
+		? unchanged(withProgress(state, {job, task, row}, present.monotonic))
+		: stopRow(state, worker, row, 'task runs elsewhere');
+}
+
+function stopRow(state: SchedulerState, worker: SchedulerWorker, {task, run}: RunningRow, reason: string): SchedulerStep {
+	return {
+		state,
+		effects: [
+			{
+				kind: 'stop', agent: worker.agent, incarnation: worker.snapshot.incarnation, orders: [{task, run}],
+			},
+			{kind: 'log', event: 'stop-ordered', fields: {reason, tasks: [{task, run}]}},
+		],
+	};
+}
+
+function withProgress(state: SchedulerState, {job, task, row}: Readonly<{job: SchedulerJob; task: TaskState; row: RunningRow}>, monotonic: MonotonicTime): SchedulerState {
+	const {run} = task;
+	if (run === undefined) {
+		return state;
+	}
+
+	const hasProgress = row.percent > run.percent;
+	return withJob(state, withTask(job, row.task, {
+		...task,
+		...(row.checkpoint === '' ? {} : {checkpoint: row.checkpoint, checkpointPercent: row.percent}),
+		run: {
+			...run,
+			stage: run.stage === 'starting' ? 'running' : run.stage,
+			percent: Math.max(run.percent, row.percent),
+			progressedAt: hasProgress ? monotonic : run.progressedAt,
+		},
+	}));
+}
+
+/** Handles ordered runs that the worker neither lists as running nor as ended. */
+function releaseMissing(state: SchedulerState, agent: AgentName, listed: ReadonlySet<string>, present: Present): SchedulerStep {
+	const worker = state.workers.get(agent);
+	if (worker === undefined) {
+		return unchanged(state);
+	}
+
+	const decisions: Array<(next: SchedulerState) => SchedulerStep> = [];
+	for (const job of state.jobs.values()) {
+		for (const [name, {run}] of job.tasks) {
+			if (!isRunOn(run, worker) || listed.has(`${name} ${run.run}`)) {
+				continue;
+			}
+
+			switch (run.stage) {
+				case 'starting': {
+					break;
+				}
+
+				case 'running': {
+					decisions.push(next => stopRuns(next, [name], 'run vanished from its worker', present.monotonic));
+					break;
+				}
+
+				case 'stopping': {
+					if (run.isStopConfirmed) {
+						decisions.push(next => unchanged(releaseRun(next, name, {}, present.monotonic)));
+					}
+				}
+			}
+		}
+	}
+
+	return chain(state, decisions);
+}
+
+export function handleLeft(state: SchedulerState, agent: AgentName, life: WorkerLife, present: Present): SchedulerStep {
+	const worker = state.workers.get(agent);
+	if (worker === undefined || !isSameLife(worker.snapshot, life)) {
+		return unchanged(state);
+	}
+
+	const {state: released, effects} = releaseLife(state, worker, 'worker left', present);
+	const workers = new Map(released.workers);
+	workers.delete(agent);
+	return {state: {...released, workers}, effects};
+}
+
+/** The agent goes on by itself for as long as its last grant lasts. */
+export function handleDetached(state: SchedulerState, agent: AgentName): SchedulerStep {
+	const worker = state.workers.get(agent);
+	return unchanged(worker === undefined || worker.contact.kind === 'lost'
+		? state
+		: withWorker(state, {...worker, contact: {kind: 'lost', runsUntil: latestEndOfRuns(worker.grantedAt)}}));
+}
+
+export function handleStartAnswers(state: SchedulerState, agent: AgentName, answers: readonly StartAnswer[], present: Present): SchedulerStep {
+	return chain(state, answers.map(answer => next => handleStartAnswer(next, agent, answer, present)));
+}
+
+function handleStartAnswer(state: SchedulerState, agent: AgentName, {task: name, run: number, result}: StartAnswer, present: Present): SchedulerStep {
+	const job = jobOf(state, name);
+	const task = job?.tasks.get(name);
+	const worker = state.workers.get(agent);
+	if (job === undefined || task === undefined || worker === undefined || !isRunOn(task.run, worker) || task.run.run !== number) {
+		return unchanged(state);
+	}
+
+	const {run} = task;
+	switch (result) {
+		case 'started': {
+			return unchanged(run.stage === 'starting'
+				? withJob(state, withTask(job, name, {
+					...task, run: {
+						...run, stage: 'running', startedAt: present.monotonic, progressedAt: present.monotonic,
+					},
+				}))
+				: state);
+		}
+
+		// The run may still start; it is stopped if it does not show up.
+		case 'unknown': {
+			return unchanged(state);
+		}
+
+		case 'no-room':
+		case 'unhealthy':
+		case 'too-late':
+		case 'run-too-low':
+		case 'superseded':
+		case 'invalid': {
+			const pause = result === 'unhealthy' ? avoidanceMilliseconds : refusalPauseMilliseconds;
+			const paused = withWorker(state, {...worker, health: {...worker.health, avoidedUntil: Math.max(worker.health.avoidedUntil, present.monotonic + pause)}});
+			const released = releaseRun(paused, name, {}, present.monotonic);
+			const isGang = stepOf(job, name)?.isGang === true;
+			return chain(released, [
+				next => ({
+					state: next,
+					effects: [{
+						kind: 'log', event: 'start-refused', fields: {
+							task: name, run: number, worker: worker.snapshot.worker, reason: result,
+						},
+					}],
+				}),
+				next => isGang ? stopRuns(next, siblingsOf(job, name), 'a member of the gang was refused', present.monotonic) : unchanged(next),
+			]);
+		}
+	}
+}
+
+export function handleStopAnswers(state: SchedulerState, agent: AgentName, orders: readonly StopOrder[]): SchedulerStep {
+	let next = state;
+	for (const {task: name, run: number} of orders) {
+		const job = jobOf(next, name);
+		const task = job?.tasks.get(name);
+		const worker = next.workers.get(agent);
+		if (job !== undefined && task !== undefined && worker !== undefined && isRunOn(task.run, worker) && task.run.run === number) {
+			next = withJob(next, withTask(job, name, {...task, run: {...task.run, isStopConfirmed: true}}));
+		}
+	}
+
+	return unchanged(next);
+}
+
--- /dev/null
+++ b/packages/scheduling/schedule.ts
@@ -0,0 +1,133 @@
+/** One pass of the scheduler: decides what starts where and what is stopped for it. */
+import type {MonotonicTime, Present} from '#core';
+import {
+	createBoard, reserve, subtract, take, type Board,
+} from './board.js';
+import {reservationDelayMilliseconds} from './constants.js';
+import {
+	countPlaced, fill, emptied, listCandidates, placeUnit, type Placement,
+} from './place.js';
+import {findPreemption} from './preempt.js';
+import {
+	startRuns, stopRuns, storeJob, type SchedulerStep,
+} from './runs.js';
+import {needOf} from './state.js';
+import type {AgentName, SchedulerEffect, SchedulerState} from './types.js';
+import {listUnits, type Unit} from './units.js';
+
+/** Ranks up to this one may stop other work. */
+const lowestPreemptingRank = 2;
+
+type Pass = Readonly<{state: SchedulerState; board: Board; effects: readonly SchedulerEffect[]; reservedRanks: ReadonlySet<number>}>;
+
+export function schedule(state: SchedulerState, present: Present): SchedulerStep {
+	const idle = {...state, isScheduleDue: false};
+	if (!state.isLoaded || state.configuration === undefined) {
+		return {state: idle, effects: []};
+	}
+
+	let pass: Pass = {
+		state: idle, board: createBoard(state, present.monotonic), effects: [], reservedRanks: new Set(),
+	};
+	for (const unit of listUnits(state, present)) {
+		pass = scheduleUnit(pass, unit, present.monotonic);
+	}
+
+	return {state: {...pass.state, isScheduleDue: false}, effects: pass.effects};
+}
+
+function scheduleUnit(pass: Pass, unit: Unit, monotonic: MonotonicTime): Pass {
+	const placements = placeUnit(unit, pass.board, monotonic);
+	const placed = placements.length === 0 ? pass : begin(pass, unit, placements, monotonic);
+	const rest = unit.tasks.length - placements.length;
+	if (rest === 0) {
+		return placed;
+	}
+
+	const cleared = unit.rank <= lowestPreemptingRank ? preempt(placed, unit, rest, monotonic) : undefined;
+	return cleared ?? keepRoom(placed, unit, monotonic);
+}
+
+/** Starts tasks; the first start of a job waits until the store knows that the job has begun, so that a later scheduler looks for its runs. */
+function begin(pass: Pass, unit: Unit, placements: readonly Placement[], monotonic: MonotonicTime): Pass {
+	let {board} = pass;
+	for (const {agent} of placements) {
+		board = take(board, agent, needOf(unit.step));
+	}
+
+	const job = pass.state.jobs.get(unit.job.submission.job) ?? unit.job;
+	const next = {...pass, board};
+	if (job.outcome === 'queued') {
+		return apply(next, storeJob(pass.state, {...job, outcome: 'running'}));
+	}
+
+	return job.storedVersion === 0
+		? next
+		: apply(next, startRuns(pass.state, job.submission.job, placements, monotonic), {
+			kind: 'log',
+			event: 'start-ordered',
+			fields: {
+				job: job.submission.job,
+				queue: unit.queue.name,
+				rank: unit.rank,
+				step: unit.stepIndex,
+				waitedMilliseconds: Math.round(monotonic - unit.waitingSince),
+				workers: placements.map(({agent}) => agent),
+			},
+		});
+}
+
+function apply(pass: Pass, {state, effects}: SchedulerStep, ...further: readonly SchedulerEffect[]): Pass {
+	return {...pass, state, effects: [...pass.effects, ...effects, ...further]};
+}
+
+/** Stops lower work for the unit and keeps its workers from others until it fits. */
+function preempt(pass: Pass, unit: Unit, count: number, monotonic: MonotonicTime): Pass | undefined {
+	const found = findPreemption(unit, count, pass.board, monotonic);
+	if (found === undefined) {
+		return undefined;
+	}
+
+	const need = needOf(unit.step);
+	const board = new Map(pass.board);
+	for (const [agent, share] of found.shares) {
+		const present = board.get(agent);
+		if (present !== undefined) {
+			let {free} = present;
+			for (let index = 0; index < share; index++) {
+				free = subtract(free, need);
+			}
+
+			board.set(agent, {...present, free});
+		}
+	}
+
+	return apply({...pass, board}, stopRuns(pass.state, found.victims.map(({task}) => task), `room for ${unit.job.submission.job} of rank ${unit.rank}`, monotonic));
+}
+
+/** Wide work that waited long keeps the workers that it needs; one unit of each rank at a time, so that little stands idle. */
+function keepRoom(pass: Pass, unit: Unit, monotonic: MonotonicTime): Pass {
+	const isDue = unit.step.isGang && !unit.isLate && monotonic - unit.waitingSince > reservationDelayMilliseconds && !pass.reservedRanks.has(unit.rank);
+	if (!isDue) {
+		return pass;
+	}
+
+	const candidates = listCandidates(unit, pass.board).toSorted((first, second) => second.free.accelerators - first.free.accelerators);
+	const agents: AgentName[] = [];
+	let count = 0;
+	for (const candidate of candidates) {
+		if (count >= unit.tasks.length) {
+			break;
+		}
+
+		const fitting = countPlaced(fill(unit, [emptied(candidate)]));
+		if (fitting > 0) {
+			count += fitting;
+			agents.push(candidate.worker.agent);
+		}
+	}
+
+	return count < unit.tasks.length
+		? pass
+		: {...pass, board: reserve(pass.board, agents), reservedRanks: new Set([...pass.reservedRanks, unit.rank])};
+}
--- /dev/null
+++ b/packages/scheduling/state.ts
@@ -0,0 +1,163 @@
+import type {MonotonicTime} from '#core';
+import {
+	formatTaskName, isSameLife, listStepTasks, localNameOf, parseTaskName, type JobProgress, type JobStep, type JobSubmission, type Queue, type Resources,
+	type TaskName, type TaskProgress,
+} from '#jobs';
+import {runsPerEpoch} from './constants.js';
+import type {
+	AgentName, SchedulerJob, SchedulerState, SchedulerWorker, TaskRun, TaskState,
+} from './types.js';
+
+export function createSchedulerState(epoch: number): SchedulerState {
+	return {
+		epoch, configuration: undefined, jobs: new Map(), workers: new Map(), unread: new Map(), isLoaded: false, isScheduleDue: false,
+	};
+}
+
+export function withJob(state: SchedulerState, job: SchedulerJob): SchedulerState {
+	return {...state, jobs: new Map(state.jobs).set(job.submission.job, job), isScheduleDue: true};
+}
+
+export function withWorker(state: SchedulerState, worker: SchedulerWorker): SchedulerState {
+	return {...state, workers: new Map(state.workers).set(worker.agent, worker), isScheduleDue: true};
+}
+
+export function withTask(job: SchedulerJob, name: TaskName, task: TaskState): SchedulerJob {
+	return {...job, tasks: new Map(job.tasks).set(name, task)};
+}
+
+export function jobOf(state: SchedulerState, task: TaskName): SchedulerJob | undefined {
+	return state.jobs.get(parseTaskName(task).job);
+}
+
+/** The queue in force, or the one of the time of acceptance if it was removed since. */
+export function queueOf({configuration}: SchedulerState, {submission: {queue}}: SchedulerJob): Queue {
+	return configuration?.queues.find(({name}) => name === queue.name) ?? queue;
+}
+
+export function stepOf({submission}: SchedulerJob, task: TaskName): JobStep | undefined {
+	return submission.request.steps[parseTaskName(task).step];
+}
+
+/** What a task takes of its worker. Filling tasks take only processor time that others leave. */
+export function needOf({processorMillicores, memoryMegabytes, accelerators, isFilling}: JobStep): Resources {
+	return {processorMillicores: isFilling ? 0 : processorMillicores, memoryMegabytes, accelerators};
+}
+
+/** Every task of the step that the task belongs to, in the same occurrence. */
+export function siblingsOf(job: SchedulerJob, task: TaskName): readonly TaskName[] {
+	const {occurrence, step} = parseTaskName(task);
+	const specification = job.submission.request.steps[step];
+	return specification === undefined ? [] : listStepTasks(job.submission.job, occurrence, step, specification);
+}
+
+export function findWorkerOfRun({workers}: SchedulerState, {life}: TaskRun): SchedulerWorker | undefined {
+	for (const worker of workers.values()) {
+		if (isSameLife(worker.snapshot, life)) {
+			return worker;
+		}
+	}
+
+	return undefined;
+}
+
+export function isOpen({outcome}: SchedulerJob): boolean {
+	return outcome === 'queued' || outcome === 'running';
+}
+
+/** Whether every task of a gang or a single task has failed as often as its queue allows. */
+export function countFailures(job: SchedulerJob, task: TaskName): number {
+	const step = stepOf(job, task);
+	const names = step?.isGang === true ? siblingsOf(job, task) : [task];
+	return new Set(names.flatMap(name => job.tasks.get(name)?.failedRuns ?? [])).size;
+}
+
+/** Creates the state of a job from what is stored of it. */
+export function createJob(
+	submission: JobSubmission,
+	stored: Readonly<{progress: JobProgress | undefined; keyVersion: number}>,
+	context: Readonly<{epoch: number; monotonic: MonotonicTime; isInherited: boolean}>,
+): SchedulerJob {
+	const {job, request: {steps, schedule}} = submission;
+	const tasks = new Map<TaskName, TaskState>();
+	for (let occurrence = 0; occurrence < (schedule?.occurrences ?? 1); occurrence++) {
+		for (const [step, {count}] of steps.entries()) {
+			for (let index = 0; index < count; index++) {
+				const name = formatTaskName({
+					job, occurrence, step, index,
+				});
+				tasks.set(name, createTask(stored.progress?.tasks[localNameOf(name)], context.epoch));
+			}
+		}
+	}
+
+	return {
+		submission,
+		tasks,
+		outcome: stored.progress?.outcome ?? 'queued',
+		version: stored.progress === undefined ? 0 : 1,
+		storedVersion: stored.progress === undefined ? 0 : 1,
+		keyVersion: stored.keyVersion,
+		changedAt: context.monotonic,
+		isInherited: context.isInherited,
+		endedAt: stored.progress?.endedAt,
+		closedAt: stored.progress?.endedAt === undefined ? undefined : context.monotonic,
+	};
+}
+
+function createTask(progress: TaskProgress | undefined, epoch: number): TaskState {
+	return {
+		isDone: progress?.isDone ?? false,
+		failedRuns: progress?.failedRuns ?? [],
+		lastRun: Math.max((epoch - 1) * runsPerEpoch, ...(progress?.failedRuns ?? [])),
+		checkpoint: progress?.checkpoint ?? '',
+		checkpointPercent: 0,
+		run: undefined,
+		avoided: [],
+	};
+}
+
+/** What is stored of a job. */
+export function describeProgress({outcome, tasks, endedAt}: SchedulerJob): JobProgress {
+	const stored: Record<string, TaskProgress> = {};
+	for (const [name, {isDone, failedRuns, checkpoint}] of tasks) {
+		if (isDone) {
+			stored[localNameOf(name)] = {isDone: true};
+		} else if (failedRuns.length > 0 || checkpoint !== '') {
+			stored[localNameOf(name)] = {
+				...(failedRuns.length === 0 ? {} : {failedRuns}), ...(checkpoint === '' ? {} : {checkpoint}),
+			};
+		}
+	}
+
+	return {outcome: outcome === 'queued' ? 'running' : outcome, tasks: stored, ...(endedAt === undefined ? {} : {endedAt})};
+}
+
+/** Whether a job has a run on the life of a worker. */
+export function isRunOn(run: TaskRun | undefined, {snapshot}: SchedulerWorker): run is TaskRun {
+	return run !== undefined && isSameLife(run.life, snapshot);
+}
+
+/** Names the agents of the workers that a job runs on. */
+export function agentOfRun(state: SchedulerState, run: TaskRun): AgentName | undefined {
+	return findWorkerOfRun(state, run)?.agent;
+}
+
+/** Open jobs, oldest first. */
+export function listOpenJobs({jobs}: SchedulerState): readonly SchedulerJob[] {
+	return [...jobs.values()].filter(job => isOpen(job)).toSorted((first, second) => first.submission.submittedAt - second.submission.submittedAt);
+}
+
+/** Jobs that wait for their first start, for each queue. */
+export function countPending(state: SchedulerState): ReadonlyMap<string, number> {
+	const counts = new Map<string, number>();
+	for (const job of state.jobs.values()) {
+		const hasBegun = !isOpen(job) || [...job.tasks.values()].some(({isDone, run, lastRun}) => isDone || run !== undefined || lastRun % runsPerEpoch > 0);
+		if (!hasBegun) {
+			counts.set(job.submission.queue.name, (counts.get(job.submission.queue.name) ?? 0) + 1);
+		}
+	}
+
+	return counts;
+}
+
--- /dev/null
+++ b/packages/scheduling/tick.ts
@@ -0,0 +1,130 @@
+/** What time alone changes: orders without an answer, stuck runs, workers that are gone, old records. */
+import type {MonotonicTime, Present, WorkerId} from '#core';
+import {listStepTasks, type TaskName} from '#jobs';
+import {
+	endedJobRetentionMilliseconds, startConfirmationMilliseconds, stopRetryMilliseconds, stuckMilliseconds, stuckPercentFactor,
+} from './constants.js';
+import {noteFailure, releaseLife} from './ends.js';
+import {
+	chain, listRuns, stopRuns, unchanged, type SchedulerStep,
+} from './runs.js';
+import {
+	findWorkerOfRun, isOpen, withJob, withTask,
+} from './state.js';
+import type {
+	SchedulerEffect, SchedulerState, TaskRun,
+} from './types.js';
+
+export function handleTick(state: SchedulerState, present: Present): SchedulerStep {
+	return chain({...state, isScheduleDue: true}, [
+		next => stopUnconfirmed(next, present.monotonic),
+		next => repeatStops(next, present.monotonic),
+		next => stopStuck(next, present.monotonic),
+		next => forgetGoneWorkers(next, present),
+		next => unchanged(forgetUnread(next, present.monotonic)),
+		next => stopPartialGangs(next, present.monotonic),
+		next => removeOldRecords(next, present.monotonic),
+	]);
+}
+
+function stopUnconfirmed(state: SchedulerState, monotonic: MonotonicTime): SchedulerStep {
+	const names = listRuns(state)
+		.filter(({run}) => run.stage === 'starting' && monotonic - run.orderedAt > startConfirmationMilliseconds)
+		.map(({name}) => name);
+	return stopRuns(state, names, 'start was not confirmed', monotonic);
+}
+
+function repeatStops(state: SchedulerState, monotonic: MonotonicTime): SchedulerStep {
+	let next = state;
+	const effects: SchedulerEffect[] = [];
+	for (const {name, run, job} of listRuns(state)) {
+		const worker = findWorkerOfRun(state, run);
+		const task = job.tasks.get(name);
+		const isDue = run.stage === 'stopping' && monotonic - run.orderedAt > stopRetryMilliseconds;
+		if (!isDue || worker === undefined || task === undefined || worker.contact.kind !== 'attached') {
+			continue;
+		}
+
+		const present = next.jobs.get(job.submission.job) ?? job;
+		next = withJob(next, withTask(present, name, {...task, run: {...run, orderedAt: monotonic}}));
+		effects.push({
+			kind: 'stop', agent: worker.agent, incarnation: worker.snapshot.incarnation, orders: [{task: name, run: run.run}],
+		});
+	}
+
+	return {state: next, effects};
+}
+
+/** A run that makes no progress for long is tried on another worker. */
+function stopStuck(state: SchedulerState, monotonic: MonotonicTime): SchedulerStep {
+	const stuck = listRuns(state).filter(({run, job}) => isOpen(job) && isStuck(run, monotonic) && findWorkerOfRun(state, run)?.snapshot.isResponsive === true);
+	return chain(state, stuck.map(({name, run}) => next => {
+		const worker = findWorkerOfRun(next, run);
+		const job = next.jobs.get(name.slice(0, name.indexOf('.')) as never);
+		const task = job?.tasks.get(name);
+		if (worker === undefined || job === undefined || task === undefined || task.run?.stage !== 'running') {
+			return unchanged(next);
+		}
+
+		const avoiding = withJob(next, withTask(job, name, {...task, avoided: [...task.avoided, worker.snapshot.worker]}));
+		return stopRuns(noteFailure(avoiding, worker.agent, job.submission.job, monotonic), [name], `no progress for ${Math.round(monotonic - run.progressedAt)} ms`, monotonic);
+	}));
+}
+
+function isStuck({stage, percent, startedAt, progressedAt}: TaskRun, monotonic: MonotonicTime): boolean {
+	const pace = percent > 0 ? (progressedAt - startedAt) / percent : 0;
+	return stage === 'running' && percent < 100 && monotonic - progressedAt > Math.max(stuckMilliseconds, pace * stuckPercentFactor);
+}
+
+function forgetGoneWorkers(state: SchedulerState, present: Present): SchedulerStep {
+	const gone = [...state.workers.values()].filter(({contact}) => contact.kind === 'lost' && contact.runsUntil <= present.monotonic);
+	return chain(state, gone.map(worker => next => {
+		const {state: released, effects} = releaseLife(next, worker, 'agent was lost and its grant is over', present);
+		const workers = new Map(released.workers);
+		workers.delete(worker.agent);
+		return {state: {...released, workers}, effects};
+	}));
+}
+
+function forgetUnread(state: SchedulerState, monotonic: MonotonicTime): SchedulerState {
+	const unread = new Map<WorkerId, MonotonicTime>([...state.unread].filter(([, until]) => until > monotonic));
+	return unread.size === state.unread.size ? state : {...state, unread};
+}
+
+/** A gang of which only a part was found after a takeover cannot work. */
+function stopPartialGangs(state: SchedulerState, monotonic: MonotonicTime): SchedulerStep {
+	if (!state.isLoaded || state.unread.size > 0) {
+		return unchanged(state);
+	}
+
+	const partial: TaskName[] = [];
+	for (const job of state.jobs.values()) {
+		for (const [index, step] of job.submission.request.steps.entries()) {
+			for (let occurrence = 0; step.isGang && isOpen(job) && occurrence < (job.submission.request.schedule?.occurrences ?? 1); occurrence++) {
+				const names = listStepTasks(job.submission.job, occurrence, index, step);
+				const running = names.filter(name => job.tasks.get(name)?.run !== undefined);
+				const numbers = new Set(running.map(name => job.tasks.get(name)?.run?.run));
+				if (running.length > 0 && (running.length < names.length || numbers.size > 1)) {
+					partial.push(...running);
+				}
+			}
+		}
+	}
+
+	return stopRuns(state, partial, 'only a part of the gang runs', monotonic);
+}
+
+function removeOldRecords(state: SchedulerState, monotonic: MonotonicTime): SchedulerStep {
+	const old = [...state.jobs.values()].filter(({closedAt, storedVersion, version}) => closedAt !== undefined
+		&& storedVersion >= version && monotonic - closedAt > endedJobRetentionMilliseconds);
+	if (old.length === 0) {
+		return unchanged(state);
+	}
+
+	const jobs = new Map(state.jobs);
+	for (const {submission: {job}} of old) {
+		jobs.delete(job);
+	}
+
+	return {state: {...state, jobs}, effects: old.map(({submission: {job}}) => ({kind: 'remove-records', job}))};
+}
--- /dev/null
+++ b/packages/scheduling/types.ts
@@ -0,0 +1,141 @@
+/** State, messages and effects of the scheduler. */
+import type {MonotonicTime, WorkerId} from '#core';
+import type {
+	JobKey, JobOutcome, JobProgress, JobSubmission, QueueName, SchedulingConfiguration, TaskName, WorkerLife, WorkerSnapshot,
+} from '#jobs';
+
+/** Name of the agent beside a worker. */
+export type AgentName = string & {readonly unit?: 'agent'};
+
+/**
+A run of a task that was ordered.
+
+- `starting`: ordered, not yet seen on the worker.
+- `running`: the worker listed it or confirmed the start.
+- `stopping`: a stop was ordered; its capacity is free when the end is listed.
+*/
+export type TaskRun = Readonly<{
+	life: WorkerLife;
+	run: number;
+	stage: 'starting' | 'running' | 'stopping';
+	/** Whether the worker answered a stop; the run can no longer start there. */
+	isStopConfirmed: boolean;
+	/** When the last start or stop of the run was ordered. */
+	orderedAt: MonotonicTime;
+	startedAt: MonotonicTime;
+	percent: number;
+	/** When the percent last rose. */
+	progressedAt: MonotonicTime;
+}>;
+
+export type TaskState = Readonly<{
+	isDone: boolean;
+	/** Numbers of the runs that failed. */
+	failedRuns: readonly number[];
+	lastRun: number;
+	checkpoint: string;
+	/** Percent at which the checkpoint was seen; picks the latest one of a gang. */
+	checkpointPercent: number;
+	run: TaskRun | undefined;
+	/** Workers on which the task failed or got stuck. */
+	avoided: readonly WorkerId[];
+}>;
+
+export type SchedulerJob = Readonly<{
+	submission: JobSubmission;
+	tasks: ReadonlyMap<TaskName, TaskState>;
+	outcome: 'queued' | JobOutcome;
+	/** Raised by every change that has to be stored. */
+	version: number;
+	/** Version that the store has. */
+	storedVersion: number;
+	/** Version of the progress key in the store; 0 if there is none. */
+	keyVersion: number;
+	/** When the last task ended or the job arrived; waiting counts from here. */
+	changedAt: MonotonicTime;
+	/** Whether the job was in the store when this scheduler took over, so that its tasks may run on workers not yet read. */
+	isInherited: boolean;
+	endedAt: number | undefined;
+	/** Monotonic time of the end, for the removal of old records. */
+	closedAt: MonotonicTime | undefined;
+}>;
+
+/** What the ends and refusals of a worker say about it. */
+export type WorkerHealth = Readonly<{
+	/** Jobs with failures since the last task that was done there. */
+	failedJobs: readonly JobKey[];
+	avoidedUntil: MonotonicTime;
+}>;
+
+/** A listed end that waits for its job's progress to be stored. */
+export type PendingEnd = Readonly<{number: number; job: JobKey; version: number}>;
+
+export type SchedulerWorker = Readonly<{
+	agent: AgentName;
+	snapshot: WorkerSnapshot;
+	contact: Readonly<{kind: 'attached'}> | Readonly<{kind: 'lost'; runsUntil: MonotonicTime}>;
+	/** When the last renewal of the agent was answered. */
+	grantedAt: MonotonicTime;
+	health: WorkerHealth;
+	/** Highest end that was handled. */
+	seenEnd: number;
+	/** Highest end up to which everything is stored. */
+	notedEnd: number;
+	pendingEnds: readonly PendingEnd[];
+}>;
+
+export type SchedulerState = Readonly<{
+	epoch: number;
+	configuration: SchedulingConfiguration | undefined;
+	jobs: ReadonlyMap<JobKey, SchedulerJob>;
+	/** By name of agent; one worker beside each. */
+	workers: ReadonlyMap<AgentName, SchedulerWorker>;
+	/** Workers that an earlier scheduler used and that were not read yet, and until when their runs may last. */
+	unread: ReadonlyMap<WorkerId, MonotonicTime>;
+	/** Whether the stored jobs were read. */
+	isLoaded: boolean;
+	/** Whether anything changed that may let a task start. */
+	isScheduleDue: boolean;
+}>;
+
+/** Answer to one start. `unknown` means that no answer came. */
+export type StartAnswer = Readonly<{
+	task: TaskName;
+	run: number;
+	result: 'started' | 'no-room' | 'unhealthy' | 'too-late' | 'run-too-low' | 'superseded' | 'invalid' | 'unknown';
+}>;
+
+export type SchedulerMessage =
+	| Readonly<{kind: 'configured'; configuration: SchedulingConfiguration}>
+	/** Stored jobs and progress at the takeover. */
+	| Readonly<{kind: 'loaded'; jobs: readonly LoadedJob[]; workers: readonly WorkerId[]}>
+	| Readonly<{kind: 'submitted'; submission: JobSubmission}>
+	| Readonly<{kind: 'cancelled'; job: JobKey}>
+	/** A renewal of an agent; without a snapshot nothing changed since the last one. */
+	| Readonly<{kind: 'renewed'; agent: AgentName; snapshot: WorkerSnapshot | undefined}>
+	/** The worker ended in an orderly way. */
+	| Readonly<{kind: 'left'; agent: AgentName; life: WorkerLife}>
+	| Readonly<{kind: 'detached'; agent: AgentName}>
+	| Readonly<{kind: 'start-answered'; agent: AgentName; answers: readonly StartAnswer[]}>
+	/** Stops that the worker carried out, or refused since the run was never there. */
+	| Readonly<{kind: 'stop-answered'; agent: AgentName; orders: readonly StopOrder[]}>
+	| Readonly<{kind: 'stored'; job: JobKey; version: number; keyVersion: number}>
+	| Readonly<{kind: 'tick'}>;
+
+export type LoadedJob = Readonly<{submission: JobSubmission; isCancelled: boolean; progress: JobProgress | undefined; keyVersion: number}>;
+
+export type StartOrder = Readonly<{task: TaskName; run: number; checkpoint: string}>;
+export type StopOrder = Readonly<{task: TaskName; run: number}>;
+
+export type SchedulerEffect =
+	| Readonly<{kind: 'start'; agent: AgentName; incarnation: string; job: JobKey; specification: string; orders: readonly StartOrder[]}>
+	| Readonly<{kind: 'stop'; agent: AgentName; incarnation: string; orders: readonly StopOrder[]}>
+	| Readonly<{kind: 'store-progress'; job: JobKey}>
+	/** The number of stored ends rose; the agent should be told soon. */
+	| Readonly<{kind: 'acknowledge'; agent: AgentName}>
+	| Readonly<{kind: 'remove-records'; job: JobKey}>
+	| Readonly<{kind: 'log'; event: string; fields: Readonly<Record<string, unknown>>}>;
+
+/** Jobs of each queue of which no task has started. */
+export type PendingCounts = ReadonlyMap<QueueName, number>;
+
--- /dev/null
+++ b/packages/scheduling/units.ts
@@ -0,0 +1,106 @@
+import type {MonotonicTime, Present, Timestamp} from '#core';
+import {
+	listStepTasks, type JobStep, type Queue, type TaskName,
+} from '#jobs';
+import {earlyStartMilliseconds} from './constants.js';
+import {rankJobs, type Rank} from './rank.js';
+import {countFailures, isOpen, queueOf} from './state.js';
+import type {SchedulerJob, SchedulerState} from './types.js';
+
+/** Tasks of one step that wait for a worker; a gang is placed whole. */
+export type Unit = Readonly<{
+	job: SchedulerJob;
+	queue: Queue;
+	step: JobStep;
+	occurrence: number;
+	stepIndex: number;
+	tasks: readonly TaskName[];
+	rank: Rank;
+	waitingSince: MonotonicTime;
+	/** Whether the job can no longer earn its full worth. */
+	isLate: boolean;
+}>;
+
+/** Lists what may start now, in the order in which it is placed. */
+export function listUnits(state: SchedulerState, {now, monotonic}: Present): readonly Unit[] {
+	const ranks = rankJobs(state);
+	const units: Unit[] = [];
+	for (const job of state.jobs.values()) {
+		if (!isOpen(job) || isUncertain(state, job)) {
+			continue;
+		}
+
+		const queue = queueOf(state, job);
+		const rank = ranks.get(job.submission.job) ?? queue.priority + 1;
+		const isLate = now - job.submission.submittedAt > objectiveOf(job, queue);
+		for (const occurrence of dueOccurrences(job, now)) {
+			units.push(...listSteps(job, queue, occurrence).map(unit => ({
+				...unit, rank, isLate, waitingSince: Math.min(job.changedAt, monotonic),
+			})));
+		}
+	}
+
+	return units.toSorted(compareUnits);
+}
+
+/** Tasks of a job that an earlier scheduler started may run on a worker that was not read yet. */
+function isUncertain({unread}: SchedulerState, {isInherited, outcome}: SchedulerJob): boolean {
+	return isInherited && outcome === 'running' && unread.size > 0;
+}
+
+function dueOccurrences({submission: {request: {schedule}}}: SchedulerJob, now: Timestamp): readonly number[] {
+	if (schedule === undefined) {
+		return [0];
+	}
+
+	const elapsed = now + earlyStartMilliseconds - schedule.firstRunAt;
+	const due = elapsed < 0 ? 0 : Math.floor(elapsed / Math.max(1, schedule.intervalMilliseconds)) + 1;
+	return Array.from({length: Math.min(schedule.occurrences, due)}, (_, occurrence) => occurrence);
+}
+
+type StepUnit = Pick<Unit, 'job' | 'queue' | 'step' | 'occurrence' | 'stepIndex' | 'tasks'>;
+
+function listSteps(job: SchedulerJob, queue: Queue, occurrence: number): readonly StepUnit[] {
+	const {steps} = job.submission.request;
+	const isStepDone = (index: number) => {
+		const step = steps[index];
+		return step !== undefined && listStepTasks(job.submission.job, occurrence, index, step).every(name => job.tasks.get(name)?.isDone === true);
+	};
+
+	return [...steps.entries()].flatMap(([stepIndex, step]) => {
+		if (!step.after.every(index => isStepDone(index))) {
+			return [];
+		}
+
+		const names = listStepTasks(job.submission.job, occurrence, stepIndex, step);
+		const waiting = names.filter(name => isWaiting(job, name, step, queue));
+		const isStartable = step.isGang ? waiting.length === names.length : waiting.length > 0;
+		return isStartable
+			? [{
+				job, queue, step, occurrence, stepIndex, tasks: waiting,
+			}]
+			: [];
+	});
+}
+
+function isWaiting(job: SchedulerJob, name: TaskName, {isLongRunning}: JobStep, {maximumAttempts}: Queue): boolean {
+	const task = job.tasks.get(name);
+	return task !== undefined && !task.isDone && task.run === undefined && (isLongRunning || countFailures(job, name) < maximumAttempts);
+}
+
+/** Time from submission within which a job earns its full worth, by the caller's estimates. */
+export function objectiveOf({submission: {request: {steps}}}: SchedulerJob, {stretch, targetMilliseconds}: Queue): number {
+	const chains: number[] = [];
+	for (const {after, estimatedMilliseconds} of steps) {
+		chains.push(estimatedMilliseconds + Math.max(0, ...after.map(index => chains[index] ?? 0)));
+	}
+
+	return (stretch * Math.max(0, ...chains)) + targetMilliseconds;
+}
+
+/** By rank, then work that can still be on time, then age. */
+function compareUnits(first: Unit, second: Unit): number {
+	return first.rank - second.rank
+		|| Number(first.isLate) - Number(second.isLate)
+		|| first.job.submission.submittedAt - second.job.submission.submittedAt;
+}
--- a/packages/store/lease-task.ts
+++ b/packages/store/lease-task.ts
@@ -1,4 +1,4 @@
-import type {RandomSource} from '#core';
+import type {Milliseconds, RandomSource} from '#core';
 import {startTask, type Cancel, type Clock} from '#kernel';
 import {
 	findValidLease, initialLeaseState, receiveLeaseMessage, type HeldLease, type LeaseEffect, type LeaseMessage, type LeaseState,
@@ -9,13 +9,15 @@
 export type LeaseHandle = Readonly<{
 	/** The lease if it is certainly valid now; ask again before each use, since a pause may have outlasted it. */
 	findValid(): HeldLease | undefined;
+	/** The lease that was granted last, also when it may have lapsed; undefined once the store dropped it. */
+	findLast(): HeldLease | undefined;
 	/** Calls the listener after each change of the lease identifier; undefined means that the store dropped the lease. */
 	onChanged(listener: (lease: string | undefined) => void): Cancel;
 	/** Gives the lease back; resolves when the store answered or the call timed out. */
 	stop(): Promise<void>;
 }>;
 
-export type LeaseTaskOptions = Readonly<{store: KeyValueStore; clock: Clock; random: RandomSource; timeToLive: number}>;
+export type LeaseTaskOptions = Readonly<{store: KeyValueStore; clock: Clock; random: RandomSource; timeToLive: Milliseconds; maximumBackoff?: Milliseconds}>;
 
 /**
 Starts a task that grants and renews one lease of the store.
@@ -26,7 +28,7 @@
 const held = lease.findValid();
 ```
 */
-export function startLeaseTask({store, clock, random, timeToLive}: LeaseTaskOptions): LeaseHandle {
+export function startLeaseTask({store, clock, random, timeToLive, maximumBackoff}: LeaseTaskOptions): LeaseHandle {
 	let revoking: Promise<unknown> = Promise.resolve();
 	const perform = async (effect: LeaseEffect, send: (message: LeaseMessage) => void) => {
 		switch (effect.kind) {
@@ -56,7 +58,7 @@
 	const task = startTask<LeaseState, LeaseMessage, LeaseEffect>({
 		name: 'lease',
 		initialState: initialLeaseState,
-		receive: (state, message, present) => receiveLeaseMessage(state, message, present, {timeToLive, random}),
+		receive: (state, message, present) => receiveLeaseMessage(state, message, present, {timeToLive, random, ...(maximumBackoff === undefined ? {} : {maximumBackoff})}),
 	}, {
 		clock,
 		perform(effect, send) {
@@ -66,6 +68,7 @@
 	task.send({kind: 'due'});
 	return {
 		findValid: () => findValidLease(task.read(), clock.monotonic()),
+		findLast: () => task.read().held,
 		onChanged(listener) {
 			let known = task.read().held?.lease;
 			return task.subscribe(({held}) => {
--- a/packages/store/lease.ts
+++ b/packages/store/lease.ts
@@ -27,7 +27,7 @@
 	| Readonly<{kind: 'revoke'; lease: string}>
 	| Readonly<{kind: 'schedule'; delay: Milliseconds}>;
 
-export type LeaseOptions = Readonly<{timeToLive: Milliseconds; random: RandomSource}>;
+export type LeaseOptions = Readonly<{timeToLive: Milliseconds; random: RandomSource; maximumBackoff?: Milliseconds}>;
 
 export const initialLeaseState: LeaseState = {held: undefined, failures: 0, isStopped: false};
 
@@ -69,7 +69,7 @@
 	return held === undefined ? {kind: 'grant', sentAt} : {kind: 'renew', lease: held.lease, sentAt};
 }
 
-function handleReply(state: LeaseState, {reply, sentAt}: Extract<LeaseMessage, {kind: 'replied'}>, {timeToLive, random}: LeaseOptions): Step<LeaseState, LeaseEffect> {
+function handleReply(state: LeaseState, {reply, sentAt}: Extract<LeaseMessage, {kind: 'replied'}>, {timeToLive, random, maximumBackoff}: LeaseOptions): Step<LeaseState, LeaseEffect> {
 	switch (reply.kind) {
 		case 'granted': {
 			if (state.isStopped) {
@@ -85,11 +85,11 @@
 		}
 
 		case 'lease-unknown': {
-			return retryLater({...state, held: undefined}, random, 0);
+			return retryLater({...state, held: undefined}, {random, maximumBackoff, retryAfter: 0});
 		}
 
 		case 'unavailable': {
-			return retryLater(state, random, reply.retryAfterMilliseconds);
+			return retryLater(state, {random, maximumBackoff, retryAfter: reply.retryAfterMilliseconds});
 		}
 
 		default: {
@@ -98,11 +98,13 @@
 	}
 }
 
-function retryLater(state: LeaseState, random: RandomSource, retryAfter: Milliseconds | undefined): Step<LeaseState, LeaseEffect> {
+type RetryOptions = Readonly<{random: RandomSource; maximumBackoff: Milliseconds | undefined; retryAfter: Milliseconds | undefined}>;
+
+function retryLater(state: LeaseState, {random, maximumBackoff, retryAfter}: RetryOptions): Step<LeaseState, LeaseEffect> {
 	if (state.isStopped) {
 		return {state, effects: []};
 	}
 
 	const failures = state.failures + 1;
-	return {state: {...state, failures}, effects: [{kind: 'schedule', delay: chooseBackoff(failures, random, retryAfter)}]};
+	return {state: {...state, failures}, effects: [{kind: 'schedule', delay: chooseBackoff(failures, random, retryAfter, maximumBackoff)}]};
 }
--- a/packages/store/types.ts
+++ b/packages/store/types.ts
@@ -46,3 +46,22 @@
 	revokeLease(lease: string): Promise<LeaseReply>;
 	close(): Promise<void>;
 }>;
+
+/** Changes that are made all together, or not at all. */
+export type Transaction = Readonly<{
+	/** Versions that the keys must have; 0 means that the key does not exist. */
+	conditions: ReadonlyArray<Readonly<{key: string; expectedVersion: number}>>;
+	puts: ReadonlyArray<Readonly<{key: string; value: unknown; lease?: string}>>;
+	removals: readonly string[];
+}>;
+
+/** `version` becomes the version of each key that was put. */
+export type CommitReply =
+	| Readonly<{kind: 'committed'; version: number}>
+	/** The keys of the conditions as they are now; absent keys are left out. */
+	| Readonly<{kind: 'conflict'; current: readonly StoredValue[]}>
+	| Readonly<{kind: 'lease-unknown'}>
+	| StoreFailure;
+
+/** A store that changes several keys at once. */
+export type TransactionalStore = KeyValueStore & Readonly<{commit(transaction: Transaction): Promise<CommitReply>}>;
--- a/packages/store/watch-task.ts
+++ b/packages/store/watch-task.ts
@@ -1,4 +1,4 @@
-import type {RandomSource} from '#core';
+import type {Milliseconds, RandomSource} from '#core';
 import {startTask, type Clock} from '#kernel';
 import {watchWaitMilliseconds} from './constants.js';
 import type {KeyValueStore} from './types.js';
@@ -18,6 +18,9 @@
 	clock: Clock;
 	random: RandomSource;
 	prefix: string;
+	/** How long one call waits for events. A connection that went silent is noticed after that. */
+	wait?: Milliseconds;
+	maximumBackoff?: Milliseconds;
 	onObserved(observation: Observation): void;
 	onFailure(message: string, failures: number): void;
 }>;
@@ -31,7 +34,7 @@
 ```
 */
 export function startWatchTask(options: WatchTaskOptions): WatchHandle {
-	const {store, clock, random, prefix} = options;
+	const {store, clock, random, prefix, wait = watchWaitMilliseconds, maximumBackoff} = options;
 	const perform = async (effect: WatchEffect, send: (message: WatchMessage) => void) => {
 		switch (effect.kind) {
 			case 'list': {
@@ -40,7 +43,7 @@
 			}
 
 			case 'watch': {
-				send({kind: 'replied', reply: await store.watch(prefix, effect.after, watchWaitMilliseconds)});
+				send({kind: 'replied', reply: await store.watch(prefix, effect.after, wait)});
 				break;
 			}
 
@@ -65,7 +68,7 @@
 	const task = startTask<WatchState, WatchMessage, WatchEffect>({
 		name: `watch ${prefix}`,
 		initialState: initialWatchState,
-		receive: (state, message) => receiveWatchMessage(state, message, random),
+		receive: (state, message) => receiveWatchMessage(state, message, random, maximumBackoff),
 	}, {
 		clock,
 		perform(effect, send) {
--- a/packages/store/watch.ts
+++ b/packages/store/watch.ts
@@ -34,7 +34,7 @@
 export const initialWatchState: WatchState = {revision: undefined, failures: 0, isStopped: false};
 
 /** Decides when a watch lists, waits for events and tries again. */
-export function receiveWatchMessage(state: WatchState, message: WatchMessage, random: RandomSource): Step<WatchState, WatchEffect> {
+export function receiveWatchMessage(state: WatchState, message: WatchMessage, random: RandomSource, maximumBackoff?: Milliseconds): Step<WatchState, WatchEffect> {
 	if (state.isStopped) {
 		return {state, effects: []};
 	}
@@ -45,7 +45,7 @@
 		}
 
 		case 'replied': {
-			return handleReply(state, message.reply, random);
+			return handleReply(state, message.reply, random, maximumBackoff);
 		}
 
 		case 'stop': {
@@ -62,7 +62,7 @@
 	return revision === undefined ? {kind: 'list'} : {kind: 'watch', after: revision};
 }
 
-function handleReply(state: WatchState, reply: ListReply | WatchReply, random: RandomSource): Step<WatchState, WatchEffect> {
+function handleReply(state: WatchState, reply: ListReply | WatchReply, random: RandomSource, maximumBackoff: Milliseconds | undefined): Step<WatchState, WatchEffect> {
 	switch (reply.kind) {
 		case 'listed': {
 			return observe({...state, revision: reply.revision, failures: 0}, {kind: 'all', values: reply.values});
@@ -78,7 +78,7 @@
 		// Many watches fall behind at the same time, so their lists are spread like retries.
 		case 'compacted': {
 			const failures = state.failures + 1;
-			return {state: {...state, revision: undefined, failures}, effects: [{kind: 'schedule', delay: chooseBackoff(failures, random)}]};
+			return {state: {...state, revision: undefined, failures}, effects: [{kind: 'schedule', delay: chooseBackoff(failures, random, 0, maximumBackoff)}]};
 		}
 
 		case 'unavailable': {
@@ -87,7 +87,7 @@
 				state: {...state, failures},
 				effects: [
 					{kind: 'report-failure', message: reply.message, failures},
-					{kind: 'schedule', delay: chooseBackoff(failures, random, reply.retryAfterMilliseconds)},
+					{kind: 'schedule', delay: chooseBackoff(failures, random, reply.retryAfterMilliseconds, maximumBackoff)},
 				],
 			};
 		}
--- /dev/null
+++ b/packages/supervision/constants.ts
@@ -0,0 +1,8 @@
+/** How long a call that waits for an end stays open; the worker allows 2 s. Each one extends the lease. */
+export const holdWaitMilliseconds = 1000;
+/** Delay before a call that failed is tried again. */
+export const holdRetryMilliseconds = 250;
+/** Worker clocks may be 2% slow, so a lease may last that much longer. */
+export const slowClockShare = 0.02;
+/** Allowance for a lease that a late call extended. */
+export const leaseSlackMilliseconds = 300;
--- /dev/null
+++ b/packages/supervision/index.ts
@@ -0,0 +1,3 @@
+export * from './types.js';
+export * from './constants.js';
+export * from './receive.js';
--- /dev/null
+++ b/packages/supervisor/plugins/entries.ts
@@ -0,0 +1,238 @@
+import type {EntryId, MonotonicTime} from '#core';
+import {createServiceKey} from '#kernel';
+import type {WorkerLife} from '#jobs';
+import {describeWorker} from '#supervision';
+import {dialPeer, type RpcPeer} from '#transport';
+import {
+	idleRenewalIntervalMilliseconds, maximumDialFailures, redialMilliseconds, renewalIntervalMilliseconds, renewalTimeoutMilliseconds,
+} from '../constants.js';
+import {supervisorPlugins} from '../plugins.js';
+import {entrySourcePort} from '../ports.js';
+import type {SupervisorContext} from '../types.js';
+import {supervisionService} from './supervision.js';
+
+/** Connections to the entries, and the renewals over them. */
+export type Entries = Readonly<{
+	/** Tells the scheduling entry at once what changed. */
+	renewSoon(): void;
+	sayLeft(life: WorkerLife): void;
+	/** An entry said that it schedules. */
+	follow(peer: RpcPeer, epoch: number): void;
+}>;
+
+export const entriesService = createServiceKey<Entries>('entries');
+
+type Connection = {
+	readonly address: string;
+	readonly peer: RpcPeer;
+	readonly entry: EntryId;
+	isScheduler: boolean;
+	isRenewing: boolean;
+	lastRenewalAt: MonotonicTime;
+	sentRevision: number;
+};
+
+supervisorPlugins.register({
+	kind: 'task',
+	name: 'entries',
+	start(context) {
+		const entries = createEntries(context);
+		context.services.provide(entriesService, entries);
+		entries.begin();
+		return entries.end;
+	},
+});
+
+function createEntries(context: SupervisorContext): Entries & Readonly<{begin(): void; end(): void}> {
+	const {services, clock, settings, counters} = context;
+	const log = context.log.part('entries');
+	const [peerPort = 0] = settings['peer-ports'];
+	const seeds = settings.seeds.map(seed => `${seed.slice(0, seed.lastIndexOf(':'))}:${peerPort}`);
+	const connections = new Map<string, Connection>();
+	/** Addresses to connect to, with the failures in a row. */
+	const wanted = new Map<string, number>(seeds.map(address => [address, 0]));
+	const dialling = new Set<string>();
+	let left: WorkerLife | undefined;
+	let isStopped = false;
+	let lastLookupAt = -Infinity;
+
+	const learn = (addresses: readonly string[]) => {
+		for (const address of addresses) {
+			if (!wanted.has(address)) {
+				wanted.set(address, 0);
+			}
+		}
+	};
+
+	const renew = async (connection: Connection) => {
+		if (connection.isRenewing || !connection.peer.isOpen()) {
+			return;
+		}
+
+		connection.isRenewing = true;
+		const askedAt = clock.monotonic();
+		connection.lastRenewalAt = askedAt;
+		const supervision = services.use(supervisionService);
+		const state = supervision.read();
+		const snapshot = connection.isScheduler ? describeWorker(state, askedAt) : undefined;
+		connection.sentRevision = state.revision;
+		const saidLeft = connection.isScheduler ? left : undefined;
+		const reply = await connection.peer.call('worker.renew', {
+			agent: settings.agent, epoch: state.epoch, ...(snapshot === undefined ? {} : {snapshot}), ...(saidLeft === undefined ? {} : {left: saidLeft}),
+		}, renewalTimeoutMilliseconds);
+		connection.isRenewing = false;
+		if (reply.kind === 'failed') {
+			counters.countRetry('renewal');
+			connection.peer.close(`renewal failed: ${reply.message}`);
+			return;
+		}
+
+		counters.recordLatency('renewal', clock.monotonic() - askedAt);
+		const {result} = reply;
+		switch (result.kind) {
+			case 'granted': {
+				if (saidLeft !== undefined && saidLeft === left) {
+					left = undefined;
+				}
+
+				supervision.send({
+					kind: 'granted', epoch: result.epoch, askedAt, validity: result.validityMilliseconds, incarnation: result.incarnation, notedEnd: result.notedEnd,
+				});
+				setScheduler(connection, result.epoch);
+				break;
+			}
+
+			case 'not-scheduler': {
+				connection.isScheduler = false;
+				learn(result.entries);
+				supervision.send({kind: 'epoch-raised', epoch: result.epoch});
+			}
+		}
+
+		if (connection.isScheduler && supervision.read().revision !== connection.sentRevision) {
+			void renew(connection);
+		}
+	};
+
+	const setScheduler = (connection: Connection, epoch: number) => {
+		if (!connection.isScheduler) {
+			log.info({entry: connection.entry, epoch}, 'entry schedules');
+		}
+
+		for (const other of connections.values()) {
+			other.isScheduler = other === connection;
+		}
+	};
+
+	const dial = async (address: string) => {
+		dialling.add(address);
+		const peer = await dialPeer(address, {
+			registry: supervisorPlugins, context, clock, log,
+		});
+		const reply = await peer?.call('worker.attach', {agent: settings.agent, process: context.process}, renewalTimeoutMilliseconds);
+		if (peer === undefined || reply?.kind !== 'answered' || isStopped) {
+			peer?.close('attaching failed');
+			const failures = (wanted.get(address) ?? 0) + 1;
+			if (failures >= maximumDialFailures && !seeds.includes(address)) {
+				wanted.delete(address);
+			} else {
+				wanted.set(address, failures);
+			}
+
+			clock.schedule(redialMilliseconds, () => {
+				dialling.delete(address);
+			});
+			return;
+		}
+
+		dialling.delete(address);
+		wanted.set(address, 0);
+		const {entry, entries, epoch, isScheduler} = reply.result;
+		const connection: Connection = {
+			address, peer, entry, isScheduler: false, isRenewing: false, lastRenewalAt: -Infinity, sentRevision: -1,
+		};
+		connections.set(address, connection);
+		log.info({address, entry, epoch}, 'attached to an entry');
+		peer.onClosed(reason => {
+			connections.delete(address);
+			log.info({address, entry, reason}, 'connection to an entry closed');
+		});
+		learn(entries);
+		services.use(supervisionService).send({kind: 'epoch-raised', epoch});
+		if (isScheduler) {
+			setScheduler(connection, epoch);
+		}
+
+		void renew(connection);
+	};
+
+	/** Asks the store for entries while none is connected. */
+	const lookUp = async () => {
+		lastLookupAt = clock.monotonic();
+		learn(await services.use(entrySourcePort).list());
+	};
+
+	const tick = () => {
+		if (isStopped) {
+			return;
+		}
+
+		for (const address of wanted.keys()) {
+			if (!connections.has(address) && !dialling.has(address)) {
+				void dial(address);
+			}
+		}
+
+		const present = clock.monotonic();
+		const hasScheduler = [...connections.values()].some(({isScheduler}) => isScheduler);
+		for (const connection of connections.values()) {
+			const interval = connection.isScheduler || !hasScheduler ? renewalIntervalMilliseconds : idleRenewalIntervalMilliseconds;
+			if (present - connection.lastRenewalAt >= interval) {
+				void renew(connection);
+			}
+		}
+
+		if (!hasScheduler && present - lastLookupAt > idleRenewalIntervalMilliseconds) {
+			void lookUp();
+		}
+
+		clock.schedule(tickMilliseconds, tick);
+	};
+
+	return {
+		begin: tick,
+		end() {
+			isStopped = true;
+			for (const {peer} of connections.values()) {
+				peer.close('agent stops');
+			}
+		},
+		renewSoon() {
+			for (const connection of connections.values()) {
+				if (connection.isScheduler) {
+					void renew(connection);
+				}
+			}
+		},
+		sayLeft(life) {
+			left = life;
+			for (const connection of connections.values()) {
+				if (connection.isScheduler) {
+					void renew(connection);
+				}
+			}
+		},
+		follow(peer, epoch) {
+			services.use(supervisionService).send({kind: 'epoch-raised', epoch});
+			for (const connection of connections.values()) {
+				if (connection.peer === peer) {
+					setScheduler(connection, epoch);
+					void renew(connection);
+				}
+			}
+		},
+	};
+}
+
+/** How often connections and renewals are looked at. */
+const tickMilliseconds = 100;
--- /dev/null
+++ b/packages/supervisor/plugins/start-tasks.ts
@@ -0,0 +1,82 @@
+import {startTasksParametersSchema} from '#protocol';
+import type {StartAnswer, StartOrder} from '#scheduling';
+import {chooseDeadline} from '#supervision';
+import {supervisorPlugins} from '../plugins.js';
+import {workerPort, type StartReply} from '../ports.js';
+import type {SupervisorContext} from '../types.js';
+import {supervisionService} from './supervision.js';
+
+type StartParameters = Readonly<{epoch: number; incarnation: string; specification: string; orders: readonly StartOrder[]}>;
+
+supervisorPlugins.register({
+	kind: 'rpc-method',
+	name: 'worker.start',
+	parametersSchema: startTasksParametersSchema,
+	async handle(parameters, context) {
+		const request = parameters as StartParameters;
+		const answers = await Promise.all(request.orders.map(async order => startTask(order, request, context)));
+		return {answers, epoch: context.services.use(supervisionService).read().epoch};
+	},
+});
+
+/** Starts one task on the worker if the order is of the present scheduler and for the present life of the worker. */
+async function startTask({task, run, checkpoint}: StartOrder, {epoch, incarnation, specification}: StartParameters, context: SupervisorContext): Promise<StartAnswer> {
+	const {services, settings, clock, counters, log} = context;
+	const supervision = services.use(supervisionService);
+	const state = supervision.read();
+	const {worker} = state;
+	const sentAt = clock.monotonic();
+	const {deadline, leaseUntil} = chooseDeadline(state, sentAt, {maximumHoldMilliseconds: settings['maximum-hold-milliseconds']});
+	const refusal = findRefusal();
+	const result = refusal ?? await call();
+	if (result !== 'started') {
+		counters.countRefusal(`start-${result}`);
+	}
+
+	log.part('orders').info({
+		task, run, epoch, incarnation, result, knownEpoch: state.epoch, worker: worker?.announcement.worker, milliseconds: Math.round(clock.monotonic() - sentAt),
+	}, 'start ordered');
+	return {task, run, result};
+
+	function findRefusal(): StartAnswer['result'] | undefined {
+		if (epoch < state.epoch) {
+			return 'superseded';
+		}
+
+		if (worker?.announcement.incarnation !== incarnation || deadline === undefined) {
+			return 'too-late';
+		}
+
+		return worker.announcement.state === 'draining' ? 'unhealthy' : undefined;
+	}
+
+	async function call(): Promise<StartAnswer['result']> {
+		if (worker === undefined || deadline === undefined) {
+			return 'too-late';
+		}
+
+		const reply = await services.use(workerPort).start({
+			worker: worker.announcement.worker, epoch, task, run, specification, checkpoint, deadline,
+		});
+		return describe(reply);
+	}
+
+	function describe(reply: StartReply): StartAnswer['result'] {
+		switch (reply.kind) {
+			case 'started': {
+				supervision.send({
+					kind: 'started', incarnation, task, run, clock: reply.clock, leaseUntil,
+				});
+				return 'started';
+			}
+
+			case 'refused': {
+				return reply.reason;
+			}
+
+			case 'unknown': {
+				return 'unknown';
+			}
+		}
+	}
+}
--- /dev/null
+++ b/packages/supervisor/plugins/stop-tasks.ts
@@ -0,0 +1,59 @@
+import {stopTasksParametersSchema} from '#protocol';
+import type {StopOrder} from '#scheduling';
+import {chooseDeadline} from '#supervision';
+import {supervisorPlugins} from '../plugins.js';
+import {workerPort} from '../ports.js';
+import type {SupervisorContext} from '../types.js';
+import {supervisionService} from './supervision.js';
+
+type StopParameters = Readonly<{epoch: number; incarnation: string; orders: readonly StopOrder[]}>;
+
+supervisorPlugins.register({
+	kind: 'rpc-method',
+	name: 'worker.stop',
+	parametersSchema: stopTasksParametersSchema,
+	async handle(parameters, context) {
+		const {epoch, incarnation, orders} = parameters as StopParameters;
+		const supervision = context.services.use(supervisionService);
+		const {worker, epoch: knownEpoch} = supervision.read();
+		if (epoch < knownEpoch || worker?.announcement.incarnation !== incarnation) {
+			return {confirmed: [], epoch: knownEpoch};
+		}
+
+		const confirmed = await stopAll(orders, epoch, context);
+		await lookAgain(context);
+		return {confirmed, epoch: supervision.read().epoch};
+	},
+});
+
+async function stopAll(orders: readonly StopOrder[], epoch: number, context: SupervisorContext): Promise<readonly StopOrder[]> {
+	const {services, log} = context;
+	const worker = services.use(supervisionService).read().worker?.announcement.worker;
+	if (worker === undefined) {
+		return [];
+	}
+
+	const replies = await Promise.all(orders.map(async order => ({order, reply: await services.use(workerPort).stop({worker, epoch, ...order})})));
+	for (const {order, reply} of replies) {
+		log.part('orders').info({
+			...order, epoch, worker, result: reply.kind,
+		}, 'stop ordered');
+	}
+
+	return replies.flatMap(({order, reply}) => reply.kind === 'stopped' ? [order] : []);
+}
+
+/** Reads the runs after the stops, so that the next report shows a run that started late and is being stopped. */
+async function lookAgain({services, clock, settings}: SupervisorContext): Promise<void> {
+	const supervision = services.use(supervisionService);
+	const state = supervision.read();
+	if (state.worker === undefined) {
+		return;
+	}
+
+	const {announcement: {worker, incarnation}, notedEnd} = state.worker;
+	const order = {
+		worker, incarnation, epoch: state.epoch, notedEnd, wait: 0, isLoop: false, ...chooseDeadline(state, clock.monotonic(), {maximumHoldMilliseconds: settings['maximum-hold-milliseconds']}),
+	};
+	supervision.send({kind: 'held', order, result: await services.use(workerPort).hold(order)});
+}
--- /dev/null
+++ b/packages/supervisor/plugins/supervision.ts
@@ -0,0 +1,79 @@
+import {createServiceKey, startTask, type TaskHandle} from '#kernel';
+import {
+	initialSupervisionState, receiveSupervisionMessage, type SupervisionEffect, type SupervisionMessage, type SupervisionState,
+} from '#supervision';
+import {supervisorPlugins} from '../plugins.js';
+import {workerPort} from '../ports.js';
+import type {SupervisorContext} from '../types.js';
+import {entriesService} from './entries.js';
+
+/** The task that owns what this agent knows of its worker. */
+export const supervisionService = createServiceKey<TaskHandle<SupervisionState, SupervisionMessage>>('supervision');
+
+type Send = (message: SupervisionMessage) => void;
+
+supervisorPlugins.register({
+	kind: 'task',
+	name: 'supervision',
+	start(context) {
+		const {clock, services, settings} = context;
+		const options = {maximumHoldMilliseconds: settings['maximum-hold-milliseconds']};
+		const supervision = startTask<SupervisionState, SupervisionMessage, SupervisionEffect>(
+			{
+				name: 'supervision',
+				initialState: initialSupervisionState,
+				receive: (state, message, present) => receiveSupervisionMessage(state, message, present, options),
+			},
+			{
+				clock,
+				perform(effect, send) {
+					performEffect(effect, send, context);
+				},
+			},
+		);
+		services.provide(supervisionService, supervision);
+		return () => {
+			supervision.send({kind: 'stop'});
+		};
+	},
+});
+
+function performEffect(effect: SupervisionEffect, send: Send, context: SupervisorContext): void {
+	const {services, clock, counters, log} = context;
+	switch (effect.kind) {
+		case 'hold': {
+			void (async () => {
+				const result = await services.use(workerPort).hold(effect.order);
+				if (result.kind !== 'held') {
+					counters.countRetry(`hold-${result.kind}`);
+				}
+
+				send({kind: 'held', order: effect.order, result});
+			})();
+
+			break;
+		}
+
+		case 'schedule-hold': {
+			clock.schedule(effect.delay, () => {
+				send({kind: 'hold-due'});
+			});
+			break;
+		}
+
+		case 'renew': {
+			services.use(entriesService).renewSoon();
+			break;
+		}
+
+		case 'say-left': {
+			services.use(entriesService).sayLeft({worker: effect.worker, incarnation: effect.incarnation});
+			break;
+		}
+
+		case 'log': {
+			counters.countEvent(effect.event);
+			log.part('supervision').info(effect.fields, effect.event.replaceAll('-', ' '));
+		}
+	}
+}
--- /dev/null
+++ b/packages/supervisor/settings.ts
@@ -0,0 +1,19 @@
+import * as valibot from 'valibot';
+import {
+	addressListSettingSchema, addressSettingSchema, logLevels, portRangeSettingSchema, portSettingSchema, wholeNumberSettingSchema, type SettingDefinitions, type SettingsOf,
+} from '#kernel';
+
+export const supervisorSettings = {
+	agent: {schema: valibot.pipe(valibot.string(), valibot.minLength(1, 'must not be empty')), description: 'Name of this agent'},
+	'listen-host': {schema: valibot.string(), description: 'Address of this machine'},
+	'peer-ports': {schema: portRangeSettingSchema, description: 'First and last port for connections between processes'},
+	'announcement-address': {schema: addressSettingSchema, description: 'host:port where the worker beside announces itself'},
+	'worker-address': {schema: addressSettingSchema, description: 'host:port of the worker beside'},
+	seeds: {schema: addressListSettingSchema, description: 'Addresses of entries to connect to first; only the hosts are used', default: ''},
+	'store-address': {schema: addressSettingSchema, description: 'host:port of the platform\'s key-value service, for the entries when no seed answers'},
+	'maximum-hold-milliseconds': {schema: wholeNumberSettingSchema(100, 3_600_000), description: 'Longest lease that the worker grants'},
+	'metrics-port': {schema: portSettingSchema, description: 'Port for metrics', default: '7015'},
+	'log-level': {schema: valibot.picklist(logLevels, 'must be debug, info, warn or error'), description: 'Least severe level that is logged', default: 'info'},
+} as const satisfies SettingDefinitions;
+
+export type SupervisorSettings = SettingsOf<typeof supervisorSettings>;
--- a/packages/transport/http-client.ts
+++ b/packages/transport/http-client.ts
@@ -6,11 +6,16 @@
 	| Readonly<{kind: 'answered'; status: number; body: unknown}>
 	| Readonly<{kind: 'failed'; delivery: 'never-sent' | 'perhaps-sent'; message: string}>;
 
+export type HttpCallOptions = Readonly<{body?: unknown; timeout: Milliseconds; signal?: AbortSignal; headers?: Readonly<Record<string, string>>}>;
+
 export type HttpClient = Readonly<{
-	send(method: 'GET' | 'POST' | 'PUT' | 'DELETE', path: string, options: Readonly<{body?: unknown; timeout: Milliseconds; signal?: AbortSignal}>): Promise<HttpResult>;
+	send(method: 'GET' | 'POST' | 'PUT' | 'DELETE', path: string, options: HttpCallOptions): Promise<HttpResult>;
 	close(): Promise<void>;
 }>;
 
+/** How long opening a connection may take. */
+const connectTimeoutMilliseconds = 2000;
+
 const neverSentCodes = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH', 'ENETUNREACH']);
 
 /**
@@ -20,20 +25,36 @@
 @param connections - Upper bound of open connections.
 */
 export function createHttpClient(origin: string, connections: number): HttpClient {
-	const dispatcher = new Agent({connections, connect: {timeout: 2000}});
+	const open = () => new Agent({connections, connect: {timeout: connectTimeoutMilliseconds}});
+	let dispatcher = open();
+	/** After a call without an answer, the other open connections may be silent as well; later calls use new ones. */
+	const replace = (silent: Agent) => {
+		if (dispatcher === silent) {
+			dispatcher = open();
+			void silent.close();
+		}
+	};
+
 	return {
-		async send(method, path, {body, timeout, signal}) {
+		async send(method, path, {body, timeout, signal, headers}) {
+			const used = dispatcher;
+			const expiry = AbortSignal.timeout(timeout);
 			try {
-				const signals = [AbortSignal.timeout(timeout), ...(signal === undefined ? [] : [signal])];
+				const signals = [expiry, ...(signal === undefined ? [] : [signal])];
 				const response = await request(`${origin}${path}`, {
 					method,
-					dispatcher,
+					dispatcher: used,
 					signal: AbortSignal.any(signals),
-					...(body === undefined ? {} : {headers: {'content-type': 'application/json'}, body: JSON.stringify(body)}),
+					headers: {...headers, ...(body === undefined ? {} : {'content-type': 'application/json'})},
+					...(body === undefined ? {} : {body: JSON.stringify(body)}),
 				});
 				const text = await response.body.text();
 				return {kind: 'answered', status: response.statusCode, body: text === '' ? undefined : JSON.parse(text)};
 			} catch (error) {
+				if (expiry.aborted) {
+					replace(used);
+				}
+
 				const {code, message} = error as Readonly<{code?: string; message: string}>;
 				return {kind: 'failed', delivery: neverSentCodes.has(code ?? '') ? 'never-sent' : 'perhaps-sent', message};
 			}
--- a/packages/transport/http-server.ts
+++ b/packages/transport/http-server.ts
@@ -1,20 +1,13 @@
-import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import {checkInput} from '#core';
 import type {
 	HttpReply, HttpRoutePlugin, Logger, Problem,
 } from '#kernel';
-import {
-	headersTimeoutMilliseconds, keepAliveTimeoutMilliseconds, maximumBodyBytes, maximumHeaderBytes, maximumHttpConnections, requestTimeoutMilliseconds,
-} from './constants.js';
+import {maximumBodyBytes} from './constants.js';
+import {openHttpListener, readBody, type HttpListener} from './http-listener.js';
 import {encodeProblem} from './problem.js';
 import {matchRoute} from './route.js';
 
-export type HttpListener = Readonly<{
-	port: number;
-	/** Takes no new connections, waits for requests in service, then closes. */
-	drain(): Promise<void>;
-}>;
-
 export type HttpServices<Context> = Readonly<{
 	routes: ReadonlyArray<HttpRoutePlugin<Context>>;
 	context: Context;
@@ -22,53 +15,9 @@
 	countRefusal(reason: string): void;
 }>;
 
-type BodyResult = Readonly<{kind: 'read'; text: string}> | Readonly<{kind: 'too-large'}> | Readonly<{kind: 'aborted'}>;
-
-/** Serves the program's HTTP routes. Bodies, headers and connections are bounded and slow senders time out. */
+/** Serves the program's HTTP routes. */
 export async function listenForHttp<Context>(host: string, port: number, services: HttpServices<Context>): Promise<HttpListener> {
-	let isDraining = false;
-	const active = new Set<ServerResponse>();
-	const server = createServer({
-		headersTimeout: headersTimeoutMilliseconds,
-		requestTimeout: requestTimeoutMilliseconds,
-		keepAliveTimeout: keepAliveTimeoutMilliseconds,
-		maxHeaderSize: maximumHeaderBytes,
-	}, (request, response) => {
-		if (isDraining) {
-			response.setHeader('connection', 'close');
-		}
-
-		active.add(response);
-		response.once('close', () => {
-			active.delete(response);
-		});
-		void serve(request, response, services);
-	});
-	server.maxConnections = maximumHttpConnections;
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(port, host, resolve);
-	});
-	const address = server.address();
-	return {
-		port: typeof address === 'object' && address !== null ? address.port : port,
-		async drain() {
-			isDraining = true;
-			// Without this, a connection stays open after its last answer until its keep-alive time is over.
-			for (const response of active) {
-				if (!response.headersSent) {
-					response.setHeader('connection', 'close');
-				}
-			}
-
-			await new Promise<void>(resolve => {
-				server.close(() => {
-					resolve();
-				});
-				server.closeIdleConnections();
-			});
-		},
-	};
+	return openHttpListener(host, port, async (request, response) => serve(request, response, services));
 }
 
 async function serve<Context>(request: IncomingMessage, response: ServerResponse, services: HttpServices<Context>): Promise<void> {
@@ -153,26 +102,6 @@
 		: plugin.handle({...request, body: checked.value}, services.context);
 }
 
-async function readBody(request: IncomingMessage): Promise<BodyResult> {
-	const chunks: Buffer[] = [];
-	let length = 0;
-	try {
-		for await (const chunk of request) {
-			const bytes = chunk as Buffer;
-			length += bytes.length;
-			if (length > maximumBodyBytes) {
-				return {kind: 'too-large'};
-			}
-
-			chunks.push(bytes);
-		}
-	} catch {
-		return {kind: 'aborted'};
-	}
-
-	return {kind: 'read', text: Buffer.concat(chunks).toString('utf8')};
-}
-
 function parseJson(text: string): Readonly<{value: unknown}> | undefined {
 	try {
 		return {value: JSON.parse(text)};
--- a/packages/transport/index.ts
+++ b/packages/transport/index.ts
@@ -2,6 +2,7 @@
 export * from './constants.js';
 export * from './dial.js';
 export * from './http-client.js';
+export * from './http-listener.js';
 export * from './http-server.js';
 export * from './listen.js';
 export * from './operations.js';
--- a/test/support/processes.ts
+++ b/test/support/processes.ts
@@ -20,8 +20,12 @@
 	});
 	const lines = createInterface({input: child.stdout});
 	const ready = new Promise<Readonly<Record<string, number>>>((resolve, reject) => {
-		lines.once('line', line => {
-			resolve((JSON.parse(line) as Readonly<{ports: Readonly<Record<string, number>>}>).ports);
+		// Log lines come on the same stream.
+		lines.on('line', line => {
+			const parsed = JSON.parse(line) as Readonly<{ready?: boolean; ports?: Readonly<Record<string, number>>}>;
+			if (parsed.ready === true && parsed.ports !== undefined) {
+				resolve(parsed.ports);
+			}
 		});
 		child.once('exit', code => {
 			reject(new Error(`${name} exited with code ${code} before it was ready`));
--- a/tools/build.mjs
+++ b/tools/build.mjs
@@ -1,12 +1,16 @@
 import {readdir} from 'node:fs/promises';
+import process from 'node:process';
 import {build} from 'esbuild';
 
+// The folder for the bundles; the deploy file names another one.
+const [outdir = 'dist'] = process.argv.slice(2);
+
 const files = await readdir('binaries');
 const names = files.filter(name => name.endsWith('.ts'));
 
 await build({
 	entryPoints: names.map(name => `binaries/${name}`),
-	outdir: 'dist',
+	outdir,
 	bundle: true,
 	minify: true,
 	platform: 'node',
--- a/xo.config.js
+++ b/xo.config.js
@@ -8,6 +8,9 @@
 	'execution',
 	'reservations',
 	'membership',
+	'jobs',
+	'scheduling',
+	'supervision',
 	'protocol',
 	'recovery',
 	'kernel',
@@ -15,12 +18,14 @@
 	'store',
 	'entry',
 	'agent',
+	'coordinator',
+	'supervisor',
 	'client',
 	'command-line',
 	'stand-ins',
 ];
 
-const purePackages = new Set(['core', 'configuration', 'placement', 'routing', 'limits', 'execution', 'reservations', 'membership', 'protocol', 'recovery']);
+const purePackages = new Set(['core', 'configuration', 'placement', 'routing', 'limits', 'execution', 'reservations', 'membership', 'jobs', 'scheduling', 'supervision', 'protocol', 'recovery']);
 
 const ambientSources = [
 	{name: 'Date', message: 'Take the present time as an argument.'},
@@ -45,7 +50,7 @@
 
 export default [
 	{
-		ignores: ['dist/**', '**/generated/**'],
+		ignores: ['dist/**', 'target/**', '**/generated/**'],
 	},
 	{
 		rules: {
