Wait for workers by the agents beside them after a takeover

Change: the record of workers in use names their agents, and another worker beside the same agent ends the wait; gone workers leave the record; adopted runs are as old as their progress says; work within a guarantee waits 0.9 s before it stops what cannot save its progress.

--- a/packages/coordinator/keys.ts
+++ b/packages/coordinator/keys.ts
@@ -22,7 +22,9 @@
 
 export const epochRecordSchema = valibot.object({epoch: countSchema});
 
-export const workersRecordSchema = valibot.object({workers: valibot.pipe(valibot.array(workerIdSchema), valibot.readonly())});
+export const workersRecordSchema = valibot.object({
+	workers: valibot.pipe(valibot.array(valibot.object({agent: valibot.string(), worker: workerIdSchema})), valibot.readonly()),
+});
 
 export function jobKeyPath(job: JobKey): string {
 	return jobsPrefix + job;
--- a/packages/coordinator/orders.ts
+++ b/packages/coordinator/orders.ts
@@ -16,7 +16,7 @@
 	};
 
 	const worker = term.task.read().workers.get(agent)?.snapshot.worker;
-	const isRecorded = worker !== undefined && await term.workers.ensure(worker);
+	const isRecorded = worker !== undefined && await term.workers.ensure({agent, worker});
 	const peer = services.use(agentsService).find(agent);
 	if (term.isOver()) {
 		return;
--- a/packages/coordinator/plugins/scheduler.ts
+++ b/packages/coordinator/plugins/scheduler.ts
@@ -95,6 +95,7 @@
 	const tick = () => {
 		if (!isOver) {
 			task.send({kind: 'tick'});
+			term.workers.refresh();
 			clock.schedule(schedulerTickMilliseconds, tick);
 		}
 	};
--- a/packages/coordinator/workers-record.ts
+++ b/packages/coordinator/workers-record.ts
@@ -1,5 +1,5 @@
 /** Keeps in the store which workers this scheduler uses, so that the next one knows where runs may be. */
-import type {WorkerId} from '#core';
+import type {UsedWorker} from '#scheduling';
 import {progressRetryMilliseconds} from './constants.js';
 import {leaderKey, workersKey} from './keys.js';
 import {storePort} from './ports.js';
@@ -8,21 +8,29 @@
 
 export type WorkersRecord = Readonly<{
 	/** Takes over what an earlier scheduler stored. */
-	restore(workers: readonly WorkerId[], version: number): void;
+	restore(workers: readonly UsedWorker[], version: number): void;
 	/** Resolves once the store lists the worker; false if the term ended first. */
-	ensure(worker: WorkerId): Promise<boolean>;
+	ensure(worker: UsedWorker): Promise<boolean>;
+	/** Drops workers that are gone, for which the next scheduler would wait in vain. */
+	refresh(): void;
 }>;
 
 export function createWorkersRecord(term: Pick<Term, 'leaderVersion' | 'isOver' | 'task'>, context: CoordinatorContext): WorkersRecord {
 	const {services, clock} = context;
-	let stored = new Set<WorkerId>();
+	let stored = new Set<string>();
 	let version = 0;
 	let writing: Promise<void> | undefined;
 
+	const listUsed = (): readonly UsedWorker[] => {
+		const {workers, unread} = term.task.read();
+		return [
+			...[...workers.values()].map(({agent, snapshot}) => ({agent, worker: snapshot.worker})),
+			...[...unread].map(([agent, {worker}]) => ({agent, worker})),
+		];
+	};
+
 	const writeOnce = async () => {
-		// Workers that are gone drop out here, so that the record does not grow.
-		const {workers: present, unread} = term.task.read();
-		const next = [...new Set([...[...present.values()].map(({snapshot}) => snapshot.worker), ...unread.keys()])];
+		const next = listUsed();
 		const reply = await services.use(storePort).commit({
 			conditions: [{key: leaderKey, expectedVersion: term.leaderVersion}, {key: workersKey, expectedVersion: version}],
 			puts: [{key: workersKey, value: {workers: next}}],
@@ -30,7 +38,7 @@
 		});
 		switch (reply.kind) {
 			case 'committed': {
-				stored = new Set(next);
+				stored = new Set(next.map(used => nameOf(used)));
 				version = reply.version;
 				context.log.part('scheduler').info({workers: next.length}, 'workers in use stored');
 				return;
@@ -53,19 +61,34 @@
 		});
 	};
 
+	const write = async () => {
+		writing ??= writeOnce();
+		await writing;
+		writing = undefined;
+	};
+
 	return {
 		restore(workers, storedVersion) {
-			stored = new Set(workers);
+			stored = new Set(workers.map(used => nameOf(used)));
 			version = storedVersion;
 		},
 		async ensure(worker) {
-			while (!stored.has(worker) && !term.isOver()) {
-				writing ??= writeOnce();
-				await writing;
-				writing = undefined;
+			while (!stored.has(nameOf(worker)) && !term.isOver()) {
+				await write();
 			}
 
 			return !term.isOver();
 		},
+		refresh() {
+			const used = new Set(listUsed().map(worker => nameOf(worker)));
+			const hasGone = [...stored].some(worker => !used.has(worker));
+			if (hasGone && writing === undefined && term.task.read().isLoaded) {
+				void write();
+			}
+		},
 	};
 }
+
+function nameOf({agent, worker}: UsedWorker): string {
+	return `${agent} ${worker}`;
+}
--- a/packages/scheduling/constants.ts
+++ b/packages/scheduling/constants.ts
@@ -28,6 +28,8 @@
 export const guaranteedRackPatienceMilliseconds = 500;
 /** Work that cannot save its progress is preempted by urgent work over the guarantee only while it has lost less than this. */
 export const cheapLossMilliseconds = 1500;
+/** Work within a guarantee waits this long for others to end before it stops work that cannot save its progress. It has to start within 2.9 s of its acceptance, and a stop takes up to 0.9 s. */
+export const preemptionPatienceMilliseconds = 900;
 /** Wide work that waited this long keeps younger work of its rank from the workers it needs. */
 export const reservationDelayMilliseconds = 1000;
 /** How long the records of an ended job are kept. The platform asks for 120 s. */
--- a/packages/scheduling/preempt.ts
+++ b/packages/scheduling/preempt.ts
@@ -2,7 +2,7 @@
 import {
 	add, countFitting, subtract, type Board, type BoardWorker, type PlacedRun,
 } from './board.js';
-import {cheapLossMilliseconds} from './constants.js';
+import {cheapLossMilliseconds, preemptionPatienceMilliseconds} from './constants.js';
 import {
 	countPlaced, limitOf, listCandidates, listRacks, type Shares,
 } from './place.js';
@@ -94,13 +94,14 @@
 	});
 }
 
-/** Work within a guarantee may stop any work of a higher rank; other work only what loses little. */
-function mayPreempt({rank}: Unit, victim: PlacedRun, monotonic: MonotonicTime): boolean {
+/** Work within a guarantee may stop any work of a higher rank once it has waited a little; other work only what loses little. */
+function mayPreempt({rank, waitingSince}: Unit, victim: PlacedRun, monotonic: MonotonicTime): boolean {
 	if (victim.rank <= rank || victim.step.isLongRunning) {
 		return false;
 	}
 
-	return rank === 0 || (victim.rank > 1 && (victim.step.isCheckpointing || monotonic - victim.run.startedAt < cheapLossMilliseconds));
+	const isCheap = victim.step.isCheckpointing || monotonic - victim.run.startedAt < cheapLossMilliseconds;
+	return rank === 0 ? isCheap || monotonic - waitingSince >= preemptionPatienceMilliseconds : victim.rank > 1 && isCheap;
 }
 
 /** Lost work in core-milliseconds; an accelerator counts as 8 cores, as in the platform's prices. Stopping one member ends its gang. */
--- a/packages/scheduling/receive.ts
+++ b/packages/scheduling/receive.ts
@@ -99,8 +99,9 @@
 		next = withJob(next, restore(loaded, state.epoch, present));
 	}
 
-	const read = new Set([...state.workers.values()].map(({snapshot}) => snapshot.worker));
-	const unread = workers.filter(worker => !read.has(worker)).map(worker => [worker, present.monotonic + unreadMilliseconds] as const);
+	const unread = workers
+		.filter(({agent}) => !state.workers.has(agent))
+		.map(({agent, worker}) => [agent, {worker, until: present.monotonic + unreadMilliseconds}] as const);
 	next = {...next, unread: new Map(unread)};
 	return chain(next, [
 		// The ends that were listed before the jobs were known are handled again.
--- a/packages/scheduling/reports.ts
+++ b/packages/scheduling/reports.ts
@@ -1,5 +1,5 @@
 /** What the renewals of agents change: which runs are there, which ended, which are lost. */
-import type {MonotonicTime, Present} from '#core';
+import type {Milliseconds, MonotonicTime, Present} from '#core';
 import {
 	isSameLife, type RunningRow, type WorkerLife, type WorkerSnapshot,
 } from '#jobs';
@@ -60,7 +60,7 @@
 function withSnapshot(state: SchedulerState, agent: AgentName, snapshot: WorkerSnapshot, monotonic: MonotonicTime): SchedulerState {
 	const worker = state.workers.get(agent);
 	const unread = new Map(state.unread);
-	unread.delete(snapshot.worker);
+	unread.delete(agent);
 	return withWorker({...state, unread}, worker !== undefined && isSameLife(worker.snapshot, snapshot)
 		? {
 			...worker, snapshot, contact: {kind: 'attached'}, grantedAt: monotonic,
@@ -109,7 +109,14 @@
 				...task,
 				lastRun: Math.max(task.lastRun, row.run),
 				run: {
-					life, run: row.run, stage: 'running', isStopConfirmed: false, orderedAt: present.monotonic, startedAt: present.monotonic, percent: row.percent, progressedAt: present.monotonic,
+					life,
+					run: row.run,
+					stage: 'running',
+					isStopConfirmed: false,
+					orderedAt: present.monotonic,
+					startedAt: present.monotonic - estimateElapsed(job, row),
+					percent: row.percent,
+					progressedAt: present.monotonic,
 				},
 			})),
 			effects: [{kind: 'log', event: 'run-adopted', fields: {task: row.task, run: row.run, worker: worker.snapshot.worker}}],
@@ -121,6 +128,11 @@
 		: stopRow(state, worker, row, 'task runs elsewhere');
 }
 
+/** How long a run has worked by its progress and the caller's estimate, since its start was ordered by an earlier scheduler. */
+function estimateElapsed(job: SchedulerJob, {task, percent}: RunningRow): Milliseconds {
+	return (stepOf(job, task)?.estimatedMilliseconds ?? 0) * percent / 100;
+}
+
 function stopRow(state: SchedulerState, worker: SchedulerWorker, {task, run}: RunningRow, reason: string): SchedulerStep {
 	return {
 		state,
--- a/packages/scheduling/schedule.ts
+++ b/packages/scheduling/schedule.ts
@@ -107,7 +107,8 @@
 
 /** Wide work that waited long keeps the workers that it needs; one unit of each rank at a time, so that little stands idle. */
 function keepRoom(pass: Pass, unit: Unit, monotonic: MonotonicTime): Pass {
-	const isDue = unit.step.isGang && !unit.isLate && monotonic - unit.waitingSince > reservationDelayMilliseconds && !pass.reservedRanks.has(unit.rank);
+	const delay = unit.rank === 0 ? 0 : reservationDelayMilliseconds;
+	const isDue = unit.step.isGang && !unit.isLate && monotonic - unit.waitingSince >= delay && !pass.reservedRanks.has(unit.rank);
 	if (!isDue) {
 		return pass;
 	}
--- a/packages/scheduling/tick.ts
+++ b/packages/scheduling/tick.ts
@@ -1,5 +1,5 @@
 /** What time alone changes: orders without an answer, stuck runs, workers that are gone, old records. */
-import type {MonotonicTime, Present, WorkerId} from '#core';
+import type {MonotonicTime, Present} from '#core';
 import {listStepTasks, type TaskName} from '#jobs';
 import {
 	endedJobRetentionMilliseconds, startConfirmationMilliseconds, stopRetryMilliseconds, stuckMilliseconds, stuckPercentFactor,
@@ -87,7 +87,7 @@
 }
 
 function forgetUnread(state: SchedulerState, monotonic: MonotonicTime): SchedulerState {
-	const unread = new Map<WorkerId, MonotonicTime>([...state.unread].filter(([, until]) => until > monotonic));
+	const unread = new Map([...state.unread].filter(([, {until}]) => until > monotonic));
 	return unread.size === state.unread.size ? state : {...state, unread};
 }
 
--- a/packages/scheduling/types.ts
+++ b/packages/scheduling/types.ts
@@ -84,14 +84,20 @@
 	pendingEnds: readonly PendingEnd[];
 }>;
 
+/** A worker that may still run tasks of an earlier scheduler. Another worker beside the same agent shows that it is gone. */
+export type UnreadWorker = Readonly<{worker: WorkerId; until: MonotonicTime}>;
+
+/** A worker that a scheduler uses, with the agent beside it. */
+export type UsedWorker = Readonly<{agent: AgentName; worker: WorkerId}>;
+
 export type SchedulerState = Readonly<{
 	epoch: number;
 	configuration: SchedulingConfiguration | undefined;
 	jobs: ReadonlyMap<JobKey, SchedulerJob>;
 	/** By name of agent; one worker beside each. */
 	workers: ReadonlyMap<AgentName, SchedulerWorker>;
-	/** Workers that an earlier scheduler used and that were not read yet, and until when their runs may last. */
-	unread: ReadonlyMap<WorkerId, MonotonicTime>;
+	/** Workers that an earlier scheduler used and that were not read yet, by the agents beside them, and until when their runs may last. */
+	unread: ReadonlyMap<AgentName, UnreadWorker>;
 	/** Whether the stored jobs were read. */
 	isLoaded: boolean;
 	/** Whether anything changed that may let a task start. */
@@ -108,7 +114,7 @@
 export type SchedulerMessage =
 	| Readonly<{kind: 'configured'; configuration: SchedulingConfiguration}>
 	/** Stored jobs and progress at the takeover. */
-	| Readonly<{kind: 'loaded'; jobs: readonly LoadedJob[]; workers: readonly WorkerId[]}>
+	| Readonly<{kind: 'loaded'; jobs: readonly LoadedJob[]; workers: readonly UsedWorker[]}>
 	| Readonly<{kind: 'submitted'; submission: JobSubmission}>
 	| Readonly<{kind: 'cancelled'; job: JobKey}>
 	/** A renewal of an agent; without a snapshot nothing changed since the last one. */
