Answer callers in time, note store outages, bound the work that preemption throws away

Cause: submissions during an outage were held until the caller's deadline; a worker that leaves took 44 s long tasks with it; urgent work stopped the first rack that would do, which threw away 5561 core-seconds at once.

Change: answers race with the caller's patience; a monitored store refuses at once what was never sent; runs that cannot end before their worker leaves go on elsewhere; the cheapest rack is cleared, and work beyond a guarantee may throw away 300 core-seconds at most.

--- a/packages/coordinator/callers/submit.ts
+++ b/packages/coordinator/callers/submit.ts
@@ -4,7 +4,7 @@
 import type {StoredValue, WriteReply} from '#store';
 import {storeRetryAfterMilliseconds} from '../constants.js';
 import {jobKeyPath} from '../keys.js';
-import {storePort} from '../ports.js';
+import {storeMonitorService, storePort} from '../ports.js';
 import {schedulerService} from '../plugins/scheduler.js';
 import type {CoordinatorContext} from '../types.js';
 
@@ -18,6 +18,11 @@
 */
 export async function submitJob(submission: JobSubmission, deadline: MonotonicTime, context: CoordinatorContext): Promise<CallerAnswer> {
 	const {services, clock} = context;
+	// Nothing was sent yet, so that the refusal is certain and comes at once.
+	if (services.use(storeMonitorService).isSuspect()) {
+		return refusal;
+	}
+
 	const store = services.use(storePort);
 	const key = jobKeyPath(submission.job);
 	const record: JobRecord = {kind: 'accepted', submission};
--- a/packages/coordinator/constants.ts
+++ b/packages/coordinator/constants.ts
@@ -22,4 +22,4 @@
 /** Callers are asked to come back after this time when the store cannot be reached. */
 export const storeRetryAfterMilliseconds = 1000;
 /** Time that is kept for the answer's way to the caller. */
-export const callerMarginMilliseconds = 250;
+export const callerMarginMilliseconds = 300;
--- a/packages/coordinator/plugins/callers.ts
+++ b/packages/coordinator/plugins/callers.ts
@@ -5,6 +5,7 @@
 import {callerCallSchema, type CallerAnswer, type CallerCall} from '#protocol';
 import {callerMarginMilliseconds, entryCallTimeoutMilliseconds, storeRetryAfterMilliseconds} from '../constants.js';
 import {coordinatorPlugins} from '../plugins.js';
+import {storeMonitorService} from '../ports.js';
 import {showPending} from '../callers/pending.js';
 import {cancelJob, showJob} from '../callers/show.js';
 import {submitJob} from '../callers/submit.js';
@@ -24,7 +25,7 @@
 		context.services.provide(callersService, {
 			async answer(call) {
 				const startedAt = context.clock.monotonic();
-				const answer = await answerOrForward(call, context);
+				const answer = await answerInTime(call, context);
 				const elapsed = context.clock.monotonic() - startedAt;
 				context.counters.recordLatency(`caller-${call.action.kind}`, elapsed);
 				logAnswer(call, answer, elapsed, context);
@@ -76,9 +77,23 @@
 	}
 }
 
+/** A caller gets an answer while it still waits for one; work on its request goes on and shows when it asks again. */
+async function answerInTime(call: CallerCall, context: CoordinatorContext): Promise<CallerAnswer> {
+	const patience = Math.max(0, Math.min(call.timeoutMilliseconds, longestCallMilliseconds) - callerMarginMilliseconds);
+	let cancel = () => undefined as void;
+	const late = new Promise<CallerAnswer>(resolve => {
+		cancel = context.clock.schedule(patience, () => {
+			resolve({kind: 'undecided', reason: 'no answer in time'});
+		});
+	});
+	const answer = await Promise.race([answerOrForward(call, context), late]);
+	cancel();
+	return answer;
+}
+
 /** An entry that the store turns away lets another one answer. */
 async function answerOrForward(call: CallerCall, context: CoordinatorContext): Promise<CallerAnswer> {
-	const answer = await answerHere(call, context);
+	const answer = context.services.use(storeMonitorService).isSuspect() && hasPeers(context) ? storeSuspect : await answerHere(call, context);
 	const isUnserved = (answer.kind === 'refused' && answer.reason === 'store-unavailable') || answer.kind === 'undecided';
 	if (!isUnserved) {
 		return answer;
@@ -105,6 +120,12 @@
 	return answer;
 }
 
+const storeSuspect: CallerAnswer = {kind: 'refused', reason: 'store-unavailable', retryAfterMilliseconds: storeRetryAfterMilliseconds};
+
+function hasPeers({services}: CoordinatorContext): boolean {
+	return services.use(entryPeersService).list().length > 0;
+}
+
 /** Entries that are asked one after the other; each takes up to a third of a caller's usual patience. */
 const maximumForwards = 2;
 
--- a/packages/coordinator/plugins/index.ts
+++ b/packages/coordinator/plugins/index.ts
@@ -1,4 +1,5 @@
 // Tasks start in this order; a task may use services of tasks before it.
+import './store.js';
 import './fronts.js';
 import './operations.js';
 import './agents.js';
--- a/packages/scheduling/constants.ts
+++ b/packages/scheduling/constants.ts
@@ -30,6 +30,12 @@
 export const cheapLossMilliseconds = 1500;
 /** Work within a guarantee waits this long for others to end before it stops work that cannot save its progress. It has to start within 2.9 s of its acceptance, and a stop takes up to 0.9 s. */
 export const preemptionPatienceMilliseconds = 900;
+/** Most work, in core-seconds, that urgent work over its guarantee may throw away to start; more costs the users more than a late job of theirs. */
+export const affordableLossCoreSeconds = 300;
+/** Work, in core-seconds, that is worth throwing away to keep urgent work in one rack: elsewhere it takes three times as long and ends late. */
+export const rackWorthCoreSeconds = 1800;
+/** A worker that leaves may stay this much longer than it says, so that runs which end by then are left alone. */
+export const drainSlackMilliseconds = 1500;
 /** Wide work that waited this long keeps younger work of its rank from the workers it needs. */
 export const reservationDelayMilliseconds = 1000;
 /** How long the records of an ended job are kept. The platform asks for 120 s. */
--- a/packages/scheduling/ends.ts
+++ b/packages/scheduling/ends.ts
@@ -4,6 +4,7 @@
 	parseTaskName, type EndedRow, type JobKey,
 } from '#jobs';
 import {avoidanceMilliseconds, failuresBeforeAvoidance} from './constants.js';
+import {lossOfRun} from './loss.js';
 import {
 	chain, closeJob, releaseRun, stopRuns, storeJob, unchanged, type SchedulerStep,
 } from './runs.js';
@@ -189,10 +190,13 @@
 export function releaseLife(state: SchedulerState, worker: SchedulerWorker, reason: string, present: Present): SchedulerStep {
 	let next = state;
 	const lost: string[] = [];
+	let loss = 0;
 	for (const job of state.jobs.values()) {
 		for (const [name, {run}] of job.tasks) {
 			if (isRunOn(run, worker)) {
+				const step = stepOf(job, name);
 				lost.push(name);
+				loss += step === undefined ? 0 : lossOfRun(run, step, present.monotonic);
 				next = releaseRun(next, name, {}, present.monotonic);
 			}
 		}
@@ -209,7 +213,7 @@
 				? []
 				: [{
 					kind: 'log', event: 'runs-lost', fields: {
-						reason, worker: worker.snapshot.worker, incarnation: worker.snapshot.incarnation, tasks: lost,
+						reason, lossCoreSeconds: Math.round(loss), worker: worker.snapshot.worker, incarnation: worker.snapshot.incarnation, tasks: lost,
 					},
 				}],
 		}),
--- a/packages/scheduling/preempt.ts
+++ b/packages/scheduling/preempt.ts
@@ -2,10 +2,13 @@
 import {
 	add, countFitting, subtract, type Board, type BoardWorker, type PlacedRun,
 } from './board.js';
-import {cheapLossMilliseconds, preemptionPatienceMilliseconds} from './constants.js';
+import {
+	affordableLossCoreSeconds, cheapLossMilliseconds, preemptionPatienceMilliseconds, rackWorthCoreSeconds,
+} from './constants.js';
 import {
 	countPlaced, limitOf, listCandidates, listRacks, type Shares,
 } from './place.js';
+import {lossOfRun} from './loss.js';
 import {needOf} from './state.js';
 import type {AgentName} from './types.js';
 import type {Unit} from './units.js';
@@ -18,15 +21,13 @@
 /** Finds the cheapest runs of higher ranks whose stop makes room for the unit's tasks. Runs that are being stopped already cost nothing. */
 export function findPreemption(unit: Unit, count: number, board: Board, monotonic: MonotonicTime): Preemption | undefined {
 	const candidates = listCandidates(unit, board);
-	const groups = unit.step.prefersOneRack ? [...listRacks(candidates), candidates] : [candidates];
-	for (const group of groups) {
-		const found = findWithin(unit, count, group, monotonic);
-		if (found !== undefined) {
-			return found;
-		}
-	}
-
-	return undefined;
+	const priceOf = ({victims}: Preemption, penalty: number) => victims.reduce((total, victim) => total + lossOf(victim, monotonic), penalty);
+	const racks = unit.step.prefersOneRack ? listRacks(candidates) : [];
+	const offers = [
+		...racks.map(rack => ({found: findWithin(unit, count, rack, monotonic), penalty: 0})),
+		{found: findWithin(unit, count, candidates, monotonic), penalty: unit.step.prefersOneRack ? rackWorthCoreSeconds : 0},
+	].flatMap(({found, penalty}) => found === undefined ? [] : [{found, price: priceOf(found, penalty)}]);
+	return offers.toSorted((first, second) => first.price - second.price)[0]?.found;
 }
 
 function findWithin(unit: Unit, count: number, candidates: readonly BoardWorker[], monotonic: MonotonicTime): Preemption | undefined {
@@ -52,7 +53,7 @@
 	}
 
 	const isEnough = unit.step.isGang ? countPlaced(shares) >= count : countPlaced(shares) > 0;
-	return isEnough ? {victims, shares} : undefined;
+	return isEnough && isAffordable(unit, victims, monotonic) ? {victims, shares} : undefined;
 }
 
 function makeOffer(unit: Unit, count: number, candidate: BoardWorker, monotonic: MonotonicTime): Offer {
@@ -101,14 +102,36 @@
 	}
 
 	const isCheap = victim.step.isCheckpointing || monotonic - victim.run.startedAt < cheapLossMilliseconds;
-	return rank === 0 ? isCheap || monotonic - waitingSince >= preemptionPatienceMilliseconds : victim.rank > 1 && isCheap;
+	const isPatienceOver = monotonic - waitingSince >= preemptionPatienceMilliseconds;
+	switch (rank) {
+		case 0: {
+			return isCheap || isPatienceOver;
+		}
+
+		case 1: {
+			return victim.rank > 1 && (isCheap || (isPatienceOver && lossOf(victim, monotonic) <= affordableLossCoreSeconds));
+		}
+
+		default: {
+			return isCheap;
+		}
+	}
+}
+
+function isAffordable({rank}: Unit, victims: readonly PlacedRun[], monotonic: MonotonicTime): boolean {
+	return rank === 0 || victims.reduce((total, victim) => total + lossOf(victim, monotonic), 0) <= affordableLossCoreSeconds;
 }
 
-/** Lost work in core-milliseconds; an accelerator counts as 8 cores, as in the platform's prices. Stopping one member ends its gang. */
-function costOf({step, run, need, rank}: PlacedRun, monotonic: MonotonicTime): number {
-	const cores = (need.processorMillicores / 1000) + (need.accelerators * 8);
-	const members = step.isGang ? step.count : 1;
-	const lost = step.isCheckpointing ? 300 : monotonic - run.startedAt;
-	return cores * members * (lost + 100) / Math.max(1, rank);
+/** Stopping one member ends its gang. */
+function lossOf({step, run}: PlacedRun, monotonic: MonotonicTime): number {
+	return lossOfRun(run, step, monotonic) * (step.isGang ? step.count : 1);
 }
 
+/** Order of victims: those that lose little first, and of these the least urgent. */
+function costOf(victim: PlacedRun, monotonic: MonotonicTime): number {
+	return (lossOf(victim, monotonic) + restartCoreSeconds) / Math.max(1, victim.rank);
+}
+
+/** Cost of any stop, so that fewer are preferred. */
+const restartCoreSeconds = 20;
+
--- a/packages/scheduling/reports.ts
+++ b/packages/scheduling/reports.ts
@@ -98,6 +98,11 @@
 		return unchanged(state);
 	}
 
+	if (job !== undefined && task?.isDone === true && isRunOn(task.run, worker) && task.run.run === row.run) {
+		// Another member of the gang was done; this one ends by itself.
+		return unchanged(state);
+	}
+
 	if (job === undefined || task === undefined || !isOpen(job) || task.isDone) {
 		return stopRow(state, worker, row, 'task is not wanted');
 	}
--- a/packages/scheduling/runs.ts
+++ b/packages/scheduling/runs.ts
@@ -1,6 +1,7 @@
 /** Changes to runs: ordering starts and stops, and releasing what is certainly over. */
 import {groupBy, type MonotonicTime} from '#core';
 import {parseTaskName, type JobKey, type TaskName} from '#jobs';
+import {lossOfRun} from './loss.js';
 import type {Placement} from './place.js';
 import {
 	findWorkerOfRun, isOpen, jobOf, siblingsOf, stepOf, withJob, withTask,
@@ -82,6 +83,7 @@
 	}));
 	let next = state;
 	const orders = new Map<AgentName, StopOrder[]>();
+	let loss = 0;
 	for (const name of all) {
 		const job = jobOf(next, name);
 		const task = job?.tasks.get(name);
@@ -91,6 +93,8 @@
 		}
 
 		const worker = findWorkerOfRun(next, run);
+		const step = stepOf(job, name);
+		loss += step === undefined ? 0 : lossOfRun(run, step, monotonic);
 		next = withJob(next, withTask(job, name, {...task, run: {...run, stage: 'stopping', orderedAt: monotonic}}));
 		if (worker !== undefined) {
 			orders.set(worker.agent, [...(orders.get(worker.agent) ?? []), {task: name, run: run.run}]);
@@ -102,7 +106,7 @@
 	}));
 	return {
 		state: next,
-		effects: stops.length === 0 ? [] : [...stops, {kind: 'log', event: 'stop-ordered', fields: {reason, tasks: [...orders.values()].flat()}}],
+		effects: stops.length === 0 ? [] : [...stops, {kind: 'log', event: 'stop-ordered', fields: {reason, lossCoreSeconds: Math.round(loss), tasks: [...orders.values()].flat()}}],
 	};
 }
 
@@ -134,7 +138,8 @@
 		present => storeJob(present, {
 			...job, outcome, endedAt: now, closedAt: monotonic,
 		}),
-		present => stopRuns(present, listRunning(job), `job ${outcome}`, monotonic),
+		// The members of a gang that is done end by themselves.
+		present => outcome === 'completed' ? unchanged(present) : stopRuns(present, listRunning(job), `job ${outcome}`, monotonic),
 		present => ({
 			state: present,
 			effects: [{kind: 'log', event: 'job-ended', fields: {job: jobKey, outcome, ageMilliseconds: now - job.submission.submittedAt}}],
--- a/packages/scheduling/tick.ts
+++ b/packages/scheduling/tick.ts
@@ -1,15 +1,15 @@
 /** What time alone changes: orders without an answer, stuck runs, workers that are gone, old records. */
-import type {MonotonicTime, Present} from '#core';
-import {listStepTasks, type TaskName} from '#jobs';
+import type {Milliseconds, MonotonicTime, Present} from '#core';
+import {listStepTasks, type JobStep, type TaskName} from '#jobs';
 import {
-	endedJobRetentionMilliseconds, startConfirmationMilliseconds, stopRetryMilliseconds, stuckMilliseconds, stuckPercentFactor,
+	drainSlackMilliseconds, endedJobRetentionMilliseconds, startConfirmationMilliseconds, stopRetryMilliseconds, stuckMilliseconds, stuckPercentFactor,
 } from './constants.js';
 import {noteFailure, releaseLife} from './ends.js';
 import {
 	chain, listRuns, stopRuns, unchanged, type SchedulerStep,
 } from './runs.js';
 import {
-	findWorkerOfRun, isOpen, withJob, withTask,
+	findWorkerOfRun, isOpen, stepOf, withJob, withTask,
 } from './state.js';
 import type {
 	SchedulerEffect, SchedulerState, TaskRun,
@@ -20,6 +20,7 @@
 		next => stopUnconfirmed(next, present.monotonic),
 		next => repeatStops(next, present.monotonic),
 		next => stopStuck(next, present.monotonic),
+		next => moveFromLeavingWorkers(next, present.monotonic),
 		next => forgetGoneWorkers(next, present),
 		next => unchanged(forgetUnread(next, present.monotonic)),
 		next => stopPartialGangs(next, present.monotonic),
@@ -76,6 +77,30 @@
 	return stage === 'running' && percent < 100 && monotonic - progressedAt > Math.max(stuckMilliseconds, pace * stuckPercentFactor);
 }
 
+/** Runs that cannot end before their worker leaves go on elsewhere at once, which throws away less than waiting. */
+function moveFromLeavingWorkers(state: SchedulerState, monotonic: MonotonicTime): SchedulerStep {
+	const names = listRuns(state).filter(({name, run, job}) => {
+		const snapshot = findWorkerOfRun(state, run)?.snapshot;
+		const step = stepOf(job, name);
+		return snapshot?.state === 'draining' && step !== undefined && run.stage === 'running'
+			&& estimateRemaining(run, step, monotonic) > (snapshot.leavesInMilliseconds ?? 0) + drainSlackMilliseconds;
+	}).map(({name}) => name);
+	return stopRuns(state, names, 'worker leaves before the run can end', monotonic);
+}
+
+/** By the progress so far, or by the caller's estimate while there is little. */
+function estimateRemaining({percent, startedAt}: TaskRun, {estimatedMilliseconds, isLongRunning}: JobStep, monotonic: MonotonicTime): Milliseconds {
+	if (isLongRunning) {
+		return Infinity;
+	}
+
+	const elapsed = monotonic - startedAt;
+	return percent > smallestUsefulPercent ? elapsed * (100 - percent) / percent : Math.max(0, estimatedMilliseconds - elapsed);
+}
+
+/** Below this, the progress says little about the pace. */
+const smallestUsefulPercent = 5;
+
 function forgetGoneWorkers(state: SchedulerState, present: Present): SchedulerStep {
 	const gone = [...state.workers.values()].filter(({contact}) => contact.kind === 'lost' && contact.runsUntil <= present.monotonic);
 	return chain(state, gone.map(worker => next => {
