--- a/packages/coordinator/store-monitor.ts
+++ b/packages/coordinator/store-monitor.ts
@@ -37,7 +37,8 @@
 		}
 	};
 
-	const watched = <Parameters extends readonly unknown[], Answer extends Reply>(name: string, call: (...parameters: Parameters) => Promise<Answer>) => async (...parameters: Parameters): Promise<Answer> => {
+	type Call<Parameters extends readonly unknown[], Answer> = (...parameters: Parameters) => Promise<Answer>;
+	const watched = <Parameters extends readonly unknown[], Answer extends Reply>(name: string, call: Call<Parameters, Answer>): Call<Parameters, Answer> => async (...parameters) => {
 		const startedAt = clock.monotonic();
 		const reply = await call(...parameters);
 		note(name, reply, startedAt);
--- a/packages/scheduling/tick.ts
+++ b/packages/scheduling/tick.ts
@@ -9,7 +9,7 @@
 	chain, listRuns, stopRuns, unchanged, type SchedulerStep,
 } from './runs.js';
 import {
-	findWorkerOfRun, isOpen, stepOf, withJob, withTask,
+	findWorkerOfRun, isOpen, jobOf, stepOf, withJob, withTask,
 } from './state.js';
 import type {
 	SchedulerEffect, SchedulerState, TaskRun,
@@ -28,11 +28,22 @@
 	]);
 }
 
+/** The next run goes to another worker, since this one may leave all its orders unanswered. */
 function stopUnconfirmed(state: SchedulerState, monotonic: MonotonicTime): SchedulerStep {
 	const names = listRuns(state)
 		.filter(({run}) => run.stage === 'starting' && monotonic - run.orderedAt > startConfirmationMilliseconds)
 		.map(({name}) => name);
-	return stopRuns(state, names, 'start was not confirmed', monotonic);
+	const avoiding = names.reduce((next, name) => avoidWorker(next, name), state);
+	return stopRuns(avoiding, names, 'start was not confirmed', monotonic);
+}
+
+/** Remembers that a task did not do well on the worker where it runs. */
+function avoidWorker(state: SchedulerState, name: TaskName): SchedulerState {
+	const job = jobOf(state, name);
+	const task = job?.tasks.get(name);
+	return job === undefined || task?.run === undefined
+		? state
+		: withJob(state, withTask(job, name, {...task, avoided: [...task.avoided, task.run.life.worker]}));
 }
 
 function repeatStops(state: SchedulerState, monotonic: MonotonicTime): SchedulerStep {
@@ -61,14 +72,13 @@
 	const stuck = listRuns(state).filter(({run, job}) => isOpen(job) && isStuck(run, monotonic) && findWorkerOfRun(state, run)?.snapshot.isResponsive === true);
 	return chain(state, stuck.map(({name, run}) => next => {
 		const worker = findWorkerOfRun(next, run);
-		const job = next.jobs.get(name.slice(0, name.indexOf('.')) as never);
-		const task = job?.tasks.get(name);
-		if (worker === undefined || job === undefined || task === undefined || task.run?.stage !== 'running') {
+		const job = jobOf(next, name);
+		if (worker === undefined || job?.tasks.get(name)?.run?.stage !== 'running') {
 			return unchanged(next);
 		}
 
-		const avoiding = withJob(next, withTask(job, name, {...task, avoided: [...task.avoided, worker.snapshot.worker]}));
-		return stopRuns(noteFailure(avoiding, worker.agent, job.submission.job, monotonic), [name], `no progress for ${Math.round(monotonic - run.progressedAt)} ms`, monotonic);
+		const noted = noteFailure(avoidWorker(next, name), worker.agent, job.submission.job, monotonic);
+		return stopRuns(noted, [name], `no progress for ${Math.round(monotonic - run.progressedAt)} ms`, monotonic);
 	}));
 }
 
--- /dev/null
+++ b/test/scheduling/decisions.test.ts
@@ -0,0 +1,328 @@
+import {expect} from 'chai';
+import type {WorkerId} from '#core';
+import {grantValidityMilliseconds, unreadMilliseconds} from '#scheduling';
+import {
+	configuration, createDriver, createReadyDriver, endOf, keyOf, rowOf, snapshotOf, startsOf, stopsOf, submissionOf, taskOf, type Driver,
+} from '#test/support/scheduling';
+
+type Case = Readonly<{name: string; run(): void}>;
+
+/** Submits a job and confirms its starts. */
+function begin(driver: Driver, number: number, steps: Parameters<typeof submissionOf>[1], options: Parameters<typeof submissionOf>[2] = {}) {
+	const starts = startsOf(driver.send({kind: 'submitted', submission: submissionOf(number, steps, {submittedAt: driver.time(), ...options})}));
+	for (const {agent, task, run} of starts) {
+		driver.send({kind: 'start-answered', agent, answers: [{task, run, result: 'started'}]});
+	}
+
+	return starts;
+}
+
+function listed(name: string, starts: ReturnType<typeof startsOf>, percent = 10) {
+	return snapshotOf(name, {running: starts.filter(({agent}) => agent === name).map(({task, run}) => rowOf(task, run, percent))});
+}
+
+const cases: readonly Case[] = [
+	{
+		name: 'nothing starts before the store knows that the job has begun (next scheduler would not look for its runs)',
+		run() {
+			const driver = createReadyDriver([['a']], {isStoring: false});
+			expect(startsOf(driver.send({kind: 'submitted', submission: submissionOf(1, [{}])}))).to.deep.equal([]);
+			expect(startsOf(driver.send({
+				kind: 'stored', job: keyOf(1), version: 1, keyVersion: 7,
+			}))).to.have.length(1);
+		},
+	},
+	{
+		name: 'an end is acknowledged only after the progress that holds it is stored (end lost with the scheduler)',
+		run() {
+			const driver = createReadyDriver([['a']], {isStoring: false});
+			driver.send({kind: 'submitted', submission: submissionOf(1, [{}])});
+			driver.send({
+				kind: 'stored', job: keyOf(1), version: 1, keyVersion: 7,
+			});
+			driver.send({kind: 'renewed', agent: 'a', snapshot: snapshotOf('a', {ended: [endOf(1, taskOf(1), 1, 'done')]})});
+			expect(driver.state().workers.get('a')?.notedEnd).to.equal(0);
+			const effects = driver.send({
+				kind: 'stored', job: keyOf(1), version: 2, keyVersion: 8,
+			});
+			expect(driver.state().workers.get('a')?.notedEnd).to.equal(1);
+			expect(effects).to.deep.include({kind: 'acknowledge', agent: 'a'});
+		},
+	},
+	{
+		name: 'a step waits for every task of the steps before it (wrong order)',
+		run() {
+			const driver = createReadyDriver([['a']]);
+			const starts = begin(driver, 1, [{count: 2}, {after: [0]}]);
+			expect(starts.map(({task}) => task)).to.deep.equal([taskOf(1, 0), taskOf(1, 1)]);
+			const half = driver.send({kind: 'renewed', agent: 'a', snapshot: snapshotOf('a', {running: [rowOf(taskOf(1, 1), 1)], ended: [endOf(1, taskOf(1, 0), 1, 'done')]})});
+			expect(startsOf(half)).to.deep.equal([]);
+			const whole = driver.send({kind: 'renewed', agent: 'a', snapshot: snapshotOf('a', {ended: [endOf(1, taskOf(1, 0), 1, 'done'), endOf(2, taskOf(1, 1), 1, 'done')]})});
+			expect(startsOf(whole).map(({task}) => task)).to.deep.equal([taskOf(1, 0, 1)]);
+		},
+	},
+	{
+		name: 'a gang that does not fit whole starts nothing (part of a gang)',
+		run() {
+			const driver = createReadyDriver([['a']]);
+			expect(begin(driver, 1, [{count: 3, accelerators: 4, isGang: true}])).to.deep.equal([]);
+			expect(startsOf(driver.send({kind: 'renewed', agent: 'b', snapshot: snapshotOf('b')})).map(({run}) => run)).to.deep.equal([1, 1, 1]);
+		},
+	},
+	{
+		name: 'when one member of a gang is refused, the others are stopped (member waiting alone)',
+		run() {
+			const driver = createReadyDriver([['a'], ['b']]);
+			const starts = startsOf(driver.send({kind: 'submitted', submission: submissionOf(1, [{count: 2, accelerators: 8, isGang: true}])}));
+			driver.send({kind: 'start-answered', agent: 'a', answers: [{task: taskOf(1, 0), run: 1, result: 'started'}]});
+			const refused = starts.find(({agent}) => agent === 'b');
+			const effects = driver.send({kind: 'start-answered', agent: 'b', answers: [{task: refused?.task ?? taskOf(1), run: 1, result: 'no-room'}]});
+			expect(stopsOf(effects)).to.have.length(1);
+		},
+	},
+	{
+		name: 'one member that is done stands for its gang, and nothing is stopped',
+		run() {
+			const driver = createReadyDriver([['a']]);
+			begin(driver, 1, [{count: 2, isGang: true}]);
+			const effects = driver.send({kind: 'renewed', agent: 'a', snapshot: snapshotOf('a', {running: [rowOf(taskOf(1, 1), 1, 100)], ended: [endOf(1, taskOf(1, 0), 1, 'done')]})});
+			expect(driver.state().jobs.get(keyOf(1))?.outcome).to.equal('completed');
+			expect(stopsOf(effects)).to.deep.equal([]);
+		},
+	},
+	{
+		name: 'a failure that is reported again counts once (job failed too early)',
+		run() {
+			const driver = createReadyDriver([['a'], ['b']]);
+			const [start] = begin(driver, 1, [{}], {maximumAttempts: 2});
+			const snapshot = snapshotOf(start?.agent ?? 'a', {ended: [endOf(1, taskOf(1), 1, 'failed')]});
+			driver.send({kind: 'renewed', agent: start?.agent ?? 'a', snapshot});
+			driver.send({kind: 'renewed', agent: start?.agent ?? 'a', snapshot});
+			expect(driver.state().jobs.get(keyOf(1))?.tasks.get(taskOf(1))?.failedRuns).to.deep.equal([1]);
+			expect(driver.state().jobs.get(keyOf(1))?.outcome).to.equal('running');
+		},
+	},
+	{
+		name: 'a task that failed goes to another worker (worker that fails everything)',
+		run() {
+			const driver = createReadyDriver([['a'], ['b']]);
+			const [start] = begin(driver, 1, [{}]);
+			const effects = driver.send({kind: 'renewed', agent: start?.agent ?? '', snapshot: snapshotOf(start?.agent ?? '', {ended: [endOf(1, taskOf(1), 1, 'failed')]})});
+			expect(startsOf(effects).map(({agent, run}) => [agent, run])).to.deep.equal([[start?.agent === 'a' ? 'b' : 'a', 2]]);
+		},
+	},
+	{
+		name: 'a lost agent keeps its runs until its last grant is certainly over (task run twice)',
+		run() {
+			const driver = createReadyDriver([['a']]);
+			begin(driver, 1, [{}]);
+			driver.send({kind: 'detached', agent: 'a'});
+			driver.send({kind: 'renewed', agent: 'b', snapshot: snapshotOf('b')});
+			const keep = () => driver.send({kind: 'renewed', agent: 'b', snapshot: undefined});
+			expect(startsOf(driver.elapse(grantValidityMilliseconds))).to.deep.equal([]);
+			keep();
+			expect(startsOf([...driver.elapse(1000), ...keep()])).to.deep.equal([{
+				agent: 'b', task: taskOf(1), run: 2, checkpoint: '',
+			}]);
+		},
+	},
+	{
+		name: 'an agent that comes back in time keeps its runs (work thrown away by a short cut)',
+		run() {
+			const driver = createReadyDriver([['a']]);
+			const starts = begin(driver, 1, [{}]);
+			driver.send({kind: 'detached', agent: 'a'});
+			driver.elapse(5500);
+			driver.send({kind: 'renewed', agent: 'a', snapshot: listed('a', starts, 50)});
+			expect(startsOf(driver.elapse(3000))).to.deep.equal([]);
+			expect(driver.state().jobs.get(keyOf(1))?.tasks.get(taskOf(1))?.run?.run).to.equal(1);
+		},
+	},
+	{
+		name: 'a worker that started again has lost its runs, which start at once elsewhere or there',
+		run() {
+			const driver = createReadyDriver([['a']]);
+			begin(driver, 1, [{}]);
+			const effects = driver.send({kind: 'renewed', agent: 'a', snapshot: snapshotOf('a', {incarnation: '2'})});
+			expect(startsOf(effects).map(({run}) => run)).to.deep.equal([2]);
+		},
+	},
+	{
+		name: 'a start without an answer is stopped before it is tried again (late order beside a second run)',
+		run() {
+			const driver = createReadyDriver([['a']]);
+			driver.send({kind: 'submitted', submission: submissionOf(1, [{}])});
+			driver.send({kind: 'start-answered', agent: 'a', answers: [{task: taskOf(1), run: 1, result: 'unknown'}]});
+			const effects = driver.elapse(1500);
+			expect(stopsOf(effects)).to.deep.equal([taskOf(1)]);
+			expect(startsOf(effects)).to.deep.equal([]);
+			driver.send({kind: 'stop-answered', agent: 'a', orders: [{task: taskOf(1), run: 1}]});
+			expect(startsOf(driver.send({kind: 'renewed', agent: 'a', snapshot: snapshotOf('a')})).map(({run}) => run)).to.deep.equal([2]);
+		},
+	},
+	{
+		name: 'a run that makes no progress is moved to another worker (tasks that stand still)',
+		run() {
+			const driver = createReadyDriver([['a'], ['b']]);
+			const starts = begin(driver, 1, [{}]);
+			const agent = starts[0]?.agent ?? '';
+			const stops: string[] = [];
+			for (let turn = 0; turn < 30; turn++) {
+				driver.send({kind: 'renewed', agent, snapshot: listed(agent, starts, 20)});
+				stops.push(...stopsOf(driver.elapse(250)));
+			}
+
+			expect(stops).to.include(taskOf(1));
+			expect(driver.state().jobs.get(keyOf(1))?.tasks.get(taskOf(1))?.avoided).to.deep.equal([`w-${agent}`]);
+		},
+	},
+	{
+		name: 'a draining worker gets nothing new, and runs that cannot end there are moved (work lost with a worker that leaves)',
+		run() {
+			const driver = createReadyDriver([['a']]);
+			const starts = begin(driver, 1, [{isCheckpointing: true, estimatedMilliseconds: 20_000}]);
+			driver.elapse(500);
+			driver.send({kind: 'renewed', agent: 'a', snapshot: {...listed('a', starts, 1), state: 'draining', leavesInMilliseconds: 3000}});
+			expect(stopsOf(driver.elapse(250))).to.deep.equal([taskOf(1)]);
+			expect(begin(driver, 2, [{}])).to.deep.equal([]);
+		},
+	},
+	{
+		name: 'work within a guarantee stops other work in time, and starts when its end is listed (guarantee not reclaimed)',
+		run() {
+			const driver = createReadyDriver([['a']]);
+			const lower = begin(driver, 1, [{accelerators: 8}]);
+			driver.elapse(3000);
+			driver.send({kind: 'renewed', agent: 'a', snapshot: listed('a', lower, 30)});
+			const effects = driver.send({kind: 'submitted', submission: submissionOf(2, [{accelerators: 8}], {priority: 0, submittedAt: driver.time()})});
+			driver.send({kind: 'renewed', agent: 'a', snapshot: listed('a', lower, 32)});
+			expect(stopsOf([...effects, ...driver.elapse(1000)])).to.deep.equal([taskOf(1)]);
+			const ended = driver.send({kind: 'renewed', agent: 'a', snapshot: snapshotOf('a', {ended: [endOf(1, taskOf(1), 1, 'stopped')]})});
+			expect(startsOf(ended).map(({task}) => task)).to.deep.equal([taskOf(2)]);
+		},
+	},
+	{
+		name: 'urgent work beyond the guarantee does not throw away long work',
+		run() {
+			const driver = createReadyDriver([['a']]);
+			const lower = begin(driver, 1, [{accelerators: 8}]);
+			for (const percent of [20, 40, 60]) {
+				driver.elapse(3000);
+				driver.send({kind: 'renewed', agent: 'a', snapshot: listed('a', lower, percent)});
+			}
+
+			driver.send({kind: 'submitted', submission: submissionOf(2, [{count: 2, accelerators: 8}], {priority: 0, submittedAt: driver.time()})});
+			driver.send({kind: 'renewed', agent: 'a', snapshot: listed('a', lower, 62)});
+			expect(stopsOf(driver.elapse(1250))).to.deep.equal([]);
+		},
+	},
+	{
+		name: 'a new scheduler does not start what may run on a worker that it has not read (task run twice after a takeover)',
+		run() {
+			const driver = createDriver({epoch: 2});
+			driver.send({kind: 'configured', configuration});
+			driver.send({kind: 'renewed', agent: 'a', snapshot: snapshotOf('a')});
+			const loaded = driver.send({
+				kind: 'loaded',
+				jobs: [{
+					submission: submissionOf(1, [{}]), isCancelled: false, progress: {outcome: 'running', tasks: {}}, keyVersion: 4,
+				}],
+				workers: [{agent: 'a', worker: 'w-a' as WorkerId}, {agent: 'b', worker: 'w-b' as WorkerId}],
+			});
+			expect(startsOf(loaded)).to.deep.equal([]);
+			const waited: Array<ReturnType<typeof startsOf>> = [];
+			for (let turn = 0; turn < Math.ceil(unreadMilliseconds / 250) - 1; turn++) {
+				driver.send({kind: 'renewed', agent: 'a', snapshot: undefined});
+				waited.push(startsOf(driver.elapse(250)));
+			}
+
+			expect(waited.flat()).to.deep.equal([]);
+			driver.send({kind: 'renewed', agent: 'a', snapshot: undefined});
+			expect(startsOf(driver.elapse(500)).map(({run}) => run)).to.deep.equal([1001]);
+		},
+	},
+	{
+		name: 'another worker beside the same agent ends the wait for the earlier one (takeover after all machines lost power)',
+		run() {
+			const driver = createDriver({epoch: 2});
+			driver.send({kind: 'configured', configuration});
+			driver.send({
+				kind: 'loaded',
+				jobs: [{
+					submission: submissionOf(1, [{}]), isCancelled: false, progress: {outcome: 'running', tasks: {}}, keyVersion: 4,
+				}],
+				workers: [{agent: 'a', worker: 'w-old' as WorkerId}],
+			});
+			expect(startsOf(driver.send({kind: 'renewed', agent: 'a', snapshot: snapshotOf('a')}))).to.have.length(1);
+		},
+	},
+	{
+		name: 'runs that a new scheduler finds go on and are as old as their progress (28 s of work stopped as just begun)',
+		run() {
+			const driver = createDriver({epoch: 2, start: 1000});
+			driver.send({kind: 'configured', configuration});
+			driver.send({
+				kind: 'loaded',
+				jobs: [{
+					submission: submissionOf(1, [{accelerators: 8, estimatedMilliseconds: 20_000}]), isCancelled: false, progress: {outcome: 'running', tasks: {}}, keyVersion: 4,
+				}],
+				workers: [{agent: 'a', worker: 'w-a' as WorkerId}],
+			});
+			driver.send({kind: 'renewed', agent: 'a', snapshot: snapshotOf('a', {running: [rowOf(taskOf(1), 3, 50)]})});
+			const effects = driver.send({kind: 'submitted', submission: submissionOf(2, [{accelerators: 8}], {priority: 1, submittedAt: 1000})});
+			expect(stopsOf(effects)).to.deep.equal([]);
+			expect(driver.state().jobs.get(keyOf(1))?.tasks.get(taskOf(1))?.run).to.include({run: 3, stage: 'running', startedAt: -9000});
+		},
+	},
+	{
+		name: 'a run that nobody wants is stopped, and its worker gets nothing before it is gone (worker over its capacity)',
+		run() {
+			const driver = createReadyDriver([['a', {running: [rowOf(taskOf(9), 5)]}]]);
+			expect(begin(driver, 1, [{}])).to.deep.equal([]);
+			expect(stopsOf(driver.send({kind: 'renewed', agent: 'a', snapshot: snapshotOf('a', {running: [rowOf(taskOf(9), 5)]})}))).to.deep.equal([taskOf(9)]);
+			expect(startsOf(driver.send({kind: 'renewed', agent: 'a', snapshot: snapshotOf('a')}))).to.have.length(1);
+		},
+	},
+	{
+		name: 'tasks with a limit for one worker are spread (too many on one worker)',
+		run() {
+			const driver = createReadyDriver([['a'], ['b']]);
+			const agents = begin(driver, 1, [{count: 3, maximumPerWorker: 1}]).map(({agent}) => agent);
+			expect(agents.toSorted()).to.deep.equal(['a', 'b']);
+		},
+	},
+	{
+		name: 'a task whose label no worker has waits and keeps nobody else from starting (job that can never run)',
+		run() {
+			const driver = createReadyDriver([['a']]);
+			expect(begin(driver, 1, [{requiredLabel: 'none'}], {priority: 0})).to.deep.equal([]);
+			expect(begin(driver, 2, [{}])).to.have.length(1);
+		},
+	},
+	{
+		name: 'a stopped run starts again from its checkpoint (progress thrown away)',
+		run() {
+			const driver = createReadyDriver([['a']]);
+			begin(driver, 1, [{isCheckpointing: true}]);
+			const effects = driver.send({kind: 'renewed', agent: 'a', snapshot: snapshotOf('a', {ended: [endOf(1, taskOf(1), 1, 'stopped', 'saved-1')]})});
+			expect(startsOf(effects).map(({checkpoint}) => checkpoint)).to.deep.equal(['saved-1']);
+		},
+	},
+	{
+		name: 'nothing starts after a cancellation, and what runs is stopped',
+		run() {
+			const driver = createReadyDriver([['a']]);
+			begin(driver, 1, [{count: 2}]);
+			const effects = driver.send({kind: 'cancelled', job: keyOf(1)});
+			expect(stopsOf(effects)).to.have.length(2);
+			const ended = driver.send({kind: 'renewed', agent: 'a', snapshot: snapshotOf('a', {ended: [endOf(1, taskOf(1, 0), 1, 'stopped'), endOf(2, taskOf(1, 1), 1, 'stopped')]})});
+			expect(startsOf([...ended, ...driver.elapse(1000)])).to.deep.equal([]);
+		},
+	},
+];
+
+describe('decisions of the scheduler', () => {
+	for (const {name, run} of cases) {
+		it(name, run);
+	}
+});
--- /dev/null
+++ b/test/scheduling/properties.test.ts
@@ -0,0 +1,416 @@
+/** Random schedules against model workers: what the platform promises holds after every step. */
+import {expect} from 'chai';
+import * as fastCheck from 'fast-check';
+import type {WorkerId} from '#core';
+import type {EndedRow, JobStep, TaskName} from '#jobs';
+import {describeProgress, grantValidityMilliseconds, type SchedulerEffect} from '#scheduling';
+import {
+	configuration, createDriver, keyOf, queueOf, snapshotOf, submissionOf, type Driver,
+} from '#test/support/scheduling';
+
+/** A worker that runs what it is told under leases, by its own rules alone. */
+class ModelWorker {
+	readonly runs = new Map<TaskName, {run: number; step: JobStep; until: number; endsAt: number; fails: boolean}>();
+	readonly highest = new Map<TaskName, number>();
+	ends: EndedRow[] = [];
+	fence = 0;
+	endCount = 0;
+	incarnation = 1;
+	isCut = false;
+	leaseUntil = grantValidityMilliseconds;
+	/** Ends up to this number do not count, since nobody noted them before the lease lapsed. */
+	forgottenThrough = 0;
+
+	constructor(readonly agent: string, readonly observe: (event: Readonly<{kind: 'started' | 'ended' | 'forgotten'; task: TaskName; worker: ModelWorker; ending?: string}>) => void) {}
+
+	start(task: TaskName, run: number, step: JobStep, options: Readonly<{epoch: number; now: number; duration: number; fails: boolean}>): 'started' | 'no-room' | 'run-too-low' | 'superseded' {
+		if (options.epoch < this.fence) {
+			return 'superseded';
+		}
+
+		this.fence = options.epoch;
+		if (run <= (this.highest.get(task) ?? 0)) {
+			return 'run-too-low';
+		}
+
+		const used = [...this.runs.values()].reduce((total, present) => total + present.step.accelerators, 0);
+		if (used + step.accelerators > 8) {
+			return 'no-room';
+		}
+
+		this.runs.set(task, {
+			run, step, until: options.now + grantValidityMilliseconds, endsAt: options.now + options.duration, fails: options.fails,
+		});
+		this.observe({kind: 'started', task, worker: this});
+		return 'started';
+	}
+
+	end(task: TaskName, ending: EndedRow['ending']): void {
+		const present = this.runs.get(task);
+		if (present !== undefined) {
+			this.runs.delete(task);
+			this.highest.set(task, present.run);
+			this.ends.push({
+				number: ++this.endCount, task, run: present.run, ending, checkpoint: '',
+			});
+			this.observe({
+				kind: 'ended', task, worker: this, ending,
+			});
+		}
+	}
+
+	stop(task: TaskName, run: number, epoch: number): boolean {
+		if (epoch < this.fence) {
+			return false;
+		}
+
+		this.highest.set(task, Math.max(run, this.highest.get(task) ?? 0));
+		if ((this.runs.get(task)?.run ?? Infinity) <= run) {
+			this.end(task, 'stopped');
+		}
+
+		return true;
+	}
+
+	advance(now: number): void {
+		if (now >= this.leaseUntil) {
+			this.forget();
+		}
+
+		for (const [task, run] of this.runs) {
+			if (now >= run.until) {
+				this.end(task, 'lapsed');
+			} else if (now >= run.endsAt) {
+				this.end(task, run.fails ? 'failed' : 'done');
+			}
+		}
+	}
+
+	forget(): void {
+		for (const {number, task, ending} of this.ends) {
+			if (number > this.forgottenThrough) {
+				this.observe({
+					kind: 'forgotten', task, worker: this, ending,
+				});
+			}
+		}
+
+		this.forgottenThrough = this.endCount;
+	}
+
+	crash(): void {
+		for (const task of this.runs.keys()) {
+			this.observe({
+				kind: 'ended', task, worker: this, ending: 'crashed',
+			});
+		}
+
+		// Ends that nobody noted are lost with the worker.
+		this.forget();
+		this.runs.clear();
+		this.highest.clear();
+		this.ends = [];
+		this.fence = 0;
+		this.endCount = 0;
+		this.forgottenThrough = 0;
+		this.incarnation++;
+	}
+}
+
+type Action =
+	| Readonly<{kind: 'submit'; count: number; accelerators: number; isGang: boolean; priority: number; duration: number; fails: boolean}>
+	| Readonly<{kind: 'cut' | 'heal' | 'crash'; worker: number}>
+	| Readonly<{kind: 'take-over'}>
+	| Readonly<{kind: 'cancel'; job: number}>
+	| Readonly<{kind: 'lose-answers'; starts: number}>
+	| Readonly<{kind: 'wait'; duration: number}>;
+
+const worker = fastCheck.nat(2);
+const action: fastCheck.Arbitrary<Action> = fastCheck.oneof(
+	fastCheck.record({
+		kind: fastCheck.constant('submit' as const), count: fastCheck.integer({min: 1, max: 4}), accelerators: fastCheck.constantFrom(1, 2, 4, 8), isGang: fastCheck.boolean(),
+		priority: fastCheck.nat(2), duration: fastCheck.integer({min: 300, max: 9000}), fails: fastCheck.constantFrom(false, false, false, true),
+	}),
+	fastCheck.record({kind: fastCheck.constantFrom('cut' as const, 'heal' as const, 'crash' as const), worker}),
+	fastCheck.constant({kind: 'take-over' as const}),
+	fastCheck.record({kind: fastCheck.constant('cancel' as const), job: fastCheck.nat(8)}),
+	fastCheck.record({kind: fastCheck.constant('lose-answers' as const), starts: fastCheck.integer({min: 1, max: 3})}),
+	fastCheck.record({kind: fastCheck.constant('wait' as const), duration: fastCheck.integer({min: 100, max: 4000})}),
+);
+
+/** The scheduler with its store, its agents and their workers; everything that is stored outlives a takeover. */
+class Cluster {
+	readonly running = new Map<TaskName, ModelWorker>();
+	readonly done = new Set<TaskName>();
+	readonly failures = new Map<TaskName, number>();
+	readonly workers = [0, 1, 2].map(index => new ModelWorker(`agent-${index}`, event => {
+		this.check(event);
+	}));
+
+	time = 0;
+	epoch = 0;
+	jobs = 0;
+	lostAnswers = 0;
+	cancelled = new Set<number>();
+	profiles = new Map<string, Readonly<{duration: number; fails: boolean}>>();
+	submissions = new Map<string, ReturnType<typeof submissionOf>>();
+	stored = new Map<string, ReturnType<typeof describeProgress>>();
+	driver: Driver = createDriver();
+
+	constructor() {
+		this.takeOver();
+	}
+
+	check({kind, task, worker: at, ending}: Readonly<{kind: string; task: TaskName; worker: ModelWorker; ending?: string}>): void {
+		if (kind === 'started') {
+			expect(this.running.get(task)?.agent, `${task} runs already`).to.equal(undefined);
+			expect(this.done.has(task), `${task} is done already`).to.equal(false);
+			expect(this.failures.get(task) ?? 0, `${task} has no attempt left`).to.be.below(3);
+			this.running.set(task, at);
+			return;
+		}
+
+		const isForgotten = kind === 'forgotten';
+		if (!isForgotten) {
+			this.running.delete(task);
+		}
+
+		if (ending === 'failed') {
+			this.failures.set(task, (this.failures.get(task) ?? 0) + (isForgotten ? -1 : 1));
+		}
+
+		if (ending === 'done' && isForgotten) {
+			this.done.delete(task);
+		}
+
+		if (ending === 'done' && !isForgotten) {
+			this.done.add(task);
+		}
+	}
+
+	takeOver(): void {
+		this.epoch++;
+		this.driver = createDriver({epoch: this.epoch, isStoring: false, start: this.time});
+		this.send({kind: 'configured', configuration});
+		this.send({
+			kind: 'loaded',
+			jobs: [...this.submissions.values()].map(submission => ({
+				submission, isCancelled: this.cancelled.has(Number.parseInt(submission.job, 16)), progress: this.stored.get(submission.job), keyVersion: 1,
+			})),
+			workers: this.workers.map(({agent}) => ({agent, worker: `w-${agent}` as WorkerId})),
+		});
+	}
+
+	send(message: Parameters<Driver['send']>[0]): void {
+		this.perform(this.driver.send(message));
+	}
+
+	perform(effects: readonly SchedulerEffect[]): void {
+		for (const effect of effects) {
+			switch (effect.kind) {
+				case 'start': {
+					this.performStart(effect);
+					break;
+				}
+
+				case 'stop': {
+					const at = this.findWorker(effect.agent, effect.incarnation);
+					const confirmed = at === undefined ? [] : effect.orders.filter(({task, run}) => at.stop(task, run, this.epoch));
+					this.send({kind: 'stop-answered', agent: effect.agent, orders: confirmed});
+					break;
+				}
+
+				case 'store-progress': {
+					this.store(effect.job);
+					break;
+				}
+
+				case 'acknowledge':
+				case 'remove-records':
+				case 'log': {
+					break;
+				}
+			}
+		}
+	}
+
+	store(key: ReturnType<typeof keyOf>): void {
+		const job = this.driver.state().jobs.get(key);
+		if (job !== undefined) {
+			const progress = describeProgress(job);
+			this.stored.set(key, progress);
+			for (const [name, task] of job.tasks) {
+				if (task.isDone) {
+					this.done.add(name);
+				}
+			}
+
+			this.send({
+				kind: 'stored', job: key, version: job.version, keyVersion: 1,
+			});
+		}
+	}
+
+	performStart({agent, incarnation, orders}: Extract<SchedulerEffect, {kind: 'start'}>): void {
+		const at = this.findWorker(agent, incarnation);
+		const answers = orders.map(({task, run}) => {
+			const step = this.driver.state().jobs.get(task.slice(0, 16) as ReturnType<typeof keyOf>)?.submission.request.steps[0];
+			const profile = this.profiles.get(task.slice(0, 16));
+			if (at === undefined || step === undefined || profile === undefined) {
+				return {task, run, result: 'unknown' as const};
+			}
+
+			const result = at.start(task, run, step, {epoch: this.epoch, now: this.time, ...profile});
+			this.lostAnswers--;
+			return {task, run, result: this.lostAnswers >= 0 ? 'unknown' as const : result};
+		});
+		this.send({kind: 'start-answered', agent, answers});
+	}
+
+	findWorker(agent: string, incarnation: string): ModelWorker | undefined {
+		return this.workers.find(candidate => candidate.agent === agent && String(candidate.incarnation) === incarnation && !candidate.isCut);
+	}
+
+	/** Every 250 ms each agent that is not cut off renews, which also extends the leases of its worker. */
+	elapse(duration: number): void {
+		for (let left = duration; left > 0; left -= 250) {
+			this.time += 250;
+			for (const each of this.workers) {
+				each.advance(this.time);
+			}
+
+			for (const each of this.workers) {
+				this.renew(each);
+			}
+
+			this.perform(this.driver.elapse(250));
+		}
+	}
+
+	renew(each: ModelWorker): void {
+		const known = this.driver.state().workers.get(each.agent);
+		if (each.isCut) {
+			if (known !== undefined) {
+				this.send({kind: 'detached', agent: each.agent});
+			}
+
+			return;
+		}
+
+		each.fence = Math.max(each.fence, this.epoch);
+		each.leaseUntil = this.time + grantValidityMilliseconds;
+		for (const run of each.runs.values()) {
+			run.until = this.time + grantValidityMilliseconds;
+		}
+
+		if (known?.snapshot.incarnation === String(each.incarnation)) {
+			each.ends = each.ends.filter(({number}) => number > known.notedEnd);
+		}
+
+		this.send({
+			kind: 'renewed',
+			agent: each.agent,
+			snapshot: snapshotOf(each.agent, {
+				incarnation: String(each.incarnation),
+				running: [...each.runs].map(([task, {run, endsAt}]) => ({
+					task, run, checkpoint: '', percent: Math.max(0, Math.min(99, 100 - ((endsAt - this.time) / 100))),
+				})),
+				ended: [...each.ends],
+			}),
+		});
+	}
+
+	act(step: Action): void {
+		switch (step.kind) {
+			case 'submit': {
+				const number = ++this.jobs;
+				const submission = {
+					...submissionOf(number, [{
+						// Three workers hold at most three of the widest members at once.
+						count: step.isGang ? Math.min(step.count, 3) : step.count, accelerators: step.accelerators, isGang: step.isGang, estimatedMilliseconds: step.duration,
+					}], {priority: step.priority, submittedAt: this.time}), queue: queueOf(step.priority),
+				};
+				this.profiles.set(submission.job, {duration: step.duration, fails: step.fails});
+				this.submissions.set(submission.job, submission);
+				this.send({kind: 'submitted', submission});
+				break;
+			}
+
+			case 'cut': {
+				this.pick(step.worker).isCut = true;
+				break;
+			}
+
+			case 'heal': {
+				this.pick(step.worker).isCut = false;
+				break;
+			}
+
+			case 'crash': {
+				this.pick(step.worker).crash();
+				break;
+			}
+
+			case 'take-over': {
+				this.takeOver();
+				break;
+			}
+
+			case 'cancel': {
+				if (this.submissions.has(keyOf(step.job))) {
+					this.cancelled.add(step.job);
+					this.send({kind: 'cancelled', job: keyOf(step.job)});
+				}
+
+				break;
+			}
+
+			case 'lose-answers': {
+				this.lostAnswers = step.starts;
+				break;
+			}
+
+			case 'wait': {
+				this.elapse(step.duration);
+			}
+		}
+	}
+
+	pick(index: number): ModelWorker {
+		const found = this.workers[index];
+		if (found === undefined) {
+			throw new Error(`no worker ${index}`);
+		}
+
+		return found;
+	}
+}
+
+/** By what is stored, since old records leave the scheduler's memory. */
+function isOver({stored}: Cluster, number: number): boolean {
+	const outcome = stored.get(keyOf(number))?.outcome;
+	return outcome === 'completed' || outcome === 'failed' || outcome === 'cancelled';
+}
+
+describe('promises of the scheduler under random failures', function () {
+	this.timeout(120_000);
+
+	it('no task runs twice at once, again after its end, or beyond its attempts; every job ends once the failures are over', () => {
+		fastCheck.assert(fastCheck.property(fastCheck.array(action, {minLength: 5, maxLength: 30}), actions => {
+			const cluster = new Cluster();
+			for (const step of actions) {
+				cluster.act(step);
+				cluster.elapse(250);
+			}
+
+			for (const each of cluster.workers) {
+				each.isCut = false;
+			}
+
+			cluster.lostAnswers = 0;
+			cluster.elapse(180_000);
+			const open = Array.from({length: cluster.jobs}, (_, index) => index + 1).filter(number => !isOver(cluster, number));
+			expect(open, 'jobs that never ended').to.deep.equal([]);
+		}), {numRuns: 150, seed: 20_261_204});
+	});
+});
--- /dev/null
+++ b/test/supervision/receive.test.ts
@@ -0,0 +1,175 @@
+import {expect} from 'chai';
+import type {WorkerId} from '#core';
+import type {ServiceName, TaskName} from '#jobs';
+import {
+	chooseDeadline, describeWorker, initialSupervisionState, receiveSupervisionMessage, type Announcement, type HoldOrder, type SupervisionEffect, type SupervisionMessage, type SupervisionState,
+} from '#supervision';
+
+const options = {maximumHoldMilliseconds: 6000};
+const task = '00000000000000a1.0.0.0' as TaskName;
+
+function announcement(change: Partial<Announcement> = {}): Announcement {
+	return {
+		worker: 'w' as WorkerId, incarnation: '100', startedAt: 100, sequence: 1, service: 'svc' as ServiceName, zone: 'z', labels: ['a', 'r'], rack: 'r',
+		capacity: {processorMillicores: 1, memoryMegabytes: 1, accelerators: 1}, state: 'ready', leavesInMilliseconds: undefined, clock: 50_000, ...change,
+	};
+}
+
+function drive(messages: ReadonlyArray<readonly [number, SupervisionMessage]>): Readonly<{state: SupervisionState; effects: readonly SupervisionEffect[]}> {
+	let state = initialSupervisionState;
+	let effects: readonly SupervisionEffect[] = [];
+	for (const [monotonic, message] of messages) {
+		const step = receiveSupervisionMessage(state, message, {now: monotonic, monotonic}, options);
+		state = step.state;
+		effects = step.effects;
+	}
+
+	return {state, effects};
+}
+
+const granted: SupervisionMessage = {
+	kind: 'granted', epoch: 3, askedAt: 0, validity: 7500, incarnation: '100', notedEnd: 0,
+};
+
+function orderOf(change: Partial<HoldOrder> = {}): HoldOrder {
+	return {
+		worker: 'w' as WorkerId, incarnation: '100', epoch: 3, deadline: 56_000, leaseUntil: 6000, notedEnd: 0, wait: 0, isLoop: false, ...change,
+	};
+}
+
+function held(clock: number, change: Readonly<{running?: readonly string[]; incarnation?: string}> = {}): SupervisionMessage {
+	return {
+		kind: 'held',
+		order: orderOf(),
+		result: {
+			kind: 'held', incarnation: change.incarnation ?? '100', clock, running: (change.running ?? []).map(name => ({
+				task: name as TaskName, run: 1, checkpoint: '', percent: 5,
+			})), ended: [],
+		},
+	};
+}
+
+type Case = Readonly<{name: string; run(): void}>;
+
+const cases: readonly Case[] = [
+	{
+		name: 'nothing is reported before the worker has answered with the epoch (late orders of an earlier scheduler)',
+		run() {
+			const {state, effects} = drive([[0, {kind: 'announced', announcement: announcement()}], [0, granted]]);
+			expect(describeWorker(state, 0)).to.equal(undefined);
+			expect(effects.filter(({kind}) => kind === 'hold')).to.have.length(1);
+			expect(describeWorker(drive([[0, {kind: 'announced', announcement: announcement()}], [0, granted], [5, held(50_005)]]).state, 5)).to.include({worker: 'w'});
+		},
+	},
+	{
+		name: 'leases end with the grant, however often they are extended (work goes on beside its second run)',
+		run() {
+			const {state} = drive([[0, {kind: 'announced', announcement: announcement()}], [0, granted]]);
+			expect(chooseDeadline(state, 1000, options).leaseUntil).to.equal(7000);
+			expect(chooseDeadline(state, 5000, options).leaseUntil).to.equal(7500);
+			expect(chooseDeadline(state, 7500, options).deadline).to.equal(undefined);
+		},
+	},
+	{
+		name: 'the grant counts from before the renewal was sent (answer that was held up)',
+		run() {
+			const {state} = drive([[0, {kind: 'announced', announcement: announcement()}], [4000, granted]]);
+			expect(chooseDeadline(state, 4000, options).leaseUntil).to.equal(7500);
+		},
+	},
+	{
+		name: 'a deadline is never ahead on a worker whose clock is slow',
+		run() {
+			const {state} = drive([[0, {kind: 'announced', announcement: announcement()}], [0, granted]]);
+			expect(chooseDeadline(state, 1000, options).deadline).to.equal(50_980 + 6000);
+		},
+	},
+	{
+		name: 'a grant of an earlier scheduler changes nothing (two schedulers)',
+		run() {
+			const {state} = drive([[0, {kind: 'announced', announcement: announcement()}], [0, {kind: 'epoch-raised', epoch: 4}], [0, granted]]);
+			expect(state).to.include({epoch: 4, grantUntil: 0});
+		},
+	},
+	{
+		name: 'a list that was overtaken by a newer one changes nothing (run seen as gone)',
+		run() {
+			const {state} = drive([[0, {kind: 'announced', announcement: announcement()}], [0, granted], [20, held(50_020, {running: [task]})], [21, held(50_010)]]);
+			expect(state.worker?.running.map(row => row.task)).to.deep.equal([task]);
+		},
+	},
+	{
+		name: 'a list of another life of the worker changes nothing',
+		run() {
+			const {state} = drive([[0, {kind: 'announced', announcement: announcement()}], [0, granted], [20, held(50_020, {running: [task], incarnation: '200'})]]);
+			expect(state.worker?.running).to.deep.equal([]);
+		},
+	},
+	{
+		name: 'a delayed announcement of an earlier life does not replace the present one',
+		run() {
+			const {state} = drive([
+				[0, {kind: 'announced', announcement: announcement({incarnation: '200', startedAt: 200})}],
+				[1, {
+					kind: 'announced', announcement: announcement({
+						worker: 'old' as WorkerId, incarnation: '100', startedAt: 100, sequence: 9,
+					}),
+				}],
+			]);
+			expect(state.worker?.announcement.incarnation).to.equal('200');
+		},
+	},
+	{
+		name: 'an older announcement of this life does not take back that it drains',
+		run() {
+			const {state} = drive([
+				[0, {kind: 'announced', announcement: announcement({sequence: 5, state: 'draining'})}],
+				[1, {kind: 'announced', announcement: announcement({sequence: 4})}],
+			]);
+			expect(state.worker?.announcement.state).to.equal('draining');
+		},
+	},
+	{
+		name: 'a worker that turns silent is reported, and its lease is over only after all margins (runs declared lost too early)',
+		run() {
+			const {state, effects} = drive([
+				[0, {kind: 'announced', announcement: announcement()}],
+				[0, granted],
+				[0, held(50_000)],
+				[100, {kind: 'hold-due'}],
+				[900, {kind: 'held', order: orderOf({leaseUntil: 6100}), result: {kind: 'failed', message: 'timed out'}}],
+			]);
+			expect(effects).to.deep.include({kind: 'renew'});
+			expect(describeWorker(state, 6200)).to.include({isResponsive: false, isLeaseOver: false});
+			expect(describeWorker(state, 6600)).to.include({isLeaseOver: true});
+		},
+	},
+	{
+		name: 'a run that was started is reported before the next list (run seen as vanished)',
+		run() {
+			const {state} = drive([
+				[0, {kind: 'announced', announcement: announcement()}],
+				[0, granted],
+				[0, held(50_000)],
+				[10, {
+					kind: 'started', incarnation: '100', task, run: 1, clock: 50_010, leaseUntil: 6000,
+				}],
+				[11, held(50_005)],
+			]);
+			expect(describeWorker(state, 11)?.running.map(row => row.task)).to.deep.equal([task]);
+		},
+	},
+	{
+		name: 'a worker that left is told with its life',
+		run() {
+			const {effects} = drive([[0, {kind: 'announced', announcement: announcement()}], [1, {kind: 'departed', worker: 'w' as WorkerId}]]);
+			expect(effects).to.deep.include({kind: 'say-left', worker: 'w', incarnation: '100'});
+		},
+	},
+];
+
+describe('decisions of the agent beside a worker', () => {
+	for (const {name, run} of cases) {
+		it(name, run);
+	}
+});
--- a/test/support/processes.ts
+++ b/test/support/processes.ts
@@ -9,7 +9,7 @@
 	exited: Promise<number | null>;
 }>;
 
-export type DaemonName = 'dotterelnotch-entry' | 'dotterelnotch-agent' | 'stand-in-store' | 'stand-in-worker';
+export type DaemonName = 'dotterelnotch-entry' | 'dotterelnotch-agent' | 'stand-in-store' | 'stand-in-worker' | 'platform-entry' | 'platform-agent';
 
 /** Starts a daemon and waits until it says that it is ready. */
 export async function startDaemon(name: DaemonName, settings: Readonly<Record<string, string | number>>): Promise<Daemon> {
--- /dev/null
+++ b/test/support/scheduling.ts
@@ -0,0 +1,135 @@
+/** Jobs, workers and a scheduler in virtual time, for tests of the scheduler's decisions. */
+import type {WorkerId} from '#core';
+import {
+	formatTaskName, type EndedRow, type JobKey, type JobStep, type JobSubmission, type Queue, type QueueName, type RunningRow, type SchedulingConfiguration, type ServiceName, type TaskName,
+	type TenantName, type WorkerSnapshot,
+} from '#jobs';
+import {
+	createSchedulerState, receiveSchedulerMessage, type SchedulerEffect, type SchedulerMessage, type SchedulerState,
+} from '#scheduling';
+
+export const service = 'svc' as ServiceName;
+export const tenant = 'tenant' as TenantName;
+
+export function queueOf(priority: number, maximumAttempts = 3): Queue {
+	return {
+		name: `queue-${priority}` as QueueName, host: 'h', pathPrefix: `/${priority}/`, service, priority, maximumAttempts, stretch: 2, targetMilliseconds: 1000, isPublic: false,
+	};
+}
+
+export const configuration: SchedulingConfiguration = {
+	version: 1,
+	queues: [queueOf(0), queueOf(1), queueOf(2)],
+	tenants: [{name: tenant, apiKeys: ['key'], guaranteedAccelerators: 8}],
+};
+
+export const oneStep: JobStep = {
+	count: 1, processorMillicores: 1000, memoryMegabytes: 100, accelerators: 1, estimatedMilliseconds: 5000, after: [], isCheckpointing: false, isGang: false, prefersOneRack: false,
+	maximumPerWorker: 0, isLongRunning: false, isFilling: false, maximumUnavailable: 0,
+};
+
+export function keyOf(number: number): JobKey {
+	return number.toString(16).padStart(16, '0') as JobKey;
+}
+
+export function submissionOf(number: number, steps: ReadonlyArray<Partial<JobStep>>, options: Readonly<{priority?: number; submittedAt?: number; maximumAttempts?: number}> = {}): JobSubmission {
+	return {
+		job: keyOf(number),
+		queue: queueOf(options.priority ?? 2, options.maximumAttempts),
+		tenant,
+		submittedAt: options.submittedAt ?? 0,
+		request: {specification: 'text', steps: steps.map(step => ({...oneStep, ...step}))},
+	};
+}
+
+export function taskOf(job: number, index = 0, step = 0): TaskName {
+	return formatTaskName({
+		job: keyOf(job), occurrence: 0, step, index,
+	});
+}
+
+export type WorkerOptions = Partial<WorkerSnapshot> & Readonly<{running?: readonly RunningRow[]; ended?: readonly EndedRow[]}>;
+
+export function snapshotOf(name: string, options: WorkerOptions = {}): WorkerSnapshot {
+	return {
+		worker: `w-${name}` as WorkerId, incarnation: '1', service, zone: 'z', labels: ['a', 'r-1'], rack: 'r-1', capacity: {processorMillicores: 128_000, memoryMegabytes: 262_144, accelerators: 8},
+		state: 'ready', isResponsive: true, isLeaseOver: false, running: [], ended: [], ...options,
+	};
+}
+
+export function rowOf(task: TaskName, run: number, percent = 10, checkpoint = ''): RunningRow {
+	return {
+		task, run, checkpoint, percent,
+	};
+}
+
+export function endOf(number: number, task: TaskName, run: number, ending: EndedRow['ending'], checkpoint = ''): EndedRow {
+	return {
+		number, task, run, ending, checkpoint,
+	};
+}
+
+export type Driver = Readonly<{
+	state(): SchedulerState;
+	/** Handles a message and returns its effects, those of stored progress included. */
+	send(message: SchedulerMessage): readonly SchedulerEffect[];
+	elapse(duration: number): readonly SchedulerEffect[];
+	time(): number;
+}>;
+
+/** Drives a scheduler; by default the store keeps progress at once. */
+export function createDriver(options: Readonly<{epoch?: number; isStoring?: boolean; start?: number}> = {}): Driver {
+	let state = createSchedulerState(options.epoch ?? 1);
+	let time = options.start ?? 0;
+	let keyVersion = 1;
+	const send = (message: SchedulerMessage): readonly SchedulerEffect[] => {
+		const step = receiveSchedulerMessage(state, message, {now: time, monotonic: time});
+		state = step.state;
+		const stored = step.effects.flatMap(effect => {
+			const job = effect.kind === 'store-progress' && options.isStoring !== false ? state.jobs.get(effect.job) : undefined;
+			return job === undefined
+				? []
+				: send({
+					kind: 'stored', job: job.submission.job, version: job.version, keyVersion: keyVersion++,
+				});
+		});
+		return [...step.effects, ...stored];
+	};
+
+	return {
+		state: () => state,
+		send,
+		elapse(duration) {
+			const effects: SchedulerEffect[] = [];
+			for (let left = duration; left > 0; left -= tickMilliseconds) {
+				time += Math.min(tickMilliseconds, left);
+				effects.push(...send({kind: 'tick'}));
+			}
+
+			return effects;
+		},
+		time: () => time,
+	};
+}
+
+/** A scheduler that has read an empty store, with idle workers. */
+export function createReadyDriver(workers: ReadonlyArray<readonly [string, WorkerOptions?]>, options: Parameters<typeof createDriver>[0] = {}): Driver {
+	const driver = createDriver(options);
+	driver.send({kind: 'configured', configuration});
+	driver.send({kind: 'loaded', jobs: [], workers: []});
+	for (const [name, worker] of workers) {
+		driver.send({kind: 'renewed', agent: name, snapshot: snapshotOf(name, worker)});
+	}
+
+	return driver;
+}
+
+const tickMilliseconds = 250;
+
+export function startsOf(effects: readonly SchedulerEffect[]): ReadonlyArray<Readonly<{agent: string; task: TaskName; run: number; checkpoint: string}>> {
+	return effects.flatMap(effect => effect.kind === 'start' ? effect.orders.map(order => ({agent: effect.agent, ...order})) : []);
+}
+
+export function stopsOf(effects: readonly SchedulerEffect[]): readonly TaskName[] {
+	return effects.flatMap(effect => effect.kind === 'stop' ? effect.orders.map(({task}) => task) : []);
+}
