Acknowledge ends only after the stored jobs were read

Ruled out: a late write of the earlier scheduler, since its writes hang on the leader's key; a report of another life, since the runs were on one worker.

Change: ends are left alone until the jobs are loaded. Tests that failed first: a case of the scheduler's table, and the random schedules once runs end between two schedulers.

--- a/packages/scheduling/reports.ts
+++ b/packages/scheduling/reports.ts
@@ -37,7 +37,8 @@
 	return chain(state, [
 		next => isReplaced ? adoptLife(next, worker, snapshot, present) : unchanged(next),
 		next => unchanged(withSnapshot(next, agent, snapshot, present.monotonic)),
-		...snapshot.ended.map(row => (next: SchedulerState) => handleEnd(next, agent, row, present)),
+		// Ends are handled once the stored jobs are known, so that none is acknowledged without being kept.
+		...(state.isLoaded ? snapshot.ended : []).map(row => (next: SchedulerState) => handleEnd(next, agent, row, present)),
 		next => snapshot.isLeaseOver && isKnown ? releaseLife(next, worker, 'worker is silent and its lease is over', present) : reconcile(next, agent, snapshot, present),
 	]);
 }
--- a/test/scheduling/decisions.test.ts
+++ b/test/scheduling/decisions.test.ts
@@ -241,6 +241,25 @@
 			expect(startsOf(driver.elapse(500)).map(({run}) => run)).to.deep.equal([1001]);
 		},
 	},
+	{
+		name: 'ends that are reported before the stored jobs were read are not acknowledged (done task started again after a takeover)',
+		run() {
+			const driver = createDriver({epoch: 2});
+			driver.send({kind: 'configured', configuration});
+			const early = driver.send({kind: 'renewed', agent: 'a', snapshot: snapshotOf('a', {ended: [endOf(4, taskOf(1), 1, 'done')]})});
+			expect(early.filter(({kind}) => kind === 'acknowledge')).to.deep.equal([]);
+			expect(driver.state().workers.get('a')?.notedEnd).to.equal(0);
+			driver.send({
+				kind: 'loaded',
+				jobs: [{
+					submission: submissionOf(1, [{}]), isCancelled: false, progress: {outcome: 'running', tasks: {}}, keyVersion: 4,
+				}],
+				workers: [{agent: 'a', worker: 'w-a' as WorkerId}],
+			});
+			expect(driver.state().jobs.get(keyOf(1))?.outcome).to.equal('completed');
+			expect(driver.state().workers.get('a')?.notedEnd).to.equal(4);
+		},
+	},
 	{
 		name: 'another worker beside the same agent ends the wait for the earlier one (takeover after all machines lost power)',
 		run() {
--- a/test/scheduling/properties.test.ts
+++ b/test/scheduling/properties.test.ts
@@ -190,8 +190,21 @@
 
 	takeOver(): void {
 		this.epoch++;
+		// Runs end while nobody schedules.
+		this.time += 250;
+		for (const each of this.workers) {
+			each.advance(this.time);
+		}
+
 		this.driver = createDriver({epoch: this.epoch, isStoring: false, start: this.time});
 		this.send({kind: 'configured', configuration});
+		// Agents report before the stored jobs were read.
+		for (let turn = 0; turn < 2; turn++) {
+			for (const each of this.workers) {
+				this.renew(each);
+			}
+		}
+
 		this.send({
 			kind: 'loaded',
 			jobs: [...this.submissions.values()].map(submission => ({
