Keep refusals true when an earlier attempt may have been stored

Cause: with the store away, an entry refused (503, never runs) a submission whose earlier attempt through another entry had been written without an answer.

Change: entries remember such submissions and tell each other; they are answered 504 until the store was asked.

--- a/packages/coordinator/plugins/callers.ts
+++ b/packages/coordinator/plugins/callers.ts
@@ -12,6 +12,7 @@
 import type {CoordinatorContext} from '../types.js';
 import {configurationService} from './configuration.js';
 import {entryPeersService} from './entry-peers.js';
+import {undecidedService} from './undecided.js';
 
 /** Answers callers; a front end decodes their requests and encodes the answers. */
 export type Callers = Readonly<{answer(call: CallerCall): Promise<CallerAnswer>}>;
@@ -88,7 +89,18 @@
 	});
 	const answer = await Promise.race([answerOrForward(call, context), late]);
 	cancel();
-	return answer;
+	return call.action.kind === 'submit' ? keepTrue(answer, call.path, context) : answer;
+}
+
+/** An earlier attempt may have been stored without an answer; then a refusal, which says that the job never runs, could be untrue. */
+function keepTrue(answer: CallerAnswer, path: string, {services}: CoordinatorContext): CallerAnswer {
+	const undecided = services.use(undecidedService);
+	if (answer.kind === 'undecided') {
+		undecided.note(path);
+		return answer;
+	}
+
+	return answer.kind === 'refused' && undecided.has(path) ? {kind: 'undecided', reason: 'an earlier attempt may have been stored'} : answer;
 }
 
 /** An entry that the store turns away lets another one answer. */
--- a/packages/coordinator/plugins/entry-peers.ts
+++ b/packages/coordinator/plugins/entry-peers.ts
@@ -11,6 +11,7 @@
 import {configurationService} from './configuration.js';
 import {directoryService, listEntries} from './directory.js';
 import {leadershipService} from './leadership.js';
+import {undecidedService} from './undecided.js';
 
 /** Connections that this entry opened to the others. */
 export type EntryPeers = Readonly<{
@@ -20,7 +21,7 @@
 
 export const entryPeersService = createServiceKey<EntryPeers>('entry-peers');
 
-type News = Readonly<{configurationVersion: number; configuration?: SchedulingConfiguration | undefined; epoch: number}>;
+type News = Readonly<{configurationVersion: number; configuration?: SchedulingConfiguration | undefined; epoch: number; undecided: readonly string[]}>;
 
 coordinatorPlugins.register({
 	kind: 'task',
@@ -119,7 +120,11 @@
 	}
 }
 
-function learn({configuration, epoch}: News, {services}: CoordinatorContext): void {
+function learn({configuration, epoch, undecided}: News, {services}: CoordinatorContext): void {
+	for (const path of undecided) {
+		services.use(undecidedService).note(path);
+	}
+
 	if (configuration !== undefined) {
 		services.use(configurationService).send({kind: 'learned', configuration, source: 'entry'});
 	}
@@ -135,5 +140,6 @@
 		configurationVersion: configuration?.version ?? 0,
 		...(configuration !== undefined && configuration.version > knownVersion ? {configuration} : {}),
 		epoch: highestEpoch,
+		undecided: services.use(undecidedService).list(),
 	};
 }
--- a/packages/coordinator/plugins/index.ts
+++ b/packages/coordinator/plugins/index.ts
@@ -2,6 +2,7 @@
 import './store.js';
 import './fronts.js';
 import './operations.js';
+import './undecided.js';
 import './agents.js';
 import './lease.js';
 import './leadership.js';
--- a/packages/coordinator/plugins/scheduler.ts
+++ b/packages/coordinator/plugins/scheduler.ts
@@ -2,7 +2,7 @@
 	createServiceKey, startTask, type Cancel, type TaskHandle,
 } from '#kernel';
 import {
-	createSchedulerState, receiveSchedulerMessage, type SchedulerEffect, type SchedulerMessage, type SchedulerState,
+	countPending, createSchedulerState, receiveSchedulerMessage, type SchedulerEffect, type SchedulerMessage, type SchedulerState,
 } from '#scheduling';
 import {schedulerTickMilliseconds} from '../constants.js';
 import {startJobWatch} from '../job-watch.js';
@@ -96,6 +96,7 @@
 		if (!isOver) {
 			task.send({kind: 'tick'});
 			term.workers.refresh();
+			showGauges(task.read(), context);
 			clock.schedule(schedulerTickMilliseconds, tick);
 		}
 	};
@@ -112,6 +113,13 @@
 	};
 }
 
+function showGauges(state: SchedulerState, {counters}: CoordinatorContext): void {
+	const usable = [...state.workers.values()].filter(({contact, snapshot}) => contact.kind === 'attached' && snapshot.isResponsive && snapshot.state === 'ready');
+	counters.setGauge('usable-workers', usable.length);
+	counters.setGauge('unread-workers', state.unread.size);
+	counters.setGauge('jobs-waiting', [...countPending(state).values()].reduce((total, count) => total + count, 0));
+}
+
 function performEffect(effect: SchedulerEffect, term: Term, context: CoordinatorContext): void {
 	switch (effect.kind) {
 		case 'start': {
--- a/packages/protocol/scheduling.ts
+++ b/packages/protocol/scheduling.ts
@@ -75,11 +75,14 @@
 	configuration: valibot.optional(schedulingConfigurationSchema),
 	/** Highest epoch that the sender knows. */
 	epoch: countSchema,
+	/** Paths of submissions whose outcome is unknown. */
+	undecided: valibot.pipe(valibot.array(valibot.string()), valibot.readonly()),
 });
 export const exchangeNewsResultSchema = valibot.object({
 	configurationVersion: valibot.number(),
 	configuration: valibot.optional(schedulingConfigurationSchema),
 	epoch: countSchema,
+	undecided: valibot.pipe(valibot.array(valibot.string()), valibot.readonly()),
 });
 
 /** A caller's request, decoded; the same for every front end. */
--- a/test/platform/path.test.ts
+++ b/test/platform/path.test.ts
@@ -128,6 +128,22 @@
 			expect(deployment.store.read(`jobs/${second}`)).to.equal(undefined);
 		},
 	},
+	{
+		name: 'a submission that may have been stored is not refused by any entry afterwards (untrue refusal)',
+		options: {entries: 2, workers: 1, workMilliseconds: 300},
+		async run(deployment) {
+			await submit(deployment, 'batch', second, [step]);
+			deployment.store.setMode('losing');
+			expect(await deployment.call(0, 'POST', `/batch/${first}`, {spec: '', steps: [step]})).to.include({status: 504});
+			deployment.store.setMode('busy');
+			await new Promise(resolve => {
+				setTimeout(resolve, 1500);
+			});
+			expect(await deployment.call(1, 'POST', `/batch/${first}`, {spec: '', steps: [step]})).to.include({status: 504});
+			deployment.store.setMode('serving');
+			await waitForState(deployment, 'batch', first, 'completed');
+		},
+	},
 	{
 		name: 'starts that are carried out late without an answer run no task twice (late order)',
 		options: {entries: 1, workers: 2, workMilliseconds: 1500},
--- a/test/support/platform/deployment.ts
+++ b/test/support/platform/deployment.ts
@@ -36,12 +36,14 @@
 	tenants: [{name: 'tenant', api_keys: [apiKey], guaranteed: {gpus: 8}}],
 };
 
-/** Time for the reports of agents after their workers answered. */
-const reportMilliseconds = 400;
-
 /** Each test file takes its own ports, so that files may run one after the other without waiting for sockets. */
 let nextPort = 21_000 + ((process.pid % 500) * 20);
 
+async function readMetrics(address: string): Promise<string> {
+	const response = await fetch(`http://${address}/metrics`);
+	return response.text();
+}
+
 export async function startDeployment({entries, workers, workMilliseconds, failingWorkers = 0, configuration = defaultManifest}: DeploymentOptions): Promise<Deployment> {
 	const store = await servePlatformStore();
 	const base = nextPort;
@@ -69,10 +71,9 @@
 		worker.announceTo(`${hostOf(100 + index)}:${base + 4}`);
 	}
 
-	await waitFor('workers', async () => workerList.every(worker => worker.isHeld()) ? true : undefined);
-	// The reports of the agents follow at once.
-	await new Promise(resolve => {
-		setTimeout(resolve, reportMilliseconds);
+	await waitFor('workers', async () => {
+		const pages = await Promise.all(running.map(async ({daemon}, index) => readMetrics(`${hostOf(index)}:${daemon.ports['metrics'] ?? 0}`)));
+		return pages.some(page => page.includes(`dotterelnotch_value{name="usable-workers"} ${workers}\n`)) ? true : undefined;
 	});
 	return {
 		store,
--- a/test/support/platform/worker.ts
+++ b/test/support/platform/worker.ts
@@ -13,8 +13,6 @@
 	id: string;
 	address: string;
 	records(): readonly StartRecord[];
-	/** Whether an agent has called it for a scheduler. */
-	isHeld(): boolean;
 	/** Tells the agent; again and again until the worker is closed. */
 	announceTo(address: string): void;
 	setDraining(): void;
@@ -225,7 +223,6 @@
 		id,
 		address: `${host}:${port}`,
 		records: () => records,
-		isHeld: () => fence > 0,
 		announceTo(address) {
 			void announce(address);
 		},
