--- a/tools/build.mjs
+++ b/tools/build.mjs
@@ -19,6 +19,7 @@
 	outExtension: {'.js': '.mjs'},
 	// Optional native dependencies of the logging library.
 	external: ['dtrace-provider', 'mv', 'source-map-support'],
-	banner: {js: 'import {createRequire} from \'node:module\';const require = createRequire(import.meta.url);'},
+	// The bundles are installed as commands.
+	banner: {js: '#!/usr/bin/env node\nimport {createRequire} from \'node:module\';const require = createRequire(import.meta.url);'},
 	logLevel: 'warning',
 });
