Doubt grants and leases from before a machine was suspended

Cause: a suspended machine's steady clock stands still, so that an agent could extend leases, and an entry give orders, after others had counted them as over.

--- a/packages/coordinator/plugins/leadership.ts
+++ b/packages/coordinator/plugins/leadership.ts
@@ -8,6 +8,7 @@
 } from '../leadership.js';
 import {peerAddressOf} from '../peer-address.js';
 import {coordinatorPlugins} from '../plugins.js';
+import {createSuspensionGuard, type SuspensionGuard} from '../suspension.js';
 import {storePort} from '../ports.js';
 import type {CoordinatorContext} from '../types.js';
 import {leaseService} from './lease.js';
@@ -16,11 +17,15 @@
 /** The task that decides whether this entry schedules. */
 export const leadershipService = createServiceKey<TaskHandle<LeadershipState, LeadershipMessage>>('leadership');
 
+/** Tells whether the lease was confirmed since the machine was last suspended. */
+const suspensionService = createServiceKey<SuspensionGuard>('suspension');
+
 /** Whether this entry may still give orders: its lease was confirmed not too long ago. */
 export function mayLead({services, clock}: CoordinatorContext): boolean {
 	const held = services.use(leaseService).findLast();
 	return services.use(leadershipService).read().term !== undefined
 		&& held !== undefined
+		&& services.use(suspensionService).isConfirmed(held.validUntil)
 		&& clock.monotonic() < held.validUntil + unconfirmedLeadershipMilliseconds;
 }
 
@@ -31,6 +36,7 @@
 	name: 'leadership',
 	start(context) {
 		const {clock, services, settings} = context;
+		services.provide(suspensionService, createSuspensionGuard(clock));
 		const leadership = startTask<LeadershipState, LeadershipMessage, LeadershipEffect>(
 			{name: 'leadership', initialState: createLeadershipState(settings.entry), receive: receiveLeadershipMessage},
 			{
--- a/packages/supervision/constants.ts
+++ b/packages/supervision/constants.ts
@@ -4,5 +4,7 @@
 export const holdRetryMilliseconds = 250;
 /** Worker clocks may be 2% slow, so a lease may last that much longer. */
 export const slowClockShare = 0.02;
+/** A steady clock that fell this far behind the time of day has stood still, as it does while a machine is suspended. */
+export const suspensionMilliseconds = 500;
 /** Allowance for a lease that a late call extended. */
 export const leaseSlackMilliseconds = 300;
--- a/packages/supervision/receive.ts
+++ b/packages/supervision/receive.ts
@@ -3,7 +3,7 @@
 } from '#core';
 import {isSameLife, type WorkerSnapshot} from '#jobs';
 import {
-	holdRetryMilliseconds, holdWaitMilliseconds, leaseSlackMilliseconds, slowClockShare,
+	holdRetryMilliseconds, holdWaitMilliseconds, leaseSlackMilliseconds, slowClockShare, suspensionMilliseconds,
 } from './constants.js';
 import type {
 	Announcement, HoldOrder, SupervisedWorker, SupervisionEffect, SupervisionMessage, SupervisionState,
@@ -18,15 +18,26 @@
 }>;
 
 export const initialSupervisionState: SupervisionState = {
-	worker: undefined, epoch: 0, grantUntil: 0, revision: 0, isHolding: false, isStopped: false,
+	worker: undefined, epoch: 0, grantUntil: 0, clockOffset: undefined, revision: 0, isHolding: false, isStopped: false,
 };
 
 /** Decides when leases are extended, which scheduler is obeyed, and what is reported. */
-export function receiveSupervisionMessage(state: SupervisionState, message: SupervisionMessage, {monotonic}: Present, options: SupervisionOptions): SupervisionStep {
-	if (state.isStopped) {
-		return {state, effects: []};
-	}
+export function receiveSupervisionMessage(state: SupervisionState, message: SupervisionMessage, present: Present, options: SupervisionOptions): SupervisionStep {
+	return state.isStopped ? {state, effects: []} : handleMessage(noteClocks(state, present), message, present.monotonic, options);
+}
+
+/**
+A grant may have ended while the machine was suspended, since its steady clock did not count that time. The next renewal brings another one.
+
+A time of day that is set forward looks the same and costs one renewal.
+*/
+function noteClocks(state: SupervisionState, {now, monotonic}: Present): SupervisionState {
+	const clockOffset = now - monotonic;
+	const isSuspended = state.clockOffset !== undefined && clockOffset - state.clockOffset > suspensionMilliseconds;
+	return {...state, clockOffset, grantUntil: isSuspended ? 0 : state.grantUntil};
+}
 
+function handleMessage(state: SupervisionState, message: SupervisionMessage, monotonic: MonotonicTime, options: SupervisionOptions): SupervisionStep {
 	switch (message.kind) {
 		case 'announced': {
 			return handleAnnouncement(state, message.announcement, monotonic);
--- a/packages/supervision/types.ts
+++ b/packages/supervision/types.ts
@@ -48,6 +48,8 @@
 	epoch: number;
 	/** Until when the agent may extend leases without another grant. */
 	grantUntil: MonotonicTime;
+	/** Time of day less the steady clock, at the last message; it grows while the machine is suspended. */
+	clockOffset: Milliseconds | undefined;
 	/** Raised by each change that the scheduler should hear of at once. */
 	revision: number;
 	isHolding: boolean;
--- a/test/supervision/receive.test.ts
+++ b/test/supervision/receive.test.ts
@@ -15,11 +15,11 @@
 	};
 }
 
-function drive(messages: ReadonlyArray<readonly [number, SupervisionMessage]>): Readonly<{state: SupervisionState; effects: readonly SupervisionEffect[]}> {
+function drive(messages: ReadonlyArray<readonly [number, SupervisionMessage, number?]>): Readonly<{state: SupervisionState; effects: readonly SupervisionEffect[]}> {
 	let state = initialSupervisionState;
 	let effects: readonly SupervisionEffect[] = [];
-	for (const [monotonic, message] of messages) {
-		const step = receiveSupervisionMessage(state, message, {now: monotonic, monotonic}, options);
+	for (const [monotonic, message, now = monotonic] of messages) {
+		const step = receiveSupervisionMessage(state, message, {now, monotonic}, options);
 		state = step.state;
 		effects = step.effects;
 	}
@@ -159,6 +159,13 @@
 			expect(describeWorker(state, 11)?.running.map(row => row.task)).to.deep.equal([task]);
 		},
 	},
+	{
+		name: 'a grant from before the machine was suspended counts no longer (lease extended beside a second run)',
+		run() {
+			const {state} = drive([[0, {kind: 'announced', announcement: announcement()}], [0, granted], [1000, {kind: 'hold-due'}, 7000]]);
+			expect(chooseDeadline(state, 1000, options).deadline).to.equal(undefined);
+		},
+	},
 	{
 		name: 'a worker that left is told with its life',
 		run() {
