Store checkpoints of runs every 2 s

Cause: only ends brought checkpoints into the store, so that work was done again from its beginning when all machines lost power.

Change: progress with changed checkpoints is stored every 2 s.

--- a/packages/scheduling/constants.ts
+++ b/packages/scheduling/constants.ts
@@ -38,6 +38,8 @@
 export const drainSlackMilliseconds = 1500;
 /** Wide work that waited this long keeps younger work of its rank from the workers it needs. */
 export const reservationDelayMilliseconds = 1000;
+/** How often checkpoints of runs are stored. Workers make one with each 0.5 to 2 s of work, and a write holds those of 15 jobs. */
+export const checkpointStoreMilliseconds = 2000;
 /** How long the records of an ended job are kept. The platform asks for 120 s. */
 export const endedJobRetentionMilliseconds = 150_000;
 /** Occurrences start at most this much before they are due. */
--- a/packages/scheduling/state.ts
+++ b/packages/scheduling/state.ts
@@ -98,6 +98,7 @@
 		version: stored.progress === undefined ? 0 : 1,
 		storedVersion: stored.progress === undefined ? 0 : 1,
 		keyVersion: stored.keyVersion,
+		storedCheckpoints: {joined: joinCheckpoints(tasks), at: context.monotonic},
 		changedAt: context.monotonic,
 		isInherited: context.isInherited,
 		endedAt: stored.progress?.endedAt,
@@ -105,6 +106,11 @@
 	};
 }
 
+/** The checkpoints of tasks that are not done, to compare with those that were stored. */
+export function joinCheckpoints(tasks: SchedulerJob['tasks']): string {
+	return [...tasks.values()].map(({isDone, checkpoint}) => isDone ? '' : checkpoint).join(' ');
+}
+
 function createTask(progress: TaskProgress | undefined, epoch: number): TaskState {
 	return {
 		isDone: progress?.isDone ?? false,
--- a/packages/scheduling/tick.ts
+++ b/packages/scheduling/tick.ts
@@ -2,14 +2,14 @@
 import type {Milliseconds, MonotonicTime, Present} from '#core';
 import {listStepTasks, type JobStep, type TaskName} from '#jobs';
 import {
-	drainSlackMilliseconds, endedJobRetentionMilliseconds, startConfirmationMilliseconds, stopRetryMilliseconds, stuckMilliseconds, stuckPercentFactor,
+	checkpointStoreMilliseconds, drainSlackMilliseconds, endedJobRetentionMilliseconds, startConfirmationMilliseconds, stopRetryMilliseconds, stuckMilliseconds, stuckPercentFactor,
 } from './constants.js';
 import {noteFailure, releaseLife} from './ends.js';
 import {
-	chain, listRuns, stopRuns, unchanged, type SchedulerStep,
+	chain, listRuns, stopRuns, storeJob, unchanged, type SchedulerStep,
 } from './runs.js';
 import {
-	findWorkerOfRun, isOpen, jobOf, stepOf, withJob, withTask,
+	findWorkerOfRun, isOpen, jobOf, joinCheckpoints, stepOf, withJob, withTask,
 } from './state.js';
 import type {
 	SchedulerEffect, SchedulerState, TaskRun,
@@ -24,6 +24,7 @@
 		next => forgetGoneWorkers(next, present),
 		next => unchanged(forgetUnread(next, present.monotonic)),
 		next => stopPartialGangs(next, present.monotonic),
+		next => storeCheckpoints(next, present.monotonic),
 		next => removeOldRecords(next, present.monotonic),
 	]);
 }
@@ -149,6 +150,16 @@
 	return stopRuns(state, partial, 'only a part of the gang runs', monotonic);
 }
 
+/** Machines keep nothing, so that a checkpoint that only they know is lost when all of them lose power. */
+function storeCheckpoints(state: SchedulerState, monotonic: MonotonicTime): SchedulerStep {
+	const due = [...state.jobs.values()].flatMap(job => {
+		const isDue = job.outcome === 'running' && monotonic - job.storedCheckpoints.at >= checkpointStoreMilliseconds;
+		const joined = isDue ? joinCheckpoints(job.tasks) : job.storedCheckpoints.joined;
+		return joined === job.storedCheckpoints.joined ? [] : [{...job, storedCheckpoints: {joined, at: monotonic}}];
+	});
+	return chain(state, due.map(job => next => storeJob(next, job)));
+}
+
 function removeOldRecords(state: SchedulerState, monotonic: MonotonicTime): SchedulerStep {
 	const old = [...state.jobs.values()].filter(({closedAt, storedVersion, version}) => closedAt !== undefined
 		&& storedVersion >= version && monotonic - closedAt > endedJobRetentionMilliseconds);
--- a/test/scheduling/decisions.test.ts
+++ b/test/scheduling/decisions.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import type {WorkerId} from '#core';
-import {grantValidityMilliseconds, unreadMilliseconds} from '#scheduling';
+import {checkpointStoreMilliseconds, grantValidityMilliseconds, unreadMilliseconds} from '#scheduling';
 import {
 	configuration, createDriver, createReadyDriver, endOf, keyOf, rowOf, snapshotOf, startsOf, stopsOf, submissionOf, taskOf, type Driver,
 } from '#test/support/scheduling';
@@ -327,6 +327,20 @@
 			expect(startsOf(effects).map(({checkpoint}) => checkpoint)).to.deep.equal(['saved-1']);
 		},
 	},
+	{
+		name: 'checkpoints of runs are stored from time to time (progress lost when all machines lose power)',
+		run() {
+			const driver = createReadyDriver([['a']]);
+			begin(driver, 1, [{isCheckpointing: true}]);
+			const report = (percent: number, checkpoint: string) => driver.send({kind: 'renewed', agent: 'a', snapshot: snapshotOf('a', {running: [rowOf(taskOf(1), 1, percent, checkpoint)]})});
+			report(20, 'saved-1');
+			expect(driver.elapse(checkpointStoreMilliseconds + 250)).to.deep.include({kind: 'store-progress', job: keyOf(1)});
+			report(30, 'saved-1');
+			expect(driver.elapse(checkpointStoreMilliseconds + 250).filter(({kind}) => kind === 'store-progress')).to.deep.equal([]);
+			report(40, 'saved-2');
+			expect(driver.elapse(checkpointStoreMilliseconds + 250)).to.deep.include({kind: 'store-progress', job: keyOf(1)});
+		},
+	},
 	{
 		name: 'nothing starts after a cancellation, and what runs is stopped',
 		run() {
