Leave workers to more urgent work, and stop a job once at most

Change: work of the lowest ranks that cannot save its progress keeps to 0.6 of the workers; work beyond a guarantee stops a job at most once, and victims that were stopped before cost more.

--- a/packages/scheduling/constants.ts
+++ b/packages/scheduling/constants.ts
@@ -38,6 +38,12 @@
 export const drainSlackMilliseconds = 1500;
 /** Wide work that waited this long keeps younger work of its rank from the workers it needs. */
 export const reservationDelayMilliseconds = 1000;
+/** Work of this rank and above that cannot save its progress keeps to a share of the workers, since nobody knows how long it lasts and stopping it throws it away. */
+export const lowestUrgentRank = 2;
+/** The share; the others stay open to more urgent work. */
+export const lowRankWorkerShare = 0.6;
+/** Work beyond a guarantee stops a job at most this often, so that the job ends some time. */
+export const maximumPreemptions = 1;
 /** How often checkpoints of runs are stored. Workers make one with each 0.5 to 2 s of work, and a write holds those of 15 jobs. */
 export const checkpointStoreMilliseconds = 2000;
 /** How long the records of an ended job are kept. The platform asks for 120 s. */
--- a/packages/scheduling/place.ts
+++ b/packages/scheduling/place.ts
@@ -3,7 +3,9 @@
 import {
 	countFitting, take, type Board, type BoardWorker,
 } from './board.js';
-import {guaranteedRackPatienceMilliseconds, rackPatienceShare} from './constants.js';
+import {
+	guaranteedRackPatienceMilliseconds, lowestUrgentRank, lowRankWorkerShare, rackPatienceShare,
+} from './constants.js';
 import {needOf} from './state.js';
 import type {AgentName} from './types.js';
 import type {Unit} from './units.js';
@@ -15,10 +17,21 @@
 
 /** Workers that may run the unit's tasks at all. */
 export function listCandidates(unit: Unit, board: Board): readonly BoardWorker[] {
-	const {step, queue} = unit;
-	return [...board.values()].filter(({worker: {snapshot}, isUsable}) => isUsable
+	const {step, queue, rank} = unit;
+	const candidates = [...board.values()].filter(({worker: {snapshot}, isUsable}) => isUsable
 		&& snapshot.service === queue.service
 		&& (step.requiredLabel === undefined || snapshot.labels.includes(step.requiredLabel)));
+	return rank > lowestUrgentRank && !step.isCheckpointing ? keepToShare(unit, candidates, board) : candidates;
+}
+
+/** Work of a low rank goes where such work is already, and to further workers up to its share; a job of which nothing runs may take one more. */
+function keepToShare({job}: Unit, candidates: readonly BoardWorker[], board: Board): readonly BoardWorker[] {
+	const isTaken = ({runs}: BoardWorker) => runs.some(({rank, step}) => rank > lowestUrgentRank && !step.isCheckpointing);
+	const hasRun = [...job.tasks.values()].some(({run}) => run !== undefined);
+	const limit = Math.ceil(board.size * lowRankWorkerShare) + (hasRun ? 0 : 1);
+	const taken = candidates.filter(candidate => isTaken(candidate));
+	const others = candidates.filter(candidate => !isTaken(candidate)).toSorted((first, second) => first.free.accelerators - second.free.accelerators);
+	return [...taken, ...others.slice(0, Math.max(0, limit - taken.length))];
 }
 
 /** Places as many of the unit's tasks as fit now; a gang is placed whole or not at all. */
--- a/packages/scheduling/preempt.ts
+++ b/packages/scheduling/preempt.ts
@@ -3,7 +3,7 @@
 	add, countFitting, subtract, type Board, type BoardWorker, type PlacedRun,
 } from './board.js';
 import {
-	affordableLossCoreSeconds, cheapLossMilliseconds, preemptionPatienceMilliseconds, rackWorthCoreSeconds,
+	affordableLossCoreSeconds, cheapLossMilliseconds, maximumPreemptions, preemptionPatienceMilliseconds, rackWorthCoreSeconds,
 } from './constants.js';
 import {
 	countPlaced, limitOf, listCandidates, listRacks, type Shares,
@@ -101,6 +101,10 @@
 		return false;
 	}
 
+	if (rank > 0 && victim.job.preemptions >= maximumPreemptions) {
+		return false;
+	}
+
 	const isCheap = victim.step.isCheckpointing || monotonic - victim.run.startedAt < cheapLossMilliseconds;
 	const isPatienceOver = monotonic - waitingSince >= preemptionPatienceMilliseconds;
 	switch (rank) {
@@ -129,7 +133,7 @@
 
 /** Order of victims: those that lose little first, and of these the least urgent. */
 function costOf(victim: PlacedRun, monotonic: MonotonicTime): number {
-	return (lossOf(victim, monotonic) + restartCoreSeconds) / Math.max(1, victim.rank);
+	return (lossOf(victim, monotonic) + (restartCoreSeconds * (1 + victim.job.preemptions))) / Math.max(1, victim.rank);
 }
 
 /** Cost of any stop, so that fewer are preferred. */
--- a/packages/scheduling/schedule.ts
+++ b/packages/scheduling/schedule.ts
@@ -1,7 +1,7 @@
 /** One pass of the scheduler: decides what starts where and what is stopped for it. */
 import type {MonotonicTime, Present} from '#core';
 import {
-	createBoard, reserve, subtract, take, type Board,
+	createBoard, reserve, subtract, take, type Board, type PlacedRun,
 } from './board.js';
 import {reservationDelayMilliseconds} from './constants.js';
 import {
@@ -11,7 +11,7 @@
 import {
 	startRuns, stopRuns, storeJob, type SchedulerStep,
 } from './runs.js';
-import {needOf} from './state.js';
+import {needOf, withJob} from './state.js';
 import type {AgentName, SchedulerEffect, SchedulerState} from './types.js';
 import {listUnits, type Unit} from './units.js';
 
@@ -102,7 +102,15 @@
 		}
 	}
 
-	return apply({...pass, board}, stopRuns(pass.state, found.victims.map(({task}) => task), `room for ${unit.job.submission.job} of rank ${unit.rank}`, monotonic));
+	const counted = countPreemptions(pass.state, found.victims);
+	return apply({...pass, board}, stopRuns(counted, found.victims.map(({task}) => task), `room for ${unit.job.submission.job} of rank ${unit.rank}`, monotonic));
+}
+
+function countPreemptions(state: SchedulerState, victims: readonly PlacedRun[]): SchedulerState {
+	return [...new Set(victims.map(({job}) => job.submission.job))].reduce((next, key) => {
+		const job = next.jobs.get(key);
+		return job === undefined ? next : withJob(next, {...job, preemptions: job.preemptions + 1});
+	}, state);
 }
 
 /** Wide work that waited long keeps the workers that it needs; one unit of each rank at a time, so that little stands idle. */
--- a/packages/scheduling/types.ts
+++ b/packages/scheduling/types.ts
@@ -51,6 +51,8 @@
 	storedVersion: number;
 	/** Version of the progress key in the store; 0 if there is none. */
 	keyVersion: number;
+	/** How often it was stopped for more urgent work. */
+	preemptions: number;
 	/** Checkpoints of its tasks as they were last sent to the store, and when. */
 	storedCheckpoints: Readonly<{joined: string; at: MonotonicTime}>;
 	/** When the last task ended or the job arrived; waiting counts from here. */
--- a/test/scheduling/decisions.test.ts
+++ b/test/scheduling/decisions.test.ts
@@ -327,6 +327,28 @@
 			expect(startsOf(effects).map(({checkpoint}) => checkpoint)).to.deep.equal(['saved-1']);
 		},
 	},
+	{
+		name: 'work of a low rank that cannot save its progress leaves workers to more urgent work (workers full of it for long)',
+		run() {
+			const driver = createReadyDriver([['a'], ['b'], ['c'], ['d'], ['e']]);
+			const agents = new Set(begin(driver, 1, [{count: 40, accelerators: 1}]).map(({agent}) => agent));
+			expect(agents.size).to.equal(4);
+			expect(begin(driver, 2, [{accelerators: 8}], {priority: 1})).to.have.length(1);
+		},
+	},
+	{
+		name: 'work beyond a guarantee stops a job once at most (job that never ends)',
+		run() {
+			const driver = createReadyDriver([['a']]);
+			const urgent = (number: number) => driver.send({kind: 'submitted', submission: submissionOf(number, [{count: 2, accelerators: 8}], {priority: 0, submittedAt: driver.time()})});
+			begin(driver, 1, [{accelerators: 8}], {priority: 1});
+			expect(stopsOf(urgent(2))).to.deep.equal([taskOf(1)]);
+			driver.send({kind: 'cancelled', job: keyOf(2)});
+			driver.send({kind: 'renewed', agent: 'a', snapshot: snapshotOf('a', {ended: [endOf(1, taskOf(1), 1, 'stopped')]})});
+			driver.send({kind: 'start-answered', agent: 'a', answers: [{task: taskOf(1), run: 2, result: 'started'}]});
+			expect(stopsOf(urgent(3))).to.deep.equal([]);
+		},
+	},
 	{
 		name: 'checkpoints of runs are stored from time to time (progress lost when all machines lose power)',
 		run() {
