--- a/packages/scheduling/receive.ts
+++ b/packages/scheduling/receive.ts
@@ -3,9 +3,10 @@
 import {
 	grantSlackMilliseconds, grantValidityMilliseconds, slowClockFactor, unconfirmedLeadershipMilliseconds,
 } from './constants.js';
+import {handleStartAnswers, handleStopAnswers} from './answers.js';
 import {raiseNoted} from './ends.js';
 import {
-	handleDetached, handleLeft, handleRenewal, handleStartAnswers, handleStopAnswers,
+	handleDetached, handleLeft, handleRenewal,
 } from './reports.js';
 import {
 	chain, closeJob, unchanged, type SchedulerStep,
--- a/packages/scheduling/reports.ts
+++ b/packages/scheduling/reports.ts
@@ -4,17 +4,17 @@
 	isSameLife, type RunningRow, type WorkerLife, type WorkerSnapshot,
 } from '#jobs';
 import {
-	grantSlackMilliseconds, grantValidityMilliseconds, refusalPauseMilliseconds, avoidanceMilliseconds, slowClockFactor,
+	grantSlackMilliseconds, grantValidityMilliseconds, slowClockFactor,
 } from './constants.js';
 import {handleEnd, releaseLife} from './ends.js';
 import {
 	chain, releaseRun, stopRuns, unchanged, type SchedulerStep,
 } from './runs.js';
 import {
-	isOpen, isRunOn, jobOf, siblingsOf, stepOf, withJob, withTask, withWorker,
+	isOpen, isRunOn, jobOf, stepOf, withJob, withTask, withWorker,
 } from './state.js';
 import type {
-	AgentName, SchedulerJob, SchedulerState, SchedulerWorker, StartAnswer, StopOrder, TaskState,
+	AgentName, SchedulerJob, SchedulerState, SchedulerWorker, TaskState,
 } from './types.js';
 
 /** When everything that an agent kept alive is certainly over, counted from its last renewal. */
@@ -225,72 +225,3 @@
 		? state
 		: withWorker(state, {...worker, contact: {kind: 'lost', runsUntil: latestEndOfRuns(worker.grantedAt)}}));
 }
-
-export function handleStartAnswers(state: SchedulerState, agent: AgentName, answers: readonly StartAnswer[], present: Present): SchedulerStep {
-	return chain(state, answers.map(answer => next => handleStartAnswer(next, agent, answer, present)));
-}
-
-function handleStartAnswer(state: SchedulerState, agent: AgentName, {task: name, run: number, result}: StartAnswer, present: Present): SchedulerStep {
-	const job = jobOf(state, name);
-	const task = job?.tasks.get(name);
-	const worker = state.workers.get(agent);
-	if (job === undefined || task === undefined || worker === undefined || !isRunOn(task.run, worker) || task.run.run !== number) {
-		return unchanged(state);
-	}
-
-	const {run} = task;
-	switch (result) {
-		case 'started': {
-			return unchanged(run.stage === 'starting'
-				? withJob(state, withTask(job, name, {
-					...task, run: {
-						...run, stage: 'running', startedAt: present.monotonic, progressedAt: present.monotonic,
-					},
-				}))
-				: state);
-		}
-
-		// The run may still start; it is stopped if it does not show up.
-		case 'unknown': {
-			return unchanged(state);
-		}
-
-		case 'no-room':
-		case 'unhealthy':
-		case 'too-late':
-		case 'run-too-low':
-		case 'superseded':
-		case 'invalid': {
-			const pause = result === 'unhealthy' ? avoidanceMilliseconds : refusalPauseMilliseconds;
-			const paused = withWorker(state, {...worker, health: {...worker.health, avoidedUntil: Math.max(worker.health.avoidedUntil, present.monotonic + pause)}});
-			const released = releaseRun(paused, name, {}, present.monotonic);
-			const isGang = stepOf(job, name)?.isGang === true;
-			return chain(released, [
-				next => ({
-					state: next,
-					effects: [{
-						kind: 'log', event: 'start-refused', fields: {
-							task: name, run: number, worker: worker.snapshot.worker, reason: result,
-						},
-					}],
-				}),
-				next => isGang ? stopRuns(next, siblingsOf(job, name), 'a member of the gang was refused', present.monotonic) : unchanged(next),
-			]);
-		}
-	}
-}
-
-export function handleStopAnswers(state: SchedulerState, agent: AgentName, orders: readonly StopOrder[]): SchedulerStep {
-	let next = state;
-	for (const {task: name, run: number} of orders) {
-		const job = jobOf(next, name);
-		const task = job?.tasks.get(name);
-		const worker = next.workers.get(agent);
-		if (job !== undefined && task !== undefined && worker !== undefined && isRunOn(task.run, worker) && task.run.run === number) {
-			next = withJob(next, withTask(job, name, {...task, run: {...task.run, isStopConfirmed: true}}));
-		}
-	}
-
-	return unchanged(next);
-}
-
--- a/packages/scheduling/runs.ts
+++ b/packages/scheduling/runs.ts
@@ -1,6 +1,6 @@
 /** Changes to runs: ordering starts and stops, and releasing what is certainly over. */
-import {groupBy, type MonotonicTime} from '#core';
-import {parseTaskName, type JobKey, type TaskName} from '#jobs';
+import type {MonotonicTime} from '#core';
+import type {JobKey, TaskName} from '#jobs';
 import {lossOfRun} from './loss.js';
 import type {Placement} from './place.js';
 import {
@@ -155,8 +155,3 @@
 export function listRuns(state: SchedulerState): ReadonlyArray<Readonly<{name: TaskName; run: TaskRun; job: SchedulerJob}>> {
 	return [...state.jobs.values()].flatMap(job => [...job.tasks].flatMap(([name, {run}]) => run === undefined ? [] : [{name, run, job}]));
 }
-
-/** Groups tasks by their job. */
-export function groupByJob<Item extends Readonly<{task: TaskName}>>(items: readonly Item[]): ReadonlyMap<JobKey, readonly Item[]> {
-	return groupBy(items, ({task}) => parseTaskName(task).job);
-}
--- a/packages/scheduling/state.ts
+++ b/packages/scheduling/state.ts
@@ -5,7 +5,7 @@
 } from '#jobs';
 import {runsPerEpoch} from './constants.js';
 import type {
-	AgentName, SchedulerJob, SchedulerState, SchedulerWorker, TaskRun, TaskState,
+	SchedulerJob, SchedulerState, SchedulerWorker, TaskRun, TaskState,
 } from './types.js';
 
 export function createSchedulerState(epoch: number): SchedulerState {
@@ -145,11 +145,6 @@
 	return run !== undefined && isSameLife(run.life, snapshot);
 }
 
-/** Names the agents of the workers that a job runs on. */
-export function agentOfRun(state: SchedulerState, run: TaskRun): AgentName | undefined {
-	return findWorkerOfRun(state, run)?.agent;
-}
-
 /** Open jobs, oldest first. */
 export function listOpenJobs({jobs}: SchedulerState): readonly SchedulerJob[] {
 	return [...jobs.values()].filter(job => isOpen(job)).toSorted((first, second) => first.submission.submittedAt - second.submission.submittedAt);
--- a/packages/scheduling/types.ts
+++ b/packages/scheduling/types.ts
@@ -1,11 +1,11 @@
 /** State, messages and effects of the scheduler. */
-import type {MonotonicTime, WorkerId} from '#core';
+import type {MonotonicTime, Unit, WorkerId} from '#core';
 import type {
 	JobKey, JobOutcome, JobProgress, JobSubmission, QueueName, SchedulingConfiguration, TaskName, WorkerLife, WorkerSnapshot,
 } from '#jobs';
 
 /** Name of the agent beside a worker. */
-export type AgentName = string & {readonly unit?: 'agent'};
+export type AgentName = Unit<string, 'agent'>;
 
 /**
 A run of a task that was ordered.
--- /dev/null
+++ b/packages/supervision/describe.ts
@@ -0,0 +1,32 @@
+import type {MonotonicTime} from '#core';
+import type {WorkerSnapshot} from '#jobs';
+import {leaseSlackMilliseconds, slowClockShare} from './constants.js';
+import type {SupervisionState} from './types.js';
+
+/** Describes the worker for the scheduler of an epoch; undefined until the worker has answered with that epoch. */
+export function describeWorker({worker, epoch}: SupervisionState, monotonic: MonotonicTime): WorkerSnapshot | undefined {
+	if (worker === undefined || worker.fencedEpoch < epoch) {
+		return undefined;
+	}
+
+	const {announcement, leavesAt, running, ended, isResponsive, leaseUntil} = worker;
+	return {
+		worker: announcement.worker,
+		incarnation: announcement.incarnation,
+		service: announcement.service,
+		zone: announcement.zone,
+		labels: announcement.labels,
+		rack: announcement.rack,
+		capacity: announcement.capacity,
+		state: announcement.state,
+		...(leavesAt === undefined ? {} : {leavesInMilliseconds: Math.max(0, Math.round(leavesAt - monotonic))}),
+		isResponsive,
+		isLeaseOver: !isResponsive && isLeaseOver(leaseUntil, monotonic),
+		running,
+		ended,
+	};
+}
+
+function isLeaseOver(leaseUntil: MonotonicTime, monotonic: MonotonicTime): boolean {
+	return monotonic > leaseUntil + leaseSlackMilliseconds + (Math.max(0, monotonic - leaseUntil) * slowClockShare);
+}
--- /dev/null
+++ b/packages/supervision/holds.ts
@@ -0,0 +1,111 @@
+/** The calls that extend leases, and what their answers tell. */
+import type {MonotonicTime} from '#core';
+import {isSameLife} from '#jobs';
+import {holdRetryMilliseconds, holdWaitMilliseconds} from './constants.js';
+import {chooseDeadline} from './deadlines.js';
+import {changed, type SupervisionOptions, type SupervisionStep} from './state.js';
+import type {
+	HoldOrder, SupervisedWorker, SupervisionEffect, SupervisionMessage, SupervisionState,
+} from './types.js';
+
+type HeldAnswer = Pick<Extract<SupervisionMessage, {kind: 'held'}>, 'order' | 'result'>;
+
+/** One call that does not wait, besides the loop. */
+export function holdNow(state: SupervisionState, monotonic: MonotonicTime, options: SupervisionOptions): readonly SupervisionEffect[] {
+	const order = chooseHold(state, monotonic, options);
+	return order === undefined ? [] : [{kind: 'hold', order: {...order, wait: 0, isLoop: false}}];
+}
+
+function chooseHold(state: SupervisionState, monotonic: MonotonicTime, options: SupervisionOptions): HoldOrder | undefined {
+	const {worker, epoch} = state;
+	return worker === undefined || epoch === 0
+		? undefined
+		: {
+			worker: worker.announcement.worker,
+			incarnation: worker.announcement.incarnation,
+			epoch,
+			...chooseDeadline(state, monotonic, options),
+			notedEnd: worker.notedEnd,
+			wait: holdWaitMilliseconds,
+			isLoop: true,
+		};
+}
+
+export function startHolding(state: SupervisionState, monotonic: MonotonicTime, options: SupervisionOptions): SupervisionStep {
+	if (state.isHolding) {
+		return {state, effects: []};
+	}
+
+	const order = chooseHold(state, monotonic, options);
+	return order === undefined
+		? {state: {...state, isHolding: true}, effects: [{kind: 'schedule-hold', delay: holdRetryMilliseconds}]}
+		: {state: {...noteLease(state, order.leaseUntil), isHolding: true}, effects: [{kind: 'hold', order}]};
+}
+
+function noteLease(state: SupervisionState, leaseUntil: MonotonicTime): SupervisionState {
+	return state.worker === undefined ? state : {...state, worker: {...state.worker, leaseUntil: Math.max(state.worker.leaseUntil, leaseUntil)}};
+}
+
+export function handleHeld(state: SupervisionState, {order, result}: Extract<SupervisionMessage, {kind: 'held'}>, monotonic: MonotonicTime, options: SupervisionOptions): SupervisionStep {
+	const {worker} = state;
+	const seen = worker !== undefined && isSameLife(worker.announcement, order) ? applyHold(state, worker, {order, result}, monotonic) : {state, effects: []};
+	if (!order.isLoop) {
+		return seen;
+	}
+
+	const next = {...seen.state, isHolding: false};
+	if (result.kind !== 'held') {
+		return {state: {...next, isHolding: true}, effects: [...seen.effects, {kind: 'schedule-hold', delay: holdRetryMilliseconds}]};
+	}
+
+	const following = startHolding(next, monotonic, options);
+	return {state: following.state, effects: [...seen.effects, ...following.effects]};
+}
+
+function applyHold(state: SupervisionState, worker: SupervisedWorker, {order, result}: HeldAnswer, monotonic: MonotonicTime): SupervisionStep {
+	switch (result.kind) {
+		case 'failed':
+		case 'refused': {
+			return worker.isResponsive
+				? {
+					state: changed({...state, worker: {...worker, isResponsive: false}}),
+					effects: [{kind: 'renew'}, {kind: 'log', event: 'worker-lost', fields: {worker: order.worker, reason: result.message}}],
+				}
+				: {state, effects: []};
+		}
+
+		case 'held': {
+			return result.incarnation !== undefined && result.incarnation !== order.incarnation
+				? {state, effects: [{kind: 'log', event: 'other-incarnation', fields: {worker: order.worker, expected: order.incarnation, found: result.incarnation}}]}
+				: applyLists(state, worker, {order, result}, monotonic);
+		}
+	}
+}
+
+type Held = Readonly<{order: HoldOrder; result: Extract<Extract<SupervisionMessage, {kind: 'held'}>['result'], {kind: 'held'}>}>;
+
+/** Answers on different connections may overtake each other; the worker's clock orders them. */
+function applyLists(state: SupervisionState, worker: SupervisedWorker, {order, result}: Held, monotonic: MonotonicTime): SupervisionStep {
+	if (worker.clock !== undefined && result.clock < worker.clock.worker) {
+		return {state, effects: []};
+	}
+
+	const ended = result.ended.filter(({number}) => number > worker.notedEnd);
+	const hasEnds = ended.some(({number}) => worker.ended.every(known => known.number !== number));
+	const hasOtherRuns = result.running.length !== worker.running.length
+		|| result.running.some(({task, run}) => worker.running.every(known => known.task !== task || known.run !== run));
+	const isFenced = order.epoch > worker.fencedEpoch;
+	const next: SupervisionState = {
+		...state,
+		worker: {
+			...worker,
+			clock: {worker: result.clock, monotonic},
+			running: result.running,
+			ended,
+			isResponsive: true,
+			fencedEpoch: Math.max(worker.fencedEpoch, order.epoch),
+		},
+	};
+	const isNews = hasEnds || hasOtherRuns || isFenced || !worker.isResponsive;
+	return isNews ? {state: changed(next), effects: [{kind: 'renew'}]} : {state: next, effects: []};
+}
--- a/packages/supervision/index.ts
+++ b/packages/supervision/index.ts
@@ -1,3 +1,6 @@
 export * from './types.js';
 export * from './constants.js';
+export * from './deadlines.js';
+export * from './describe.js';
 export * from './receive.js';
+export * from './state.js';
--- /dev/null
+++ b/packages/supervision/state.ts
@@ -0,0 +1,14 @@
+import type {Milliseconds, Step} from '#core';
+import type {SupervisionEffect, SupervisionState} from './types.js';
+
+export type SupervisionStep = Step<SupervisionState, SupervisionEffect>;
+
+export type SupervisionOptions = Readonly<{
+	/** Longest lease that the worker grants. */
+	maximumHoldMilliseconds: Milliseconds;
+}>;
+
+/** Marks a change that the scheduler should hear of. */
+export function changed(state: SupervisionState): SupervisionState {
+	return {...state, revision: state.revision + 1};
+}
--- a/packages/supervisor/plugins/entries.ts
+++ b/packages/supervisor/plugins/entries.ts
@@ -2,7 +2,7 @@
 import {createServiceKey} from '#kernel';
 import type {WorkerLife} from '#jobs';
 import {describeWorker} from '#supervision';
-import {dialPeer, type RpcPeer} from '#transport';
+import {dialPeer, withPort, type RpcPeer} from '#transport';
 import {
 	idleRenewalIntervalMilliseconds, maximumDialFailures, redialMilliseconds, renewalIntervalMilliseconds, renewalTimeoutMilliseconds,
 } from '../constants.js';
@@ -47,7 +47,7 @@
 	const {services, clock, settings, counters} = context;
 	const log = context.log.part('entries');
 	const [peerPort = 0] = settings['peer-ports'];
-	const seeds = settings.seeds.map(seed => `${seed.slice(0, seed.lastIndexOf(':'))}:${peerPort}`);
+	const seeds = withPort(settings.seeds, peerPort);
 	const connections = new Map<string, Connection>();
 	/** Addresses to connect to, with the failures in a row. */
 	const wanted = new Map<string, number>(seeds.map(address => [address, 0]));
--- a/packages/transport/index.ts
+++ b/packages/transport/index.ts
@@ -1,4 +1,5 @@
 export * from './types.js';
+export * from './addresses.js';
 export * from './constants.js';
 export * from './dial.js';
 export * from './http-client.js';
--- a/test/coordinator/leadership.test.ts
+++ b/test/coordinator/leadership.test.ts
@@ -2,7 +2,7 @@
 import type {EntryId} from '#core';
 import {
 	createLeadershipState, receiveLeadershipMessage, type LeadershipEffect, type LeadershipMessage,
-} from '../../packages/coordinator/leadership.js';
+} from '#coordinator';
 
 const self = 'entry-a' as EntryId;
 const other = 'entry-b' as EntryId;
--- a/test/coordinator/suspension.test.ts
+++ b/test/coordinator/suspension.test.ts
@@ -1,5 +1,5 @@
 import {expect} from 'chai';
-import {createSuspensionGuard} from '../../packages/coordinator/suspension.js';
+import {createSuspensionGuard} from '#coordinator';
 
 type Case = Readonly<{name: string; now: number; monotonic: number; validUntil: number; isConfirmed: boolean}>;
 
--- a/test/platform/path.test.ts
+++ b/test/platform/path.test.ts
@@ -7,16 +7,16 @@
 };
 const gang = {...step, gang: true, same_rack: true};
 
-async function submit(deployment: Deployment, queue: string, job: string, steps: readonly unknown[], entry = 0) {
+async function submit(deployment: Deployment, path: string, steps: readonly unknown[], entry = 0) {
 	return waitFor('acceptance', async () => {
-		const answer = await deployment.call(entry, 'POST', `/${queue}/${job}`, {spec: 'text', steps});
+		const answer = await deployment.call(entry, 'POST', path, {spec: 'text', steps});
 		return answer?.status === 200 ? answer : undefined;
 	});
 }
 
-async function waitForState(deployment: Deployment, queue: string, job: string, state: string, entry = 0) {
-	return waitFor(`${job} ${state}`, async () => {
-		const answer = await deployment.call(entry, 'GET', `/${queue}/${job}`);
+async function waitForState(deployment: Deployment, path: string, state: string, entry = 0) {
+	return waitFor(`${path} ${state}`, async () => {
+		const answer = await deployment.call(entry, 'GET', path);
 		return (answer?.body as Readonly<{state?: string}> | undefined)?.state === state ? state : undefined;
 	});
 }
@@ -40,10 +40,10 @@
 		name: 'a job of two steps and a gang complete, and the later step starts after the earlier one (whole path)',
 		options: {entries: 2, workers: 3, workMilliseconds: 300},
 		async run(deployment) {
-			await submit(deployment, 'batch', first, [step, {...step, after: [0]}]);
-			await submit(deployment, 'urgent', second, [gang], 1);
-			await waitForState(deployment, 'batch', first, 'completed');
-			await waitForState(deployment, 'urgent', second, 'completed', 1);
+			await submit(deployment, `/batch/${first}`, [step, {...step, after: [0]}]);
+			await submit(deployment, `/urgent/${second}`, [gang], 1);
+			await waitForState(deployment, `/batch/${first}`, 'completed');
+			await waitForState(deployment, `/urgent/${second}`, 'completed', 1);
 			const records = deployment.workers.flatMap(worker => worker.records());
 			const ofStep = (index: number) => records.filter(({task}) => task.startsWith(`${first}.0.${index}.`));
 			expect(Math.min(...ofStep(1).map(({startedAt}) => startedAt))).to.be.at.least(Math.max(...ofStep(0).map(({endedAt}) => endedAt ?? Infinity)));
@@ -54,8 +54,8 @@
 		name: 'the same identifier at two entries is one job (job run twice)',
 		options: {entries: 2, workers: 2, workMilliseconds: 200},
 		async run(deployment) {
-			await Promise.all([submit(deployment, 'batch', first, [step], 0), submit(deployment, 'batch', first, [step], 1)]);
-			await waitForState(deployment, 'batch', first, 'completed');
+			await Promise.all([submit(deployment, `/batch/${first}`, [step], 0), submit(deployment, `/batch/${first}`, [step], 1)]);
+			await waitForState(deployment, `/batch/${first}`, 'completed');
 			expect(deployment.workers.flatMap(worker => worker.records())).to.have.length(2);
 		},
 	},
@@ -63,12 +63,12 @@
 		name: 'the runs of a scheduler that was killed go on under the next one (work lost or doubled by a takeover)',
 		options: {entries: 2, workers: 2, workMilliseconds: 6000},
 		async run(deployment) {
-			await submit(deployment, 'batch', first, [step]);
+			await submit(deployment, `/batch/${first}`, [step]);
 			await waitFor('starts', async () => deployment.workers.flatMap(worker => worker.records()).length === 2 ? true : undefined);
 			const {entry} = deployment.store.read('cluster/leader') as Readonly<{entry: string}>;
 			const index = deployment.entries.findIndex(({name}) => name === entry);
 			deployment.entries[index]?.daemon.process.kill('SIGKILL');
-			await waitForState(deployment, 'batch', first, 'completed', 1 - index);
+			await waitForState(deployment, `/batch/${first}`, 'completed', 1 - index);
 			expect(deployment.workers.flatMap(worker => worker.records()).map(({ending}) => ending)).to.deep.equal(['done', 'done']);
 		},
 	},
@@ -76,7 +76,7 @@
 		name: 'an agent that was killed does not end the runs of its worker (lease lost by a restart)',
 		options: {entries: 1, workers: 1, workMilliseconds: 2500},
 		async run(deployment) {
-			await submit(deployment, 'batch', first, [{...step, count: 1}]);
+			await submit(deployment, `/batch/${first}`, [{...step, count: 1}]);
 			await waitFor('start', async () => deployment.workers[0]?.records().length === 1 ? true : undefined);
 			deployment.agents[0]?.process.kill('SIGKILL');
 			await new Promise(resolve => {
@@ -91,8 +91,8 @@
 			entries: 1, workers: 2, workMilliseconds: 100, failingWorkers: 2,
 		},
 		async run(deployment) {
-			await submit(deployment, 'batch', first, [{...step, count: 1}]);
-			await waitForState(deployment, 'batch', first, 'failed');
+			await submit(deployment, `/batch/${first}`, [{...step, count: 1}]);
+			await waitForState(deployment, `/batch/${first}`, 'failed');
 			expect(deployment.workers.map(worker => worker.records().length)).to.deep.equal([1, 1]);
 		},
 	},
@@ -100,11 +100,11 @@
 		name: 'a cancelled job is stopped and stays cancelled; an unknown one is gone (work after a cancellation)',
 		options: {entries: 1, workers: 1, workMilliseconds: 20_000},
 		async run(deployment) {
-			await submit(deployment, 'batch', first, [{...step, count: 1}]);
+			await submit(deployment, `/batch/${first}`, [{...step, count: 1}]);
 			await waitFor('start', async () => deployment.workers[0]?.records().length === 1 ? true : undefined);
 			expect(await deployment.call(0, 'DELETE', `/batch/${first}`)).to.include({status: 200});
 			await waitFor('stop', async () => deployment.workers[0]?.records()[0]?.ending === 'stopped' ? true : undefined);
-			await waitForState(deployment, 'batch', first, 'cancelled');
+			await waitForState(deployment, `/batch/${first}`, 'cancelled');
 			expect(await deployment.call(0, 'DELETE', `/batch/${second}`)).to.include({status: 410});
 			expect(await deployment.call(0, 'GET', `/batch/${second}`)).to.include({status: 410});
 		},
@@ -113,7 +113,7 @@
 		name: 'submissions are refused at once while the store refuses calls, and running work is held (work lost in an outage)',
 		options: {entries: 1, workers: 1, workMilliseconds: 4000},
 		async run(deployment) {
-			await submit(deployment, 'batch', first, [{...step, count: 1}]);
+			await submit(deployment, `/batch/${first}`, [{...step, count: 1}]);
 			await waitFor('start', async () => deployment.workers[0]?.records().length === 1 ? true : undefined);
 			deployment.store.setMode('busy');
 			const startedAt = Date.now();
@@ -123,7 +123,7 @@
 				setTimeout(resolve, 3000);
 			});
 			deployment.store.setMode('serving');
-			await waitForState(deployment, 'batch', first, 'completed');
+			await waitForState(deployment, `/batch/${first}`, 'completed');
 			expect(deployment.workers[0]?.records()).to.have.length(1);
 			expect(deployment.store.read(`jobs/${second}`)).to.equal(undefined);
 		},
@@ -132,7 +132,7 @@
 		name: 'a submission that may have been stored is not refused by any entry afterwards (untrue refusal)',
 		options: {entries: 2, workers: 1, workMilliseconds: 300},
 		async run(deployment) {
-			await submit(deployment, 'batch', second, [step]);
+			await submit(deployment, `/batch/${second}`, [step]);
 			deployment.store.setMode('losing');
 			expect(await deployment.call(0, 'POST', `/batch/${first}`, {spec: '', steps: [step]})).to.include({status: 504});
 			deployment.store.setMode('busy');
@@ -141,7 +141,7 @@
 			});
 			expect(await deployment.call(1, 'POST', `/batch/${first}`, {spec: '', steps: [step]})).to.include({status: 504});
 			deployment.store.setMode('serving');
-			await waitForState(deployment, 'batch', first, 'completed');
+			await waitForState(deployment, `/batch/${first}`, 'completed');
 		},
 	},
 	{
@@ -149,8 +149,8 @@
 		options: {entries: 1, workers: 2, workMilliseconds: 1500},
 		async run(deployment) {
 			deployment.workers[0]?.delayStarts(2500);
-			await submit(deployment, 'batch', first, [step]);
-			await waitForState(deployment, 'batch', first, 'completed');
+			await submit(deployment, `/batch/${first}`, [step]);
+			await waitForState(deployment, `/batch/${first}`, 'completed');
 			expect(findOverlaps(deployment)).to.deep.equal([]);
 		},
 	},
--- a/test/scheduling/decisions.test.ts
+++ b/test/scheduling/decisions.test.ts
@@ -323,7 +323,7 @@
 		run() {
 			const driver = createReadyDriver([['a']]);
 			begin(driver, 1, [{isCheckpointing: true}]);
-			const effects = driver.send({kind: 'renewed', agent: 'a', snapshot: snapshotOf('a', {ended: [endOf(1, taskOf(1), 1, 'stopped', 'saved-1')]})});
+			const effects = driver.send({kind: 'renewed', agent: 'a', snapshot: snapshotOf('a', {ended: [{...endOf(1, taskOf(1), 1, 'stopped'), checkpoint: 'saved-1'}]})});
 			expect(startsOf(effects).map(({checkpoint}) => checkpoint)).to.deep.equal(['saved-1']);
 		},
 	},
--- a/test/support/scheduling.ts
+++ b/test/support/scheduling.ts
@@ -63,9 +63,9 @@
 	};
 }
 
-export function endOf(number: number, task: TaskName, run: number, ending: EndedRow['ending'], checkpoint = ''): EndedRow {
+export function endOf(number: number, task: TaskName, run: number, ending: EndedRow['ending']): EndedRow {
 	return {
-		number, task, run, ending, checkpoint,
+		number, task, run, ending, checkpoint: '',
 	};
 }
 
--- a/xo.config.js
+++ b/xo.config.js
@@ -40,7 +40,7 @@
 	rules: {
 		'no-restricted-imports': ['error', {
 			patterns: [{
-				group: [...packagesInOrder.slice(index).map(later => `#${later}`), ...(purePackages.has(name) ? ['node:*', 'ws', 'undici', 'xstate', 'bunyan'] : [])],
+				group: ['#platform/*', '**/platform/**', ...packagesInOrder.slice(index).map(later => `#${later}`), ...(purePackages.has(name) ? ['node:*', 'ws', 'undici', 'xstate', 'bunyan'] : [])],
 				message: `packages/${name} may only import from packages below it.`,
 			}],
 		}],
