Schedule on while an entry stops and no other one is there

Change: it hands over as soon as another entry is registered. The test fails without the change (no completion in 20 s) and passes with it.

--- a/packages/coordinator/start.ts
+++ b/packages/coordinator/start.ts
@@ -1,10 +1,11 @@
-import {createRandomSource, hashText} from '#core';
+import {createRandomSource, hashText, type Milliseconds} from '#core';
 import {
 	createCounters, createProgramLog, createServices, startTasks, systemClock, type RunningDaemon,
 } from '#kernel';
 import {listenForHttp, listenForPeers} from '#transport';
 import {coordinatorPlugins} from './plugins.js';
 import './plugins/index.js';
+import {directoryService, listEntries} from './plugins/directory.js';
 import {leadershipService} from './plugins/leadership.js';
 import {leaseService} from './plugins/lease.js';
 import {drainingService} from './plugins/operations.js';
@@ -15,6 +16,24 @@
 /** Part of the time between SIGTERM and SIGKILL in which the entry serves on. */
 const servingShareOfGrace = 0.7;
 
+/** How often a stopping entry looks for another one. */
+const successorPollMilliseconds = 50;
+
+/** Lets another entry schedule as soon as there is one; during a restart of all entries this may take a while. */
+async function handOver(timeout: Milliseconds, context: CoordinatorContext): Promise<void> {
+	const {clock, services, settings} = context;
+	const deadline = clock.monotonic() + timeout;
+	const hasSuccessor = () => listEntries(services.use(directoryService).read()).some(({entry}) => entry !== settings.entry);
+	while (!hasSuccessor() && clock.monotonic() < deadline) {
+		await new Promise<void>(resolve => {
+			clock.schedule(successorPollMilliseconds, resolve);
+		});
+	}
+
+	services.use(leadershipService).send({kind: 'resign'});
+	await services.use(leaseService).stop();
+}
+
 /** Starts an entry that schedules jobs of steps. A platform's plug-ins have to be imported before. */
 export async function startCoordinator(settings: CoordinatorSettings): Promise<RunningDaemon> {
 	const log = createProgramLog('dotterelnotch-entry', settings['log-level'], {entry: settings.entry});
@@ -46,10 +65,7 @@
 			context.services.use(drainingService).begin();
 			const servingMilliseconds = settings['grace-seconds'] * 1000 * servingShareOfGrace;
 			log.part('entry').info({servingMilliseconds}, 'stopping; reporting not ready');
-			// Another entry schedules from now on; the agents keep what runs alive meanwhile.
-			context.services.use(leadershipService).send({kind: 'resign'});
-			await context.services.use(leaseService).stop();
-			await fronts.drain(servingMilliseconds);
+			await Promise.all([handOver(servingMilliseconds, context), fronts.drain(servingMilliseconds)]);
 			stopTasks();
 			peers.close();
 			log.part('entry').info({}, 'stopped');
--- a/test/platform/path.test.ts
+++ b/test/platform/path.test.ts
@@ -72,6 +72,16 @@
 			expect(deployment.workers.flatMap(worker => worker.records()).map(({ending}) => ending)).to.deep.equal(['done', 'done']);
 		},
 	},
+	{
+		name: 'an entry that stops schedules on while there is no other one (nobody schedules during a restart of all entries)',
+		options: {entries: 1, workers: 1, workMilliseconds: 100},
+		async run(deployment) {
+			deployment.entries[0]?.daemon.process.kill('SIGTERM');
+			await submit(deployment, `/batch/${first}`, [{...step, count: 1}]);
+			await waitForState(deployment, `/batch/${first}`, 'completed');
+			expect(await deployment.entries[0]?.daemon.exited).to.equal(0);
+		},
+	},
 	{
 		name: 'an agent that was killed does not end the runs of its worker (lease lost by a restart)',
 		options: {entries: 1, workers: 1, workMilliseconds: 2500},
