--- a/packages/coordinator/callers/pending.ts
+++ b/packages/coordinator/callers/pending.ts
@@ -2,13 +2,14 @@
 import {jobRecordSchema, type QueueName} from '#jobs';
 import type {CallerAnswer} from '#protocol';
 import {countPending} from '#scheduling';
-import {entryCallTimeoutMilliseconds, storeRetryAfterMilliseconds} from '../constants.js';
+import {entryCallTimeoutMilliseconds} from '../constants.js';
 import {
 	jobsPrefix, progressPrefix, readJobPath,
 } from '../keys.js';
 import {storePort} from '../ports.js';
 import {directoryService, findLeader} from '../plugins/directory.js';
 import {entryPeersService} from '../plugins/entry-peers.js';
+import {storeUnavailable} from './unavailable.js';
 import {schedulerService} from '../plugins/scheduler.js';
 import type {CoordinatorContext} from '../types.js';
 
@@ -30,7 +31,7 @@
 	const store = services.use(storePort);
 	const [jobs, progress] = await Promise.all([store.list(jobsPrefix), store.list(progressPrefix)]);
 	if (jobs.kind === 'unavailable' || progress.kind === 'unavailable') {
-		return {kind: 'refused', reason: 'store-unavailable', retryAfterMilliseconds: storeRetryAfterMilliseconds};
+		return storeUnavailable;
 	}
 
 	const begun = new Set(progress.values.map(({key}) => key.slice(progressPrefix.length)));
--- a/packages/coordinator/callers/show.ts
+++ b/packages/coordinator/callers/show.ts
@@ -1,18 +1,17 @@
+import {pause} from '#kernel';
 import {checkInput, type Milliseconds} from '#core';
 import {
 	jobProgressSchema, jobRecordSchema, type JobKey, type JobState,
 } from '#jobs';
 import type {CallerAnswer} from '#protocol';
-import {storeRetryAfterMilliseconds} from '../constants.js';
 import {
 	cancellationPath, jobKeyPath, progressPath,
 } from '../keys.js';
 import {storePort} from '../ports.js';
+import {storeUnavailable} from './unavailable.js';
 import {schedulerService} from '../plugins/scheduler.js';
 import type {CoordinatorContext} from '../types.js';
 
-const unavailable: CallerAnswer = {kind: 'refused', reason: 'store-unavailable', retryAfterMilliseconds: storeRetryAfterMilliseconds};
-
 /** Tells a job's state from what is stored; a job counts as ended only when the store holds its end. */
 export async function showJob(job: JobKey, context: CoordinatorContext): Promise<CallerAnswer> {
 	const known = findKnownState(job, context);
@@ -23,7 +22,7 @@
 	const store = context.services.use(storePort);
 	const [progress, records] = await Promise.all([store.read(progressPath(job)), store.list(jobKeyPath(job))]);
 	if (progress.kind === 'unavailable' || records.kind === 'unavailable') {
-		return unavailable;
+		return storeUnavailable;
 	}
 
 	const record = records.values.find(({key}) => key === jobKeyPath(job));
@@ -34,7 +33,7 @@
 
 	if (progress.kind === 'found') {
 		const checked = checkInput(jobProgressSchema, progress.stored.value, progress.stored.key);
-		return checked.kind === 'valid' ? {kind: 'state', state: checked.value.outcome} : unavailable;
+		return checked.kind === 'valid' ? {kind: 'state', state: checked.value.outcome} : storeUnavailable;
 	}
 
 	const isCancelled = records.values.some(({key}) => key === cancellationPath(job));
@@ -76,9 +75,7 @@
 			}
 		}
 
-		await new Promise<void>(resolve => {
-			clock.schedule(cancelRetryMilliseconds, resolve);
-		});
+		await pause(clock, cancelRetryMilliseconds);
 	} while (clock.monotonic() < deadline);
 
 	return {kind: 'undecided', reason: 'the store did not answer in time'};
--- a/packages/coordinator/callers/submit.ts
+++ b/packages/coordinator/callers/submit.ts
@@ -1,3 +1,4 @@
+import {pause} from '#kernel';
 import type {MonotonicTime} from '#core';
 import type {JobRecord, JobSubmission} from '#jobs';
 import type {CallerAnswer} from '#protocol';
@@ -5,6 +6,7 @@
 import {storeRetryAfterMilliseconds} from '../constants.js';
 import {jobKeyPath} from '../keys.js';
 import {storeMonitorService, storePort} from '../ports.js';
+import {storeUnavailable} from './unavailable.js';
 import {schedulerService} from '../plugins/scheduler.js';
 import type {CoordinatorContext} from '../types.js';
 
@@ -20,7 +22,7 @@
 	const {services, clock} = context;
 	// Nothing was sent yet, so that the refusal is certain and comes at once.
 	if (services.use(storeMonitorService).isSuspect()) {
-		return refusal;
+		return storeUnavailable;
 	}
 
 	const store = services.use(storePort);
@@ -42,9 +44,7 @@
 			return settled;
 		}
 
-		await new Promise<void>(resolve => {
-			clock.schedule(settleRetryMilliseconds, resolve);
-		});
+		await pause(clock, settleRetryMilliseconds);
 	}
 
 	return {kind: 'undecided', reason: 'the store did not answer in time'};
@@ -95,14 +95,12 @@
 				return {kind: 'accepted'};
 			}
 
-			return refusal;
+			return storeUnavailable;
 		}
 
 		case 'absent': {
 			const reply = await store.write(key, {kind: 'refused', refusedAt: clock.now()} satisfies JobRecord, {expectedVersion: 0});
-			return reply.kind === 'written' ? refusal : undefined;
+			return reply.kind === 'written' ? storeUnavailable : undefined;
 		}
 	}
 }
-
-const refusal: CallerAnswer = {kind: 'refused', reason: 'store-unavailable', retryAfterMilliseconds: storeRetryAfterMilliseconds};
--- a/packages/coordinator/job-watch.ts
+++ b/packages/coordinator/job-watch.ts
@@ -3,7 +3,7 @@
 import {
 	jobProgressSchema, jobRecordSchema, type JobKey, type JobProgress, type JobSubmission,
 } from '#jobs';
-import type {Cancel} from '#kernel';
+import {pause, type Cancel} from '#kernel';
 import {unreadMilliseconds, type LoadedJob} from '#scheduling';
 import {
 	chooseBackoff, startWatchTask, type Observation, type StoredValue,
@@ -75,9 +75,7 @@
 		}
 
 		context.counters.countRetry('job-load');
-		await new Promise<void>(resolve => {
-			clock.schedule(chooseBackoff(failures, random, 0, storeRetryMaximumMilliseconds), resolve);
-		});
+		await pause(clock, chooseBackoff(failures, random, 0, storeRetryMaximumMilliseconds));
 	}
 }
 
--- a/packages/coordinator/plugins/callers.ts
+++ b/packages/coordinator/plugins/callers.ts
@@ -8,6 +8,7 @@
 import {storeMonitorService} from '../ports.js';
 import {showPending} from '../callers/pending.js';
 import {cancelJob, showJob} from '../callers/show.js';
+import {storeUnavailable} from '../callers/unavailable.js';
 import {submitJob} from '../callers/submit.js';
 import type {CoordinatorContext} from '../types.js';
 import {configurationService} from './configuration.js';
@@ -105,7 +106,7 @@
 
 /** An entry that the store turns away lets another one answer. */
 async function answerOrForward(call: CallerCall, context: CoordinatorContext): Promise<CallerAnswer> {
-	const answer = context.services.use(storeMonitorService).isSuspect() && hasPeers(context) ? storeSuspect : await answerHere(call, context);
+	const answer = context.services.use(storeMonitorService).isSuspect() && hasPeers(context) ? storeUnavailable : await answerHere(call, context);
 	const isUnserved = (answer.kind === 'refused' && answer.reason === 'store-unavailable') || answer.kind === 'undecided';
 	if (!isUnserved) {
 		return answer;
@@ -132,8 +133,6 @@
 	return answer;
 }
 
-const storeSuspect: CallerAnswer = {kind: 'refused', reason: 'store-unavailable', retryAfterMilliseconds: storeRetryAfterMilliseconds};
-
 function hasPeers({services}: CoordinatorContext): boolean {
 	return services.use(entryPeersService).list().length > 0;
 }
--- a/packages/coordinator/progress-writer.ts
+++ b/packages/coordinator/progress-writer.ts
@@ -1,4 +1,5 @@
 /** Stores the progress of jobs: one transaction at a time, on the condition that this entry still schedules. */
+import {pause} from '#kernel';
 import {isDeepStrictEqual} from 'node:util';
 import type {JobKey, JobProgress} from '#jobs';
 import {describeProgress} from '#scheduling';
@@ -117,9 +118,7 @@
 		while (dirty.size > 0 && !term.isOver()) {
 			const isReady = await write();
 			if (!isReady && !term.isOver()) {
-				await new Promise<void>(resolve => {
-					clock.schedule(progressRetryMilliseconds, resolve);
-				});
+				await pause(clock, progressRetryMilliseconds);
 			}
 		}
 
--- a/packages/coordinator/start.ts
+++ b/packages/coordinator/start.ts
@@ -1,6 +1,6 @@
 import {createRandomSource, hashText, type Milliseconds} from '#core';
 import {
-	createCounters, createProgramLog, createServices, startTasks, systemClock, type RunningDaemon,
+	createCounters, createProgramLog, createServices, startTasks, systemClock, type RunningDaemon, pause,
 } from '#kernel';
 import {listenForHttp, listenForPeers} from '#transport';
 import {coordinatorPlugins} from './plugins.js';
@@ -25,9 +25,7 @@
 	const deadline = clock.monotonic() + timeout;
 	const hasSuccessor = () => listEntries(services.use(directoryService).read()).some(({entry}) => entry !== settings.entry);
 	while (!hasSuccessor() && clock.monotonic() < deadline) {
-		await new Promise<void>(resolve => {
-			clock.schedule(successorPollMilliseconds, resolve);
-		});
+		await pause(clock, successorPollMilliseconds);
 	}
 
 	services.use(leadershipService).send({kind: 'resign'});
--- a/packages/coordinator/workers-record.ts
+++ b/packages/coordinator/workers-record.ts
@@ -1,4 +1,5 @@
 /** Keeps in the store which workers this scheduler uses, so that the next one knows where runs may be. */
+import {pause} from '#kernel';
 import type {UsedWorker} from '#scheduling';
 import {progressRetryMilliseconds} from './constants.js';
 import {leaderKey, workersKey} from './keys.js';
@@ -56,9 +57,7 @@
 			}
 		}
 
-		await new Promise<void>(resolve => {
-			clock.schedule(progressRetryMilliseconds, resolve);
-		});
+		await pause(clock, progressRetryMilliseconds);
 	};
 
 	const write = async () => {
--- a/packages/jobs/queues.ts
+++ b/packages/jobs/queues.ts
@@ -3,9 +3,6 @@
 	jobKeySchema, type JobKey, type Queue, type SchedulingConfiguration, type Tenant,
 } from './types.js';
 
-/** What a path addresses: the queue itself, or a job of it. */
-export type QueueAddress = Readonly<{queue: Queue; job: JobKey | undefined}>;
-
 /** Finds the queue of a host and path; the longest matching prefix wins. */
 export function findQueue({queues}: SchedulingConfiguration, host: string, path: string): Queue | undefined {
 	let found: Queue | undefined;
--- a/packages/kernel/clock.ts
+++ b/packages/kernel/clock.ts
@@ -14,6 +14,13 @@
 	},
 };
 
+/** Waits for a duration on a clock. */
+export async function pause(clock: Clock, duration: Milliseconds): Promise<void> {
+	await new Promise<void>(resolve => {
+		clock.schedule(duration, resolve);
+	});
+}
+
 /** A clock that stands still until it is advanced; for tests and benchmarks. */
 export type VirtualClock = Clock & Readonly<{
 	/** Runs every timer that is due within the duration, in order of due time. */
--- a/packages/scheduling/answers.ts
+++ b/packages/scheduling/answers.ts
@@ -48,7 +48,7 @@
 		case 'invalid': {
 			const pause = result === 'unhealthy' ? avoidanceMilliseconds : refusalPauseMilliseconds;
 			const paused = withWorker(state, {...worker, health: {...worker.health, avoidedUntil: Math.max(worker.health.avoidedUntil, present.monotonic + pause)}});
-			const released = releaseRun(paused, name, {}, present.monotonic);
+			const released = releaseRun(paused, name, present.monotonic);
 			const isGang = stepOf(job, name)?.isGang === true;
 			return chain(released, [
 				next => ({
--- a/packages/scheduling/board.ts
+++ b/packages/scheduling/board.ts
@@ -4,9 +4,9 @@
 	type Resources, type JobKey, type JobStep, type TaskName,
 } from '#jobs';
 import {
-	findWorkerOfRun, isOpen, isRunOn, needOf, queueOf, stepOf,
+	findWorkerOfRun, isOpen, isRunOn, jobOf, needOf, queueOf, stepOf,
 } from './state.js';
-import {rankJobs, type Rank} from './rank.js';
+import type {Rank} from './rank.js';
 import type {
 	AgentName, SchedulerJob, SchedulerState, SchedulerWorker, TaskRun,
 } from './types.js';
@@ -33,8 +33,7 @@
 export type Board = ReadonlyMap<AgentName, BoardWorker>;
 
 /** Takes stock of every worker. A run takes its resources until its end is listed, also while it is being stopped. */
-export function createBoard(state: SchedulerState, monotonic: MonotonicTime): Board {
-	const ranks = rankJobs(state);
+export function createBoard(state: SchedulerState, ranks: ReadonlyMap<JobKey, Rank>, monotonic: MonotonicTime): Board {
 	const runs = new Map<AgentName, PlacedRun[]>();
 	for (const job of state.jobs.values()) {
 		for (const [task, {run}] of job.tasks) {
@@ -73,7 +72,7 @@
 /** A run that nobody wants takes room of unknown size until it is stopped. */
 function hasStrayRun(state: SchedulerState, worker: SchedulerWorker): boolean {
 	return worker.snapshot.running.some(({task, run}) => {
-		const job = state.jobs.get(task.slice(0, task.indexOf('.')) as JobKey);
+		const job = jobOf(state, task);
 		const known = job?.tasks.get(task)?.run;
 		return job === undefined || !isOpen(job) || !isRunOn(known, worker) || known.run !== run;
 	});
--- a/packages/scheduling/ends.ts
+++ b/packages/scheduling/ends.ts
@@ -1,7 +1,7 @@
 /** What the ends that a worker lists change. */
 import type {Present} from '#core';
 import {
-	parseTaskName, type EndedRow, type JobKey,
+	parseTaskName, type EndedRow, type JobKey, type TaskName,
 } from '#jobs';
 import {avoidanceMilliseconds, failuresBeforeAvoidance} from './constants.js';
 import {lossOfRun} from './loss.js';
@@ -9,7 +9,7 @@
 	chain, closeJob, releaseRun, stopRuns, storeJob, unchanged, type SchedulerStep,
 } from './runs.js';
 import {
-	countFailures, isOpen, isRunOn, queueOf, siblingsOf, stepOf, withJob, withTask, withWorker,
+	countFailures, isOpen, isRunOn, jobOf, queueOf, siblingsOf, stepOf, withJob, withTask, withWorker,
 } from './state.js';
 import type {
 	AgentName, SchedulerJob, SchedulerState, SchedulerWorker, TaskState,
@@ -189,7 +189,7 @@
 /** Forgets the runs of a life of a worker that is certainly over. */
 export function releaseLife(state: SchedulerState, worker: SchedulerWorker, reason: string, present: Present): SchedulerStep {
 	let next = state;
-	const lost: string[] = [];
+	const lost: TaskName[] = [];
 	let loss = 0;
 	for (const job of state.jobs.values()) {
 		for (const [name, {run}] of job.tasks) {
@@ -197,14 +197,14 @@
 				const step = stepOf(job, name);
 				lost.push(name);
 				loss += step === undefined ? 0 : lossOfRun(run, step, present.monotonic);
-				next = releaseRun(next, name, {}, present.monotonic);
+				next = releaseRun(next, name, present.monotonic);
 			}
 		}
 	}
 
 	const gangs = lost.flatMap(name => {
-		const job = next.jobs.get(name.slice(0, name.indexOf('.')) as JobKey);
-		return job !== undefined && stepOf(job, name as never)?.isGang === true ? siblingsOf(job, name as never) : [];
+		const job = jobOf(next, name);
+		return job !== undefined && stepOf(job, name)?.isGang === true ? siblingsOf(job, name) : [];
 	});
 	return chain(next, [
 		after => ({
@@ -220,3 +220,11 @@
 		after => stopRuns(after, gangs, 'a member of the gang is lost', present.monotonic),
 	]);
 }
+
+/** Forgets a worker whose life is certainly over. */
+export function forgetWorker(state: SchedulerState, worker: SchedulerWorker, reason: string, present: Present): SchedulerStep {
+	const {state: released, effects} = releaseLife(state, worker, reason, present);
+	const workers = new Map(released.workers);
+	workers.delete(worker.agent);
+	return {state: {...released, workers}, effects};
+}
--- a/packages/scheduling/reports.ts
+++ b/packages/scheduling/reports.ts
@@ -6,7 +6,7 @@
 import {
 	grantSlackMilliseconds, grantValidityMilliseconds, slowClockFactor,
 } from './constants.js';
-import {handleEnd, releaseLife} from './ends.js';
+import {forgetWorker, handleEnd, releaseLife} from './ends.js';
 import {
 	chain, releaseRun, stopRuns, unchanged, type SchedulerStep,
 } from './runs.js';
@@ -196,7 +196,7 @@
 
 				case 'stopping': {
 					if (run.isStopConfirmed) {
-						decisions.push(next => unchanged(releaseRun(next, name, {}, present.monotonic)));
+						decisions.push(next => unchanged(releaseRun(next, name, present.monotonic)));
 					}
 				}
 			}
@@ -212,10 +212,7 @@
 		return unchanged(state);
 	}
 
-	const {state: released, effects} = releaseLife(state, worker, 'worker left', present);
-	const workers = new Map(released.workers);
-	workers.delete(agent);
-	return {state: {...released, workers}, effects};
+	return forgetWorker(state, worker, 'worker left', present);
 }
 
 /** The agent goes on by itself for as long as its last grant lasts. */
--- a/packages/scheduling/runs.ts
+++ b/packages/scheduling/runs.ts
@@ -7,7 +7,7 @@
 	findWorkerOfRun, isOpen, jobOf, siblingsOf, stepOf, withJob, withTask,
 } from './state.js';
 import type {
-	AgentName, SchedulerEffect, SchedulerJob, SchedulerState, StopOrder, TaskRun, TaskState,
+	AgentName, SchedulerEffect, SchedulerJob, SchedulerState, StopOrder, TaskRun,
 } from './types.js';
 
 export type SchedulerStep = Readonly<{state: SchedulerState; effects: readonly SchedulerEffect[]}>;
@@ -111,12 +111,12 @@
 }
 
 /** Forgets a run that is certainly over and lets the task start again. */
-export function releaseRun(state: SchedulerState, name: TaskName, change: Partial<TaskState>, monotonic: MonotonicTime): SchedulerState {
+export function releaseRun(state: SchedulerState, name: TaskName, monotonic: MonotonicTime): SchedulerState {
 	const job = jobOf(state, name);
 	const task = job?.tasks.get(name);
 	return job === undefined || task === undefined
 		? state
-		: withJob(state, {...withTask(job, name, {...task, run: undefined, ...change}), changedAt: monotonic});
+		: withJob(state, {...withTask(job, name, {...task, run: undefined}), changedAt: monotonic});
 }
 
 /** Marks a job as changed, so that its progress is stored. */
--- a/packages/scheduling/schedule.ts
+++ b/packages/scheduling/schedule.ts
@@ -1,13 +1,14 @@
 /** One pass of the scheduler: decides what starts where and what is stopped for it. */
 import type {MonotonicTime, Present} from '#core';
 import {
-	createBoard, reserve, subtract, take, type Board, type PlacedRun,
+	createBoard, reserve, take, type Board, type PlacedRun,
 } from './board.js';
 import {reservationDelayMilliseconds} from './constants.js';
 import {
 	countPlaced, fill, emptied, listCandidates, placeUnit, type Placement,
 } from './place.js';
 import {findPreemption} from './preempt.js';
+import {rankJobs} from './rank.js';
 import {
 	startRuns, stopRuns, storeJob, type SchedulerStep,
 } from './runs.js';
@@ -26,10 +27,11 @@
 		return {state: idle, effects: []};
 	}
 
+	const ranks = rankJobs(state);
 	let pass: Pass = {
-		state: idle, board: createBoard(state, present.monotonic), effects: [], reservedRanks: new Set(),
+		state: idle, board: createBoard(state, ranks, present.monotonic), effects: [], reservedRanks: new Set(),
 	};
-	for (const unit of listUnits(state, present)) {
+	for (const unit of listUnits(state, ranks, present)) {
 		pass = scheduleUnit(pass, unit, present.monotonic);
 	}
 
@@ -88,17 +90,10 @@
 		return undefined;
 	}
 
-	const need = needOf(unit.step);
-	const board = new Map(pass.board);
+	let {board} = pass;
 	for (const [agent, share] of found.shares) {
-		const present = board.get(agent);
-		if (present !== undefined) {
-			let {free} = present;
-			for (let index = 0; index < share; index++) {
-				free = subtract(free, need);
-			}
-
-			board.set(agent, {...present, free});
+		for (let index = 0; index < share; index++) {
+			board = take(board, agent, needOf(unit.step));
 		}
 	}
 
--- a/packages/scheduling/tick.ts
+++ b/packages/scheduling/tick.ts
@@ -4,7 +4,7 @@
 import {
 	checkpointStoreMilliseconds, drainSlackMilliseconds, endedJobRetentionMilliseconds, startConfirmationMilliseconds, stopRetryMilliseconds, stuckMilliseconds, stuckPercentFactor,
 } from './constants.js';
-import {noteFailure, releaseLife} from './ends.js';
+import {forgetWorker, noteFailure} from './ends.js';
 import {
 	chain, listRuns, stopRuns, storeJob, unchanged, type SchedulerStep,
 } from './runs.js';
@@ -114,12 +114,7 @@
 
 function forgetGoneWorkers(state: SchedulerState, present: Present): SchedulerStep {
 	const gone = [...state.workers.values()].filter(({contact}) => contact.kind === 'lost' && contact.runsUntil <= present.monotonic);
-	return chain(state, gone.map(worker => next => {
-		const {state: released, effects} = releaseLife(next, worker, 'agent was lost and its grant is over', present);
-		const workers = new Map(released.workers);
-		workers.delete(worker.agent);
-		return {state: {...released, workers}, effects};
-	}));
+	return chain(state, gone.map(worker => next => forgetWorker(next, worker, 'agent was lost and its grant is over', present)));
 }
 
 function forgetUnread(state: SchedulerState, monotonic: MonotonicTime): SchedulerState {
--- a/packages/scheduling/units.ts
+++ b/packages/scheduling/units.ts
@@ -1,9 +1,9 @@
 import type {MonotonicTime, Present, Timestamp} from '#core';
 import {
-	listStepTasks, type JobStep, type Queue, type TaskName,
+	listStepTasks, type JobStep, type Queue, type TaskName, type JobKey,
 } from '#jobs';
 import {earlyStartMilliseconds} from './constants.js';
-import {rankJobs, type Rank} from './rank.js';
+import type {Rank} from './rank.js';
 import {countFailures, isOpen, queueOf} from './state.js';
 import type {SchedulerJob, SchedulerState} from './types.js';
 
@@ -22,8 +22,7 @@
 }>;
 
 /** Lists what may start now, in the order in which it is placed. */
-export function listUnits(state: SchedulerState, {now, monotonic}: Present): readonly Unit[] {
-	const ranks = rankJobs(state);
+export function listUnits(state: SchedulerState, ranks: ReadonlyMap<JobKey, Rank>, {now, monotonic}: Present): readonly Unit[] {
 	const units: Unit[] = [];
 	for (const job of state.jobs.values()) {
 		if (!isOpen(job) || isUncertain(state, job)) {
--- a/packages/store/http-store.ts
+++ b/packages/store/http-store.ts
@@ -45,7 +45,7 @@
 }
 
 /** A refusal (4xx) or an outage (503) is answered before anything is applied; everything else is uncertain. */
-function toFailure(result: HttpResult): StoreFailure {
+export function toFailure(result: HttpResult): StoreFailure {
 	if (result.kind === 'failed') {
 		return {kind: 'unavailable', effect: result.delivery === 'never-sent' ? 'not-applied' : 'perhaps-applied', message: result.message};
 	}
@@ -107,7 +107,8 @@
 	return lease === undefined ? toFailure(result) : {kind: 'granted', lease: lease.lease};
 }
 
-function decodeBody<Schema extends valibot.GenericSchema>(result: HttpResult, status: number, schema: Schema): valibot.InferOutput<Schema> | undefined {
+/** Decodes the body of an answer with the status; undefined for any other answer. */
+export function decodeBody<Schema extends valibot.GenericSchema>(result: HttpResult, status: number, schema: Schema): valibot.InferOutput<Schema> | undefined {
 	if (result.kind !== 'answered' || result.status !== status) {
 		return undefined;
 	}
