--- /dev/null
+++ b/bench/scheduling/model.ts
@@ -0,0 +1,172 @@
+/** Plays a scenario: the scheduler's decisions against simulated workers, in virtual time and without a network. */
+import {createRandomSource} from '#core';
+import {parseJobOfTask, type JobKey, type TaskName} from '#jobs';
+import {
+	createSchedulerState, receiveSchedulerMessage, type SchedulerEffect, type SchedulerMessage, type SchedulerState,
+} from '#scheduling';
+import {
+	service, type ArrivingJob, type Kind, type Scenario,
+} from './scenarios.js';
+import {createSimulatedWorker, reportMilliseconds, type SimulatedWorker} from './workers.js';
+
+export type PlayedJob = Readonly<{
+	kind: Kind;
+	/** Milliseconds from the submission to the first start; undefined if no task started. */
+	wait: number | undefined;
+	isOnTime: boolean;
+	isCompleted: boolean;
+}>;
+
+export type Played = Readonly<{
+	jobs: readonly PlayedJob[];
+	starts: number;
+	stops: number;
+	/** Rounds of stops after the first one, over all units for which runs were stopped. */
+	repeatedStops: number;
+	discardedCoreSeconds: number;
+	/** Core-seconds of the jobs that ended on time; an accelerator counts as 8 cores. */
+	onTimeCoreSeconds: number;
+}>;
+
+const stepMilliseconds = 25;
+const tickMilliseconds = 250;
+/** Time after the last arrival in which jobs may still end. */
+const drainMilliseconds = 30_000;
+const seed = 5;
+
+/** Plays the scenario to its end, one message after the other. */
+export function playScenario(scenario: Scenario): Played {
+	const random = createRandomSource(seed);
+	const workers = new Map(Array.from({length: scenario.workers}, (_, index) => createSimulatedWorker(index, service, random)).map(worker => [worker.agent, worker]));
+	const jobs = new Map<JobKey, ArrivingJob>(scenario.arrivals.map(job => [job.submission.job, job]));
+	const firstStarts = new Map<JobKey, number>();
+	const completions = new Map<JobKey, number>();
+	const stopsByReason = new Map<string, number>();
+	let state: SchedulerState = createSchedulerState(1);
+	let time = 0;
+	let starts = 0;
+	let stops = 0;
+	let discardedCoreSeconds = 0;
+
+	const findStep = (task: TaskName) => jobs.get(parseJobOfTask(task))?.submission.request.steps[0];
+	const perform = (effect: SchedulerEffect): void => {
+		switch (effect.kind) {
+			case 'start': {
+				starts += effect.orders.length;
+				firstStarts.set(effect.job, firstStarts.get(effect.job) ?? time);
+				for (const order of effect.orders) {
+					const step = findStep(order.task);
+					if (step !== undefined) {
+						workers.get(effect.agent)?.start(order, step, jobs.get(effect.job)?.duration ?? 0, time);
+					}
+				}
+
+				send({kind: 'start-answered', agent: effect.agent, answers: effect.orders.map(({task, run}) => ({task, run, result: 'started'}))});
+				break;
+			}
+
+			case 'stop': {
+				stops += effect.orders.length;
+				for (const order of effect.orders) {
+					workers.get(effect.agent)?.stop(order, time);
+				}
+
+				send({kind: 'stop-answered', agent: effect.agent, orders: effect.orders});
+				break;
+			}
+
+			case 'store-progress': {
+				const job = state.jobs.get(effect.job);
+				send({
+					kind: 'stored', job: effect.job, version: job?.version ?? 0, keyVersion: 1,
+				});
+				break;
+			}
+
+			case 'log': {
+				const {reason, lossCoreSeconds} = effect.fields;
+				if (effect.event === 'stop-ordered' && typeof reason === 'string' && reason.startsWith('room for')) {
+					stopsByReason.set(reason, (stopsByReason.get(reason) ?? 0) + 1);
+					discardedCoreSeconds += Number(lossCoreSeconds);
+				}
+
+				if (effect.event === 'job-ended') {
+					completions.set(effect.fields['job'] as JobKey, time);
+				}
+
+				break;
+			}
+
+			case 'request-pass':
+			case 'acknowledge':
+			case 'remove-records': {
+				break;
+			}
+		}
+	};
+
+	const send = (message: SchedulerMessage): void => {
+		const step = receiveSchedulerMessage(state, message, {now: time, monotonic: time});
+		({state} = step);
+		for (const effect of step.effects) {
+			perform(effect);
+		}
+	};
+
+	const report = (worker: SimulatedWorker) => {
+		send({kind: 'renewed', agent: worker.agent, snapshot: worker.describe(time)});
+		worker.acknowledge(state.workers.get(worker.agent)?.notedEnd ?? 0);
+	};
+
+	send({kind: 'configured', configuration: scenario.configuration});
+	send({kind: 'loaded', jobs: [], workers: []});
+	for (const worker of workers.values()) {
+		report(worker);
+	}
+
+	const arrivals = [...scenario.arrivals];
+	while (time < scenario.length + drainMilliseconds && (arrivals.length > 0 || completions.size < jobs.size)) {
+		time += stepMilliseconds;
+		while ((arrivals[0]?.at ?? Infinity) <= time) {
+			const arrival = arrivals.shift();
+			if (arrival !== undefined) {
+				send({kind: 'submitted', submission: arrival.submission});
+			}
+		}
+
+		for (const worker of workers.values()) {
+			if (worker.advance(time) || (time - worker.reportsAt()) % reportMilliseconds < stepMilliseconds) {
+				report(worker);
+			}
+		}
+
+		if (time % tickMilliseconds < stepMilliseconds) {
+			send({kind: 'tick'});
+		}
+
+		if (state.isScheduleDue) {
+			send({kind: 'pass'});
+		}
+	}
+
+	const played = scenario.arrivals.map((job): PlayedJob => {
+		const {job: key} = job.submission;
+		const startedAt = firstStarts.get(key);
+		const completedAt = completions.get(key) ?? Infinity;
+		return {
+			kind: job.kind, wait: startedAt === undefined ? undefined : startedAt - job.at, isOnTime: completedAt - job.at <= job.onTimeMilliseconds, isCompleted: completedAt < Infinity,
+		};
+	});
+	return {
+		jobs: played,
+		starts,
+		stops,
+		repeatedStops: [...stopsByReason.values()].reduce((total, count) => total + count - 1, 0),
+		discardedCoreSeconds,
+		onTimeCoreSeconds: scenario.arrivals.reduce((total, job, index) => total + (played[index]?.isOnTime === true ? measureWork(job) : 0), 0),
+	};
+}
+
+function measureWork({duration, submission}: ArrivingJob): number {
+	return submission.request.steps.reduce((total, step) => total + (step.count * duration * ((step.processorMillicores / 1000) + (8 * step.accelerators)) / 1000), 0);
+}
--- /dev/null
+++ b/bench/scheduling/scenarios.ts
@@ -0,0 +1,106 @@
+/** Jobs of the large deployment's kinds, at its rates, in seeded order. */
+import {createRandomSource, type RandomSource} from '#core';
+import type {
+	JobKey, JobStep, JobSubmission, Queue, QueueName, SchedulingConfiguration, ServiceName, TenantName,
+} from '#jobs';
+
+export const service = 'pool' as ServiceName;
+const tenantCount = 24;
+
+export type Kind = 'roster' | 'curve' | 'layout';
+
+type KindOfJob = Readonly<{
+	kind: Kind; priority: number; perSecond: number; width: number; milliseconds: number; cores: number; memoryMegabytes: number; accelerators: readonly number[];
+	isGang: boolean; rackShare: number; checkpointShare: number; stretch: number; targetMilliseconds: number;
+}>;
+
+/** Rates, widths and durations as the deployment's page and site file state them for its full size. */
+const kinds: readonly KindOfJob[] = [
+	{
+		kind: 'roster', priority: 0, perSecond: 2.5, width: 5, milliseconds: 3000, cores: 15, memoryMegabytes: 79_000, accelerators: [1, 2, 4, 8, 8],
+		isGang: true, rackShare: 0.8, checkpointShare: 0, stretch: 1.5, targetMilliseconds: 600,
+	},
+	{
+		kind: 'curve', priority: 1, perSecond: 0.78, width: 13, milliseconds: 8300, cores: 52, memoryMegabytes: 150_000, accelerators: [1, 2, 4, 8, 8],
+		isGang: true, rackShare: 0.6, checkpointShare: 0.45, stretch: 3, targetMilliseconds: 1500,
+	},
+	{
+		kind: 'layout', priority: 2, perSecond: 0.49, width: 38, milliseconds: 11_600, cores: 11, memoryMegabytes: 33_000, accelerators: [1],
+		isGang: false, rackShare: 0, checkpointShare: 0.45, stretch: 3, targetMilliseconds: 3000,
+	},
+];
+
+/** One job in 33 takes seven times as long as its kind. */
+const stragglerShare = 0.03;
+const stragglerFactor = 7;
+
+export type ArrivingJob = Readonly<{kind: Kind; at: number; submission: JobSubmission; duration: number; onTimeMilliseconds: number}>;
+
+export type Scenario = Readonly<{name: string; workers: number; configuration: SchedulingConfiguration; arrivals: readonly ArrivingJob[]; length: number}>;
+
+function queueOf({kind, priority, stretch, targetMilliseconds}: KindOfJob): Queue {
+	return {
+		name: kind as unknown as QueueName, host: 'host', pathPrefix: `/${kind}/`, service, priority, maximumAttempts: 3, stretch, targetMilliseconds, isPublic: false,
+	};
+}
+
+/**
+Creates jobs for `workers` workers over `length` milliseconds; `factor` multiplies the rates between two thirds and the end of the first half.
+
+@example
+```
+createScenario('crest', {workers: 160, factor: 2, length: 30_000, seed: 7});
+```
+*/
+export function createScenario(name: string, {workers, factor, length, seed}: Readonly<{workers: number; factor: number; length: number; seed: number}>): Scenario {
+	const random = createRandomSource(seed);
+	const arrivals: ArrivingJob[] = [];
+	let count = 0;
+	for (const kind of kinds) {
+		for (let at = 0; at < length;) {
+			const isCrest = at > length / 6 && at < length / 2;
+			const perMillisecond = kind.perSecond * (workers / 160) * (isCrest ? factor : 1) / 1000;
+			at += -Math.log(1 - random()) / perMillisecond;
+			if (at < length) {
+				arrivals.push(createJob(kind, at, ++count, random));
+			}
+		}
+	}
+
+	const tenants = Array.from({length: tenantCount}, (_, index) => ({name: `tenant-${index}` as TenantName, apiKeys: [], guaranteedAccelerators: Math.floor(workers * 8 * 0.3 / tenantCount)}));
+	return {
+		name, workers, length, configuration: {version: 1, queues: kinds.map(kind => queueOf(kind)), tenants}, arrivals: arrivals.toSorted((first, second) => first.at - second.at),
+	};
+}
+
+function createJob(kind: KindOfJob, at: number, number: number, random: RandomSource): ArrivingJob {
+	const duration = kind.milliseconds * (0.7 + (0.6 * random())) * (random() < stragglerShare ? stragglerFactor : 1);
+	const step: JobStep = {
+		count: Math.max(1, Math.round(kind.width * (0.3 + (1.4 * random())))),
+		processorMillicores: kind.cores * 1000,
+		memoryMegabytes: kind.memoryMegabytes,
+		accelerators: kind.accelerators[Math.floor(random() * kind.accelerators.length)] ?? 1,
+		estimatedMilliseconds: kind.milliseconds * (0.6 + (0.8 * random())),
+		after: [],
+		isCheckpointing: random() < kind.checkpointShare,
+		isGang: kind.isGang,
+		prefersOneRack: random() < kind.rackShare,
+		maximumPerWorker: 0,
+		isLongRunning: false,
+		isFilling: false,
+		maximumUnavailable: 0,
+	};
+	return {
+		kind: kind.kind,
+		at,
+		duration,
+		onTimeMilliseconds: (kind.stretch * duration) + kind.targetMilliseconds,
+		submission: {
+			job: number.toString(16).padStart(16, '0') as JobKey,
+			queue: queueOf(kind),
+			tenant: `tenant-${Math.floor(random() * tenantCount)}` as TenantName,
+			submittedAt: at,
+			request: {specification: 'text', steps: [step]},
+		},
+	};
+}
--- /dev/null
+++ b/bench/scheduling/workers.ts
@@ -0,0 +1,89 @@
+/** Simulated workers that carry out orders in virtual time and report as agents do. */
+import type {MonotonicTime, RandomSource, WorkerId} from '#core';
+import type {
+	EndedRun, JobStep, ReportedRun, ServiceName, TaskName, WorkerSnapshot,
+} from '#jobs';
+import type {AgentName, StartOrder, StopOrder} from '#scheduling';
+
+/** How long a worker takes to stop a run, as the large deployment states it. */
+const stopMilliseconds = 400;
+/** Interval of an agent's reports while nothing ends. */
+export const reportMilliseconds = 500;
+export const acceleratorsPerWorker = 8;
+const workersPerRack = 12;
+
+type SimulatedRun = {readonly task: TaskName; readonly run: number; readonly step: JobStep; readonly startedAt: MonotonicTime; readonly duration: number; readonly initialPercent: number; stopsAt: MonotonicTime};
+
+export type SimulatedWorker = Readonly<{
+	agent: AgentName;
+	start(order: StartOrder, step: JobStep, duration: number, time: MonotonicTime): void;
+	stop(order: StopOrder, time: MonotonicTime): void;
+	/** Ends what is due; returns whether something ended. */
+	advance(time: MonotonicTime): boolean;
+	acknowledge(notedEnd: number): void;
+	describe(time: MonotonicTime): WorkerSnapshot;
+	reportsAt(): number;
+}>;
+
+/** Creates a worker of 128 cores, 512 GB and 8 accelerators, 12 in a rack. */
+export function createSimulatedWorker(index: number, service: ServiceName, random: RandomSource): SimulatedWorker {
+	const agent: AgentName = `side-${index}`;
+	const runs = new Map<TaskName, SimulatedRun>();
+	const reportOffset = Math.floor(random() * reportMilliseconds);
+	let ended: EndedRun[] = [];
+	let endCount = 0;
+	const measurePercent = ({startedAt, duration, initialPercent}: SimulatedRun, time: MonotonicTime) => Math.min(100, initialPercent + Math.floor((time - startedAt) * 100 / duration));
+	const end = (run: SimulatedRun, ending: EndedRun['ending'], time: MonotonicTime) => {
+		runs.delete(run.task);
+		ended.push({
+			number: ++endCount, task: run.task, run: run.run, ending, checkpoint: run.step.isCheckpointing && ending === 'stopped' ? String(measurePercent(run, time)) : '',
+		});
+	};
+
+	return {
+		agent,
+		start({task, run, checkpoint}, step, duration, time) {
+			runs.set(task, {
+				task, run, step, startedAt: time, duration, initialPercent: Number(checkpoint), stopsAt: Infinity,
+			});
+		},
+		stop({task, run}, time) {
+			const current = runs.get(task);
+			if (current?.run === run) {
+				current.stopsAt = Math.min(current.stopsAt, time + stopMilliseconds);
+			}
+		},
+		advance(time) {
+			const earlier = endCount;
+			for (const run of runs.values()) {
+				if (measurePercent(run, time) >= 100) {
+					end(run, 'done', time);
+				} else if (time >= run.stopsAt) {
+					end(run, 'stopped', time);
+				}
+			}
+
+			return endCount > earlier;
+		},
+		acknowledge(notedEnd) {
+			ended = ended.filter(({number}) => number > notedEnd);
+		},
+		describe: time => ({
+			worker: `worker-${index}` as WorkerId,
+			incarnation: '1',
+			service,
+			zone: 'zone',
+			labels: ['a'],
+			rack: `rack-${Math.floor(index / workersPerRack)}`,
+			capacity: {processorMillicores: 128_000, memoryMegabytes: 524_288, accelerators: acceleratorsPerWorker},
+			state: 'ready',
+			isResponsive: true,
+			isLeaseOver: false,
+			running: [...runs.values()].map((run): ReportedRun => ({
+				task: run.task, run: run.run, checkpoint: run.step.isCheckpointing ? String(measurePercent(run, time)) : '', percent: measurePercent(run, time),
+			})),
+			ended,
+		}),
+		reportsAt: () => reportOffset,
+	};
+}
--- a/packages/coordinator/constants.ts
+++ b/packages/coordinator/constants.ts
@@ -6,6 +6,12 @@
 export const watchMilliseconds = 1500;
 /** Interval at which the scheduler checks for orders without a reply. */
 export const schedulerTickMilliseconds = 250;
+/** Shortest delay of a scheduling pass; the answers and reports of one moment share it. */
+export const minimumPassDelayMilliseconds = 5;
+/** Longest delay of a scheduling pass, so that urgent work is noticed in time on a slow machine. */
+export const maximumPassDelayMilliseconds = 400;
+/** Delay of a scheduling pass as a multiple of the duration of the last one; passes take at most a quarter of the processor. */
+export const passDelayFactor = 3;
 /** Timeout of orders to agents and of announcing the scheduler to them. */
 export const orderTimeoutMilliseconds = 1500;
 /** Interval at which entries exchange their configuration version and epoch. */
--- a/packages/coordinator/plugins/scheduler.ts
+++ b/packages/coordinator/plugins/scheduler.ts
@@ -8,6 +8,7 @@
 import {startJobWatch} from '../job-watch.js';
 import {sendStarts, sendStops} from '../orders.js';
 import {peerAddressOf} from '../peer-address.js';
+import {createPassTimer} from '../pass-timer.js';
 import {coordinatorPlugins} from '../plugins.js';
 import {startProgressWriter, type ProgressWriter} from '../progress-writer.js';
 import type {CoordinatorContext} from '../types.js';
@@ -65,12 +66,23 @@
 	const {clock, services} = context;
 	let isOver = false;
 	const isTermOver = () => isOver;
+	const passes = createPassTimer(context, () => {
+		if (!isOver) {
+			task.send({kind: 'pass'});
+		}
+	});
 	const task = startTask<SchedulerState, SchedulerMessage, SchedulerEffect>(
 		{name: 'scheduler', initialState: createSchedulerState(epoch), receive: receiveSchedulerMessage},
 		{
 			clock,
 			perform(effect) {
-				if (!isOver) {
+				if (isOver) {
+					return;
+				}
+
+				if (effect.kind === 'request-pass') {
+					passes.request();
+				} else {
 					performEffect(effect, term, context);
 				}
 			},
@@ -121,7 +133,7 @@
 	counters.setGauge('jobs-waiting', [...countPending(state).values()].reduce((total, count) => total + count, 0));
 }
 
-function performEffect(effect: SchedulerEffect, term: Term, context: CoordinatorContext): void {
+function performEffect(effect: Exclude<SchedulerEffect, Readonly<{kind: 'request-pass'}>>, term: Term, context: CoordinatorContext): void {
 	switch (effect.kind) {
 		case 'start': {
 			void sendStarts(effect, term, context);
--- a/packages/jobs/tasks.ts
+++ b/packages/jobs/tasks.ts
@@ -23,6 +23,11 @@
 	};
 }
 
+/** Returns the job of a validated task name. */
+export function parseJobOfTask(task: TaskName): JobKey {
+	return task.slice(0, task.indexOf('.')) as JobKey;
+}
+
 /** Formats the part of a task's name after the job, which is the key in the job's stored progress. */
 export function formatLocalTaskName(task: TaskName): string {
 	return task.slice(task.indexOf('.') + 1);
--- a/packages/scheduling/constants.ts
+++ b/packages/scheduling/constants.ts
@@ -62,6 +62,10 @@
 export const lowUtilizationShare = 0.6;
 /** Wide low-rank work that cannot save its progress starts with this many tasks, about the capacity of one worker, until their pace shows how long it takes. */
 export const probeTaskCount = 8;
+/** How long a job for which no runs could be preempted waits before the next search. A guarantee leaves 2.9 s, so that the search is repeated often enough. */
+export const preemptionRetryMilliseconds = 200;
+/** How long room stays claimed after runs were stopped for it. A stop takes up to 0.9 s, and a guarantee leaves 2.9 s for another attempt. */
+export const claimMilliseconds = 1200;
 /** How often work beyond a guarantee may stop the same task, so that its job eventually ends. */
 export const maximumPreemptions = 1;
 /** Interval at which checkpoints of runs are stored. Workers create one for each 0.5 to 2 s of work, and one write holds those of 15 jobs. */
@@ -72,5 +76,5 @@
 export const earlyStartMilliseconds = 50;
 /** Interval at which the reason why a job waits is logged. */
 export const waitingLogMilliseconds = 2000;
-/** Maximum number of waiting units that are logged in one tick, so that a full pool does not flood the logs. */
+/** Maximum number of waiting units that are logged in one pass, so that a full pool does not flood the logs. */
 export const maximumWaitingLogs = 20;
--- a/packages/scheduling/ends.ts
+++ b/packages/scheduling/ends.ts
@@ -1,15 +1,15 @@
 /** Handles the ends of runs that workers list, and the runs of lost workers. */
 import type {CurrentTime} from '#core';
 import {
-	parseTaskName, type EndedRun, type JobKey, type TaskName,
+	parseJobOfTask, type EndedRun, type JobKey, type TaskName,
 } from '#jobs';
 import {avoidanceMilliseconds, failuresBeforeAvoidance} from './constants.js';
 import {measureLoss} from './loss.js';
 import {
-	chain, endJob, releaseRun, stopRuns, storeJob, withoutEffects, type SchedulerTransition,
+	chain, endJob, listRunsOf, markChanged, releaseRun, stopRuns, storeJob, withoutEffects, type SchedulerTransition,
 } from './runs.js';
 import {
-	countFailures, isOpen, isRunOn, findJob, resolveQueue, listStepMembers, findStep, withJob, withTask, withWorker,
+	countFailures, isOpen, isRunOn, findJob, findTask, resolveQueue, listStepMembers, findStep, withTask, withWorker,
 } from './state.js';
 import type {
 	AgentName, SchedulerJob, SchedulerState, SchedulerWorker, TaskState,
@@ -38,7 +38,7 @@
 /** Defers the acknowledgement of an end until the progress that contains it is stored. */
 function deferAcknowledgement(state: SchedulerState, agent: AgentName, {number, task}: EndedRun): SchedulerTransition {
 	const worker = state.workers.get(agent);
-	const {job: key} = parseTaskName(task);
+	const key = parseJobOfTask(task);
 	const job = state.jobs.get(key);
 	return worker === undefined
 		? withoutEffects(state)
@@ -68,7 +68,7 @@
 }
 
 function applyEnd(state: SchedulerState, agent: AgentName, end: EndedRun, time: CurrentTime): SchedulerTransition {
-	const job = state.jobs.get(parseTaskName(end.task).job);
+	const job = findJob(state, end.task);
 	const task = job?.tasks.get(end.task);
 	const worker = state.workers.get(agent);
 	const step = job === undefined ? undefined : findStep(job, end.task);
@@ -80,7 +80,7 @@
 	const released = isCurrentRun ? {...task, run: undefined} : task;
 	const updated = {...released, lastRun: Math.max(released.lastRun, end.run)};
 	if (!isOpen(job)) {
-		return withoutEffects(withJob(state, withTask(job, end.task, updated)));
+		return withoutEffects(withTask(state, end.task, updated));
 	}
 
 	switch (end.ending) {
@@ -115,53 +115,56 @@
 /** Marks a task as done; one member that is done completes its whole gang. */
 function finishTask(state: SchedulerState, {job, end, task, agent}: TaskEndOnAgent, time: CurrentTime): SchedulerTransition {
 	const names = findStep(job, end.task)?.isGang === true ? listStepMembers(job, end.task) : [end.task];
-	let next = withTask(job, end.task, task);
+	let next = withTask(state, end.task, task);
 	for (const name of names) {
-		const member = next.tasks.get(name);
+		const member = findTask(next, name);
 		if (member !== undefined) {
 			next = withTask(next, name, {...member, isDone: true});
 		}
 	}
 
-	const isDone = [...next.tasks.values()].every(member => member.isDone);
-	return chain(clearFailures(withJob(state, {...next, changedAt: time.monotonic}), agent), [
+	const {job: key} = job.submission;
+	return chain(clearFailures(markChanged(next, end.task, time.monotonic), agent), [
 		// Stops another run of the same task, which is no longer needed.
 		after => end.run === job.tasks.get(end.task)?.run?.run ? withoutEffects(after) : stopRuns(after, [end.task], 'task completed on another worker', time.monotonic),
-		after => {
-			const latest = after.jobs.get(job.submission.job) ?? next;
-			return isDone ? endJob(after, job.submission.job, 'completed', time) : storeJob(after, latest);
-		},
+		after => after.jobs.get(key)?.counts.unfinished === 0 ? endJob(after, key, 'completed', time) : storeCurrent(after, key),
 	]);
 }
 
+function storeCurrent(state: SchedulerState, key: JobKey): SchedulerTransition {
+	const job = state.jobs.get(key);
+	return job === undefined ? withoutEffects(state) : storeJob(state, job);
+}
+
 function failTask(state: SchedulerState, {job, end, task, agent}: TaskEndOnAgent, time: CurrentTime): SchedulerTransition {
-	const worker = state.workers.get(agent);
-	const workerId = worker?.snapshot.worker;
+	const {job: key} = job.submission;
+	const workerId = state.workers.get(agent)?.snapshot.worker;
 	const failedRuns = task.failedRuns.includes(end.run) ? task.failedRuns : [...task.failedRuns, end.run];
-	const next = withTask(job, end.task, {
+	const next = markChanged(withTask(state, end.task, {
 		...task, failedRuns, avoided: workerId === undefined ? task.avoided : [...task.avoided, workerId],
-	});
-	const isExhausted = countFailures(next, end.task) >= resolveQueue(state, job).maximumAttempts;
-	return chain(recordFailure(withJob(state, {...next, changedAt: time.monotonic}), agent, job.submission.job, time.monotonic), [
-		after => isExhausted ? endJob(after, job.submission.job, 'failed', time) : storeJob(after, after.jobs.get(job.submission.job) ?? next),
+	}), end.task, time.monotonic);
+	return chain(recordFailure(next, agent, key, time.monotonic), [
+		after => hasAttemptsLeft(after, end.task) ? storeCurrent(after, key) : endJob(after, key, 'failed', time),
 		after => stopGang(after, end, time),
 	]);
 }
 
+function hasAttemptsLeft(state: SchedulerState, name: TaskName): boolean {
+	const job = findJob(state, name);
+	return job !== undefined && countFailures(job, name) < resolveQueue(state, job).maximumAttempts;
+}
+
 /** Lets a task start again from its latest checkpoint. */
 function requeueTask(state: SchedulerState, {job, end, task}: TaskEnd, time: CurrentTime): SchedulerTransition {
 	const checkpoint = end.checkpoint === '' ? task.checkpoint : end.checkpoint;
 	const lastPercent = Math.max(task.checkpointPercent, job.tasks.get(end.task)?.run?.percent ?? 0);
-	const next = withJob(state, {
-		...withTask(job, end.task, {...task, checkpoint, checkpointPercent: end.checkpoint === '' ? task.checkpointPercent : lastPercent}),
-		changedAt: time.monotonic,
-	});
-	return stopGang(next, end, time);
+	const next = withTask(state, end.task, {...task, checkpoint, checkpointPercent: end.checkpoint === '' ? task.checkpointPercent : lastPercent});
+	return stopGang(markChanged(next, end.task, time.monotonic), end, time);
 }
 
 /** Stops the other members of a gang. They would also end by themselves, but later. */
 function stopGang(state: SchedulerState, {task}: EndedRun, {monotonic}: CurrentTime): SchedulerTransition {
-	const job = state.jobs.get(parseTaskName(task).job);
+	const job = findJob(state, task);
 	return job !== undefined && findStep(job, task)?.isGang === true ? stopRuns(state, listStepMembers(job, task), 'a member of the gang ended', monotonic) : withoutEffects(state);
 }
 
@@ -192,14 +195,12 @@
 	let next = state;
 	const lostTasks: TaskName[] = [];
 	let loss = 0;
-	for (const job of state.jobs.values()) {
-		for (const [name, {run}] of job.tasks) {
-			if (isRunOn(run, worker)) {
-				const step = findStep(job, name);
-				lostTasks.push(name);
-				loss += step === undefined ? 0 : measureLoss(run, step, time.monotonic);
-				next = releaseRun(next, name, time.monotonic);
-			}
+	for (const {name, run, job} of listRunsOf(state, worker.agent)) {
+		if (isRunOn(run, worker)) {
+			const step = findStep(job, name);
+			lostTasks.push(name);
+			loss += step === undefined ? 0 : measureLoss(run, step, time.monotonic);
+			next = releaseRun(next, name, time.monotonic);
 		}
 	}
 
@@ -225,7 +226,7 @@
 /** Removes a worker whose incarnation has certainly ended. */
 export function removeWorker(state: SchedulerState, worker: SchedulerWorker, reason: string, time: CurrentTime): SchedulerTransition {
 	const {state: released, effects} = releaseIncarnation(state, worker, reason, time);
-	const workers = new Map(released.workers);
-	workers.delete(worker.agent);
-	return {state: {...released, workers}, effects};
+	return {
+		state: {...released, workers: released.workers.delete(worker.agent), unacknowledged: released.unacknowledged.delete(worker.agent)}, effects,
+	};
 }
--- a/packages/scheduling/low-rank.ts
+++ b/packages/scheduling/low-rank.ts
@@ -9,7 +9,7 @@
 
 /** Number of runs of all steps of the unit's job. */
 export function countRuns({job}: SchedulingUnit): number {
-	return [...job.tasks.values()].filter(({run}) => run !== undefined).length;
+	return job.counts.running;
 }
 
 /** Whether the unit has a low rank and cannot be stopped without discarding work. */
--- a/packages/scheduling/order-answers.ts
+++ b/packages/scheduling/order-answers.ts
@@ -5,7 +5,7 @@
 	chain, releaseRun, stopRuns, withoutEffects, type SchedulerTransition,
 } from './runs.js';
 import {
-	isRunOn, findJob, listStepMembers, findStep, withJob, withTask, withWorker,
+	isRunOn, findJob, findTask, listStepMembers, findStep, withTask, withWorker,
 } from './state.js';
 import type {
 	AgentName, SchedulerState, StartAnswer, StopOrder,
@@ -27,11 +27,11 @@
 	switch (result) {
 		case 'started': {
 			return withoutEffects(run.stage === 'starting'
-				? withJob(state, withTask(job, name, {
+				? withTask(state, name, {
 					...task, run: {
 						...run, stage: 'running', startedAt: time.monotonic, progressedAt: time.monotonic, paceBaseline: {percent: 0, at: time.monotonic},
 					},
-				}))
+				})
 				: state);
 		}
 
@@ -68,11 +68,10 @@
 export function handleStopAnswers(state: SchedulerState, agent: AgentName, orders: readonly StopOrder[]): SchedulerTransition {
 	let next = state;
 	for (const {task: name, run: number} of orders) {
-		const job = findJob(next, name);
-		const task = job?.tasks.get(name);
+		const task = findTask(next, name);
 		const worker = next.workers.get(agent);
-		if (job !== undefined && task !== undefined && worker !== undefined && isRunOn(task.run, worker) && task.run.run === number) {
-			next = withJob(next, withTask(job, name, {...task, run: {...task.run, isStopConfirmed: true}}));
+		if (task !== undefined && worker !== undefined && isRunOn(task.run, worker) && task.run.run === number) {
+			next = withTask(next, name, {...task, run: {...task.run, isStopConfirmed: true}});
 		}
 	}
 
--- a/packages/scheduling/place.ts
+++ b/packages/scheduling/place.ts
@@ -1,7 +1,7 @@
 import type {MonotonicTime} from '#core';
 import {parseTaskName, type TaskName} from '#jobs';
 import {
-	countFitting, allocate, type Pool, type PoolWorker,
+	countFitting, type Pool, type PoolWorker,
 } from './pool.js';
 import {guaranteedRackWaitMilliseconds, rackWaitShare} from './constants.js';
 import {
@@ -29,6 +29,12 @@
 	return isLowRankWithoutCheckpoints(unit) ? limitToShare(unit, candidates, pool) : candidates;
 }
 
+/** Whether any worker with the unit's service and label has room for a task of it. */
+export function hasRoomForTask(unit: SchedulingUnit, pool: Pool): boolean {
+	const need = resourcesOf(unit.step);
+	return listEligible(unit, pool).some(({free}) => countFitting(free, need, 1) === 1);
+}
+
 /** Places as many of the unit's tasks as fit; a gang only as a whole. */
 export function placeUnit(unit: SchedulingUnit, pool: Pool, monotonic: MonotonicTime): readonly Placement[] {
 	const placements = placeAmong(unit, listCandidates(unit, pool), pool, monotonic);
@@ -42,7 +48,7 @@
 }
 
 function placeAmong(unit: SchedulingUnit, candidates: readonly PoolWorker[], pool: Pool, monotonic: MonotonicTime): readonly Placement[] {
-	return unit.step.isGang ? placeGang(unit, candidates, pool, monotonic) : placeTasks(limitToProbeTasks(unit), candidates, pool, monotonic);
+	return unit.step.isGang ? placeGang(unit, candidates, pool, monotonic) : placeTasks(limitToProbeTasks(unit), candidates, monotonic);
 }
 
 /** Whether the unit should still wait for its preferred rack rather than run slower elsewhere. */
@@ -51,11 +57,17 @@
 	return monotonic - waitingSince < (rank === 0 ? Math.min(longestWait, guaranteedRackWaitMilliseconds) : longestWait);
 }
 
-export function groupByRack(candidates: readonly PoolWorker[]): ReadonlyArray<readonly PoolWorker[]> {
-	const racks = new Map<string, PoolWorker[]>();
-	for (const candidate of candidates) {
-		const {rack} = candidate.worker.snapshot;
-		racks.set(rack, [...(racks.get(rack) ?? []), candidate]);
+/** Groups workers, or items that belong to one, by rack; the order within a rack stays. */
+export function groupByRack<Item>(items: readonly Item[], selectWorker: (item: Item) => PoolWorker): ReadonlyArray<readonly Item[]> {
+	const racks = new Map<string, Item[]>();
+	for (const item of items) {
+		const {rack} = selectWorker(item).worker.snapshot;
+		const members = racks.get(rack);
+		if (members === undefined) {
+			racks.set(rack, [item]);
+		} else {
+			members.push(item);
+		}
 	}
 
 	return [...racks.values()];
@@ -76,8 +88,10 @@
 
 function placeGang(unit: SchedulingUnit, candidates: readonly PoolWorker[], pool: Pool, monotonic: MonotonicTime): readonly Placement[] {
 	const {step, tasks} = unit;
-	const preferredWorkers = isAvoidanceUseful(unit, candidates) ? candidates.filter(candidate => !isAvoided(unit, candidate)) : candidates;
-	const preferredRacks = step.dataRack === undefined ? groupByRack(preferredWorkers) : groupByRack(preferredWorkers).filter(([first]) => first?.worker.snapshot.rack === step.dataRack);
+	const hasAvoidedWorkers = tasks.some(task => (unit.job.tasks.get(task)?.avoided.length ?? 0) > 0);
+	const preferredWorkers = hasAvoidedWorkers && isAvoidanceUseful(unit, candidates) ? candidates.filter(candidate => !isAvoided(unit, candidate)) : candidates;
+	const preferredRacks = groupByRack(preferredWorkers, candidate => candidate)
+		.filter(([first]) => step.dataRack === undefined || first?.worker.snapshot.rack === step.dataRack);
 	if (step.prefersOneRack || step.dataRack !== undefined) {
 		const fitting = preferredRacks.map(rack => distributeTasks(unit, rack)).filter(taskCounts => countPlaced(taskCounts) >= tasks.length);
 		const best = fitting.toSorted((first, second) => countFreeAccelerators(first, pool) - countFreeAccelerators(second, pool))[0];
@@ -95,50 +109,44 @@
 	return countPlaced(taskCounts) >= tasks.length ? assign(tasks, taskCounts) : [];
 }
 
-function placeTasks(unit: SchedulingUnit, candidates: readonly PoolWorker[], pool: Pool, monotonic: MonotonicTime): readonly Placement[] {
+/** Places tasks on the workers with the tightest fit by accelerators. A task leaves out the workers that it avoids if there are others. */
+function placeTasks(unit: SchedulingUnit, candidates: readonly PoolWorker[], monotonic: MonotonicTime): readonly Placement[] {
+	const need = resourcesOf(unit.step);
+	const slots = orderByFit(unit, candidates, monotonic).map(candidate => ({
+		agent: candidate.worker.agent,
+		worker: candidate.worker.snapshot.worker,
+		remaining: countFitting(candidate.free, need, Math.min(unit.tasks.length, countAllowedTasks(unit, candidate))),
+	}));
 	const placements: Placement[] = [];
-	let remaining = pool;
+	// Slots before this one are full, so that wide steps do not search them again for each task.
+	let firstOpen = 0;
 	for (const task of unit.tasks) {
-		const agent = placeTask(unit, task, {
-			pool: remaining, monotonic, candidates, placements,
-		});
-		if (agent !== undefined) {
-			remaining = allocate(remaining, agent, resourcesOf(unit.step));
-			placements.push({task, agent});
+		while ((slots[firstOpen]?.remaining ?? 1) <= 0) {
+			firstOpen++;
+		}
+
+		const avoided = unit.job.tasks.get(task)?.avoided ?? [];
+		const hasOtherWorker = avoided.length > 0 && candidates.some(({worker}) => !avoided.includes(worker.snapshot.worker));
+		const slot = hasOtherWorker
+			? slots.find(({worker, remaining}) => remaining > 0 && !avoided.includes(worker))
+			: slots[firstOpen];
+		if (slot !== undefined) {
+			slot.remaining--;
+			placements.push({task, agent: slot.agent});
 		}
 	}
 
 	return placements;
 }
 
-/** Selects a worker for one task; workers that the task avoids are left out if there are others. */
-function placeTask(unit: SchedulingUnit, task: TaskName, context: PickContext & Readonly<{placements: readonly Placement[]}>): AgentName | undefined {
-	const {pool, candidates, placements} = context;
-	const avoided = unit.job.tasks.get(task)?.avoided ?? [];
-	const available = candidates.filter(({worker: {agent}}) => {
-		const current = pool.get(agent);
-		return current !== undefined
-			&& countFitting(current.free, resourcesOf(unit.step), 1) === 1
-			&& placements.filter(placement => placement.agent === agent).length < countAllowedTasks(unit, current);
-	});
-	const preferred = available.filter(({worker}) => !avoided.includes(worker.snapshot.worker));
-	const hasOtherWorker = candidates.some(({worker}) => !avoided.includes(worker.snapshot.worker));
-	return pickWorker(unit, hasOtherWorker ? preferred : available, context)?.worker.agent;
-}
-
-type PickContext = Readonly<{pool: Pool; monotonic: MonotonicTime; candidates: readonly PoolWorker[]}>;
-
-/** Selects the tightest fit by accelerators, only in the rack of the data while the unit may wait for it. */
-function pickWorker(unit: SchedulingUnit, available: readonly PoolWorker[], {pool, monotonic, candidates}: PickContext): PoolWorker | undefined {
+/** Orders workers by free accelerators, those in the rack of the data first; other racks are left out while the unit may wait for that one. */
+function orderByFit(unit: SchedulingUnit, candidates: readonly PoolWorker[], monotonic: MonotonicTime): readonly PoolWorker[] {
 	const {dataRack} = unit.step;
-	const isInDataRack = ({worker}: PoolWorker) => worker.snapshot.rack === dataRack;
-	const inDataRack = dataRack === undefined ? available : available.filter(candidate => isInDataRack(candidate));
-	if (inDataRack.length === 0 && dataRack !== undefined && candidates.some(candidate => isInDataRack(candidate)) && mayWaitForRack(unit, monotonic)) {
-		return undefined;
-	}
-
-	const countFree = ({worker: {agent}}: PoolWorker) => pool.get(agent)?.free.accelerators ?? 0;
-	return (inDataRack.length > 0 ? inDataRack : available).toSorted((first, second) => countFree(first) - countFree(second))[0];
+	const ordered = candidates.toSorted((first, second) => first.free.accelerators - second.free.accelerators);
+	const inDataRack = ordered.filter(({worker}) => worker.snapshot.rack === dataRack);
+	return inDataRack.length > 0 && mayWaitForRack(unit, monotonic)
+		? inDataRack
+		: [...inDataRack, ...ordered.filter(({worker}) => worker.snapshot.rack !== dataRack)];
 }
 
 /** Distributes the unit's tasks: to the tightest worker on which all of them fit, otherwise to those on which the most fit. This leaves large free workers for wide work. */
--- a/packages/scheduling/pool.ts
+++ b/packages/scheduling/pool.ts
@@ -1,12 +1,14 @@
 /** Workers with their runs and free resources during one scheduling pass. */
+import type {Map as PersistentMap} from 'immutable';
 import type {MonotonicTime} from '#core';
-import {
-	formatIncarnationKey, type Resources, type JobKey, type JobStep, type TaskName,
+import type {
+	Resources, JobKey, JobStep, TaskName,
 } from '#jobs';
 import {
-	isOpen, isRunOn, findJob, resourcesOf, resolveQueue, findStep,
+	isOpen, isRunOn, findJob, resourcesOf, resolveQueue,
 } from './state.js';
 import type {Rank} from './rank.js';
+import {listRunsOf, type ListedRun} from './runs.js';
 import type {
 	AgentName, SchedulerJob, SchedulerState, SchedulerWorker, TaskRun,
 } from './types.js';
@@ -32,36 +34,28 @@
 	isUsable: boolean;
 }>;
 
-export type Pool = ReadonlyMap<AgentName, PoolWorker>;
+export type Pool = PersistentMap<AgentName, PoolWorker>;
 
 /** Collects the runs and free resources of every worker. A run uses its resources until its end is listed, also while it is being stopped. */
 export function createPool(state: SchedulerState, ranks: ReadonlyMap<JobKey, Rank>, monotonic: MonotonicTime): Pool {
-	const runs = new Map<AgentName, PlacedRun[]>();
-	const workers = new Map([...state.workers.values()].map(worker => [formatIncarnationKey(worker.snapshot), worker]));
-	for (const job of state.jobs.values()) {
-		for (const [task, {run, preemptions}] of job.tasks) {
-			const worker = run === undefined ? undefined : workers.get(formatIncarnationKey(run.incarnation));
-			const step = findStep(job, task);
-			if (run === undefined || worker === undefined || step === undefined) {
-				continue;
-			}
-
-			const placed = {
-				task, job, step, run, rank: findRank(state, job, ranks), need: resourcesOf(step), agent: worker.agent, preemptions,
-			};
-			runs.set(worker.agent, [...(runs.get(worker.agent) ?? []), placed]);
-		}
-	}
-
-	return new Map([...state.workers.values()].map(worker => {
-		const placed = runs.get(worker.agent) ?? [];
-		return [worker.agent, {
+	return state.workers.map((worker, agent) => {
+		const runs = listRunsOf(state, agent).flatMap(listed => isRunOn(listed.run, worker) ? placeRun(state, listed, ranks) : []);
+		return {
 			worker,
-			runs: placed,
-			free: placed.reduce((free, {need}) => subtract(free, need), worker.snapshot.capacity),
+			runs,
+			free: runs.reduce((free, {need}) => subtract(free, need), worker.snapshot.capacity),
 			isUsable: isUsable(worker, monotonic) && !hasOrphanedRun(state, worker),
+		};
+	});
+}
+
+function placeRun(state: SchedulerState, {name, run, task, job}: ListedRun, ranks: ReadonlyMap<JobKey, Rank>): readonly PlacedRun[] {
+	const step = job.submission.request.steps[task.stepIndex];
+	return step === undefined
+		? []
+		: [{
+			task: name, job, step, run, rank: findRank(state, job, ranks), need: resourcesOf(step), agent: run.agent, preemptions: task.preemptions,
 		}];
-	}));
 }
 
 function findRank(state: SchedulerState, job: SchedulerJob, ranks: ReadonlyMap<JobKey, Rank>): Rank {
@@ -111,17 +105,15 @@
 /** Allocates resources of a worker for the rest of the pass. */
 export function allocate(pool: Pool, agent: AgentName, need: Resources): Pool {
 	const current = pool.get(agent);
-	return current === undefined ? pool : new Map(pool).set(agent, {...current, free: subtract(current.free, need)});
+	return current === undefined ? pool : pool.set(agent, {...current, free: subtract(current.free, need)});
 }
 
 /** Excludes workers from further placements in the pass. */
 export function reserveWorkers(pool: Pool, agents: readonly AgentName[]): Pool {
-	const next = new Map(pool);
+	let next = pool;
 	for (const agent of agents) {
 		const current = next.get(agent);
-		if (current !== undefined) {
-			next.set(agent, {...current, isUsable: false});
-		}
+		next = current === undefined ? next : next.set(agent, {...current, isUsable: false});
 	}
 
 	return next;
--- a/packages/scheduling/preempt.ts
+++ b/packages/scheduling/preempt.ts
@@ -7,7 +7,7 @@
 	affordableLossFactors, negligibleLossMilliseconds, endingSoonMilliseconds, freshProgressMilliseconds, lateValueShare, maximumPreemptions, preemptionDelayMilliseconds, rackPreferenceCoreSeconds,
 } from './constants.js';
 import {
-	countPlaced, countAllowedTasks, listCandidates, groupByRack, type TaskCounts,
+	countAllowedTasks, groupByRack, listCandidates, type TaskCounts,
 } from './place.js';
 import {measureLoss, estimateWork} from './loss.js';
 import {estimateRemaining} from './remaining.js';
@@ -18,43 +18,39 @@
 /** Runs to stop so that the unit fits, and the number of its tasks for which each worker then has room. */
 export type Preemption = Readonly<{victims: readonly PlacedRun[]; taskCounts: TaskCounts}>;
 
-type PreemptionOption = Readonly<{agent: AgentName; fitting: number; cost: number; victims: readonly PlacedRun[]}>;
+type PreemptionOption = Readonly<{candidate: PoolWorker; fitting: number; cost: number}>;
 
 /** Finds the cheapest victims of a lower rank whose stop makes room for the unit's tasks. Runs that are being stopped or end soon cost nothing. */
 export function findPreemption(unit: SchedulingUnit, count: number, pool: Pool, monotonic: MonotonicTime): Preemption | undefined {
-	const candidates = listCandidates(unit, pool);
-	const computeTotalCost = ({victims}: Preemption, penalty: number) => penalty + measureTotalLoss(victims, monotonic);
-	const racks = unit.step.prefersOneRack ? groupByRack(candidates) : [];
+	const options = listCandidates(unit, pool)
+		.map(candidate => createOption(unit, count, candidate, monotonic))
+		.filter(({fitting}) => fitting > 0)
+		.toSorted((first, second) => (first.cost / first.fitting) - (second.cost / second.fitting));
+	const racks = unit.step.prefersOneRack ? groupByRack(options, ({candidate}) => candidate) : [];
 	const preemptions = [
 		...racks.map(rack => ({found: findWithin(unit, count, rack, monotonic), penalty: 0})),
-		{found: findWithin(unit, count, candidates, monotonic), penalty: unit.step.prefersOneRack ? rackPreferenceCoreSeconds : 0},
-	].flatMap(({found, penalty}) => found === undefined ? [] : [{found, totalCost: computeTotalCost(found, penalty)}]);
+		{found: findWithin(unit, count, options, monotonic), penalty: unit.step.prefersOneRack ? rackPreferenceCoreSeconds : 0},
+	].flatMap(({found, penalty}) => found === undefined ? [] : [{found, totalCost: penalty + measureTotalLoss(found.victims, monotonic)}]);
 	return preemptions.toSorted((first, second) => first.totalCost - second.totalCost)[0]?.found;
 }
 
-function findWithin(unit: SchedulingUnit, count: number, candidates: readonly PoolWorker[], monotonic: MonotonicTime): Preemption | undefined {
-	const options = candidates
-		.map(candidate => createOption(unit, count, candidate, monotonic))
-		.filter(({fitting}) => fitting > 0)
-		.toSorted((first, second) => (first.cost / first.fitting) - (second.cost / second.fitting));
+/** Takes the cheapest options first; `options` are in that order. */
+function findWithin(unit: SchedulingUnit, count: number, options: readonly PreemptionOption[], monotonic: MonotonicTime): Preemption | undefined {
 	const taskCounts = new Map<AgentName, number>();
 	const victims: PlacedRun[] = [];
 	let remaining = count;
-	for (const {agent, fitting} of options) {
+	for (const {candidate, fitting} of options) {
 		if (remaining === 0) {
 			break;
 		}
 
 		const taskCount = Math.min(remaining, fitting);
-		const candidate = candidates.find(({worker}) => worker.agent === agent);
-		if (candidate !== undefined) {
-			victims.push(...pickVictims(unit, taskCount, candidate, monotonic));
-			taskCounts.set(agent, taskCount);
-			remaining -= taskCount;
-		}
+		victims.push(...pickVictims(unit, taskCount, candidate, monotonic));
+		taskCounts.set(candidate.worker.agent, taskCount);
+		remaining -= taskCount;
 	}
 
-	const isEnough = unit.step.isGang ? countPlaced(taskCounts) >= count : countPlaced(taskCounts) > 0;
+	const isEnough = unit.step.isGang ? remaining === 0 : taskCounts.size > 0;
 	return isEnough && isAffordable(unit, victims, monotonic) ? {victims, taskCounts} : undefined;
 }
 
@@ -64,9 +60,7 @@
 	const free = reclaimable.reduce((total, {need}) => add(total, need), candidate.free);
 	const fitting = countFitting(free, resourcesOf(unit.step), limit);
 	const victims = pickVictims(unit, fitting, candidate, monotonic);
-	return {
-		agent: candidate.worker.agent, fitting, victims, cost: victims.reduce((total, victim) => total + measureCost(victim, monotonic), 0),
-	};
+	return {candidate, fitting, cost: victims.reduce((total, victim) => total + measureCost(victim, monotonic), 0)};
 }
 
 /** Selects the cheapest victims, then drops those that turn out not to be needed. */
--- a/packages/scheduling/receive.ts
+++ b/packages/scheduling/receive.ts
@@ -1,3 +1,4 @@
+import {Map as PersistentMap} from 'immutable';
 import {assertNever, type CurrentTime} from '#core';
 import {isNewerConfiguration} from '#jobs';
 import {
@@ -12,10 +13,10 @@
 	chain, endJob, withoutEffects, type SchedulerTransition,
 } from './runs.js';
 import {schedule} from './schedule.js';
-import {createJob, withJob} from './state.js';
+import {createJob, replaceWorker, withJob} from './state.js';
 import {handleTick} from './tick.js';
 import type {
-	LoadedJob, SchedulerMessage, SchedulerState,
+	AgentName, LoadedJob, SchedulerMessage, SchedulerState, UnreadWorker,
 } from './types.js';
 
 /** How long a worker that has not reported to this scheduler may continue the runs of an earlier one. */
@@ -24,16 +25,18 @@
 /**
 Applies a message to the scheduler's state and returns the new state with its effects.
 
+A change that may allow a task to start requests a scheduling pass, which is a message of its own: changes that arrive meanwhile share it, and renewals are not delayed by it.
+
 @example
 ```
 const {state: next, effects} = receiveSchedulerMessage(state, {kind: 'submitted', submission}, {now, monotonic});
 ```
 */
 export function receiveSchedulerMessage(state: SchedulerState, message: SchedulerMessage, time: CurrentTime): SchedulerTransition {
-	return chain(state, [
-		next => handleMessage(next, message, time),
-		next => next.isScheduleDue ? schedule(next, time) : withoutEffects(next),
-	]);
+	const handled = handleMessage(state, message, time);
+	return handled.state.isScheduleDue && (!state.isScheduleDue || message.kind === 'pass')
+		? {state: handled.state, effects: [...handled.effects, {kind: 'request-pass'}]}
+		: handled;
 }
 
 function handleMessage(state: SchedulerState, message: SchedulerMessage, time: CurrentTime): SchedulerTransition {
@@ -87,6 +90,10 @@
 			return handleTick(state, time);
 		}
 
+		case 'pass': {
+			return schedule(state, time);
+		}
+
 		default: {
 			return assertNever(message);
 		}
@@ -102,15 +109,13 @@
 
 	const unread = workers
 		.filter(({agent}) => !state.workers.has(agent))
-		.map(({agent, worker}) => [agent, {worker, until: time.monotonic + unreadMilliseconds}] as const);
-	next = {...next, unread: new Map(unread)};
+		.map(({agent, worker}): [AgentName, UnreadWorker] => [agent, {worker, until: time.monotonic + unreadMilliseconds}]);
+	next = {...next, unread: PersistentMap(unread)};
 	return chain(next, [
 		// Reprocesses the ends that workers listed before the jobs were loaded.
-		...[...state.workers.values()].map(worker => (after: SchedulerState) => handleRenewal({
-			...after, workers: new Map(after.workers).set(worker.agent, {
-				...worker, handledEnd: 0, notedEnd: 0, pendingEnds: [],
-			}),
-		}, worker.agent, worker.snapshot, time)),
+		...[...state.workers.values()].map(worker => (after: SchedulerState) => handleRenewal(replaceWorker(after, {
+			...worker, handledEnd: 0, notedEnd: 0, pendingEnds: [],
+		}), worker.agent, worker.snapshot, time)),
 		...jobs.filter(({isCancelled}) => isCancelled).map(({submission: {job}}) => (after: SchedulerState) => endJob(after, job, 'cancelled', time)),
 	]);
 }
@@ -126,6 +131,5 @@
 	}
 
 	const stored = withJob(state, {...job, storedVersion: Math.max(job.storedVersion, version), keyVersion});
-	const agents = [...stored.workers.values()].filter(({pendingEnds}) => pendingEnds.length > 0).map(({agent}) => agent);
-	return chain(stored, agents.map(agent => next => advanceNotedEnd(next, agent)));
+	return chain(stored, [...stored.unacknowledged].map(agent => next => advanceNotedEnd(next, agent)));
 }
--- a/packages/scheduling/remaining.ts
+++ b/packages/scheduling/remaining.ts
@@ -1,7 +1,6 @@
 /** Remaining time of runs, and the deviation of durations from the caller's estimates. */
 import type {Milliseconds, MonotonicTime} from '#core';
 import type {JobStep} from '#jobs';
-import {findStep} from './state.js';
 import type {SchedulerJob, TaskRun} from './types.js';
 
 /** Less progress than this is no basis for a projection. */
@@ -26,11 +25,15 @@
 }
 
 /** Estimates the ratio of actual to estimated duration of a job's tasks. The fastest run counts, since others may be on slow workers. */
-export function estimateSlowdown(job: SchedulerJob): number | undefined {
-	const factors = [...job.tasks].flatMap(([name, {run}]) => {
+export function estimateSlowdown({tasks, submission: {request: {steps}}, slowdown}: SchedulerJob): number | undefined {
+	let smallest = Infinity;
+	for (const {run, stepIndex} of tasks.values()) {
 		const duration = run === undefined ? undefined : projectDuration(run);
-		const estimate = duration === undefined ? 0 : findStep(job, name)?.estimatedMilliseconds ?? 0;
-		return duration === undefined || estimate <= 0 ? [] : [duration / estimate];
-	});
-	return factors.length === 0 ? job.slowdown : Math.max(1, Math.min(...factors));
+		const estimate = steps[stepIndex]?.estimatedMilliseconds ?? 0;
+		if (duration !== undefined && estimate > 0) {
+			smallest = Math.min(smallest, duration / estimate);
+		}
+	}
+
+	return smallest === Infinity ? slowdown : Math.max(1, smallest);
 }
--- a/packages/scheduling/reports.ts
+++ b/packages/scheduling/reports.ts
@@ -1,7 +1,7 @@
 /** Handles the renewals of agents: adopts, updates and releases the runs of their workers. */
 import type {Milliseconds, MonotonicTime, CurrentTime} from '#core';
 import {
-	isSameIncarnation, type ReportedRun, type WorkerIncarnation, type WorkerSnapshot,
+	isSameIncarnation, parseJobOfTask, type ReportedRun, type WorkerIncarnation, type WorkerSnapshot,
 } from '#jobs';
 import {
 	grantSlackMilliseconds, grantValidityMilliseconds, slowClockFactor,
@@ -9,10 +9,10 @@
 import {removeWorker, handleEnd, releaseIncarnation} from './ends.js';
 import {estimateSlowdown} from './remaining.js';
 import {
-	chain, releaseRun, stopRuns, withoutEffects, type SchedulerTransition,
+	chain, listRunsOf, releaseRun, stopRuns, withoutEffects, type SchedulerTransition,
 } from './runs.js';
 import {
-	isOpen, isRunOn, findJob, replaceJob, replaceWorker, findStep, withJob, withTask, withWorker,
+	isOpen, isRunOn, findJob, findTask, replaceJob, replaceTask, replaceWorker, findStep, withJob, withTask, withWorker,
 } from './state.js';
 import type {
 	AgentName, SchedulerJob, SchedulerState, SchedulerWorker, TaskState,
@@ -54,11 +54,9 @@
 function replaceIncarnation(state: SchedulerState, earlier: SchedulerWorker, snapshot: WorkerSnapshot, time: CurrentTime): SchedulerTransition {
 	let next = state;
 	for (const reported of snapshot.running) {
-		const job = findJob(next, reported.task);
-		const task = job?.tasks.get(reported.task);
-		if (job !== undefined && task !== undefined && isRunOn(task.run, earlier) && task.run.run === reported.run) {
-			const incarnation = {worker: snapshot.worker, incarnation: snapshot.incarnation};
-			next = withJob(next, withTask(job, reported.task, {...task, run: {...task.run, incarnation}}));
+		const task = findTask(next, reported.task);
+		if (task !== undefined && isRunOn(task.run, earlier) && task.run.run === reported.run) {
+			next = withTask(next, reported.task, {...task, run: {...task.run, incarnation: {worker: snapshot.worker, incarnation: snapshot.incarnation}}});
 		}
 	}
 
@@ -67,9 +65,7 @@
 
 function withSnapshot(state: SchedulerState, agent: AgentName, snapshot: WorkerSnapshot, monotonic: MonotonicTime): SchedulerState {
 	const worker = state.workers.get(agent);
-	const unread = new Map(state.unread);
-	unread.delete(agent);
-	const withoutUnread = {...state, unread};
+	const withoutUnread = {...state, unread: state.unread.delete(agent)};
 	if (worker !== undefined && isSameIncarnation(worker.snapshot, snapshot)) {
 		const next: SchedulerWorker = {
 			...worker, snapshot, contact: {kind: 'attached'}, grantedAt: monotonic,
@@ -96,10 +92,10 @@
 		return withoutEffects(state);
 	}
 
-	const listedRuns = new Set(snapshot.running.map(({task, run}) => `${task} ${run}`));
 	return chain(state, [
 		...snapshot.running.map(reported => (next: SchedulerState) => reconcileRun(next, agent, reported, time)),
-		next => handleMissingRuns(next, agent, listedRuns, time),
+		next => withoutEffects(updateSlowdowns(next, snapshot.running)),
+		next => handleMissingRuns(next, agent, snapshot.running, time),
 	]);
 }
 
@@ -123,10 +119,11 @@
 	if (task.run === undefined) {
 		const incarnation = {worker: worker.snapshot.worker, incarnation: worker.snapshot.incarnation};
 		return {
-			state: withJob(state, withTask(job, reported.task, {
+			state: withTask(state, reported.task, {
 				...task,
 				lastRun: Math.max(task.lastRun, reported.run),
 				run: {
+					agent,
 					incarnation,
 					run: reported.run,
 					stage: 'running',
@@ -137,13 +134,13 @@
 					progressedAt: time.monotonic,
 					paceBaseline: {percent: reported.percent, at: time.monotonic},
 				},
-			})),
+			}),
 			effects: [{kind: 'log', event: 'run-adopted', fields: {task: reported.task, run: reported.run, worker: worker.snapshot.worker}}],
 		};
 	}
 
 	return isRunOn(task.run, worker) && task.run.run === reported.run
-		? withoutEffects(withProgress(state, {job, task, reported}, time.monotonic))
+		? withoutEffects(withProgress(state, task, reported, time.monotonic))
 		: stopReportedRun(state, worker, reported, 'task runs elsewhere');
 }
 
@@ -164,15 +161,16 @@
 	};
 }
 
-function withProgress(state: SchedulerState, {job, task, reported}: Readonly<{job: SchedulerJob; task: TaskState; reported: ReportedRun}>, monotonic: MonotonicTime): SchedulerState {
+function withProgress(state: SchedulerState, task: TaskState, reported: ReportedRun, monotonic: MonotonicTime): SchedulerState {
 	const {run} = task;
-	if (run === undefined) {
+	const hasCheckpoint = reported.checkpoint !== '' && reported.checkpoint !== task.checkpoint;
+	if (run === undefined || (run.stage !== 'starting' && reported.percent <= run.percent && !hasCheckpoint)) {
 		return state;
 	}
 
 	const hasProgress = reported.percent > run.percent;
 	const isResumed = run.percent === 0 && task.checkpoint !== '' && hasProgress;
-	const next = withTask(job, reported.task, {
+	return replaceTask(state, reported.task, {
 		...task,
 		...(reported.checkpoint === '' ? {} : {checkpoint: reported.checkpoint, checkpointPercent: reported.percent}),
 		run: {
@@ -183,39 +181,49 @@
 			paceBaseline: isResumed ? {percent: reported.percent, at: monotonic} : run.paceBaseline,
 		},
 	});
-	const estimated = hasProgress ? {...next, slowdown: estimateSlowdown(next)} : next;
-	// The first estimate for a job allows more of its tasks to start.
-	return job.slowdown === undefined ? withJob(state, estimated) : replaceJob(state, estimated);
+}
+
+/** Estimates the slowdown of each job of which the worker reports runs, once for all its runs there. */
+function updateSlowdowns(state: SchedulerState, running: readonly ReportedRun[]): SchedulerState {
+	let next = state;
+	for (const key of new Set(running.map(({task}) => parseJobOfTask(task)))) {
+		const job = next.jobs.get(key);
+		const slowdown = job === undefined ? undefined : estimateSlowdown(job);
+		if (job !== undefined && slowdown !== job.slowdown) {
+			// The first estimate for a job allows more of its tasks to start.
+			next = job.slowdown === undefined ? withJob(next, {...job, slowdown}) : replaceJob(next, {...job, slowdown});
+		}
+	}
+
+	return next;
 }
 
 /** Handles ordered runs that the worker lists neither as running nor as ended. */
-function handleMissingRuns(state: SchedulerState, agent: AgentName, listedRuns: ReadonlySet<string>, time: CurrentTime): SchedulerTransition {
+function handleMissingRuns(state: SchedulerState, agent: AgentName, running: readonly ReportedRun[], time: CurrentTime): SchedulerTransition {
 	const worker = state.workers.get(agent);
 	if (worker === undefined) {
 		return withoutEffects(state);
 	}
 
 	const transitions: Array<(next: SchedulerState) => SchedulerTransition> = [];
-	for (const job of state.jobs.values()) {
-		for (const [name, {run}] of job.tasks) {
-			if (!isRunOn(run, worker) || listedRuns.has(`${name} ${run.run}`)) {
-				continue;
-			}
+	for (const {name, run} of listRunsOf(state, agent)) {
+		if (!isRunOn(run, worker) || running.some(reported => reported.task === name && reported.run === run.run)) {
+			continue;
+		}
 
-			switch (run.stage) {
-				case 'starting': {
-					break;
-				}
+		switch (run.stage) {
+			case 'starting': {
+				break;
+			}
 
-				case 'running': {
-					transitions.push(next => stopRuns(next, [name], 'worker no longer lists the run', time.monotonic));
-					break;
-				}
+			case 'running': {
+				transitions.push(next => stopRuns(next, [name], 'worker no longer lists the run', time.monotonic));
+				break;
+			}
 
-				case 'stopping': {
-					if (run.isStopConfirmed) {
-						transitions.push(next => withoutEffects(releaseRun(next, name, time.monotonic)));
-					}
+			case 'stopping': {
+				if (run.isStopConfirmed) {
+					transitions.push(next => withoutEffects(releaseRun(next, name, time.monotonic)));
 				}
 			}
 		}
--- a/packages/scheduling/runs.ts
+++ b/packages/scheduling/runs.ts
@@ -4,10 +4,10 @@
 import {measureLoss} from './loss.js';
 import type {Placement} from './place.js';
 import {
-	findWorkerOfRun, isOpen, findJob, listStepMembers, findStep, withJob, withTask,
+	findWorkerOfRun, isOpen, findJob, findTask, listStepMembers, findStep, replaceJob, withJob, withTask,
 } from './state.js';
 import type {
-	AgentName, SchedulerEffect, SchedulerJob, SchedulerState, StopOrder, TaskRun,
+	AgentName, SchedulerEffect, SchedulerJob, SchedulerState, StartOrder, StopOrder, TaskRun, TaskState,
 } from './types.js';
 
 export type SchedulerTransition = Readonly<{state: SchedulerState; effects: readonly SchedulerEffect[]}>;
@@ -31,14 +31,17 @@
 
 /** Orders the start of a job's placed tasks. Members of a gang share one run number. */
 export function startRuns(state: SchedulerState, jobKey: JobKey, placements: readonly Placement[], monotonic: MonotonicTime): SchedulerTransition {
-	let job = state.jobs.get(jobKey);
-	const orders = new Map<AgentName, Array<Readonly<{task: TaskName; run: number; checkpoint: string}>>>();
+	const job = state.jobs.get(jobKey);
 	if (job === undefined) {
 		return withoutEffects(state);
 	}
 
-	const original = job;
-	const gangRun = Math.max(0, ...placements.map(({task}) => original.tasks.get(task)?.lastRun ?? 0)) + 1;
+	const orders = new Map<AgentName, StartOrder[]>();
+	const gangRun = Math.max(0, ...placements.map(({task}) => job.tasks.get(task)?.lastRun ?? 0)) + 1;
+	const [firstPlacement] = placements;
+	const isGang = firstPlacement !== undefined && findStep(job, firstPlacement.task)?.isGang === true;
+	const gangCheckpoint = isGang ? latestCheckpoint(job, firstPlacement.task) : '';
+	let next = state;
 	for (const {task: name, agent} of placements) {
 		const task = job.tasks.get(name);
 		const worker = state.workers.get(agent);
@@ -46,15 +49,15 @@
 			continue;
 		}
 
-		const isGang = findStep(job, name)?.isGang === true;
 		const run = isGang ? gangRun : task.lastRun + 1;
-		const checkpoint = isGang ? latestCheckpoint(original, name) : task.checkpoint;
+		const checkpoint = isGang ? gangCheckpoint : task.checkpoint;
 		const {worker: workerId, incarnation} = worker.snapshot;
-		job = withTask(job, name, {
+		next = withTask(next, name, {
 			...task,
 			lastRun: run,
 			checkpoint,
 			run: {
+				agent,
 				incarnation: {worker: workerId, incarnation},
 				run,
 				stage: 'starting',
@@ -66,17 +69,26 @@
 				paceBaseline: {percent: 0, at: monotonic},
 			},
 		});
-		orders.set(agent, [...(orders.get(agent) ?? []), {task: name, run, checkpoint}]);
+		appendOrder(orders, agent, {task: name, run, checkpoint});
 	}
 
 	return {
-		state: withJob(state, job),
+		state: next,
 		effects: [...orders].map(([agent, starts]) => ({
-			kind: 'start', agent, incarnation: state.workers.get(agent)?.snapshot.incarnation ?? '', job: jobKey, specification: original.submission.request.specification, orders: starts,
+			kind: 'start', agent, incarnation: state.workers.get(agent)?.snapshot.incarnation ?? '', job: jobKey, specification: job.submission.request.specification, orders: starts,
 		})),
 	};
 }
 
+function appendOrder<Order>(orders: Map<AgentName, Order[]>, agent: AgentName, order: Order): void {
+	const earlier = orders.get(agent);
+	if (earlier === undefined) {
+		orders.set(agent, [order]);
+	} else {
+		earlier.push(order);
+	}
+}
+
 /** Finds the latest checkpoint of a gang. Any member's checkpoint is valid for all, and all have to start from the same one. */
 function latestCheckpoint(job: SchedulerJob, task: TaskName): string {
 	const members = listStepMembers(job, task).flatMap(name => job.tasks.get(name) ?? []);
@@ -103,9 +115,9 @@
 		const worker = findWorkerOfRun(next, run);
 		const step = findStep(job, name);
 		loss += step === undefined ? 0 : measureLoss(run, step, monotonic);
-		next = withJob(next, withTask(job, name, {...task, run: {...run, stage: 'stopping', orderedAt: monotonic}}));
+		next = withTask(next, name, {...task, run: {...run, stage: 'stopping', orderedAt: monotonic}});
 		if (worker !== undefined) {
-			orders.set(worker.agent, [...(orders.get(worker.agent) ?? []), {task: name, run: run.run}]);
+			appendOrder(orders, worker.agent, {task: name, run: run.run});
 		}
 	}
 
@@ -120,11 +132,14 @@
 
 /** Releases a run that has certainly ended, so that the task can start again. */
 export function releaseRun(state: SchedulerState, name: TaskName, monotonic: MonotonicTime): SchedulerState {
+	const task = findTask(state, name);
+	return task === undefined ? state : markChanged(withTask(state, name, {...task, run: undefined}), name, monotonic);
+}
+
+/** Restarts the job's waiting time, which is measured from its last change. */
+export function markChanged(state: SchedulerState, name: TaskName, monotonic: MonotonicTime): SchedulerState {
 	const job = findJob(state, name);
-	const task = job?.tasks.get(name);
-	return job === undefined || task === undefined
-		? state
-		: withJob(state, {...withTask(job, name, {...task, run: undefined}), changedAt: monotonic});
+	return job === undefined ? state : replaceJob(state, {...job, changedAt: monotonic});
 }
 
 /** Increments the job's version and requests that its progress is stored. */
@@ -155,11 +170,29 @@
 	]);
 }
 
-export function listRunningTasks(job: SchedulerJob): readonly TaskName[] {
-	return [...job.tasks].flatMap(([name, {run}]) => run === undefined ? [] : [name]);
+export function listRunningTasks({tasks, counts}: SchedulerJob): readonly TaskName[] {
+	return counts.running === 0 ? [] : [...tasks].flatMap(([name, {run}]) => run === undefined ? [] : [name]);
+}
+
+export type ListedRun = Readonly<{name: TaskName; task: TaskState; run: TaskRun; job: SchedulerJob}>;
+
+/** Lists the runs beside one agent with their tasks. */
+export function listRunsOf(state: SchedulerState, agent: AgentName): readonly ListedRun[] {
+	const listed: ListedRun[] = [];
+	for (const name of state.runs.get(agent) ?? []) {
+		const job = findJob(state, name);
+		const task = job?.tasks.get(name);
+		if (job !== undefined && task?.run !== undefined) {
+			listed.push({
+				name, task, run: task.run, job,
+			});
+		}
+	}
+
+	return listed;
 }
 
-/** Lists the runs of all jobs with their tasks. */
-export function listRuns(state: SchedulerState): ReadonlyArray<Readonly<{name: TaskName; run: TaskRun; job: SchedulerJob}>> {
-	return [...state.jobs.values()].flatMap(job => [...job.tasks].flatMap(([name, {run}]) => run === undefined ? [] : [{name, run, job}]));
+/** Lists all runs with their tasks. */
+export function listRuns(state: SchedulerState): readonly ListedRun[] {
+	return [...state.runs.keys()].flatMap(agent => listRunsOf(state, agent));
 }
--- a/packages/scheduling/schedule.ts
+++ b/packages/scheduling/schedule.ts
@@ -3,26 +3,39 @@
 import {
 	createPool, reserveWorkers, allocate, type Pool, type PlacedRun,
 } from './pool.js';
-import {reservationDelayMilliseconds} from './constants.js';
+import {allocateClaim, createClaim, findClaim} from './claims.js';
+import {preemptionRetryMilliseconds, reservationDelayMilliseconds} from './constants.js';
 import {
-	countPlaced, distributeTasks, withFullCapacity, listCandidates, placeUnit, type Placement,
+	countPlaced, distributeTasks, hasRoomForTask, withFullCapacity, listCandidates, placeUnit, type Placement,
 } from './place.js';
 import {findPreemption} from './preempt.js';
 import {rankJobs} from './rank.js';
 import {
 	startRuns, stopRuns, storeJob, type SchedulerTransition,
 } from './runs.js';
+import {isExhausted, shapeOf, type TaskShape} from './shapes.js';
 import {
-	findJob, resourcesOf, listStepMembers, withJob, withTask,
+	findTask, listStepMembers, replaceJob, resourcesOf, withTask,
 } from './state.js';
 import type {AgentName, SchedulerEffect, SchedulerState} from './types.js';
 import {listSchedulingUnits, type SchedulingUnit} from './units.js';
+import {logWaiting} from './wait-logs.js';
 
 /** Lowest rank that may preempt other work. */
 const lowestPreemptingRank = 2;
 
-type Pass = Readonly<{state: SchedulerState; pool: Pool; effects: readonly SchedulerEffect[]; reservedRanks: ReadonlySet<number>}>;
-
+type Pass = Readonly<{
+	state: SchedulerState;
+	pool: Pool;
+	effects: readonly SchedulerEffect[];
+	reservedRanks: ReadonlySet<number>;
+	/** Shapes for which no worker has room for the rest of the pass, since a pass only allocates resources. */
+	exhausted: readonly TaskShape[];
+	/** Units of which tasks still wait. */
+	waiting: readonly SchedulingUnit[];
+}>;
+
+/** Carries out a scheduling pass. */
 export function schedule(state: SchedulerState, time: CurrentTime): SchedulerTransition {
 	const next = {...state, isScheduleDue: false};
 	if (!state.isLoaded || state.configuration === undefined) {
@@ -30,26 +43,51 @@
 	}
 
 	const ranks = rankJobs(state);
+	const units = listSchedulingUnits(state, ranks, time);
+	if (units.length === 0) {
+		return {state: next, effects: []};
+	}
+
 	let pass: Pass = {
-		state: next, pool: createPool(state, ranks, time.monotonic), effects: [], reservedRanks: new Set(),
+		state: next, pool: createPool(state, ranks, time.monotonic), effects: [], reservedRanks: new Set(), exhausted: [], waiting: [],
 	};
-	for (const unit of listSchedulingUnits(state, ranks, time)) {
+	for (const unit of units) {
 		pass = scheduleUnit(pass, unit, time.monotonic);
 	}
 
-	return {state: {...pass.state, isScheduleDue: false}, effects: pass.effects};
+	const logged = logWaiting(pass.state, pass.waiting, pass.pool, time.monotonic);
+	return {state: {...logged.state, isScheduleDue: false}, effects: [...pass.effects, ...logged.effects]};
 }
 
 function scheduleUnit(pass: Pass, unit: SchedulingUnit, monotonic: MonotonicTime): Pass {
-	const placements = placeUnit(unit, pass.pool, monotonic);
+	const placements = isExhausted(unit, pass.exhausted) ? [] : placeUnit(unit, pass.pool, monotonic);
 	const placed = placements.length === 0 ? pass : startPlaced(pass, unit, placements, monotonic);
 	const remaining = unit.tasks.length - placements.length;
 	if (remaining === 0) {
 		return placed;
 	}
 
-	const preempted = unit.rank <= lowestPreemptingRank ? preempt(placed, unit, remaining, monotonic) : undefined;
-	return preempted ?? reserveForUnit(placed, unit, monotonic);
+	const waiting = {...noteExhaustion(placed, unit), waiting: [...placed.waiting, unit]};
+	const claim = findClaim(waiting.state, unit, waiting.pool, monotonic);
+	if (claim !== undefined) {
+		return {...waiting, pool: allocateClaim(unit, remaining, claim.taskCounts, waiting.pool)};
+	}
+
+	return mayPreempt(waiting.state, unit, monotonic)
+		? preempt(waiting, unit, remaining, monotonic)
+		: reserveForUnit(waiting, unit, monotonic);
+}
+
+function noteExhaustion(pass: Pass, unit: SchedulingUnit): Pass {
+	return isExhausted(unit, pass.exhausted) || hasRoomForTask(unit, pass.pool)
+		? pass
+		: {...pass, exhausted: [...pass.exhausted, shapeOf(unit)]};
+}
+
+/** A search for victims visits every run, so a unit that found none waits before it searches again. */
+function mayPreempt({jobs}: SchedulerState, {rank, job}: SchedulingUnit, monotonic: MonotonicTime): boolean {
+	const failedAt = jobs.get(job.submission.job)?.preemptionFailedAt ?? -Infinity;
+	return rank <= lowestPreemptingRank && (failedAt === monotonic || monotonic - failedAt >= preemptionRetryMilliseconds);
 }
 
 /** Starts placed tasks. The first start of a job waits until the store holds that the job is running, so that a later scheduler looks for its runs. */
@@ -85,31 +123,30 @@
 	return {...pass, state, effects: [...pass.effects, ...effects, ...further]};
 }
 
-/** Preempts work of a lower rank for the unit and allocates the resources to it for the rest of the pass. */
-function preempt(pass: Pass, unit: SchedulingUnit, count: number, monotonic: MonotonicTime): Pass | undefined {
+/** Preempts work of a lower rank for the unit and allocates the resources to it for the rest of the pass, or reserves workers if there is none. */
+function preempt(pass: Pass, unit: SchedulingUnit, count: number, monotonic: MonotonicTime): Pass {
 	const found = findPreemption(unit, count, pass.pool, monotonic);
 	if (found === undefined) {
-		return undefined;
-	}
-
-	let {pool} = pass;
-	for (const [agent, taskCount] of found.taskCounts) {
-		for (let index = 0; index < taskCount; index++) {
-			pool = allocate(pool, agent, resourcesOf(unit.step));
-		}
+		const job = pass.state.jobs.get(unit.job.submission.job) ?? unit.job;
+		return reserveForUnit({...pass, state: replaceJob(pass.state, {...job, preemptionFailedAt: monotonic})}, unit, monotonic);
 	}
 
-	const counted = countPreemptions(pass.state, found.victims);
-	return apply({...pass, pool}, stopRuns(counted, found.victims.map(({task}) => task), `room for ${unit.job.submission.job} of rank ${unit.rank}`, monotonic));
+	const job = pass.state.jobs.get(unit.job.submission.job) ?? unit.job;
+	// Without victims, the room comes from runs that seem to end soon; a guarantee has too little time to rely on one estimate.
+	const claim = found.victims.length === 0 && unit.rank === 0 ? undefined : createClaim(unit, found.taskCounts, monotonic);
+	const claimed = countPreemptions(replaceJob(pass.state, {...job, claim}), found.victims);
+	return apply(
+		{...pass, pool: allocateClaim(unit, count, found.taskCounts, pass.pool)},
+		stopRuns(claimed, found.victims.map(({task}) => task), `room for ${unit.job.submission.job} of rank ${unit.rank}`, monotonic),
+	);
 }
 
 /** Counts a preemption for every stopped task; the stop of one member ends its whole gang. */
 function countPreemptions(state: SchedulerState, victims: readonly PlacedRun[]): SchedulerState {
 	const stopped = new Set(victims.flatMap(({task, job, step}) => step.isGang ? listStepMembers(job, task) : [task]));
 	return [...stopped].reduce((next, name) => {
-		const job = findJob(next, name);
-		const task = job?.tasks.get(name);
-		return job === undefined || task === undefined ? next : withJob(next, withTask(job, name, {...task, preemptions: task.preemptions + 1}));
+		const task = findTask(next, name);
+		return task === undefined ? next : withTask(next, name, {...task, preemptions: task.preemptions + 1});
 	}, state);
 }
 
--- a/packages/scheduling/state.ts
+++ b/packages/scheduling/state.ts
@@ -1,27 +1,41 @@
+/** The scheduler's state in persistent collections: a change costs the same however many jobs, tasks and workers there are. */
+import {Map as PersistentMap, Set as PersistentSet} from 'immutable';
 import type {MonotonicTime} from '#core';
 import {
-	formatTaskName, isSameIncarnation, listStepTasks, formatLocalTaskName, parseTaskName, type JobProgress, type JobStep, type JobSubmission, type Queue, type Resources,
+	isSameIncarnation, listStepTasks, formatLocalTaskName, parseJobOfTask, type JobProgress, type JobStep, type JobSubmission, type Queue, type Resources,
 	type TaskName, type TaskProgress,
 } from '#jobs';
 import {runsPerEpoch} from './constants.js';
 import type {
-	SchedulerJob, SchedulerState, SchedulerWorker, TaskRun, TaskState,
+	SchedulerJob, SchedulerState, SchedulerWorker, TaskCounts, TaskRun, TaskState,
 } from './types.js';
 
 export function createSchedulerState(epoch: number): SchedulerState {
 	return {
-		epoch, configuration: undefined, jobs: new Map(), workers: new Map(), unread: new Map(), isLoaded: false, isScheduleDue: false,
+		epoch,
+		configuration: undefined,
+		jobs: PersistentMap(),
+		workers: PersistentMap(),
+		runs: PersistentMap(),
+		unacknowledged: PersistentSet(),
+		unread: PersistentMap(),
+		isLoaded: false,
+		isScheduleDue: false,
 	};
 }
 
-/** Replaces a job without requesting a scheduling pass. */
+/** Replaces a job without requesting a scheduling pass; its tasks are replaced by `replaceTask` only. */
 export function replaceJob(state: SchedulerState, job: SchedulerJob): SchedulerState {
-	return {...state, jobs: new Map(state.jobs).set(job.submission.job, job)};
+	return {...state, jobs: state.jobs.set(job.submission.job, job)};
 }
 
 /** Replaces a worker without requesting a scheduling pass. */
 export function replaceWorker(state: SchedulerState, worker: SchedulerWorker): SchedulerState {
-	return {...state, workers: new Map(state.workers).set(worker.agent, worker)};
+	return {
+		...state,
+		workers: state.workers.set(worker.agent, worker),
+		unacknowledged: worker.pendingEnds.length === 0 ? state.unacknowledged.delete(worker.agent) : state.unacknowledged.add(worker.agent),
+	};
 }
 
 /** Replaces a job and requests a scheduling pass. */
@@ -34,12 +48,79 @@
 	return {...replaceWorker(state, worker), isScheduleDue: true};
 }
 
-export function withTask(job: SchedulerJob, name: TaskName, task: TaskState): SchedulerJob {
-	return {...job, tasks: new Map(job.tasks).set(name, task)};
+/** Replaces a task without requesting a scheduling pass; keeps the job's counts and the runs of each worker up to date. */
+export function replaceTask(state: SchedulerState, name: TaskName, task: TaskState): SchedulerState {
+	const job = findJob(state, name);
+	const earlier = job?.tasks.get(name);
+	if (job === undefined || earlier === undefined) {
+		return state;
+	}
+
+	return {
+		...state,
+		jobs: state.jobs.set(job.submission.job, {
+			...job, tasks: job.tasks.set(name, task), counts: recount(job.counts, earlier, task), hasStarted: job.hasStarted || hasStarted(task),
+		}),
+		runs: earlier.run?.agent === task.run?.agent ? state.runs : addRun(removeRun(state.runs, name, earlier.run), name, task.run),
+	};
+}
+
+/** Replaces a task and requests a scheduling pass. */
+export function withTask(state: SchedulerState, name: TaskName, task: TaskState): SchedulerState {
+	return {...replaceTask(state, name, task), isScheduleDue: true};
+}
+
+function recount(counts: TaskCounts, earlier: TaskState, task: TaskState): TaskCounts {
+	const first = countTask(earlier);
+	const second = countTask(task);
+	return first === second
+		? counts
+		: {
+			waiting: counts.waiting + second.waiting - first.waiting,
+			running: counts.running + second.running - first.running,
+			unfinished: counts.unfinished + second.unfinished - first.unfinished,
+		};
+}
+
+const taskCountsByState = {
+	waiting: {waiting: 1, running: 0, unfinished: 1},
+	running: {waiting: 0, running: 1, unfinished: 1},
+	done: {waiting: 0, running: 0, unfinished: 0},
+	/** A member of a completed gang, until its end is listed. */
+	ending: {waiting: 0, running: 1, unfinished: 0},
+} as const satisfies Record<string, TaskCounts>;
+
+function countTask({isDone, run}: TaskState): TaskCounts {
+	if (run === undefined) {
+		return isDone ? taskCountsByState.done : taskCountsByState.waiting;
+	}
+
+	return isDone ? taskCountsByState.ending : taskCountsByState.running;
+}
+
+function removeRun(runs: SchedulerState['runs'], name: TaskName, run: TaskRun | undefined): SchedulerState['runs'] {
+	const names = run === undefined ? undefined : runs.get(run.agent)?.delete(name);
+	if (run === undefined || names === undefined) {
+		return runs;
+	}
+
+	return names.size === 0 ? runs.delete(run.agent) : runs.set(run.agent, names);
+}
+
+function addRun(runs: SchedulerState['runs'], name: TaskName, run: TaskRun | undefined): SchedulerState['runs'] {
+	return run === undefined ? runs : runs.set(run.agent, (runs.get(run.agent) ?? PersistentSet<TaskName>()).add(name));
+}
+
+function hasStarted({isDone, run, lastRun}: TaskState): boolean {
+	return isDone || run !== undefined || lastRun % runsPerEpoch > 0;
 }
 
 export function findJob(state: SchedulerState, task: TaskName): SchedulerJob | undefined {
-	return state.jobs.get(parseTaskName(task).job);
+	return state.jobs.get(parseJobOfTask(task));
+}
+
+export function findTask(state: SchedulerState, task: TaskName): TaskState | undefined {
+	return findJob(state, task)?.tasks.get(task);
 }
 
 /** The current queue of a job, or the queue as of its acceptance if that was removed since. */
@@ -47,8 +128,9 @@
 	return configuration?.queues.find(({name}) => name === queue.name) ?? queue;
 }
 
-export function findStep({submission}: SchedulerJob, task: TaskName): JobStep | undefined {
-	return submission.request.steps[parseTaskName(task).step];
+export function findStep({submission, tasks}: SchedulerJob, task: TaskName): JobStep | undefined {
+	const stepIndex = tasks.get(task)?.stepIndex;
+	return stepIndex === undefined ? undefined : submission.request.steps[stepIndex];
 }
 
 /** Resources that a task uses on its worker. Filling tasks use only processor time that others leave unused. */
@@ -57,20 +139,15 @@
 }
 
 /** Lists all tasks of the step and occurrence that the task belongs to, itself included. */
-export function listStepMembers(job: SchedulerJob, task: TaskName): readonly TaskName[] {
-	const {occurrence, step} = parseTaskName(task);
-	const definition = job.submission.request.steps[step];
-	return definition === undefined ? [] : listStepTasks(job.submission.job, occurrence, step, definition);
+export function listStepMembers(job: SchedulerJob, name: TaskName): readonly TaskName[] {
+	const task = job.tasks.get(name);
+	return task === undefined ? [] : job.taskNames[task.occurrence]?.[task.stepIndex] ?? [];
 }
 
-export function findWorkerOfRun({workers}: SchedulerState, {incarnation}: TaskRun): SchedulerWorker | undefined {
-	for (const worker of workers.values()) {
-		if (isSameIncarnation(worker.snapshot, incarnation)) {
-			return worker;
-		}
-	}
-
-	return undefined;
+/** Finds the worker of a run; undefined if its incarnation is no longer there. */
+export function findWorkerOfRun({workers}: SchedulerState, {agent, incarnation}: TaskRun): SchedulerWorker | undefined {
+	const worker = workers.get(agent);
+	return worker !== undefined && isSameIncarnation(worker.snapshot, incarnation) ? worker : undefined;
 }
 
 export function isOpen({outcome}: SchedulerJob): boolean {
@@ -79,8 +156,7 @@
 
 /** Counts the failed runs of a task, or of its whole gang; members of a gang share run numbers. */
 export function countFailures(job: SchedulerJob, task: TaskName): number {
-	const step = findStep(job, task);
-	const names = step?.isGang === true ? listStepMembers(job, task) : [task];
+	const names = findStep(job, task)?.isGang === true ? listStepMembers(job, task) : [task];
 	return new Set(names.flatMap(name => job.tasks.get(name)?.failedRuns ?? [])).size;
 }
 
@@ -91,21 +167,18 @@
 	context: Readonly<{epoch: number; monotonic: MonotonicTime; isInherited: boolean}>,
 ): SchedulerJob {
 	const {job, request: {steps, schedule}} = submission;
-	const tasks = new Map<TaskName, TaskState>();
-	for (let occurrence = 0; occurrence < (schedule?.occurrences ?? 1); occurrence++) {
-		for (const [step, {count}] of steps.entries()) {
-			for (let index = 0; index < count; index++) {
-				const name = formatTaskName({
-					job, occurrence, step, index,
-				});
-				tasks.set(name, createTask(stored.progress?.tasks[formatLocalTaskName(name)], context.epoch));
-			}
-		}
-	}
+	const taskNames = Array.from({length: schedule?.occurrences ?? 1}, (_, occurrence) => steps.map((step, index) => listStepTasks(job, occurrence, index, step)));
+	const tasks = PersistentMap(taskNames.flatMap((namesByStep, occurrence) => namesByStep.flatMap((names, stepIndex) => names.map((name): [TaskName, TaskState] => [
+		name, createTask({occurrence, stepIndex}, stored.progress?.tasks[formatLocalTaskName(name)], context.epoch),
+	]))));
+	const doneCount = tasks.count(({isDone}) => isDone);
 
 	return {
 		submission,
 		tasks,
+		taskNames,
+		counts: {waiting: tasks.size - doneCount, running: 0, unfinished: tasks.size - doneCount},
+		hasStarted: tasks.some(task => hasStarted(task)),
 		outcome: stored.progress?.outcome ?? 'queued',
 		version: stored.progress === undefined ? 0 : 1,
 		storedVersion: stored.progress === undefined ? 0 : 1,
@@ -114,6 +187,8 @@
 		slowdown: undefined,
 		storedCheckpoints: {joined: joinCheckpoints(tasks), at: context.monotonic},
 		changedAt: context.monotonic,
+		claim: undefined,
+		preemptionFailedAt: -Infinity,
 		isInherited: context.isInherited,
 		endedAt: stored.progress?.endedAt,
 		endedAtMonotonic: stored.progress?.endedAt === undefined ? undefined : context.monotonic,
@@ -125,8 +200,9 @@
 	return [...tasks.values()].map(({isDone, checkpoint}) => isDone ? '' : checkpoint).join(' ');
 }
 
-function createTask(progress: TaskProgress | undefined, epoch: number): TaskState {
+function createTask(place: Pick<TaskState, 'occurrence' | 'stepIndex'>, progress: TaskProgress | undefined, epoch: number): TaskState {
 	return {
+		...place,
 		isDone: progress?.isDone ?? false,
 		failedRuns: progress?.failedRuns ?? [],
 		lastRun: Math.max((epoch - 1) * runsPerEpoch, ...(progress?.failedRuns ?? [])),
@@ -161,19 +237,17 @@
 
 /** Lists open jobs, oldest first. */
 export function listOpenJobs({jobs}: SchedulerState): readonly SchedulerJob[] {
-	return [...jobs.values()].filter(job => isOpen(job)).toSorted((first, second) => first.submission.submittedAt - second.submission.submittedAt);
+	return jobs.valueSeq().filter(job => isOpen(job)).toArray().toSorted((first, second) => first.submission.submittedAt - second.submission.submittedAt);
 }
 
 /** Counts the jobs without a started task, by queue. */
-export function countPending(state: SchedulerState): ReadonlyMap<string, number> {
+export function countPending({jobs}: SchedulerState): ReadonlyMap<string, number> {
 	const counts = new Map<string, number>();
-	for (const job of state.jobs.values()) {
-		const hasStarted = !isOpen(job) || [...job.tasks.values()].some(({isDone, run, lastRun}) => isDone || run !== undefined || lastRun % runsPerEpoch > 0);
-		if (!hasStarted) {
+	for (const job of jobs.values()) {
+		if (isOpen(job) && !job.hasStarted) {
 			counts.set(job.submission.queue.name, (counts.get(job.submission.queue.name) ?? 0) + 1);
 		}
 	}
 
 	return counts;
 }
-
--- a/packages/scheduling/tick.ts
+++ b/packages/scheduling/tick.ts
@@ -1,6 +1,6 @@
 /** Handles what depends on elapsed time: unanswered orders, stuck runs, lost workers and old records. */
 import type {MonotonicTime, CurrentTime} from '#core';
-import {listStepTasks, type TaskName} from '#jobs';
+import type {TaskName} from '#jobs';
 import {
 	negligibleLossMilliseconds, checkpointStoreMilliseconds, drainSlackMilliseconds, endedJobRetentionMilliseconds,
 	startConfirmationMilliseconds, stopRetryMilliseconds, stuckMilliseconds, stuckPercentFactor,
@@ -8,34 +8,33 @@
 import {removeWorker, recordFailure} from './ends.js';
 import {estimateRemaining} from './remaining.js';
 import {
-	chain, listRuns, stopRuns, storeJob, withoutEffects, type SchedulerTransition,
+	chain, listRuns, stopRuns, storeJob, withoutEffects, type ListedRun, type SchedulerTransition,
 } from './runs.js';
 import {
-	findWorkerOfRun, isOpen, findJob, joinCheckpoints, findStep, withJob, withTask,
+	findWorkerOfRun, isOpen, findJob, findTask, joinCheckpoints, findStep, withTask,
 } from './state.js';
 import type {
-	SchedulerEffect, SchedulerState, TaskRun,
+	SchedulerEffect, SchedulerJob, SchedulerState, TaskRun,
 } from './types.js';
-import {logWaiting} from './wait-logs.js';
 
 export function handleTick(state: SchedulerState, time: CurrentTime): SchedulerTransition {
+	const runs = listRuns(state);
 	return chain({...state, isScheduleDue: true}, [
-		next => stopUnconfirmedStarts(next, time.monotonic),
-		next => retryStops(next, time.monotonic),
-		next => stopStuckRuns(next, time.monotonic),
-		next => stopRunsOnDrainingWorkers(next, time.monotonic),
+		next => stopUnconfirmedStarts(next, runs, time.monotonic),
+		next => retryStops(next, runs, time.monotonic),
+		next => stopStuckRuns(next, runs, time.monotonic),
+		next => stopRunsOnDrainingWorkers(next, runs, time.monotonic),
 		next => removeLostWorkers(next, time),
 		next => withoutEffects(expireUnreadWorkers(next, time.monotonic)),
 		next => stopPartialGangs(next, time.monotonic),
 		next => storeCheckpoints(next, time.monotonic),
 		next => removeOldRecords(next, time.monotonic),
-		next => logWaiting(next, time),
 	]);
 }
 
 /** Stops unconfirmed starts and avoids their workers, which perhaps receive no orders. */
-function stopUnconfirmedStarts(state: SchedulerState, monotonic: MonotonicTime): SchedulerTransition {
-	const names = listRuns(state)
+function stopUnconfirmedStarts(state: SchedulerState, runs: readonly ListedRun[], monotonic: MonotonicTime): SchedulerTransition {
+	const names = runs
 		.filter(({run}) => run.stage === 'starting' && monotonic - run.orderedAt > startConfirmationMilliseconds)
 		.map(({name}) => name);
 	const updated = names.reduce((next, name) => avoidWorker(next, name), state);
@@ -44,26 +43,21 @@
 
 /** Excludes the worker of a task's current run from its next placements while there are others. */
 function avoidWorker(state: SchedulerState, name: TaskName): SchedulerState {
-	const job = findJob(state, name);
-	const task = job?.tasks.get(name);
-	return job === undefined || task?.run === undefined
-		? state
-		: withJob(state, withTask(job, name, {...task, avoided: [...task.avoided, task.run.incarnation.worker]}));
+	const task = findTask(state, name);
+	return task?.run === undefined ? state : withTask(state, name, {...task, avoided: [...task.avoided, task.run.incarnation.worker]});
 }
 
-function retryStops(state: SchedulerState, monotonic: MonotonicTime): SchedulerTransition {
+function retryStops(state: SchedulerState, runs: readonly ListedRun[], monotonic: MonotonicTime): SchedulerTransition {
 	let next = state;
 	const effects: SchedulerEffect[] = [];
-	for (const {name, run, job} of listRuns(state)) {
-		const worker = findWorkerOfRun(state, run);
-		const task = job.tasks.get(name);
+	for (const {name, run, task} of runs) {
 		const isDue = run.stage === 'stopping' && monotonic - run.orderedAt > stopRetryMilliseconds;
-		if (!isDue || worker === undefined || task === undefined || worker.contact.kind !== 'attached') {
+		const worker = isDue ? findWorkerOfRun(state, run) : undefined;
+		if (worker?.contact.kind !== 'attached') {
 			continue;
 		}
 
-		const latest = next.jobs.get(job.submission.job) ?? job;
-		next = withJob(next, withTask(latest, name, {...task, run: {...run, orderedAt: monotonic}}));
+		next = withTask(next, name, {...task, run: {...run, orderedAt: monotonic}});
 		effects.push({
 			kind: 'stop', agent: worker.agent, incarnation: worker.snapshot.incarnation, orders: [{task: name, run: run.run}],
 		});
@@ -73,8 +67,8 @@
 }
 
 /** Stops runs without progress, so that their tasks start on other workers. */
-function stopStuckRuns(state: SchedulerState, monotonic: MonotonicTime): SchedulerTransition {
-	const stuck = listRuns(state).filter(({run, job}) => isOpen(job) && isStuck(run, monotonic) && findWorkerOfRun(state, run)?.snapshot.isResponsive === true);
+function stopStuckRuns(state: SchedulerState, runs: readonly ListedRun[], monotonic: MonotonicTime): SchedulerTransition {
+	const stuck = runs.filter(({run, job}) => isStuck(run, monotonic) && isOpen(job) && findWorkerOfRun(state, run)?.snapshot.isResponsive === true);
 	return chain(state, stuck.map(({name, run}) => next => {
 		const worker = findWorkerOfRun(next, run);
 		const job = findJob(next, name);
@@ -97,8 +91,8 @@
 
 Runs whose work a stop would discard stay: workers often leave many seconds later than announced, and the run may end by then.
 */
-function stopRunsOnDrainingWorkers(state: SchedulerState, monotonic: MonotonicTime): SchedulerTransition {
-	const names = listRuns(state).filter(({name, run, job}) => {
+function stopRunsOnDrainingWorkers(state: SchedulerState, runs: readonly ListedRun[], monotonic: MonotonicTime): SchedulerTransition {
+	const names = runs.filter(({name, run, job}) => {
 		const snapshot = findWorkerOfRun(state, run)?.snapshot;
 		const step = findStep(job, name);
 		return snapshot?.state === 'draining' && step !== undefined && run.stage === 'running'
@@ -114,7 +108,7 @@
 }
 
 function expireUnreadWorkers(state: SchedulerState, monotonic: MonotonicTime): SchedulerState {
-	const unread = new Map([...state.unread].filter(([, {until}]) => until > monotonic));
+	const unread = state.unread.filter(({until}) => until > monotonic);
 	return unread.size === state.unread.size ? state : {...state, unread};
 }
 
@@ -126,14 +120,9 @@
 
 	const partial: TaskName[] = [];
 	for (const job of state.jobs.values()) {
-		for (const [index, step] of job.submission.request.steps.entries()) {
-			for (let occurrence = 0; step.isGang && isOpen(job) && occurrence < (job.submission.request.schedule?.occurrences ?? 1); occurrence++) {
-				const names = listStepTasks(job.submission.job, occurrence, index, step);
-				const running = names.filter(name => job.tasks.get(name)?.run !== undefined);
-				const numbers = new Set(running.map(name => job.tasks.get(name)?.run?.run));
-				if (running.length > 0 && (running.length < names.length || numbers.size > 1)) {
-					partial.push(...running);
-				}
+		for (const [index, {isGang}] of job.submission.request.steps.entries()) {
+			if (isGang && job.counts.running > 0 && isOpen(job)) {
+				partial.push(...job.taskNames.flatMap(namesByStep => listPartialGang(job, namesByStep[index] ?? [])));
 			}
 		}
 	}
@@ -141,6 +130,13 @@
 	return stopRuns(state, partial, 'only a part of the gang runs', monotonic);
 }
 
+/** Lists the members that run if they are not the whole gang under one run number. */
+function listPartialGang({tasks}: SchedulerJob, names: readonly TaskName[]): readonly TaskName[] {
+	const running = names.filter(name => tasks.get(name)?.run !== undefined);
+	const numbers = new Set(running.map(name => tasks.get(name)?.run?.run));
+	return running.length > 0 && (running.length < names.length || numbers.size > 1) ? running : [];
+}
+
 /** Stores new checkpoints. Machines have no persistent state, so a checkpoint that only they hold is lost when all of them lose power. */
 function storeCheckpoints(state: SchedulerState, monotonic: MonotonicTime): SchedulerTransition {
 	const due = [...state.jobs.values()].flatMap(job => {
@@ -158,10 +154,8 @@
 		return withoutEffects(state);
 	}
 
-	const jobs = new Map(state.jobs);
-	for (const {submission: {job}} of expired) {
-		jobs.delete(job);
-	}
-
-	return {state: {...state, jobs}, effects: expired.map(({submission: {job}}) => ({kind: 'remove-records', job}))};
+	return {
+		state: {...state, jobs: state.jobs.deleteAll(expired.map(({submission: {job}}) => job))},
+		effects: expired.map(({submission: {job}}) => ({kind: 'remove-records', job})),
+	};
 }
--- a/packages/scheduling/types.ts
+++ b/packages/scheduling/types.ts
@@ -1,4 +1,5 @@
 /** State, messages and effects of the scheduler. */
+import type {Map as PersistentMap, Set as PersistentSet} from 'immutable';
 import type {MonotonicTime, Unit, WorkerId} from '#core';
 import type {
 	JobKey, JobOutcome, JobProgress, JobSubmission, QueueName, SchedulingConfiguration, TaskName, WorkerIncarnation, WorkerSnapshot,
@@ -15,6 +16,8 @@
 - `stopping`: a stop was ordered; the capacity becomes free when the end is listed.
 */
 export type TaskRun = Readonly<{
+	/** Agent beside the worker. */
+	agent: AgentName;
 	incarnation: WorkerIncarnation;
 	run: number;
 	stage: 'starting' | 'running' | 'stopping';
@@ -31,6 +34,8 @@
 }>;
 
 export type TaskState = Readonly<{
+	occurrence: number;
+	stepIndex: number;
 	isDone: boolean;
 	/** Numbers of the runs that failed. */
 	failedRuns: readonly number[];
@@ -45,9 +50,27 @@
 	preemptions: number;
 }>;
 
+/** Number of a job's tasks that wait for a worker, have a run, and are not done. */
+export type TaskCounts = Readonly<{waiting: number; running: number; unfinished: number}>;
+
+/** Room that a job's step is to get from runs being stopped; lower ranks do not take it, and no other runs are stopped for the step meanwhile. */
+export type Claim = Readonly<{
+	occurrence: number;
+	stepIndex: number;
+	/** Number of the step's tasks by agent. */
+	taskCounts: ReadonlyMap<AgentName, number>;
+	until: MonotonicTime;
+}>;
+
 export type SchedulerJob = Readonly<{
 	submission: JobSubmission;
-	tasks: ReadonlyMap<TaskName, TaskState>;
+	tasks: PersistentMap<TaskName, TaskState>;
+	/** Names of the tasks, by occurrence and step. */
+	taskNames: ReadonlyArray<ReadonlyArray<readonly TaskName[]>>;
+	/** Numbers of tasks, kept up to date so that no message has to iterate over all of them. */
+	counts: TaskCounts;
+	/** Whether a task has started in this epoch or is done. */
+	hasStarted: boolean;
 	outcome: 'queued' | JobOutcome;
 	/** Incremented by every change that has to be stored. */
 	version: number;
@@ -63,6 +86,10 @@
 	storedCheckpoints: Readonly<{joined: string; at: MonotonicTime}>;
 	/** When a task last ended or the job arrived; waiting time is measured from here. */
 	changedAt: MonotonicTime;
+	/** Workers on which runs were stopped for the job. */
+	claim: Claim | undefined;
+	/** When a search for runs to preempt for the job last found none. */
+	preemptionFailedAt: MonotonicTime;
 	/** Whether the job was in the store when this scheduler took over; its tasks may run on workers that have not reported yet. */
 	isInherited: boolean;
 	endedAt: number | undefined;
@@ -103,14 +130,18 @@
 export type SchedulerState = Readonly<{
 	epoch: number;
 	configuration: SchedulingConfiguration | undefined;
-	jobs: ReadonlyMap<JobKey, SchedulerJob>;
+	jobs: PersistentMap<JobKey, SchedulerJob>;
 	/** By agent name; each agent has one worker. */
-	workers: ReadonlyMap<AgentName, SchedulerWorker>;
+	workers: PersistentMap<AgentName, SchedulerWorker>;
+	/** Tasks with a run on the worker beside an agent; agents without runs are left out. */
+	runs: PersistentMap<AgentName, PersistentSet<TaskName>>;
+	/** Agents whose workers listed ends that are not acknowledged yet. */
+	unacknowledged: PersistentSet<AgentName>;
 	/** Workers of an earlier scheduler that have not reported yet, by agent name, with the time until which their runs may last. */
-	unread: ReadonlyMap<AgentName, UnreadWorker>;
+	unread: PersistentMap<AgentName, UnreadWorker>;
 	/** Whether the stored jobs have been loaded. */
 	isLoaded: boolean;
-	/** Whether a change may allow a task to start. */
+	/** Whether a change may allow a task to start; a pass was requested and has not been carried out yet. */
 	isScheduleDue: boolean;
 }>;
 
@@ -136,7 +167,9 @@
 	/** Stops that the worker confirmed; a run that it never had counts as stopped. */
 	| Readonly<{kind: 'stop-answered'; agent: AgentName; orders: readonly StopOrder[]}>
 	| Readonly<{kind: 'stored'; job: JobKey; version: number; keyVersion: number}>
-	| Readonly<{kind: 'tick'}>;
+	| Readonly<{kind: 'tick'}>
+	/** Carries out the scheduling pass that an effect requested. */
+	| Readonly<{kind: 'pass'}>;
 
 export type LoadedJob = Readonly<{submission: JobSubmission; isCancelled: boolean; progress: JobProgress | undefined; keyVersion: number}>;
 
@@ -144,6 +177,8 @@
 export type StopOrder = Readonly<{task: TaskName; run: number}>;
 
 export type SchedulerEffect =
+	/** A pass is due; changes that arrive before it share it. */
+	| Readonly<{kind: 'request-pass'}>
 	| Readonly<{kind: 'start'; agent: AgentName; incarnation: string; job: JobKey; specification: string; orders: readonly StartOrder[]}>
 	| Readonly<{kind: 'stop'; agent: AgentName; incarnation: string; orders: readonly StopOrder[]}>
 	| Readonly<{kind: 'store-progress'; job: JobKey}>
--- a/packages/scheduling/units.ts
+++ b/packages/scheduling/units.ts
@@ -1,8 +1,8 @@
 import type {
 	Milliseconds, MonotonicTime, CurrentTime, Timestamp,
 } from '#core';
-import {
-	listStepTasks, type JobStep, type Queue, type TaskName, type JobKey,
+import type {
+	JobStep, Queue, TaskName, JobKey,
 } from '#jobs';
 import {earlyStartMilliseconds, longTaskFactor, atRiskSlackShare} from './constants.js';
 import type {Rank} from './rank.js';
@@ -32,7 +32,7 @@
 	const units: SchedulingUnit[] = [];
 	const medianDuration = findMedianDuration(state);
 	for (const job of state.jobs.values()) {
-		if (!isOpen(job) || mayRunOnUnreadWorker(state, job)) {
+		if (job.counts.waiting === 0 || !isOpen(job) || mayRunOnUnreadWorker(state, job)) {
 			continue;
 		}
 
@@ -78,18 +78,16 @@
 
 function listReadySteps(job: SchedulerJob, queue: Queue, occurrence: number): readonly StepUnit[] {
 	const {steps} = job.submission.request;
-	const isStepDone = (index: number) => {
-		const step = steps[index];
-		return step !== undefined && listStepTasks(job.submission.job, occurrence, index, step).every(name => job.tasks.get(name)?.isDone === true);
-	};
+	const namesOf = (index: number) => job.taskNames[occurrence]?.[index] ?? [];
+	const isStepDone = (index: number) => namesOf(index).every(name => job.tasks.get(name)?.isDone === true);
 
 	return [...steps.entries()].flatMap(([stepIndex, step]) => {
 		if (!step.after.every(index => isStepDone(index))) {
 			return [];
 		}
 
-		const names = listStepTasks(job.submission.job, occurrence, stepIndex, step);
-		const waiting = names.filter(name => isWaiting(job, name, step, queue));
+		const names = namesOf(stepIndex);
+		const waiting = listWaiting(job, names, step, queue);
 		const isStartable = step.isGang ? waiting.length === names.length : waiting.length > 0;
 		return isStartable
 			? [{
@@ -99,9 +97,15 @@
 	});
 }
 
-function isWaiting(job: SchedulerJob, name: TaskName, {isLongRunning}: JobStep, {maximumAttempts}: Queue): boolean {
-	const task = job.tasks.get(name);
-	return task !== undefined && !task.isDone && task.run === undefined && (isLongRunning || countFailures(job, name) < maximumAttempts);
+/** Lists the tasks without a run that have attempts left; the members of a gang share their attempts. */
+function listWaiting(job: SchedulerJob, names: readonly TaskName[], {isGang, isLongRunning}: JobStep, {maximumAttempts}: Queue): readonly TaskName[] {
+	const [firstName] = names;
+	const gangFailures = isGang && firstName !== undefined ? countFailures(job, firstName) : 0;
+	return names.filter(name => {
+		const task = job.tasks.get(name);
+		return task !== undefined && !task.isDone && task.run === undefined
+			&& (isLongRunning || (isGang ? gangFailures : new Set(task.failedRuns).size) < maximumAttempts);
+	});
 }
 
 /** Median over all jobs of the estimated duration of their longest task. */
--- a/packages/scheduling/wait-logs.ts
+++ b/packages/scheduling/wait-logs.ts
@@ -1,15 +1,14 @@
 /** Periodically logs why work waits, so that a late job can be explained from the logs. */
-import {assertNever, type MonotonicTime, type CurrentTime} from '#core';
-import {createPool, type Pool, type PoolWorker} from './pool.js';
+import {assertNever, type MonotonicTime} from '#core';
+import type {Pool, PoolWorker} from './pool.js';
 import {waitingLogMilliseconds, maximumWaitingLogs} from './constants.js';
 import {
 	countPlaced, withFullCapacity, distributeTasks, mayWaitForRack, listCandidates,
 } from './place.js';
-import {rankJobs} from './rank.js';
-import {withoutEffects, type SchedulerTransition} from './runs.js';
-import {isOpen, withJob} from './state.js';
-import type {SchedulerEffect, SchedulerJob, SchedulerState} from './types.js';
-import {listSchedulingUnits, type SchedulingUnit} from './units.js';
+import type {SchedulerTransition} from './runs.js';
+import {replaceJob} from './state.js';
+import type {SchedulerEffect, SchedulerState} from './types.js';
+import type {SchedulingUnit} from './units.js';
 
 /**
 Reason why a unit does not start.
@@ -35,36 +34,21 @@
 	return hasRackPreference && mayWaitForRack(unit, monotonic) && countPlaced(distributeTasks(unit, candidates)) >= needed ? 'wants-rack' : 'no-room';
 }
 
-export function logWaiting(state: SchedulerState, time: CurrentTime): SchedulerTransition {
-	const {monotonic} = time;
-	const isDue = ({changedAt, waitLoggedAt}: SchedulerJob) => monotonic - Math.max(changedAt, waitLoggedAt) >= waitingLogMilliseconds;
-	if (!state.isLoaded || ![...state.jobs.values()].some(job => isOpen(job) && isDue(job) && hasWaitingTask(job))) {
-		return withoutEffects(state);
-	}
-
-	const ranks = rankJobs(state);
-	const units = listSchedulingUnits(state, ranks, time).filter(({job}) => isDue(job)).slice(0, maximumWaitingLogs);
-	if (units.length === 0) {
-		return withoutEffects(state);
-	}
-
-	const pool = createPool(state, ranks, monotonic);
+/** Logs the units that still wait after a pass, each job at most once per interval. */
+export function logWaiting(state: SchedulerState, units: readonly SchedulingUnit[], pool: Pool, monotonic: MonotonicTime): SchedulerTransition {
 	let next = state;
 	const effects: SchedulerEffect[] = [];
 	for (const unit of units) {
-		effects.push({kind: 'log', event: 'work-waits', fields: describeWait(unit, pool, monotonic)});
 		const job = next.jobs.get(unit.job.submission.job);
-		next = job === undefined ? next : withJob(next, {...job, waitLoggedAt: monotonic});
+		if (effects.length < maximumWaitingLogs && job !== undefined && monotonic - Math.max(job.changedAt, job.waitLoggedAt) >= waitingLogMilliseconds) {
+			effects.push({kind: 'log', event: 'work-waits', fields: describeWait(unit, pool, monotonic)});
+			next = replaceJob(next, {...job, waitLoggedAt: monotonic});
+		}
 	}
 
 	return {state: next, effects};
 }
 
-/** Cheap check at every tick that avoids listing units: most open jobs have no waiting task. */
-function hasWaitingTask({tasks}: SchedulerJob): boolean {
-	return [...tasks.values()].some(({isDone, run}) => !isDone && run === undefined);
-}
-
 function describeWait(unit: SchedulingUnit, pool: Pool, monotonic: MonotonicTime): Readonly<Record<string, unknown>> {
 	const candidates = listCandidates(unit, pool);
 	const reason = findWaitReason(unit, candidates, monotonic);
--- a/test/support/scheduling.ts
+++ b/test/support/scheduling.ts
@@ -93,7 +93,8 @@
 					kind: 'stored', job: job.submission.job, version: job.version, keyVersion: keyVersion++,
 				});
 		});
-		return [...step.effects, ...stored];
+		const passed = step.effects.some(({kind}) => kind === 'request-pass') ? send({kind: 'pass'}) : [];
+		return [...step.effects, ...stored, ...passed];
 	};
 
 	return {
--- a/xo.config.js
+++ b/xo.config.js
@@ -54,6 +54,8 @@
 	},
 	{
 		rules: {
+			// Immutable's collections are created by calls without new.
+			'new-cap': ['error', {newIsCap: true, capIsNewExceptions: ['PersistentMap', 'PersistentSet']}],
 			// This project uses read-only data and exhaustive switches, with which these rules conflict.
 			'unicorn/no-array-reduce': 'off',
 			'unicorn/no-null': 'off',
