Keep room for the units for which runs were stopped, and store the agents of each job

Cause: on the large deployment a gang stopped runs again and again, since each pass chose its victims anew and other units took the room that became free. After a takeover, everything that had begun waited until each of 160 listed workers was read, or 12 s.

Change: room that a unit is about to use is claimed and left out for others, except for work within a guarantee that finds no other. A job's record lists the agents to which its runs may be ordered, before they are; after a takeover, only work that may be on a worker that was not read waits. Records without the list are of earlier versions and keep the former rule.

--- a/bench/scheduling/model.ts
+++ b/bench/scheduling/model.ts
@@ -7,7 +7,9 @@
 import {
 	service, type ArrivingJob, type Kind, type Scenario,
 } from './scenarios.js';
-import {createSimulatedWorker, reportMilliseconds, type SimulatedWorker} from './workers.js';
+import {
+	createSimulatedWorker, reportMilliseconds, stopMilliseconds, type SimulatedWorker,
+} from './workers.js';
 
 export type PlayedJob = Readonly<{
 	kind: Kind;
@@ -21,7 +23,7 @@
 	jobs: readonly PlayedJob[];
 	starts: number;
 	stops: number;
-	/** Rounds of stops after the first one, over all units for which runs were stopped. */
+	/** Rounds of stops for a unit while its earlier ones were still under way. */
 	repeatedStops: number;
 	discardedCoreSeconds: number;
 	/** Core-seconds of the jobs that ended on time; an accelerator counts as 8 cores. */
@@ -41,11 +43,12 @@
 	const jobs = new Map<JobKey, ArrivingJob>(scenario.arrivals.map(job => [job.submission.job, job]));
 	const firstStarts = new Map<JobKey, number>();
 	const completions = new Map<JobKey, number>();
-	const stopsByReason = new Map<string, number>();
+	const lastStops = new Map<string, number>();
 	let state: SchedulerState = createSchedulerState(1);
 	let time = 0;
 	let starts = 0;
 	let stops = 0;
+	let repeatedStops = 0;
 	let discardedCoreSeconds = 0;
 
 	const findStep = (task: TaskName) => jobs.get(parseJobOfTask(task))?.submission.request.steps[0];
@@ -86,7 +89,8 @@
 			case 'log': {
 				const {reason, lossCoreSeconds} = effect.fields;
 				if (effect.event === 'stop-ordered' && typeof reason === 'string' && reason.startsWith('room for')) {
-					stopsByReason.set(reason, (stopsByReason.get(reason) ?? 0) + 1);
+					repeatedStops += time - (lastStops.get(reason) ?? -Infinity) < stopMilliseconds ? 1 : 0;
+					lastStops.set(reason, time);
 					discardedCoreSeconds += Number(lossCoreSeconds);
 				}
 
@@ -161,7 +165,7 @@
 		jobs: played,
 		starts,
 		stops,
-		repeatedStops: [...stopsByReason.values()].reduce((total, count) => total + count - 1, 0),
+		repeatedStops,
 		discardedCoreSeconds,
 		onTimeCoreSeconds: scenario.arrivals.reduce((total, job, index) => total + (played[index]?.isOnTime === true ? measureWork(job) : 0), 0),
 	};
--- a/bench/scheduling/workers.ts
+++ b/bench/scheduling/workers.ts
@@ -6,7 +6,7 @@
 import type {AgentName, StartOrder, StopOrder} from '#scheduling';
 
 /** How long a worker takes to stop a run, as the large deployment states it. */
-const stopMilliseconds = 400;
+export const stopMilliseconds = 400;
 /** Interval of an agent's reports while nothing ends. */
 export const reportMilliseconds = 500;
 export const acceleratorsPerWorker = 8;
--- a/packages/jobs/types.ts
+++ b/packages/jobs/types.ts
@@ -141,6 +141,8 @@
 	tasks: valibot.pipe(valibot.record(valibot.string(), taskProgressSchema), valibot.readonly()),
 	/** When the job ended. */
 	endedAt: valibot.optional(valibot.number()),
+	/** Agents to whose workers runs of the job were or are about to be ordered. Absent in records of earlier versions, whose runs may be anywhere. */
+	agents: valibot.optional(valibot.pipe(valibot.array(valibot.string()), valibot.readonly())),
 }), valibot.readonly());
 export type JobProgress = valibot.InferOutput<typeof jobProgressSchema>;
 
--- a/packages/scheduling/claims.ts
+++ b/packages/scheduling/claims.ts
@@ -1,8 +1,14 @@
-/** Claims on the room that preempted runs leave. Without them, each pass would choose victims anew, and lower ranks would take the room that becomes free first. */
+/** Claims on room that a step is about to use. Without them, each pass would choose workers and victims anew, and lower ranks would take the room that becomes free first. */
 import type {MonotonicTime} from '#core';
 import {claimMilliseconds} from './constants.js';
-import {allocate, type Pool} from './pool.js';
-import type {TaskCounts} from './place.js';
+import type {JobKey, Resources} from '#jobs';
+import {
+	add, countFitting, subtract, type Pool,
+} from './pool.js';
+import {
+	assign, countPlaced, type Placement, type TaskCounts,
+} from './place.js';
+import type {Rank} from './rank.js';
 import {resourcesOf} from './state.js';
 import type {Claim, SchedulerState} from './types.js';
 import type {SchedulingUnit} from './units.js';
@@ -13,25 +19,49 @@
 	};
 }
 
-/** Finds the unit's claim; it no longer counts after its time, or if a claimed worker cannot be used. */
-export function findClaim({jobs}: SchedulerState, {job, occurrence, stepIndex}: SchedulingUnit, pool: Pool, monotonic: MonotonicTime): Claim | undefined {
-	const claim = jobs.get(job.submission.job)?.claim;
-	return claim?.occurrence === occurrence && claim.stepIndex === stepIndex && monotonic < claim.until
-		&& [...claim.taskCounts.keys()].every(agent => pool.get(agent)?.isUsable === true)
-		? claim
-		: undefined;
+export type HeldClaim = Readonly<{job: JobKey; rank: Rank; need: Resources; claim: Claim}>;
+
+/** Lists the claims that still count: not after their time, and not if a claimed worker cannot be used. */
+export function listHeldClaims({jobs}: SchedulerState, units: readonly SchedulingUnit[], pool: Pool, monotonic: MonotonicTime): readonly HeldClaim[] {
+	return units.flatMap(({job, occurrence, stepIndex, step, rank}) => {
+		const claim = jobs.get(job.submission.job)?.claim;
+		return claim?.occurrence === occurrence && claim.stepIndex === stepIndex && monotonic < claim.until
+			&& [...claim.taskCounts.keys()].every(agent => pool.get(agent)?.isUsable === true)
+			? [{
+				job: job.submission.job, rank, need: resourcesOf(step), claim,
+			}]
+			: [];
+	});
+}
+
+/** Allocates claimed room in the pool. */
+export function holdClaims(pool: Pool, claims: readonly HeldClaim[]): Pool {
+	return claims.reduce((next, {need, claim}) => changeRoom(next, claim.taskCounts, free => subtract(free, need)), pool);
 }
 
-/** Allocates the claimed room for the rest of the pass, for at most `count` tasks. */
-export function allocateClaim({step}: SchedulingUnit, count: number, taskCounts: TaskCounts, pool: Pool): Pool {
+/** Returns claimed room to the pool. */
+export function releaseClaims(pool: Pool, claims: readonly HeldClaim[]): Pool {
+	return claims.reduce((next, {need, claim}) => changeRoom(next, claim.taskCounts, free => add(free, need)), pool);
+}
+
+function changeRoom(pool: Pool, taskCounts: TaskCounts, change: (free: Resources) => Resources): Pool {
 	let next = pool;
-	let remaining = count;
-	for (const [agent, claimedCount] of taskCounts) {
-		for (let index = 0; index < Math.min(claimedCount, count) && remaining > 0; index++) {
-			next = allocate(next, agent, resourcesOf(step));
-			remaining--;
+	for (const [agent, count] of taskCounts) {
+		for (let index = 0; index < count; index++) {
+			const worker = next.get(agent);
+			next = worker === undefined ? next : next.set(agent, {...worker, free: change(worker.free)});
 		}
 	}
 
 	return next;
 }
+
+/** Places all waiting tasks of the unit on the claimed workers, if they fit there. */
+export function placeOnClaim({tasks, step}: SchedulingUnit, {taskCounts}: Claim, pool: Pool): readonly Placement[] {
+	const need = resourcesOf(step);
+	const isFree = [...taskCounts].every(([agent, count]) => {
+		const worker = pool.get(agent);
+		return worker !== undefined && countFitting(worker.free, need, count) === count;
+	});
+	return isFree && countPlaced(taskCounts) === tasks.length ? assign(tasks, taskCounts) : [];
+}
--- a/packages/scheduling/place.ts
+++ b/packages/scheduling/place.ts
@@ -174,6 +174,16 @@
 	return [...taskCounts.values()].reduce((total, taskCount) => total + taskCount, 0);
 }
 
+/** Counts placements by agent; the reverse of `assign`. */
+export function countByAgent(placements: readonly Placement[]): TaskCounts {
+	const counts = new Map<AgentName, number>();
+	for (const {agent} of placements) {
+		counts.set(agent, (counts.get(agent) ?? 0) + 1);
+	}
+
+	return counts;
+}
+
 export function assign(tasks: readonly TaskName[], taskCounts: TaskCounts): readonly Placement[] {
 	const agents = [...taskCounts].flatMap(([agent, taskCount]) => Array.from({length: taskCount}, () => agent));
 	return tasks.flatMap((task, index) => {
--- a/packages/scheduling/schedule.ts
+++ b/packages/scheduling/schedule.ts
@@ -3,12 +3,14 @@
 import {
 	createPool, reserveWorkers, allocate, type Pool, type PlacedRun,
 } from './pool.js';
-import {allocateClaim, createClaim, findClaim} from './claims.js';
+import {
+	createClaim, holdClaims, listHeldClaims, placeOnClaim, releaseClaims, type HeldClaim,
+} from './claims.js';
 import {preemptionRetryMilliseconds, reservationDelayMilliseconds} from './constants.js';
 import {
-	countPlaced, distributeTasks, hasRoomForTask, withFullCapacity, listCandidates, placeUnit, type Placement,
+	countByAgent, countPlaced, distributeTasks, hasRoomForTask, withFullCapacity, listCandidates, placeUnit, type Placement, type TaskCounts,
 } from './place.js';
-import {findPreemption} from './preempt.js';
+import {findPreemption, type Preemption} from './preempt.js';
 import {rankJobs} from './rank.js';
 import {
 	startRuns, stopRuns, storeJob, type SchedulerTransition,
@@ -17,7 +19,9 @@
 import {
 	findTask, listStepMembers, replaceJob, resourcesOf, withTask,
 } from './state.js';
-import type {AgentName, SchedulerEffect, SchedulerState} from './types.js';
+import type {
+	AgentName, Claim, SchedulerEffect, SchedulerState,
+} from './types.js';
 import {listSchedulingUnits, type SchedulingUnit} from './units.js';
 import {logWaiting} from './wait-logs.js';
 
@@ -31,6 +35,8 @@
 	reservedRanks: ReadonlySet<number>;
 	/** Shapes for which no worker has room for the rest of the pass, since a pass only allocates resources. */
 	exhausted: readonly TaskShape[];
+	/** Claims whose room is allocated in the pool. */
+	claims: readonly HeldClaim[];
 	/** Units of which tasks still wait. */
 	waiting: readonly SchedulingUnit[];
 }>;
@@ -48,8 +54,10 @@
 		return {state: next, effects: []};
 	}
 
+	const pool = createPool(state, ranks, time.monotonic);
+	const claims = listHeldClaims(state, units, pool, time.monotonic);
 	let pass: Pass = {
-		state: next, pool: createPool(state, ranks, time.monotonic), effects: [], reservedRanks: new Set(), exhausted: [], waiting: [],
+		state: next, pool: holdClaims(pool, claims), effects: [], reservedRanks: new Set(), exhausted: [], claims, waiting: [],
 	};
 	for (const unit of units) {
 		pass = scheduleUnit(pass, unit, time.monotonic);
@@ -60,17 +68,18 @@
 }
 
 function scheduleUnit(pass: Pass, unit: SchedulingUnit, monotonic: MonotonicTime): Pass {
-	const placements = isExhausted(unit, pass.exhausted) ? [] : placeUnit(unit, pass.pool, monotonic);
-	const placed = placements.length === 0 ? pass : startPlaced(pass, unit, placements, monotonic);
+	const own = pass.claims.filter(({job, claim}) => job === unit.job.submission.job && claim.stepIndex === unit.stepIndex && claim.occurrence === unit.occurrence);
+	const released = own.length === 0 ? pass : {...pass, pool: releaseClaims(pass.pool, own), claims: pass.claims.filter(held => !own.includes(held))};
+	const placements = findPlacements(released, unit, own[0]?.claim, monotonic);
+	const placed = placements.length === 0 ? released : startPlaced(released, unit, placements, monotonic);
 	const remaining = unit.tasks.length - placements.length;
 	if (remaining === 0) {
 		return placed;
 	}
 
 	const waiting = {...noteExhaustion(placed, unit), waiting: [...placed.waiting, unit]};
-	const claim = findClaim(waiting.state, unit, waiting.pool, monotonic);
-	if (claim !== undefined) {
-		return {...waiting, pool: allocateClaim(unit, remaining, claim.taskCounts, waiting.pool)};
+	if (own.length > 0) {
+		return placements.length > 0 ? waiting : {...waiting, pool: holdClaims(waiting.pool, own), claims: [...waiting.claims, ...own]};
 	}
 
 	return mayPreempt(waiting.state, unit, monotonic)
@@ -78,6 +87,15 @@
 		: reserveForUnit(waiting, unit, monotonic);
 }
 
+function findPlacements({pool, exhausted}: Pass, unit: SchedulingUnit, claim: Claim | undefined, monotonic: MonotonicTime): readonly Placement[] {
+	const onClaim = claim === undefined ? [] : placeOnClaim(unit, claim, pool);
+	if (onClaim.length > 0) {
+		return onClaim;
+	}
+
+	return isExhausted(unit, exhausted) ? [] : placeUnit(unit, pool, monotonic);
+}
+
 function noteExhaustion(pass: Pass, unit: SchedulingUnit): Pass {
 	return isExhausted(unit, pass.exhausted) || hasRoomForTask(unit, pass.pool)
 		? pass
@@ -90,7 +108,7 @@
 	return rank <= lowestPreemptingRank && (failedAt === monotonic || monotonic - failedAt >= preemptionRetryMilliseconds);
 }
 
-/** Starts placed tasks. The first start of a job waits until the store holds that the job is running, so that a later scheduler looks for its runs. */
+/** Starts placed tasks once the store holds that the job may have runs on their workers, so that a later scheduler looks for them there. */
 function startPlaced(pass: Pass, unit: SchedulingUnit, placements: readonly Placement[], monotonic: MonotonicTime): Pass {
 	let {pool} = pass;
 	for (const {agent} of placements) {
@@ -99,13 +117,17 @@
 
 	const job = pass.state.jobs.get(unit.job.submission.job) ?? unit.job;
 	const next = {...pass, pool};
-	if (job.outcome === 'queued') {
-		return apply(next, storeJob(pass.state, {...job, outcome: 'running'}));
+	const agents = placements.map(({agent}) => agent);
+	if (job.outcome === 'queued' || (job.agents !== undefined && !agents.every(agent => job.agents?.has(agent)))) {
+		const claim = createClaim(unit, countByAgent(placements), monotonic);
+		return apply(next, storeJob(pass.state, {
+			...job, outcome: 'running', agents: job.agents?.union(agents), agentsVersion: job.version + 1, claim,
+		}));
 	}
 
-	return job.storedVersion === 0
+	return job.storedVersion < job.agentsVersion
 		? next
-		: apply(next, startRuns(pass.state, job.submission.job, placements, monotonic), {
+		: apply(next, startRuns(replaceJob(pass.state, {...job, claim: undefined}), job.submission.job, placements, monotonic), {
 			kind: 'log',
 			event: 'start-ordered',
 			fields: {
@@ -114,7 +136,7 @@
 				rank: unit.rank,
 				step: unit.stepIndex,
 				waitedMilliseconds: Math.round(monotonic - unit.waitingSince),
-				workers: placements.map(({agent}) => agent),
+				workers: agents,
 			},
 		});
 }
@@ -125,7 +147,7 @@
 
 /** Preempts work of a lower rank for the unit and allocates the resources to it for the rest of the pass, or reserves workers if there is none. */
 function preempt(pass: Pass, unit: SchedulingUnit, count: number, monotonic: MonotonicTime): Pass {
-	const found = findPreemption(unit, count, pass.pool, monotonic);
+	const found = findPreemption(unit, count, pass.pool, monotonic) ?? findPreemptionOfClaims(pass, unit, count, monotonic);
 	if (found === undefined) {
 		const job = pass.state.jobs.get(unit.job.submission.job) ?? unit.job;
 		return reserveForUnit({...pass, state: replaceJob(pass.state, {...job, preemptionFailedAt: monotonic})}, unit, monotonic);
@@ -136,11 +158,21 @@
 	const claim = found.victims.length === 0 && unit.rank === 0 ? undefined : createClaim(unit, found.taskCounts, monotonic);
 	const claimed = countPreemptions(replaceJob(pass.state, {...job, claim}), found.victims);
 	return apply(
-		{...pass, pool: allocateClaim(unit, count, found.taskCounts, pass.pool)},
+		{...pass, pool: allocateTasks(unit, found.taskCounts, pass.pool)},
 		stopRuns(claimed, found.victims.map(({task}) => task), `room for ${unit.job.submission.job} of rank ${unit.rank}`, monotonic),
 	);
 }
 
+/** Work within a guarantee takes room that lower ranks claimed if there is no other. */
+function findPreemptionOfClaims({pool, claims}: Pass, unit: SchedulingUnit, count: number, monotonic: MonotonicTime): Preemption | undefined {
+	const lower = claims.filter(({rank}) => rank > unit.rank);
+	return unit.rank === 0 && lower.length > 0 ? findPreemption(unit, count, releaseClaims(pool, lower), monotonic) : undefined;
+}
+
+function allocateTasks({step}: SchedulingUnit, taskCounts: TaskCounts, pool: Pool): Pool {
+	return [...taskCounts].reduce((next, [agent, count]) => Array.from({length: count}).reduce<Pool>(allocated => allocate(allocated, agent, resourcesOf(step)), next), pool);
+}
+
 /** Counts a preemption for every stopped task; the stop of one member ends its whole gang. */
 function countPreemptions(state: SchedulerState, victims: readonly PlacedRun[]): SchedulerState {
 	const stopped = new Set(victims.flatMap(({task, job, step}) => step.isGang ? listStepMembers(job, task) : [task]));
--- a/packages/scheduling/state.ts
+++ b/packages/scheduling/state.ts
@@ -187,6 +187,8 @@
 		slowdown: undefined,
 		storedCheckpoints: {joined: joinCheckpoints(tasks), at: context.monotonic},
 		changedAt: context.monotonic,
+		agents: stored.progress === undefined ? PersistentSet() : stored.progress.agents && PersistentSet(stored.progress.agents),
+		agentsVersion: 0,
 		claim: undefined,
 		preemptionFailedAt: -Infinity,
 		isInherited: context.isInherited,
@@ -215,7 +217,7 @@
 }
 
 /** Progress of a job as it is stored; tasks without progress are left out. */
-export function describeProgress({outcome, tasks, endedAt}: SchedulerJob): JobProgress {
+export function describeProgress({outcome, tasks, endedAt, agents}: SchedulerJob): JobProgress {
 	const stored: Record<string, TaskProgress> = {};
 	for (const [name, {isDone, failedRuns, checkpoint}] of tasks) {
 		if (isDone) {
@@ -227,7 +229,13 @@
 		}
 	}
 
-	return {outcome: outcome === 'queued' ? 'running' : outcome, tasks: stored, ...(endedAt === undefined ? {} : {endedAt})};
+	return {
+		outcome: outcome === 'queued' ? 'running' : outcome,
+		tasks: stored,
+		...(endedAt === undefined ? {} : {endedAt}),
+		// The runs of an ended job are only stopped, so that nobody has to look for them before a start.
+		...(agents === undefined || endedAt !== undefined ? {} : {agents: [...agents]}),
+	};
 }
 
 /** Whether a run is on the current incarnation of a worker. */
@@ -235,6 +243,11 @@
 	return run !== undefined && isSameIncarnation(run.incarnation, snapshot);
 }
 
+/** Whether a task that an earlier scheduler started may run on a worker that has not reported yet. */
+export function mayRunOnUnreadWorker({unread}: SchedulerState, {isInherited, outcome, agents}: SchedulerJob): boolean {
+	return isInherited && outcome === 'running' && unread.size > 0 && (agents === undefined || [...unread.keys()].some(agent => agents.has(agent)));
+}
+
 /** Lists open jobs, oldest first. */
 export function listOpenJobs({jobs}: SchedulerState): readonly SchedulerJob[] {
 	return jobs.valueSeq().filter(job => isOpen(job)).toArray().toSorted((first, second) => first.submission.submittedAt - second.submission.submittedAt);
--- a/packages/scheduling/tick.ts
+++ b/packages/scheduling/tick.ts
@@ -11,7 +11,7 @@
 	chain, listRuns, stopRuns, storeJob, withoutEffects, type ListedRun, type SchedulerTransition,
 } from './runs.js';
 import {
-	findWorkerOfRun, isOpen, findJob, findTask, joinCheckpoints, findStep, withTask,
+	findWorkerOfRun, isOpen, findJob, findTask, joinCheckpoints, findStep, mayRunOnUnreadWorker, withTask,
 } from './state.js';
 import type {
 	SchedulerEffect, SchedulerJob, SchedulerState, TaskRun,
@@ -114,16 +114,14 @@
 
 /** Stops gangs of which only a part runs or whose members have different run numbers, as after a takeover, since they cannot work. */
 function stopPartialGangs(state: SchedulerState, monotonic: MonotonicTime): SchedulerTransition {
-	if (!state.isLoaded || state.unread.size > 0) {
+	if (!state.isLoaded) {
 		return withoutEffects(state);
 	}
 
 	const partial: TaskName[] = [];
 	for (const job of state.jobs.values()) {
-		for (const [index, {isGang}] of job.submission.request.steps.entries()) {
-			if (isGang && job.counts.running > 0 && isOpen(job)) {
-				partial.push(...job.taskNames.flatMap(namesByStep => listPartialGang(job, namesByStep[index] ?? [])));
-			}
+		if (job.counts.running > 0 && isOpen(job) && !mayRunOnUnreadWorker(state, job)) {
+			partial.push(...job.submission.request.steps.flatMap(({isGang}, index) => isGang ? job.taskNames.flatMap(namesByStep => listPartialGang(job, namesByStep[index] ?? [])) : []));
 		}
 	}
 
--- a/packages/scheduling/types.ts
+++ b/packages/scheduling/types.ts
@@ -53,7 +53,7 @@
 /** Number of a job's tasks that wait for a worker, have a run, and are not done. */
 export type TaskCounts = Readonly<{waiting: number; running: number; unfinished: number}>;
 
-/** Room that a job's step is to get from runs being stopped; lower ranks do not take it, and no other runs are stopped for the step meanwhile. */
+/** Room that a step is to get from runs being stopped, or once its workers are stored; lower ranks do not take it, and no other runs are stopped for the step meanwhile. */
 export type Claim = Readonly<{
 	occurrence: number;
 	stepIndex: number;
@@ -86,7 +86,11 @@
 	storedCheckpoints: Readonly<{joined: string; at: MonotonicTime}>;
 	/** When a task last ended or the job arrived; waiting time is measured from here. */
 	changedAt: MonotonicTime;
-	/** Workers on which runs were stopped for the job. */
+	/** Agents to whose workers the job's runs may be ordered; undefined if the record that says so is of an earlier version. */
+	agents: PersistentSet<AgentName> | undefined;
+	/** Version that has to be stored before a run may be ordered to one of `agents`. */
+	agentsVersion: number;
+	/** Workers on which room is held for the job. */
 	claim: Claim | undefined;
 	/** When a search for runs to preempt for the job last found none. */
 	preemptionFailedAt: MonotonicTime;
--- a/packages/scheduling/units.ts
+++ b/packages/scheduling/units.ts
@@ -6,7 +6,9 @@
 } from '#jobs';
 import {earlyStartMilliseconds, longTaskFactor, atRiskSlackShare} from './constants.js';
 import type {Rank} from './rank.js';
-import {countFailures, isOpen, resolveQueue} from './state.js';
+import {
+	countFailures, isOpen, mayRunOnUnreadWorker, resolveQueue,
+} from './state.js';
 import type {SchedulerJob, SchedulerState} from './types.js';
 
 /** The waiting tasks of one step; those of a gang are placed only together. */
@@ -59,11 +61,6 @@
 	return units.toSorted(compareUnits);
 }
 
-/** Whether tasks that an earlier scheduler started may run on a worker that has not reported yet. */
-function mayRunOnUnreadWorker({unread}: SchedulerState, {isInherited, outcome}: SchedulerJob): boolean {
-	return isInherited && outcome === 'running' && unread.size > 0;
-}
-
 function listDueOccurrences({submission: {request: {schedule}}}: SchedulerJob, now: Timestamp): readonly number[] {
 	if (schedule === undefined) {
 		return [0];
--- a/test/scheduling/decisions.test.ts
+++ b/test/scheduling/decisions.test.ts
@@ -1,6 +1,8 @@
 import {expect} from 'chai';
 import type {WorkerId} from '#core';
-import {checkpointStoreMilliseconds, grantValidityMilliseconds, unreadMilliseconds} from '#scheduling';
+import {
+	checkpointStoreMilliseconds, describeProgress, grantValidityMilliseconds, unreadMilliseconds,
+} from '#scheduling';
 import {
 	configuration, createDriver, createReadyDriver, endedRunOf, keyOf, reportedRunOf, snapshotOf, startsOf, stopsOf, submissionOf, taskOf, type Driver,
 } from '#test/support/scheduling';
@@ -17,6 +19,12 @@
 	return starts;
 }
 
+function requireJob(driver: Driver, number: number) {
+	const job = driver.state().jobs.get(keyOf(number));
+	expect(job).not.to.equal(undefined);
+	return job!;
+}
+
 function snapshotRunning(name: string, starts: ReturnType<typeof startsOf>, percent = 10) {
 	return snapshotOf(name, {running: starts.filter(({agent}) => agent === name).map(({task, run}) => reportedRunOf(task, run, percent))});
 }
@@ -431,6 +439,59 @@
 			expect(submitAndStart(driver, 2, [{accelerators: 8}], {priority: 1})).to.have.length(1);
 		},
 	},
+	{
+		name: 'work that cannot be on a worker that has not reported starts at once (every takeover among many workers delays all begun jobs)',
+		run() {
+			const driver = createDriver({epoch: 2});
+			driver.send({kind: 'configured', configuration});
+			driver.send({kind: 'renewed', agent: 'a', snapshot: snapshotOf('a')});
+			const loaded = driver.send({
+				kind: 'loaded',
+				jobs: [['a'], ['a', 'b']].map((agents, index) => ({
+					submission: submissionOf(index + 1, [{}]), isCancelled: false, progress: {outcome: 'running' as const, tasks: {}, agents}, keyVersion: 4,
+				})),
+				workers: [{agent: 'a', worker: 'w-a' as WorkerId}, {agent: 'b', worker: 'w-b' as WorkerId}],
+			});
+			expect(startsOf(loaded).map(({task}) => task)).to.deep.equal([taskOf(1)]);
+			expect(startsOf(driver.send({kind: 'renewed', agent: 'b', snapshot: snapshotOf('b')})).map(({task}) => task)).to.deep.equal([taskOf(2)]);
+		},
+	},
+	{
+		name: 'a run is ordered to a worker only after the job\'s record lists its agent (next scheduler starts the task again elsewhere)',
+		run() {
+			const driver = createReadyDriver([['a']], {isStoring: false});
+			const store = (version: number) => driver.send({
+				kind: 'stored', job: keyOf(1), version, keyVersion: 7,
+			});
+			driver.send({kind: 'submitted', submission: submissionOf(1, [{count: 2, accelerators: 8}])});
+			expect(startsOf(store(1)).map(({agent}) => agent)).to.deep.equal(['a']);
+			const joined = driver.send({kind: 'renewed', agent: 'b', snapshot: snapshotOf('b')});
+			expect(startsOf(joined)).to.deep.equal([]);
+			expect(describeProgress(requireJob(driver, 1)).agents).to.have.members(['a', 'b']);
+			expect(startsOf(store(2)).map(({agent}) => agent)).to.deep.equal(['b']);
+		},
+	},
+	{
+		name: 'room that preempted runs leave goes to the unit for which they were stopped (more and more runs stopped, and no gang starts)',
+		run() {
+			const driver = createReadyDriver([['a'], ['b'], ['c']]);
+			const starts = submitAndStart(driver, 1, [{count: 24, isCheckpointing: true}]);
+			const stopped = driver.send({kind: 'submitted', submission: submissionOf(2, [{count: 2, accelerators: 8, isGang: true}], {priority: 1})});
+			const agents = stopsOf(stopped).map(task => starts.find(start => start.task === task)?.agent ?? '');
+			const [first = '', second = ''] = [...new Set(agents)];
+			expect(agents).to.have.length(16);
+			// Urgent work beyond the guarantee needs a worker too, and stops the runs of the third one.
+			const urgent = driver.send({kind: 'submitted', submission: submissionOf(3, [{count: 2, accelerators: 8}], {priority: 0})});
+			expect(stopsOf(urgent)).to.have.length(8);
+			const endAll = (agent: string) => driver.send({
+				kind: 'renewed',
+				agent,
+				snapshot: snapshotOf(agent, {ended: starts.filter(start => start.agent === agent).map(({task, run}, index) => endedRunOf(index + 1, task, run, 'stopped'))}),
+			});
+			expect(startsOf(endAll(first))).to.deep.equal([]);
+			expect(startsOf(endAll(second)).map(({task}) => task)).to.deep.equal([taskOf(2, 0), taskOf(2, 1)]);
+		},
+	},
 	{
 		name: 'work beyond a guarantee preempts a job at most once (job that never ends)',
 		run() {
