Prefer strong machines as the scheduler, and pause passes only after long ones

Cause: an entry on a machine with a third of a core won elections and fell behind; a pass after a pause still waited for three times the length of the last one; a search for victims repeated every 200 ms visits a whole large pool.

Change: the delay before a campaign grows with the inverse of the processor that the settings give; the pause after a pass counts from its end; the interval between searches grows with the pool. Room that seems to become free is claimed only as long as runs that end soon take.

--- /dev/null
+++ b/bench/scheduling/index.ts
@@ -0,0 +1,2 @@
+export * from './model.js';
+export * from './scenarios.js';
--- a/packages/coordinator/constants.ts
+++ b/packages/coordinator/constants.ts
@@ -27,6 +27,10 @@
 /** Delay before an entry campaigns: a multiple of the store's latency, so that an entry near the store wins, plus jitter. */
 export const electionLatencyFactor = 2;
 export const electionJitterMilliseconds = 60;
+/** Further delay before an entry with one usual core campaigns; inversely proportional to its processor. */
+export const electionProcessorMilliseconds = 60;
+/** Longest of these delays, so that the weakest machines still replace a lost scheduler soon. */
+export const maximumElectionProcessorMilliseconds = 300;
 /** Delay after which callers are asked to retry while the store is unavailable. */
 export const storeRetryAfterMilliseconds = 1000;
 /** Part of a caller's timeout that is reserved for sending the answer. */
--- a/packages/coordinator/index.ts
+++ b/packages/coordinator/index.ts
@@ -10,3 +10,5 @@
 export {readReadiness} from './plugins/operations.js';
 export * from './progress-writer.js';
 export {leadershipService} from './plugins/leadership.js';
+export {computeElectionDelay} from './election-delay.js';
+export {choosePassDelay, type LastPass} from './pass-timer.js';
--- a/packages/coordinator/pass-timer.ts
+++ b/packages/coordinator/pass-timer.ts
@@ -8,29 +8,34 @@
 	request(): void;
 }>;
 
+export type LastPass = Readonly<{duration: Milliseconds; elapsedSince: Milliseconds}>;
+
 /**
-Delay before the next pass: the longer the last one took, the longer the others have the processor.
+Delay before the next pass: the longer the last one took, the longer the others have the processor afterwards.
 
 @example
 ```
-choosePassDelay(40);
-//=> 120
+choosePassDelay({duration: 40, elapsedSince: 100});
+//=> 20
 ```
 */
-export function choosePassDelay(lastDuration: Milliseconds): Milliseconds {
-	return Math.min(maximumPassDelayMilliseconds, Math.max(minimumPassDelayMilliseconds, lastDuration * passDelayFactor));
+export function choosePassDelay({duration, elapsedSince}: LastPass): Milliseconds {
+	const pause = Math.min(maximumPassDelayMilliseconds, duration * passDelayFactor);
+	return Math.max(minimumPassDelayMilliseconds, pause - elapsedSince);
 }
 
 /** Creates a timer that calls `carryOut` after each request and records how long it took. */
 export function createPassTimer({clock, counters}: Pick<CoordinatorContext, 'clock' | 'counters'>, carryOut: () => void): PassTimer {
-	let lastDuration: Milliseconds = 0;
+	let duration: Milliseconds = 0;
+	let endedAt = clock.monotonic();
 	return {
 		request() {
-			clock.schedule(choosePassDelay(lastDuration), () => {
+			clock.schedule(choosePassDelay({duration, elapsedSince: clock.monotonic() - endedAt}), () => {
 				const startedAt = clock.monotonic();
 				carryOut();
-				lastDuration = clock.monotonic() - startedAt;
-				counters.recordLatency('scheduling-pass', lastDuration);
+				endedAt = clock.monotonic();
+				duration = endedAt - startedAt;
+				counters.recordLatency('scheduling-pass', duration);
 			});
 		},
 	};
--- a/packages/coordinator/plugins/leadership.ts
+++ b/packages/coordinator/plugins/leadership.ts
@@ -1,7 +1,7 @@
 import type {Milliseconds} from '#core';
 import {createServiceKey, startTask, type TaskHandle} from '#kernel';
 import {unconfirmedLeadershipMilliseconds} from '#scheduling';
-import {electionJitterMilliseconds, electionLatencyFactor} from '../constants.js';
+import {computeElectionDelay} from '../election-delay.js';
 import {epochKey, leaderKey, type LeaderRecord} from '../keys.js';
 import {
 	createLeadershipState, receiveLeadershipMessage, type LeadershipEffect, type LeadershipMessage, type LeadershipState,
@@ -93,12 +93,12 @@
 	}
 }
 
-/** Entries near the store campaign first, because the scheduler writes to the store often. */
-async function scheduleElection(send: Send, {clock, random, services}: CoordinatorContext): Promise<void> {
+async function scheduleElection(send: Send, {clock, random, services, settings}: CoordinatorContext): Promise<void> {
 	const startedAt = clock.monotonic();
 	await services.use(storePort).read(epochKey);
 	const latency: Milliseconds = clock.monotonic() - startedAt;
-	clock.schedule((latency * electionLatencyFactor) + (random() * electionJitterMilliseconds), () => {
+	const processorCapacity = settings['processor-share'] * settings['processor-speed'];
+	clock.schedule(computeElectionDelay({latency, processorCapacity, random: random()}), () => {
 		send({kind: 'election-due'});
 	});
 }
--- a/packages/coordinator/settings.ts
+++ b/packages/coordinator/settings.ts
@@ -1,7 +1,8 @@
 import * as valibot from 'valibot';
 import {entryIdSchema, zoneNameSchema} from '#core';
 import {
-	addressListSettingSchema, addressSettingSchema, logLevels, portRangeSettingSchema, portSettingSchema, wholeNumberSettingSchema, type SettingDefinitions, type SettingsOf,
+	addressListSettingSchema, addressSettingSchema, logLevels, portRangeSettingSchema, portSettingSchema, positiveNumberSettingSchema, wholeNumberSettingSchema, type SettingDefinitions,
+	type SettingsOf,
 } from '#kernel';
 
 export const coordinatorSettings = {
@@ -15,6 +16,8 @@
 	seeds: {schema: addressListSettingSchema, description: 'Addresses of entries to connect to before the store has listed any, also while it is down; only the hosts are used', default: ''},
 	'metrics-port': {schema: portSettingSchema, description: 'Operations port, which serves metrics and health checks', default: '7015'},
 	'grace-seconds': {schema: wholeNumberSettingSchema(1, 600), description: 'Seconds between SIGTERM and SIGKILL', default: '6'},
+	'processor-share': {schema: positiveNumberSettingSchema, description: 'Share of a core that this process may use; entries with more of it are preferred as the scheduler', default: '1'},
+	'processor-speed': {schema: positiveNumberSettingSchema, description: 'Speed of that core as a multiple of a usual one', default: '1'},
 	'log-level': {schema: valibot.picklist(logLevels, 'must be debug, info, warn or error'), description: 'Least severe level that is logged', default: 'info'},
 } as const satisfies SettingDefinitions;
 
--- a/packages/kernel/settings.ts
+++ b/packages/kernel/settings.ts
@@ -78,6 +78,14 @@
 	);
 }
 
+/** A positive decimal number as text. */
+export const positiveNumberSettingSchema = valibot.pipe(
+	valibot.string(),
+	valibot.regex(/^\d+(?:\.\d+)?$/, 'must be a positive number'),
+	valibot.transform(Number),
+	valibot.check(value => value > 0, 'must be a positive number'),
+);
+
 /** A comma-separated list of `host:port`; may be empty. */
 export const addressListSettingSchema = valibot.pipe(
 	valibot.string(),
--- a/packages/scheduling/claims.ts
+++ b/packages/scheduling/claims.ts
@@ -1,6 +1,5 @@
 /** Claims on room that a step is about to use. Without them, each pass would choose workers and victims anew, and lower ranks would take the room that becomes free first. */
 import type {MonotonicTime} from '#core';
-import {claimMilliseconds} from './constants.js';
 import type {JobKey, Resources} from '#jobs';
 import {
 	add, countFitting, subtract, type Pool,
@@ -13,9 +12,9 @@
 import type {Claim, SchedulerState} from './types.js';
 import type {SchedulingUnit} from './units.js';
 
-export function createClaim({occurrence, stepIndex}: SchedulingUnit, taskCounts: TaskCounts, monotonic: MonotonicTime): Claim {
+export function createClaim({occurrence, stepIndex}: SchedulingUnit, taskCounts: TaskCounts, until: MonotonicTime): Claim {
 	return {
-		occurrence, stepIndex, taskCounts, until: monotonic + claimMilliseconds,
+		occurrence, stepIndex, taskCounts, until,
 	};
 }
 
--- a/packages/scheduling/constants.ts
+++ b/packages/scheduling/constants.ts
@@ -62,8 +62,10 @@
 export const lowUtilizationShare = 0.6;
 /** Wide low-rank work that cannot save its progress starts with this many tasks, about the capacity of one worker, until their pace shows how long it takes. */
 export const probeTaskCount = 8;
-/** How long a job for which no runs could be preempted waits before the next search. A guarantee leaves 2.9 s, so that the search is repeated often enough. */
-export const preemptionRetryMilliseconds = 200;
+/** How long a job for which no runs could be preempted waits before the next search, for each worker of the pool, since a search visits all of them. */
+export const preemptionRetryMillisecondsPerWorker = 1.25;
+/** Longest wait before the next search. A guarantee leaves 2.9 s, in which the search is repeated several times. */
+export const maximumPreemptionRetryMilliseconds = 400;
 /** How long room stays claimed after runs were stopped for it. A stop takes up to 0.9 s, and a guarantee leaves 2.9 s for another attempt. */
 export const claimMilliseconds = 1200;
 /** How often work beyond a guarantee may stop the same task, so that its job eventually ends. */
--- a/packages/scheduling/schedule.ts
+++ b/packages/scheduling/schedule.ts
@@ -6,7 +6,9 @@
 import {
 	createClaim, holdClaims, listHeldClaims, placeOnClaim, releaseClaims, type HeldClaim,
 } from './claims.js';
-import {preemptionRetryMilliseconds, reservationDelayMilliseconds} from './constants.js';
+import {
+	claimMilliseconds, endingSoonMilliseconds, maximumPreemptionRetryMilliseconds, preemptionRetryMillisecondsPerWorker, reservationDelayMilliseconds,
+} from './constants.js';
 import {
 	countByAgent, countPlaced, distributeTasks, hasRoomForTask, withFullCapacity, listCandidates, placeUnit, type Placement, type TaskCounts,
 } from './place.js';
@@ -102,10 +104,10 @@
 		: {...pass, exhausted: [...pass.exhausted, shapeOf(unit)]};
 }
 
-/** A search for victims visits every run, so a unit that found none waits before it searches again. */
-function mayPreempt({jobs}: SchedulerState, {rank, job}: SchedulingUnit, monotonic: MonotonicTime): boolean {
+/** A search for victims visits every run, so a unit that found none waits before it searches again, longer in a larger pool. */
+function mayPreempt({jobs, workers}: SchedulerState, {rank, job}: SchedulingUnit, monotonic: MonotonicTime): boolean {
 	const failedAt = jobs.get(job.submission.job)?.preemptionFailedAt ?? -Infinity;
-	return rank <= lowestPreemptingRank && (failedAt === monotonic || monotonic - failedAt >= preemptionRetryMilliseconds);
+	return rank <= lowestPreemptingRank && (failedAt === monotonic || monotonic - failedAt >= Math.min(maximumPreemptionRetryMilliseconds, workers.size * preemptionRetryMillisecondsPerWorker));
 }
 
 /** Starts placed tasks once the store holds that the job may have runs on their workers, so that a later scheduler looks for them there. */
@@ -119,7 +121,7 @@
 	const next = {...pass, pool};
 	const agents = placements.map(({agent}) => agent);
 	if (job.outcome === 'queued' || (job.agents !== undefined && !agents.every(agent => job.agents?.has(agent)))) {
-		const claim = createClaim(unit, countByAgent(placements), monotonic);
+		const claim = createClaim(unit, countByAgent(placements), monotonic + claimMilliseconds);
 		return apply(next, storeJob(pass.state, {
 			...job, outcome: 'running', agents: job.agents?.union(agents), agentsVersion: job.version + 1, claim,
 		}));
@@ -155,7 +157,8 @@
 
 	const job = pass.state.jobs.get(unit.job.submission.job) ?? unit.job;
 	// Without victims, the room comes from runs that seem to end soon; a guarantee has too little time to rely on one estimate.
-	const claim = found.victims.length === 0 && unit.rank === 0 ? undefined : createClaim(unit, found.taskCounts, monotonic);
+	const duration = found.victims.length === 0 ? endingSoonMilliseconds : claimMilliseconds;
+	const claim = found.victims.length === 0 && unit.rank === 0 ? undefined : createClaim(unit, found.taskCounts, monotonic + duration);
 	const claimed = countPreemptions(replaceJob(pass.state, {...job, claim}), found.victims);
 	return apply(
 		{...pass, pool: allocateTasks(unit, found.taskCounts, pass.pool)},
--- /dev/null
+++ b/test/coordinator/delays.test.ts
@@ -0,0 +1,50 @@
+import {expect} from 'chai';
+import {choosePassDelay, computeElectionDelay, type LastPass} from '#coordinator';
+
+type Entry = Readonly<{latency: number; processorCapacity: number}>;
+
+const electionCases: ReadonlyArray<Readonly<{name: string; first: Entry; second: Entry}>> = [
+	{
+		name: 'the stronger of two entries near the store campaigns first (weak machine falls behind as the scheduler)',
+		first: {latency: 8, processorCapacity: 1.35},
+		second: {latency: 8, processorCapacity: 0.324},
+	},
+	{
+		name: 'a strong entry near the store precedes an equally strong one in another region (each write crosses the link)',
+		first: {latency: 8, processorCapacity: 1.35},
+		second: {latency: 68, processorCapacity: 1.35},
+	},
+	{
+		name: 'a strong entry in another region precedes a very weak one near the store (pool decided by a machine that stalls)',
+		first: {latency: 68, processorCapacity: 1.35},
+		second: {latency: 8, processorCapacity: 0.12},
+	},
+];
+
+describe('delay before an election', () => {
+	for (const {name, first, second} of electionCases) {
+		it(name, () => {
+			// The jitter is smaller than the differences, so that it only separates equal entries.
+			expect(computeElectionDelay({...first, random: 0})).to.be.below(computeElectionDelay({...second, random: 0}));
+		});
+	}
+
+	it('the weakest machine alone is elected well within the lease that it replaces (no scheduler for long)', () => {
+		expect(computeElectionDelay({latency: 68, processorCapacity: 0.01, random: 1})).to.be.below(1000);
+	});
+});
+
+const passCases: ReadonlyArray<Readonly<{name: string; last: LastPass; delay: number}>> = [
+	{name: 'reports of one moment share a pass (a pass for each report)', last: {duration: 0, elapsedSince: 0}, delay: 5},
+	{name: 'passes take a quarter of the time at most (renewals and leases wait behind passes)', last: {duration: 40, elapsedSince: 0}, delay: 120},
+	{name: 'a request after a pause is not delayed by an earlier long pass (each start waits twice)', last: {duration: 40, elapsedSince: 500}, delay: 5},
+	{name: 'urgent work is noticed in time although passes are slow (guarantee not reclaimed)', last: {duration: 2000, elapsedSince: 0}, delay: 400},
+];
+
+describe('delay before a scheduling pass', () => {
+	for (const {name, last, delay} of passCases) {
+		it(name, () => {
+			expect(choosePassDelay(last)).to.equal(delay);
+		});
+	}
+});
--- a/test/scheduling/properties.test.ts
+++ b/test/scheduling/properties.test.ts
@@ -238,6 +238,7 @@
 					break;
 				}
 
+				case 'request-pass':
 				case 'acknowledge':
 				case 'remove-records':
 				case 'log': {
