Preempt work that saves its progress again, and without relying on its pace for guarantees

Cause: on the small twin of the large deployment without processor time, urgent gangs waited for 4 s beside a pool full of work that saves its progress, since each of its tasks was stopped at most once for work beyond a guarantee. A gang within its guarantee waited 1.6 s because one run that seemed to end soon went on while the room was claimed.

Change: the limit counts only for work that a stop discards; a guarantee stops runs that save their progress however near their end they seem. The load model states what callers pay and how long each message took.

Both tests failed first.

--- a/bench/scheduling/model.ts
+++ b/bench/scheduling/model.ts
@@ -1,5 +1,5 @@
 /** Plays a scenario: the scheduler's decisions against simulated workers, in virtual time and without a network. */
-import {createRandomSource} from '#core';
+import {createRandomSource, type Milliseconds} from '#core';
 import {parseJobOfTask, type JobKey, type TaskName} from '#jobs';
 import {
 	createSchedulerState, receiveSchedulerMessage, type SchedulerEffect, type SchedulerMessage, type SchedulerState,
@@ -17,6 +17,9 @@
 	wait: number | undefined;
 	isOnTime: boolean;
 	isCompleted: boolean;
+	/** What callers pay for it, and what they would pay at most. */
+	earned: number;
+	owed: number;
 }>;
 
 export type Played = Readonly<{
@@ -28,6 +31,8 @@
 	discardedCoreSeconds: number;
 	/** Core-seconds of the jobs that ended on time; an accelerator counts as 8 cores. */
 	onTimeCoreSeconds: number;
+	/** Duration of each handled message, by kind. */
+	durations: Readonly<Record<SchedulerMessage['kind'], readonly Milliseconds[]>>;
 }>;
 
 const stepMilliseconds = 25;
@@ -35,6 +40,8 @@
 /** Time after the last arrival in which jobs may still end. */
 const drainMilliseconds = 30_000;
 const seed = 5;
+/** Callers pay less for a job that takes up to this multiple of its time, and nothing after it. */
+const lateFactor = 3;
 
 /** Plays the scenario to its end, one message after the other. */
 export function playScenario(scenario: Scenario): Played {
@@ -44,6 +51,7 @@
 	const firstStarts = new Map<JobKey, number>();
 	const completions = new Map<JobKey, number>();
 	const lastStops = new Map<string, number>();
+	const durations = createDurations();
 	let state: SchedulerState = createSchedulerState(1);
 	let time = 0;
 	let starts = 0;
@@ -110,7 +118,9 @@
 	};
 
 	const send = (message: SchedulerMessage): void => {
+		const startedAt = performance.now();
 		const step = receiveSchedulerMessage(state, message, {now: time, monotonic: time});
+		durations[message.kind].push(performance.now() - startedAt);
 		({state} = step);
 		for (const effect of step.effects) {
 			perform(effect);
@@ -157,8 +167,14 @@
 		const {job: key} = job.submission;
 		const startedAt = firstStarts.get(key);
 		const completedAt = completions.get(key) ?? Infinity;
+		const age = completedAt - job.at;
 		return {
-			kind: job.kind, wait: startedAt === undefined ? undefined : startedAt - job.at, isOnTime: completedAt - job.at <= job.onTimeMilliseconds, isCompleted: completedAt < Infinity,
+			kind: job.kind,
+			wait: startedAt === undefined ? undefined : startedAt - job.at,
+			isOnTime: age <= job.onTimeMilliseconds,
+			isCompleted: completedAt < Infinity,
+			earned: age <= job.onTimeMilliseconds ? job.worth : (age <= job.onTimeMilliseconds * lateFactor ? job.lateWorth : 0),
+			owed: job.worth,
 		};
 	});
 	return {
@@ -167,10 +183,17 @@
 		stops,
 		repeatedStops,
 		discardedCoreSeconds,
+		durations,
 		onTimeCoreSeconds: scenario.arrivals.reduce((total, job, index) => total + (played[index]?.isOnTime === true ? measureWork(job) : 0), 0),
 	};
 }
 
+function createDurations(): Record<SchedulerMessage['kind'], Milliseconds[]> {
+	return {
+		configured: [], loaded: [], submitted: [], cancelled: [], renewed: [], left: [], detached: [], 'start-answered': [], 'stop-answered': [], stored: [], tick: [], pass: [],
+	};
+}
+
 function measureWork({duration, submission}: ArrivingJob): number {
 	return submission.request.steps.reduce((total, step) => total + (step.count * duration * ((step.processorMillicores / 1000) + (8 * step.accelerators)) / 1000), 0);
 }
--- a/bench/scheduling/scenarios.ts
+++ b/bench/scheduling/scenarios.ts
@@ -11,22 +11,22 @@
 
 type KindOfJob = Readonly<{
 	kind: Kind; priority: number; perSecond: number; width: number; milliseconds: number; cores: number; memoryMegabytes: number; accelerators: readonly number[];
-	isGang: boolean; rackShare: number; checkpointShare: number; stretch: number; targetMilliseconds: number;
+	isGang: boolean; rackShare: number; checkpointShare: number; stretch: number; targetMilliseconds: number; worth: number; lateWorth: number;
 }>;
 
 /** Rates, widths and durations as the deployment's page and site file state them for its full size. */
 const kinds: readonly KindOfJob[] = [
 	{
 		kind: 'roster', priority: 0, perSecond: 2.5, width: 5, milliseconds: 3000, cores: 15, memoryMegabytes: 79_000, accelerators: [1, 2, 4, 8, 8],
-		isGang: true, rackShare: 0.8, checkpointShare: 0, stretch: 1.5, targetMilliseconds: 600,
+		isGang: true, rackShare: 0.8, checkpointShare: 0, stretch: 1.5, targetMilliseconds: 600, worth: 4, lateWorth: 0.8,
 	},
 	{
 		kind: 'curve', priority: 1, perSecond: 0.78, width: 13, milliseconds: 8300, cores: 52, memoryMegabytes: 150_000, accelerators: [1, 2, 4, 8, 8],
-		isGang: true, rackShare: 0.6, checkpointShare: 0.45, stretch: 3, targetMilliseconds: 1500,
+		isGang: true, rackShare: 0.6, checkpointShare: 0.45, stretch: 3, targetMilliseconds: 1500, worth: 3, lateWorth: 0.9,
 	},
 	{
 		kind: 'layout', priority: 2, perSecond: 0.49, width: 38, milliseconds: 11_600, cores: 11, memoryMegabytes: 33_000, accelerators: [1],
-		isGang: false, rackShare: 0, checkpointShare: 0.45, stretch: 3, targetMilliseconds: 3000,
+		isGang: false, rackShare: 0, checkpointShare: 0.45, stretch: 3, targetMilliseconds: 3000, worth: 1, lateWorth: 0.3,
 	},
 ];
 
@@ -34,7 +34,11 @@
 const stragglerShare = 0.03;
 const stragglerFactor = 7;
 
-export type ArrivingJob = Readonly<{kind: Kind; at: number; submission: JobSubmission; duration: number; onTimeMilliseconds: number}>;
+export type ArrivingJob = Readonly<{
+	kind: Kind; at: number; submission: JobSubmission; duration: number; onTimeMilliseconds: number;
+	/** What callers pay for the job on time, and up to three times that time. */
+	worth: number; lateWorth: number;
+}>;
 
 export type Scenario = Readonly<{name: string; workers: number; configuration: SchedulingConfiguration; arrivals: readonly ArrivingJob[]; length: number}>;
 
@@ -52,14 +56,14 @@
 createScenario('crest', {workers: 160, factor: 2, length: 30_000, seed: 7});
 ```
 */
-export function createScenario(name: string, {workers, factor, length, seed}: Readonly<{workers: number; factor: number; length: number; seed: number}>): Scenario {
+export function createScenario(name: string, {workers, rate = 1, factor, length, seed}: Readonly<{workers: number; rate?: number; factor: number; length: number; seed: number}>): Scenario {
 	const random = createRandomSource(seed);
 	const arrivals: ArrivingJob[] = [];
 	let count = 0;
 	for (const kind of kinds) {
 		for (let at = 0; at < length;) {
 			const isCrest = at > length / 6 && at < length / 2;
-			const perMillisecond = kind.perSecond * (workers / 160) * (isCrest ? factor : 1) / 1000;
+			const perMillisecond = kind.perSecond * (workers / 160) * rate * (isCrest ? factor : 1) / 1000;
 			at += -Math.log(1 - random()) / perMillisecond;
 			if (at < length) {
 				arrivals.push(createJob(kind, at, ++count, random));
@@ -90,11 +94,15 @@
 		isFilling: false,
 		maximumUnavailable: 0,
 	};
+	// Callers pay by the work of a job compared with others of its kind, within these limits.
+	const weight = Math.min(4, 0.3 + (0.7 * step.count * duration / (kind.width * kind.milliseconds)));
 	return {
 		kind: kind.kind,
 		at,
 		duration,
 		onTimeMilliseconds: (kind.stretch * duration) + kind.targetMilliseconds,
+		worth: kind.worth * weight,
+		lateWorth: kind.lateWorth * weight,
 		submission: {
 			job: number.toString(16).padStart(16, '0') as JobKey,
 			queue: queueOf(kind),
--- a/packages/scheduling/preempt.ts
+++ b/packages/scheduling/preempt.ts
@@ -91,7 +91,7 @@
 	});
 }
 
-/** Whether a run frees its resources soon without being preempted. Work within a guarantee relies on estimates only until it may preempt. */
+/** Whether a run frees its resources soon without being preempted. Work within a guarantee relies on estimates only until it may preempt, and never where a stop discards nothing. */
 function isEndingSoon({rank, waitingSince}: SchedulingUnit, {run, step}: PlacedRun, monotonic: MonotonicTime): boolean {
 	switch (run.stage) {
 		case 'stopping': {
@@ -103,7 +103,7 @@
 		}
 
 		case 'running': {
-			const mayWait = rank > 0 || monotonic - waitingSince < preemptionDelayMilliseconds;
+			const mayWait = rank > 0 || (!step.isCheckpointing && monotonic - waitingSince < preemptionDelayMilliseconds);
 			const hasPace = run.percent > run.paceBaseline.percent && monotonic - run.progressedAt < freshProgressMilliseconds;
 			return mayWait && hasPace && estimateRemaining(run, step, monotonic) <= endingSoonMilliseconds;
 		}
@@ -121,7 +121,7 @@
 		return false;
 	}
 
-	if (rank > 0 && victim.preemptions >= maximumPreemptions) {
+	if (rank > 0 && !victim.step.isCheckpointing && victim.preemptions >= maximumPreemptions) {
 		return false;
 	}
 
--- a/test/scheduling/decisions.test.ts
+++ b/test/scheduling/decisions.test.ts
@@ -43,8 +43,8 @@
 }
 
 /** Starts a run that occupies a whole worker and has 4% of its work left. */
-function startNearlyDoneRun(driver: Driver) {
-	const starts = submitAndStart(driver, 1, [{accelerators: 8}]);
+function startNearlyDoneRun(driver: Driver, step: Parameters<typeof submissionOf>[1][number] = {}) {
+	const starts = submitAndStart(driver, 1, [{accelerators: 8, ...step}]);
 	for (const percent of [20, 40, 60, 80, 96]) {
 		driver.elapse(1000);
 		driver.send({kind: 'renewed', agent: 'a', snapshot: snapshotRunning('a', starts, percent)});
@@ -316,6 +316,14 @@
 			expect(stopsOf(driver.elapse(500))).to.deep.equal([taskOf(1)]);
 		},
 	},
+	{
+		name: 'work within a guarantee stops a run that saves its progress rather than rely on its pace (guarantee not reclaimed)',
+		run() {
+			const driver = createReadyDriver([['a']]);
+			startNearlyDoneRun(driver, {isCheckpointing: true});
+			expect(stopsOf(driver.send({kind: 'submitted', submission: submissionOf(2, [{accelerators: 8}], {priority: 0, submittedAt: driver.time()})}))).to.deep.equal([taskOf(1)]);
+		},
+	},
 	{
 		name: 'a new scheduler does not start tasks that may run on a worker that has not reported (task run twice after a takeover)',
 		run() {
@@ -493,7 +501,7 @@
 		},
 	},
 	{
-		name: 'work beyond a guarantee preempts a job at most once (job that never ends)',
+		name: 'work beyond a guarantee preempts work that cannot save its progress at most once (job that never ends)',
 		run() {
 			const driver = createReadyDriver([['a']]);
 			const urgent = (number: number) => driver.send({kind: 'submitted', submission: submissionOf(number, [{count: 2, accelerators: 8}], {priority: 0, submittedAt: driver.time()})});
@@ -505,6 +513,19 @@
 			expect(stopsOf(urgent(3))).to.deep.equal([]);
 		},
 	},
+	{
+		name: 'work that saves its progress is preempted again for urgent work beyond a guarantee (urgent work late behind work that loses nothing)',
+		run() {
+			const driver = createReadyDriver([['a']]);
+			const urgent = (number: number) => driver.send({kind: 'submitted', submission: submissionOf(number, [{count: 2, accelerators: 8}], {priority: 0, submittedAt: driver.time()})});
+			submitAndStart(driver, 1, [{accelerators: 8, isCheckpointing: true}], {priority: 1});
+			expect(stopsOf(urgent(2))).to.deep.equal([taskOf(1)]);
+			driver.send({kind: 'cancelled', job: keyOf(2)});
+			driver.send({kind: 'renewed', agent: 'a', snapshot: snapshotOf('a', {ended: [endedRunOf(1, taskOf(1), 1, 'stopped')]})});
+			driver.send({kind: 'start-answered', agent: 'a', answers: [{task: taskOf(1), run: 2, result: 'started'}]});
+			expect(stopsOf(urgent(3))).to.deep.equal([taskOf(1)]);
+		},
+	},
 	{
 		name: 'new checkpoints of runs are stored periodically (progress lost when all machines lose power)',
 		run() {
