Hand the term over when only the scheduler loses the store, and replace the record of an ended process

An entry replaces a leader record with its own name and address, which only an ended term can have left. Both replace the record on the condition that it is unchanged. A term that ended is not resumed under the same epoch, since its run numbers would repeat.

--- a/packages/coordinator/constants.ts
+++ b/packages/coordinator/constants.ts
@@ -16,6 +16,10 @@
 export const orderTimeoutMilliseconds = 1500;
 /** Interval at which entries exchange their configuration version and epoch. */
 export const exchangeIntervalMilliseconds = 700;
+/** A scheduler whose calls of the store have failed for this long looks for an entry that reaches it. Short, since no job starts meanwhile; a lost answer alone is followed by a successful call. */
+export const outageBeforeHandOverMilliseconds = 300;
+/** Interval at which the scheduler checks for such an outage. */
+export const outageCheckIntervalMilliseconds = 100;
 /** Timeout of calls between entries. */
 export const entryCallTimeoutMilliseconds = 900;
 /** Delay before a failed write of the scheduler's records is retried. */
--- a/packages/coordinator/leadership.ts
+++ b/packages/coordinator/leadership.ts
@@ -9,6 +9,8 @@
 
 export type LeadershipState = Readonly<{
 	self: EntryId;
+	/** Address at which this entry listens; a leader record with it is of this process or of one that ended before. */
+	address: string;
 	/** Last observed values of the store; undefined before the first observation. */
 	view: Readonly<{leader: Versioned<LeaderRecord> | undefined; epoch: Versioned<number> | undefined}> | undefined;
 	/** The current term of this entry; undefined while it does not schedule. */
@@ -17,6 +19,8 @@
 	/** Highest epoch received from the store, agents or entries. */
 	highestEpoch: number;
 	isElectionScheduled: boolean;
+	/** Version of the leader record of the last term that this entry ended; it does not resume that term, since run numbers would repeat. */
+	endedVersion: number | undefined;
 	hasResigned: boolean;
 }>;
 
@@ -28,13 +32,19 @@
 	| Readonly<{kind: 'election-ended'; outcome: 'won' | 'lost' | 'unknown'; epoch: number; version: number}>
 	/** The store rejected a conditional write, so another entry is the scheduler. */
 	| Readonly<{kind: 'deposed'}>
+	/** Another entry can take over the term of this one. */
+	| Readonly<{kind: 'hand-over'; reason: string}>
+	/** The scheduler ended its term, whose record has the given version, and asks this entry to begin the next one. */
+	| Readonly<{kind: 'offered'; epoch: number; leaderVersion: number}>
 	| Readonly<{kind: 'resign'}>;
 
 export type LeadershipEffect =
 	| Readonly<{kind: 'schedule-election'}>
-	| Readonly<{kind: 'elect'; lease: string; epoch: number; epochVersion: number}>
+	/** Replaces the leader record of the given version, or creates one if that is 0. */
+	| Readonly<{kind: 'elect'; lease: string; epoch: number; epochVersion: number; leaderVersion: number}>
 	| Readonly<{kind: 'lead'; epoch: number; leaderVersion: number}>
 	| Readonly<{kind: 'step-down'; epoch: number; reason: string}>
+	| Readonly<{kind: 'offer-term'; epoch: number; leaderVersion: number}>
 	| Readonly<{kind: 'retry-later'; delay: Milliseconds}>;
 
 /** Delay before an entry checks again whether there is no scheduler. */
@@ -42,9 +52,9 @@
 
 type LeadershipStep = Step<LeadershipState, LeadershipEffect>;
 
-export function createLeadershipState(self: EntryId): LeadershipState {
+export function createLeadershipState(self: EntryId, address: string): LeadershipState {
 	return {
-		self, view: undefined, term: undefined, lease: undefined, highestEpoch: 0, isElectionScheduled: false, hasResigned: false,
+		self, address, view: undefined, term: undefined, lease: undefined, highestEpoch: 0, isElectionScheduled: false, endedVersion: undefined, hasResigned: false,
 	};
 }
 
@@ -66,7 +76,7 @@
 		}
 
 		case 'election-due': {
-			return elect({...state, isElectionScheduled: false});
+			return electIfVacant({...state, isElectionScheduled: false});
 		}
 
 		case 'election-ended': {
@@ -77,6 +87,15 @@
 			return stepDown(state, 'the store rejected a conditional write of this scheduler');
 		}
 
+		case 'hand-over': {
+			return handOver(state, message.reason);
+		}
+
+		case 'offered': {
+			const {epoch, leaderVersion} = message;
+			return elect({...state, highestEpoch: Math.max(state.highestEpoch, epoch)}, leaderVersion);
+		}
+
 		case 'resign': {
 			return stepDown({...state, hasResigned: true}, 'this entry is stopping');
 		}
@@ -99,7 +118,7 @@
 	}
 
 	const {leader} = view;
-	const isOwn = leader !== undefined && lease !== undefined && leader.value.entry === self && leader.value.lease === lease;
+	const isOwn = leader !== undefined && lease !== undefined && leader.value.entry === self && leader.value.lease === lease && leader.version !== state.endedVersion;
 	if (term !== undefined) {
 		return reconcileTerm(state, term);
 	}
@@ -129,25 +148,49 @@
 	return leader.value.epoch < term.epoch ? unchanged(state) : stepDownAndCampaign(state, `entry ${leader.value.entry} is the scheduler`);
 }
 
+/** Whether no living process schedules: there is no leader record, or an ended term of this address left it. */
+function isVacant({view, self, address}: LeadershipState): boolean {
+	return view !== undefined && (view.leader === undefined || (view.leader.value.entry === self && view.leader.value.address === address));
+}
+
+function mayBeginTerm({lease, hasResigned, term}: LeadershipState): boolean {
+	return lease !== undefined && !hasResigned && term === undefined;
+}
+
 function campaign(state: LeadershipState): LeadershipStep {
-	const canCampaign = state.view !== undefined && state.view.leader === undefined && state.lease !== undefined && !state.hasResigned && state.term === undefined;
-	return canCampaign && !state.isElectionScheduled ? {state: {...state, isElectionScheduled: true}, effects: [{kind: 'schedule-election'}]} : unchanged(state);
+	return isVacant(state) && mayBeginTerm(state) && !state.isElectionScheduled ? {state: {...state, isElectionScheduled: true}, effects: [{kind: 'schedule-election'}]} : unchanged(state);
 }
 
-function elect(state: LeadershipState): LeadershipStep {
+function electIfVacant(state: LeadershipState): LeadershipStep {
+	return isVacant(state) ? elect(state, state.view?.leader?.version ?? 0) : unchanged(state);
+}
+
+function elect(state: LeadershipState, leaderVersion: number): LeadershipStep {
 	const {view, lease} = state;
-	if (view === undefined || view.leader !== undefined || lease === undefined || state.hasResigned || state.term !== undefined) {
+	if (view === undefined || lease === undefined || !mayBeginTerm(state)) {
 		return unchanged(state);
 	}
 
 	return {
 		state,
 		effects: [{
-			kind: 'elect', lease, epoch: Math.max(state.highestEpoch, view.epoch?.value ?? 0) + 1, epochVersion: view.epoch?.version ?? 0,
+			kind: 'elect', lease, epoch: Math.max(state.highestEpoch, view.epoch?.value ?? 0) + 1, epochVersion: view.epoch?.version ?? 0, leaderVersion,
 		}],
 	};
 }
 
+/** Ends the term before another entry is asked to begin the next one, so that only one of them sends orders. */
+function handOver(state: LeadershipState, reason: string): LeadershipStep {
+	const {term} = state;
+	if (term === undefined) {
+		return unchanged(state);
+	}
+
+	const {epoch, leaderVersion} = term;
+	const steppedDown = stepDown(state, reason);
+	return {state: steppedDown.state, effects: [...steppedDown.effects, {kind: 'offer-term', epoch, leaderVersion}]};
+}
+
 function endElection(state: LeadershipState, {outcome, epoch, version}: Extract<LeadershipMessage, {kind: 'election-ended'}>): LeadershipStep {
 	switch (outcome) {
 		case 'won': {
@@ -170,7 +213,9 @@
 }
 
 function stepDown(state: LeadershipState, reason: string): LeadershipStep {
-	return state.term === undefined ? unchanged(state) : {state: {...state, term: undefined}, effects: [{kind: 'step-down', epoch: state.term.epoch, reason}]};
+	return state.term === undefined
+		? unchanged(state)
+		: {state: {...state, term: undefined, endedVersion: state.term.leaderVersion}, effects: [{kind: 'step-down', epoch: state.term.epoch, reason}]};
 }
 
 function stepDownAndCampaign(state: LeadershipState, reason: string): LeadershipStep {
--- a/packages/coordinator/plugins/index.ts
+++ b/packages/coordinator/plugins/index.ts
@@ -10,6 +10,7 @@
 import './scheduler.js';
 import './directory.js';
 import './entry-peers.js';
+import './hand-over.js';
 import './callers.js';
 import './attach-agent.js';
 import './renew-worker.js';
--- a/packages/coordinator/plugins/leadership.ts
+++ b/packages/coordinator/plugins/leadership.ts
@@ -17,6 +17,9 @@
 /** Task that decides whether this entry schedules. */
 export const leadershipService = createServiceKey<TaskHandle<LeadershipState, LeadershipMessage>>('leadership');
 
+/** Offers a term that this entry ended to another one. */
+export const handOverService = createServiceKey<Readonly<{offer(ended: Readonly<{epoch: number; leaderVersion: number}>): void}>>('hand-over');
+
 /** Checks whether the lease was confirmed since the machine was last suspended. */
 const suspensionService = createServiceKey<SuspensionGuard>('suspension');
 
@@ -38,7 +41,7 @@
 		const {clock, services, settings} = context;
 		services.provide(suspensionService, createSuspensionGuard(clock));
 		const leadership = startTask<LeadershipState, LeadershipMessage, LeadershipEffect>(
-			{name: 'leadership', initialState: createLeadershipState(settings.entry), receive: receiveLeadershipMessage},
+			{name: 'leadership', initialState: createLeadershipState(settings.entry, peerAddressOf(settings)), receive: receiveLeadershipMessage},
 			{
 				clock,
 				perform(effect, send) {
@@ -89,6 +92,11 @@
 			counters.countEvent('leadership-lost');
 			log.info({epoch: effect.epoch, reason: effect.reason}, 'this entry no longer schedules');
 			services.use(schedulerService).endTerm();
+			break;
+		}
+
+		case 'offer-term': {
+			services.use(handOverService).offer(effect);
 		}
 	}
 }
@@ -103,12 +111,12 @@
 	});
 }
 
-async function elect({lease, epoch, epochVersion}: Extract<LeadershipEffect, {kind: 'elect'}>, send: Send, {services, settings, log}: CoordinatorContext): Promise<void> {
+async function elect({lease, epoch, epochVersion, leaderVersion}: Extract<LeadershipEffect, {kind: 'elect'}>, send: Send, {services, settings, log}: CoordinatorContext): Promise<void> {
 	const record: LeaderRecord = {
 		entry: settings.entry, epoch, address: peerAddressOf(settings), lease,
 	};
 	const reply = await services.use(storePort).commit({
-		conditions: [{key: leaderKey, expectedVersion: 0}, {key: epochKey, expectedVersion: epochVersion}],
+		conditions: [{key: leaderKey, expectedVersion: leaderVersion}, {key: epochKey, expectedVersion: epochVersion}],
 		puts: [{key: leaderKey, value: record, lease}, {key: epochKey, value: {epoch}}],
 		removals: [],
 	});
--- a/packages/coordinator/ports.ts
+++ b/packages/coordinator/ports.ts
@@ -11,7 +11,7 @@
 /** The same client, monitored for failures. */
 export const storePort = createServiceKey<TransactionalStore>('store');
 
-export const storeMonitorService = createServiceKey<Pick<StoreMonitor, 'isFailing'>>('store-monitor');
+export const storeMonitorService = createServiceKey<Omit<StoreMonitor, 'store'>>('store-monitor');
 
 /** Key of the operators' configuration in the platform's store, and the decoder of its value. */
 export type ConfigurationSource = Readonly<{key: string; decode(value: unknown): CheckResult<SchedulingConfiguration>}>;
--- a/packages/protocol/methods.ts
+++ b/packages/protocol/methods.ts
@@ -8,9 +8,9 @@
 	withdrawResultSchema,
 } from './types.js';
 import {
-	attachParametersSchema, attachResultSchema, callerAnswerSchema, callerRequestSchema, countPendingParametersSchema, countPendingResultSchema,
+	attachParametersSchema, attachResultSchema, callerAnswerSchema, callerRequestSchema, checkStoreResultSchema, countPendingParametersSchema, countPendingResultSchema,
 	entryExchangeParametersSchema, entryExchangeResultSchema, schedulerAnnouncementSchema, renewWorkerParametersSchema, renewWorkerResultSchema,
-	startTasksParametersSchema, startTasksResultSchema, stopTasksParametersSchema, stopTasksResultSchema,
+	startTasksParametersSchema, startTasksResultSchema, stopTasksParametersSchema, stopTasksResultSchema, takeOverParametersSchema,
 } from './scheduling.js';
 
 /** All JSON-RPC methods between processes, with their parameter and result schemas. */
@@ -38,6 +38,8 @@
 	'entry.exchange': {parameters: entryExchangeParametersSchema, result: entryExchangeResultSchema},
 	'entry.call': {parameters: callerRequestSchema, result: callerAnswerSchema},
 	'entry.count-pending': {parameters: countPendingParametersSchema, result: countPendingResultSchema},
+	'entry.check-store': {parameters: emptySchema, result: checkStoreResultSchema},
+	'entry.take-over': {parameters: takeOverParametersSchema, result: emptySchema},
 	probe: {parameters: emptySchema, result: emptySchema},
 } as const satisfies Readonly<Record<string, Readonly<{parameters: GenericSchema; result: GenericSchema}>>>;
 
--- a/packages/protocol/scheduling.ts
+++ b/packages/protocol/scheduling.ts
@@ -93,6 +93,16 @@
 	undecided: valibot.pipe(valibot.array(valibot.string()), valibot.readonly()),
 });
 
+/** A scheduler that cannot reach the store asks whether the receiver can. */
+export const checkStoreResultSchema = valibot.object({canSchedule: valibot.boolean()});
+
+/** A scheduler ended its term and asks the receiver to begin the next one. */
+export const takeOverParametersSchema = valibot.object({
+	epoch: countSchema,
+	/** Version of the leader record that the receiver replaces. */
+	leaderVersion: countSchema,
+});
+
 /** A caller's decoded request, independent of the front end. */
 export const callerRequestSchema = valibot.object({
 	host: valibot.string(),
--- a/test/platform/path.test.ts
+++ b/test/platform/path.test.ts
@@ -32,6 +32,9 @@
 
 type Case = Readonly<{name: string; options: DeploymentOptions; run(deployment: Deployment): Promise<void>}>;
 
+/** Time for which the record of a scheduler that lost the store would stand: its lease, less the time since its last renewal. */
+const leaseMilliseconds = 1600;
+
 const first = '00000000000000a1';
 const second = '00000000000000a2';
 
@@ -85,6 +88,27 @@
 			expect(deployment.workers.flatMap(worker => worker.records()).map(({ending}) => ending)).to.deep.equal(['done', 'done', 'done']);
 		},
 	},
+	{
+		name: 'a scheduler that alone loses the store hands over at once, and its orders do not meet those of the next one (no job starts until its lease ends)',
+		options: {entries: 3, workers: 2, workMilliseconds: 3000},
+		async run(deployment) {
+			await submit(deployment, `/batch/${first}`, [step]);
+			const {entry} = deployment.store.read('cluster/leader') as Readonly<{entry: string}>;
+			const index = deployment.entries.findIndex(({name}) => name === entry);
+			const lostAt = Date.now();
+			deployment.entries[index]?.storeLink.setResetting(true);
+			const next = await waitFor('next scheduler', async () => {
+				const record = deployment.store.read('cluster/leader') as Readonly<{entry: string; epoch: number}> | undefined;
+				return record === undefined || record.entry === entry ? undefined : record;
+			});
+			expect(next).to.include({epoch: 2});
+			expect(Date.now() - lostAt).to.be.below(leaseMilliseconds);
+			await submit(deployment, `/batch/${second}`, [step], (index + 1) % 3);
+			await waitForState(deployment, `/batch/${first}`, 'completed', (index + 1) % 3);
+			await waitForState(deployment, `/batch/${second}`, 'completed', (index + 1) % 3);
+			expect(deployment.workers.flatMap(worker => worker.records()).map(({ending}) => ending)).to.deep.equal(['done', 'done', 'done', 'done']);
+		},
+	},
 	{
 		name: 'a stopping entry continues to schedule while there is no other entry (no scheduler during a restart of all entries)',
 		options: {entries: 1, workers: 1, workMilliseconds: 100},
--- a/test/support/silent-proxy.ts
+++ b/test/support/silent-proxy.ts
@@ -7,6 +7,8 @@
 	silenceOpenConnections(): void;
 	/** While cut, new connections are accepted and stay silent, as on a link that drops everything. */
 	setCut(isCut: boolean): void;
+	/** Resets the open connections, and new ones until it is called with false. */
+	setResetting(isResetting: boolean): void;
 	close(): void;
 }>;
 
@@ -15,6 +17,7 @@
 	const silenced = new Set<Socket>();
 	const open = new Set<Socket>();
 	let isCut = false;
+	let isResetting = false;
 	const relay = (from: Socket, to: Socket) => {
 		from.on('data', data => {
 			if (!silenced.has(from)) {
@@ -33,6 +36,11 @@
 	};
 
 	const server = createServer(near => {
+		if (isResetting) {
+			near.resetAndDestroy();
+			return;
+		}
+
 		const far = connect(targetPort, '127.0.0.1');
 		open.add(near);
 		open.add(far);
@@ -58,6 +66,12 @@
 		setCut(next) {
 			isCut = next;
 		},
+		setResetting(next) {
+			isResetting = next;
+			for (const socket of next ? open : []) {
+				socket.resetAndDestroy();
+			}
+		},
 		close() {
 			server.close();
 			for (const socket of open) {
