--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -1,6 +1,7 @@
 /** Entries, agents, workers and a store on loopback, with proxies between them and injected faults. */
 import {assertNever, type Milliseconds} from '#core';
 import {sleep, systemClock} from '#kernel';
+import {loopbackHost} from '#test/support/loopback';
 import {killAll, type Daemon} from '#test/support/processes';
 import {describeManifest, manifestKey} from '#test/support/platform/caller';
 import {
@@ -14,7 +15,7 @@
 const firstVersion = 3;
 const portsPerFleet = 20;
 const firstPort = 24_000;
-/** Seeds whose difference is a multiple of this share ports, so their fleets cannot run at the same time. */
+/** Seeds whose difference is a multiple of this share ports, so their fleets cannot run in one process at the same time. */
 const portRangeCount = 300;
 const restartMilliseconds = 100;
 
@@ -42,19 +43,18 @@
 
 export async function startFleet({entries, workers}: SoakSize, seed: number): Promise<Fleet> {
 	const base = firstPort + ((seed % portRangeCount) * portsPerFleet);
-	const hostOf = (index: number) => `127.0.2.${index + 1}`;
-	const agentHostOf = (index: number) => hostOf(100 + index);
+	const agentHostOf = (index: number) => loopbackHost(100 + index);
 	const store = await servePlatformStore();
 	let version = firstVersion;
 	store.put(manifestKey, describeConfiguration(version));
-	const storeLinks = await Promise.all(Array.from({length: entries}, async (_, index) => openProxy(hostOf(index), store.address)));
+	const storeLinks = await Promise.all(Array.from({length: entries}, async (_, index) => openProxy(loopbackHost(index), store.address)));
 	const workerList = await Promise.all(Array.from({length: workers}, async (_, index) => servePlatformWorker({
 		host: agentHostOf(index), id: `i-${index}`, rack: `r-${index % 2}`, service: 'svc', workMilliseconds: 300 + (index * 200),
 	})));
 	const workerLinks = await Promise.all(workerList.map(async (worker, index) => openProxy(agentHostOf(index), worker.address)));
-	const seeds = `${hostOf(0)}:1`;
+	const seeds = `${loopbackHost(0)}:1`;
 	const entryPrograms = storeLinks.map((link, index) => supervise(async () => startPlatformEntry({
-		index, host: hostOf(index), base, seeds, storeAddress: link.address,
+		index, host: loopbackHost(index), base, seeds, storeAddress: link.address,
 	}, quietOptions)));
 	const agentPrograms = workerLinks.map((link, index) => supervise(async () => startPlatformAgent({
 		index, host: agentHostOf(index), base, seeds, storeAddress: store.address,
@@ -132,7 +132,7 @@
 	};
 
 	return {
-		fronts: entryPrograms.map((_, index) => addressesOf.front(hostOf(index), base)),
+		fronts: entryPrograms.map((_, index) => addressesOf.front(loopbackHost(index), base)),
 		apply,
 		listRuns: () => workerList.flatMap(worker => worker.records().map(record => ({...record, worker: worker.id}))),
 		newestQueuePath: () => `/v${version}/`,
--- a/test/support/platform/deployment.ts
+++ b/test/support/platform/deployment.ts
@@ -1,4 +1,5 @@
 /** Entries, agents, workers and the store of a platform as separate processes and listeners on loopback. */
+import {loopbackHost} from '../loopback.js';
 import {killAll, waitFor, type Daemon} from '../processes.js';
 import {startSilentProxy, type SilentProxy} from '../silent-proxy.js';
 import {
@@ -32,8 +33,8 @@
 	},
 ]);
 
-/** Each test file takes its own ports, so that files may run one after the other without waiting for sockets. */
-let nextPort = 21_000 + ((process.pid % 500) * 20);
+/** Each deployment takes its own ports, so that one may start without waiting for the sockets of the last. */
+let nextPort = 21_000;
 
 async function readMetrics(address: string): Promise<string> {
 	const response = await fetch(`http://${address}/metrics`);
@@ -44,33 +45,32 @@
 	const store = await servePlatformStore();
 	const base = nextPort;
 	nextPort += 20;
-	const hostOf = (index: number) => `127.0.1.${index + 1}`;
-	const seeds = `${hostOf(0)}:1`;
+	const seeds = `${loopbackHost(0)}:1`;
 	store.put(manifestKey, configuration);
 	const running = await Promise.all(Array.from({length: entries}, async (_, index): Promise<PlatformEntry> => {
 		const storeLink = await startSilentProxy(Number(store.address.split(':')[1]));
 		return {
 			name: `entry-${index}`,
-			front: addressesOf.front(hostOf(index), base),
-			readiness: addressesOf.readiness(hostOf(index), base),
+			front: addressesOf.front(loopbackHost(index), base),
+			readiness: addressesOf.readiness(loopbackHost(index), base),
 			storeLink,
 			daemon: await startPlatformEntry({
-				index, host: hostOf(index), base, seeds, storeAddress: `127.0.0.1:${storeLink.port}`,
+				index, host: loopbackHost(index), base, seeds, storeAddress: `127.0.0.1:${storeLink.port}`,
 			}),
 		};
 	}));
 	const workerList = await Promise.all(Array.from({length: workers}, async (_, index) => servePlatformWorker({
-		host: hostOf(100 + index), id: `i-${index}`, rack: `r-${index % 2}`, service: 'svc', workMilliseconds, failsAll: index < failingWorkers,
+		host: loopbackHost(100 + index), id: `i-${index}`, rack: `r-${index % 2}`, service: 'svc', workMilliseconds, failsAll: index < failingWorkers,
 	})));
 	const agents = await Promise.all(workerList.map(async (worker, index) => startPlatformAgent({
-		index, host: hostOf(100 + index), base, seeds, storeAddress: store.address,
+		index, host: loopbackHost(100 + index), base, seeds, storeAddress: store.address,
 	}, worker.address)));
 	for (const [index, worker] of workerList.entries()) {
-		worker.announceTo(addressesOf.announcements(hostOf(100 + index), base));
+		worker.announceTo(addressesOf.announcements(loopbackHost(100 + index), base));
 	}
 
 	await waitFor('workers', async () => {
-		const pages = await Promise.all(running.map(async ({daemon}, index) => readMetrics(`${hostOf(index)}:${daemon.ports['metrics'] ?? 0}`)));
+		const pages = await Promise.all(running.map(async ({daemon}, index) => readMetrics(`${loopbackHost(index)}:${daemon.ports['metrics'] ?? 0}`)));
 		return pages.some(page => page.includes(`dotterelnotch_value{name="usable-workers"} ${workers}\n`)) ? true : undefined;
 	});
 	return {
