Replace a lost scheduler within 1.5 s, answer short calls, and stop urgent work last

Callers whose last attempt had less than 0.3 s left were answered 504 unprocessed, also after the store was back.

Change: the lease of entries is 1.5 s; the margin for sending an answer is at most 0.3 of the caller's time; repeated preemption of work that saves its progress is for urgent work only; urgent runs cost a victim price and are never taken merely because they just started.

--- a/packages/coordinator/constants.ts
+++ b/packages/coordinator/constants.ts
@@ -1,5 +1,5 @@
-/** Time to live of an entry's lease; a lost scheduler is replaced after its lease has expired. */
-export const entryLeaseMilliseconds = 2500;
+/** Time to live of an entry's lease. A scheduler whose machine is lost is replaced after it, and urgent work has about 1.6 s of slack; three renewals still fit, each of which takes up to 0.4 s while the store is slow. */
+export const entryLeaseMilliseconds = 1500;
 /** Maximum backoff of an entry's store calls; it is short because entries are few and need the store as soon as it recovers. */
 export const storeRetryMaximumMilliseconds = 600;
 /** Long-poll wait of a watch call. Without an answer after it, the connection counts as dead, well within the 3 s in which a configuration must be in force. */
@@ -37,5 +37,6 @@
 export const maximumElectionProcessorMilliseconds = 300;
 /** Delay after which callers are asked to retry while the store is unavailable. */
 export const storeRetryAfterMilliseconds = 1000;
-/** Part of a caller's timeout that is reserved for sending the answer. */
-export const callerReplyMarginMilliseconds = 300;
+/** Part of a caller's timeout that is reserved for sending the answer, up to a limit; a last attempt often leaves 0.2 s, in which the store still answers. */
+export const callerReplyMarginShare = 0.3;
+export const maximumCallerReplyMarginMilliseconds = 300;
--- a/packages/coordinator/index.ts
+++ b/packages/coordinator/index.ts
@@ -12,3 +12,4 @@
 export {leadershipService} from './plugins/leadership.js';
 export {computeElectionDelay} from './election-delay.js';
 export {choosePassDelay, type LastPass} from './pass-timer.js';
+export {computeProcessingTime} from './callers/processing-time.js';
--- a/packages/coordinator/plugins/callers.ts
+++ b/packages/coordinator/plugins/callers.ts
@@ -3,7 +3,8 @@
 } from '#jobs';
 import {createServiceKey} from '#kernel';
 import {callerRequestSchema, type CallerAnswer, type CallerRequest} from '#protocol';
-import {callerReplyMarginMilliseconds, entryCallTimeoutMilliseconds, storeRetryAfterMilliseconds} from '../constants.js';
+import {entryCallTimeoutMilliseconds, storeRetryAfterMilliseconds} from '../constants.js';
+import {computeProcessingTime} from '../callers/processing-time.js';
 import {coordinatorPlugins} from '../plugins.js';
 import {storeMonitorService} from '../ports.js';
 import {showPending} from '../callers/pending.js';
@@ -81,7 +82,7 @@
 
 /** Answers before the caller's timeout. Processing continues after that, and a repeated request sees its outcome. */
 async function answerInTime(call: CallerRequest, context: CoordinatorContext): Promise<CallerAnswer> {
-	const timeout = Math.max(0, Math.min(call.timeoutMilliseconds, maximumCallMilliseconds) - callerReplyMarginMilliseconds);
+	const timeout = computeProcessingTime(call.timeoutMilliseconds);
 	let cancelTimeout = () => undefined as void;
 	const timedOut = new Promise<CallerAnswer>(resolve => {
 		cancelTimeout = context.clock.schedule(timeout, () => {
@@ -169,7 +170,7 @@
 		return call.action.kind === 'submit' ? job : {kind: 'absent'};
 	}
 
-	const deadline = context.clock.monotonic() + Math.max(0, Math.min(call.timeoutMilliseconds, maximumCallMilliseconds) - callerReplyMarginMilliseconds);
+	const deadline = context.clock.monotonic() + computeProcessingTime(call.timeoutMilliseconds);
 	switch (call.action.kind) {
 		case 'submit': {
 			const submission: JobSubmission = {
@@ -187,6 +188,3 @@
 		}
 	}
 }
-
-/** Maximum time for processing a call; callers of the platform time out after 3 s. */
-const maximumCallMilliseconds = 2500;
--- a/packages/scheduling/constants.ts
+++ b/packages/scheduling/constants.ts
@@ -68,7 +68,11 @@
 export const maximumPreemptionRetryMilliseconds = 400;
 /** How long room stays claimed after runs were stopped for it. A stop takes up to 0.9 s, and a guarantee leaves 2.9 s for another attempt. */
 export const claimMilliseconds = 1200;
-/** How often work beyond a guarantee may stop the same task that cannot save its progress, so that its job eventually ends. */
+/** Lowest rank of urgent work; ranks with a larger number have slack. */
+export const lowestUrgentRank = 1;
+/** Additional cost, in core-seconds, of stopping urgent work: about what callers pay for it on time in relation to the price of discarded work. */
+export const urgentVictimCoreSeconds = 4000;
+/** How often work beyond a guarantee may stop the same task, so that its job eventually ends; urgent work may stop a task that saves its progress more often. */
 export const maximumPreemptions = 1;
 /** Interval at which checkpoints of runs are stored. Workers create one for each 0.5 to 2 s of work, and one write holds those of 15 jobs. */
 export const checkpointStoreMilliseconds = 2000;
--- a/packages/scheduling/preempt.ts
+++ b/packages/scheduling/preempt.ts
@@ -4,7 +4,7 @@
 	add, countFitting, subtract, type Pool, type PoolWorker, type PlacedRun,
 } from './pool.js';
 import {
-	affordableLossFactors, negligibleLossMilliseconds, endingSoonMilliseconds, freshProgressMilliseconds, lateValueShare, maximumPreemptions, preemptionDelayMilliseconds, rackPreferenceCoreSeconds,
+	affordableLossFactors, lowestUrgentRank, negligibleLossMilliseconds, endingSoonMilliseconds, freshProgressMilliseconds, lateValueShare, maximumPreemptions, preemptionDelayMilliseconds, rackPreferenceCoreSeconds, urgentVictimCoreSeconds,
 } from './constants.js';
 import {
 	countAllowedTasks, groupByRack, listCandidates, type TaskCounts,
@@ -114,18 +114,20 @@
 	}
 }
 
-/** Whether the unit may stop a run; it must have a lower rank and not be long-running. Work within a guarantee may stop any such run after a short wait, other work only if it is at risk of being late and the loss is affordable. A negligible loss needs neither. */
+/** Whether the unit may stop a run; it must have a lower rank and not be long-running. Work within a guarantee may stop any such run after a short wait, other work only if it is at risk of being late and the loss is affordable. A negligible loss needs neither, unless the run is of urgent work. */
 function mayPreempt(unit: SchedulingUnit, victim: PlacedRun, monotonic: MonotonicTime): boolean {
 	const {rank, waitingSince, isAtRisk} = unit;
 	if (victim.rank <= rank || victim.step.isLongRunning) {
 		return false;
 	}
 
-	if (rank > 0 && !victim.step.isCheckpointing && victim.preemptions >= maximumPreemptions) {
+	const isProtected = rank > lowestUrgentRank || (rank > 0 && !victim.step.isCheckpointing);
+	if (isProtected && victim.preemptions >= maximumPreemptions) {
 		return false;
 	}
 
-	if (victim.step.isCheckpointing || monotonic - victim.run.startedAt < negligibleLossMilliseconds) {
+	const isLossNegligible = victim.step.isCheckpointing || monotonic - victim.run.startedAt < negligibleLossMilliseconds;
+	if (isLossNegligible && victim.rank > lowestUrgentRank) {
 		return true;
 	}
 
@@ -163,11 +165,11 @@
 	return total;
 }
 
-/** Cost by which victims are selected: low for a small loss and for a low rank. */
+/** Cost by which victims are selected: low for a small loss and for a low rank. Urgent work has so little slack that a stop makes it late. */
 function measureCost(victim: PlacedRun, monotonic: MonotonicTime): number {
-	return (measureVictimLoss(victim, monotonic) + (restartCoreSeconds * (1 + victim.preemptions))) / Math.max(1, victim.rank);
+	const loss = measureVictimLoss(victim, monotonic) + (restartCoreSeconds * (1 + victim.preemptions));
+	return victim.rank <= lowestUrgentRank ? loss + urgentVictimCoreSeconds : loss / victim.rank;
 }
 
 /** Fixed cost of any stop, so that fewer stops are preferred. */
 const restartCoreSeconds = 20;
-
--- a/test/coordinator/delays.test.ts
+++ b/test/coordinator/delays.test.ts
@@ -1,5 +1,7 @@
 import {expect} from 'chai';
-import {choosePassDelay, computeElectionDelay, type LastPass} from '#coordinator';
+import {
+	choosePassDelay, computeElectionDelay, computeProcessingTime, type LastPass,
+} from '#coordinator';
 
 type Entry = Readonly<{latency: number; processorCapacity: number}>;
 
@@ -48,3 +50,23 @@
 		});
 	}
 });
+
+const processingCases: ReadonlyArray<Readonly<{name: string; timeout: number; atLeast: number; atMost: number}>> = [
+	{
+		name: 'a last attempt of 0.2 s is processed (caller told to give up although the store answers in milliseconds)', timeout: 200, atLeast: 100, atMost: 150,
+	},
+	{
+		name: 'a usual call is answered well before its caller times out (answer that arrives too late)', timeout: 3000, atLeast: 2000, atMost: 2500,
+	},
+	{
+		name: 'a call without time is not processed (work for a caller that left)', timeout: -5, atLeast: 0, atMost: 0,
+	},
+];
+
+describe('time to process a call', () => {
+	for (const {name, timeout, atLeast, atMost} of processingCases) {
+		it(name, () => {
+			expect(computeProcessingTime(timeout)).to.be.within(atLeast, atMost);
+		});
+	}
+});
--- a/test/scheduling/decisions.test.ts
+++ b/test/scheduling/decisions.test.ts
@@ -526,6 +526,34 @@
 			expect(stopsOf(urgent(3))).to.deep.equal([taskOf(1)]);
 		},
 	},
+	{
+		name: 'work within a guarantee stops work with slack rather than other urgent work, even if that discards more (urgent work late for urgent work)',
+		run() {
+			const driver = createReadyDriver([['a'], ['b', {capacity: {processorMillicores: 128_000, memoryMegabytes: 262_144, accelerators: 9}}]]);
+			const lower = submitAndStart(driver, 1, [{accelerators: 8, estimatedMilliseconds: 20_000}], {priority: 1});
+			continueRuns(driver, lower, 5);
+			// Nine accelerators exceed the guarantee of eight.
+			submitAndStart(driver, 2, [{count: 9, accelerators: 1}], {priority: 0});
+			const stops = stopsOf([
+				...driver.send({kind: 'submitted', submission: submissionOf(3, [{accelerators: 8}], {priority: 0, submittedAt: driver.time()})}),
+				...driver.elapse(1000),
+			]);
+			expect(stops).to.deep.equal([taskOf(1)]);
+		},
+	},
+	{
+		name: 'work with slack preempts work that saves its progress at most once (more time spent on restarts than on work)',
+		run() {
+			const driver = createReadyDriver([['a']]);
+			const wide = (number: number) => driver.send({kind: 'submitted', submission: submissionOf(number, [{count: 2, accelerators: 8}], {priority: 1, submittedAt: driver.time()})});
+			submitAndStart(driver, 1, [{accelerators: 8, isCheckpointing: true}], {priority: 2});
+			expect(stopsOf(wide(2))).to.deep.equal([taskOf(1)]);
+			driver.send({kind: 'cancelled', job: keyOf(2)});
+			driver.send({kind: 'renewed', agent: 'a', snapshot: snapshotOf('a', {ended: [endedRunOf(1, taskOf(1), 1, 'stopped')]})});
+			driver.send({kind: 'start-answered', agent: 'a', answers: [{task: taskOf(1), run: 2, result: 'started'}]});
+			expect(stopsOf(wide(3))).to.deep.equal([]);
+		},
+	},
 	{
 		name: 'new checkpoints of runs are stored periodically (progress lost when all machines lose power)',
 		run() {
