Let gangs wait for one rack instead of claiming room in several

Cause: gangs that belong in one rack take three times as long in several, are late there and hold room three times as long. They were to wait, but the search for preemptible runs found free room in several racks, claimed it and started there in the next pass.

Change: while a unit may wait for its rack, only racks are searched.

--- a/bench/scheduling/model.ts
+++ b/bench/scheduling/model.ts
@@ -28,6 +28,8 @@
 	stops: number;
 	/** Rounds of stops for a unit while its earlier ones were still under way. */
 	repeatedStops: number;
+	/** Starts of tasks that belong in one rack, in several. */
+	spreadStarts: number;
 	discardedCoreSeconds: number;
 	/** Core-seconds of the jobs that ended on time; an accelerator counts as 8 cores. */
 	onTimeCoreSeconds: number;
@@ -35,6 +37,8 @@
 	durations: Readonly<Record<SchedulerMessage['kind'], readonly Milliseconds[]>>;
 }>;
 
+/** How much longer tasks that belong in one rack take in several. */
+const spreadFactor = 3;
 const stepMilliseconds = 25;
 const tickMilliseconds = 250;
 /** Time after the last arrival in which jobs may still end. */
@@ -57,18 +61,28 @@
 	let starts = 0;
 	let stops = 0;
 	let repeatedStops = 0;
+	let spreadStarts = 0;
 	let discardedCoreSeconds = 0;
 
+	/** Whether the runs of a job that belongs in one rack are in several. */
+	const isSpread = (key: JobKey) => {
+		const job = state.jobs.get(key);
+		const agents = [...job?.tasks.values() ?? []].flatMap(({run}) => run === undefined ? [] : [run.agent]);
+		return job?.submission.request.steps[0]?.prefersOneRack === true && new Set(agents.map(agent => workers.get(agent)?.rack)).size > 1;
+	};
+
 	const findStep = (task: TaskName) => jobs.get(parseJobOfTask(task))?.submission.request.steps[0];
 	const perform = (effect: SchedulerEffect): void => {
 		switch (effect.kind) {
 			case 'start': {
 				starts += effect.orders.length;
 				firstStarts.set(effect.job, firstStarts.get(effect.job) ?? time);
+				const duration = (jobs.get(effect.job)?.duration ?? 0) * (isSpread(effect.job) ? spreadFactor : 1);
+				spreadStarts += isSpread(effect.job) ? effect.orders.length : 0;
 				for (const order of effect.orders) {
 					const step = findStep(order.task);
 					if (step !== undefined) {
-						workers.get(effect.agent)?.start(order, step, jobs.get(effect.job)?.duration ?? 0, time);
+						workers.get(effect.agent)?.start(order, step, duration, time);
 					}
 				}
 
@@ -182,6 +196,7 @@
 		starts,
 		stops,
 		repeatedStops,
+		spreadStarts,
 		discardedCoreSeconds,
 		durations,
 		onTimeCoreSeconds: scenario.arrivals.reduce((total, job, index) => total + (played[index]?.isOnTime === true ? measureWork(job) : 0), 0),
--- a/bench/scheduling/scenarios.ts
+++ b/bench/scheduling/scenarios.ts
@@ -4,6 +4,11 @@
 	JobKey, JobStep, JobSubmission, Queue, QueueName, SchedulingConfiguration, ServiceName, TenantName,
 } from '#jobs';
 
+/** Size of the deployment's workers and racks. */
+export const coresPerWorker = 128;
+export const acceleratorsPerWorker = 8;
+export const workersPerRack = 12;
+
 export const service = 'pool' as ServiceName;
 const tenantCount = 24;
 /** Share of the accelerators that is guaranteed to tenants. */
@@ -79,18 +84,25 @@
 	};
 }
 
+function countTasksInRack(cores: number, accelerators: number): number {
+	return workersPerRack * Math.min(Math.floor(coresPerWorker / cores), Math.floor(acceleratorsPerWorker / accelerators));
+}
+
 function createJob(kind: KindOfJob, at: number, number: number, random: RandomSource): ArrivingJob {
 	const duration = kind.milliseconds * (0.7 + (0.6 * random())) * (random() < stragglerShare ? stragglerFactor : 1);
+	const count = Math.max(1, Math.round(kind.width * (0.3 + (1.4 * random()))));
+	const accelerators = kind.accelerators[Math.floor(random() * kind.accelerators.length)] ?? 1;
+	const isOneRackEnough = count <= countTasksInRack(kind.cores, accelerators);
 	const step: JobStep = {
-		count: Math.max(1, Math.round(kind.width * (0.3 + (1.4 * random())))),
+		count,
 		processorMillicores: kind.cores * 1000,
 		memoryMegabytes: kind.memoryMegabytes,
-		accelerators: kind.accelerators[Math.floor(random() * kind.accelerators.length)] ?? 1,
+		accelerators,
 		estimatedMilliseconds: kind.milliseconds * (0.6 + (0.8 * random())),
 		after: [],
 		isCheckpointing: random() < kind.checkpointShare,
 		isGang: kind.isGang,
-		prefersOneRack: random() < kind.rackShare,
+		prefersOneRack: random() < kind.rackShare && isOneRackEnough,
 		maximumPerWorker: 0,
 		isLongRunning: false,
 		isFilling: false,
--- a/bench/scheduling/workers.ts
+++ b/bench/scheduling/workers.ts
@@ -4,18 +4,18 @@
 	EndedRun, JobStep, ReportedRun, ServiceName, TaskName, WorkerSnapshot,
 } from '#jobs';
 import type {AgentName, StartOrder, StopOrder} from '#scheduling';
+import {acceleratorsPerWorker, coresPerWorker, workersPerRack} from './scenarios.js';
 
 /** How long a worker takes to stop a run, as the large deployment states it. */
 export const stopMilliseconds = 400;
 /** Interval of an agent's reports while nothing ends. */
 export const reportMilliseconds = 500;
-export const acceleratorsPerWorker = 8;
-const workersPerRack = 12;
 
-type SimulatedRun = {readonly task: TaskName; readonly run: number; readonly step: JobStep; readonly startedAt: MonotonicTime; readonly duration: number; readonly initialPercent: number; stopsAt: MonotonicTime};
+type SimulatedRun = Readonly<{task: TaskName; run: number; step: JobStep; startedAt: MonotonicTime; duration: number; initialPercent: number}> & {stopsAt: MonotonicTime};
 
 export type SimulatedWorker = Readonly<{
 	agent: AgentName;
+	rack: string;
 	start(order: StartOrder, step: JobStep, duration: number, time: MonotonicTime): void;
 	stop(order: StopOrder, time: MonotonicTime): void;
 	/** Ends what is due; returns whether something ended. */
@@ -28,6 +28,7 @@
 /** Creates a worker of 128 cores, 512 GB and 8 accelerators, 12 in a rack. */
 export function createSimulatedWorker(index: number, service: ServiceName, random: RandomSource): SimulatedWorker {
 	const agent: AgentName = `side-${index}`;
+	const rack = `rack-${Math.floor(index / workersPerRack)}`;
 	const runs = new Map<TaskName, SimulatedRun>();
 	const reportOffset = Math.floor(random() * reportMilliseconds);
 	let ended: EndedRun[] = [];
@@ -42,6 +43,7 @@
 
 	return {
 		agent,
+		rack,
 		start({task, run, checkpoint}, step, duration, time) {
 			runs.set(task, {
 				task, run, step, startedAt: time, duration, initialPercent: Number(checkpoint), stopsAt: Infinity,
@@ -74,8 +76,8 @@
 			service,
 			zone: 'zone',
 			labels: ['a'],
-			rack: `rack-${Math.floor(index / workersPerRack)}`,
-			capacity: {processorMillicores: 128_000, memoryMegabytes: 524_288, accelerators: acceleratorsPerWorker},
+			rack,
+			capacity: {processorMillicores: coresPerWorker * 1000, memoryMegabytes: 524_288, accelerators: acceleratorsPerWorker},
 			state: 'ready',
 			isResponsive: true,
 			isLeaseOver: false,
--- a/packages/scheduling/place.ts
+++ b/packages/scheduling/place.ts
@@ -3,7 +3,6 @@
 import {
 	countFitting, type Pool, type PoolWorker,
 } from './pool.js';
-import {guaranteedRackWaitMilliseconds, rackWaitShare} from './constants.js';
 import {
 	countRuns, isLowRankWithoutCheckpoints, isUtilizationLow, limitToShare, limitToProbeTasks,
 } from './low-rank.js';
@@ -52,9 +51,8 @@
 }
 
 /** Whether the unit should still wait for its preferred rack rather than run slower elsewhere. */
-export function mayWaitForRack({rank, step, waitingSince}: SchedulingUnit, monotonic: MonotonicTime): boolean {
-	const longestWait = step.estimatedMilliseconds * rackWaitShare;
-	return monotonic - waitingSince < (rank === 0 ? Math.min(longestWait, guaranteedRackWaitMilliseconds) : longestWait);
+export function mayWaitForRack({waitingSince, rackWaitLimit}: SchedulingUnit, monotonic: MonotonicTime): boolean {
+	return monotonic - waitingSince < rackWaitLimit;
 }
 
 /** Groups workers, or items that belong to one, by rack; the order within a rack stays. */
@@ -86,6 +84,12 @@
 	return Math.max(0, maximumPerWorker - placed.length);
 }
 
+/** Whether some rack that the unit may use would have room for all its tasks if it were idle. */
+export function couldFitInRack(unit: SchedulingUnit, pool: Pool): boolean {
+	return groupByRack(listCandidates(unit, pool), candidate => candidate)
+		.some(rack => countPlaced(distributeTasks(unit, rack.map(candidate => withFullCapacity(candidate)))) >= unit.tasks.length);
+}
+
 function placeGang(unit: SchedulingUnit, candidates: readonly PoolWorker[], pool: Pool, monotonic: MonotonicTime): readonly Placement[] {
 	const {step, tasks} = unit;
 	const hasAvoidedWorkers = tasks.some(task => (unit.job.tasks.get(task)?.avoided.length ?? 0) > 0);
--- a/packages/scheduling/preempt.ts
+++ b/packages/scheduling/preempt.ts
@@ -7,7 +7,7 @@
 	affordableLossFactors, lowestUrgentRank, negligibleLossMilliseconds, endingSoonMilliseconds, freshProgressMilliseconds, lateValueShare, maximumPreemptions, preemptionDelayMilliseconds, rackPreferenceCoreSeconds, urgentVictimCoreSeconds,
 } from './constants.js';
 import {
-	countAllowedTasks, groupByRack, listCandidates, type TaskCounts,
+	countAllowedTasks, couldFitInRack, groupByRack, listCandidates, mayWaitForRack, type TaskCounts,
 } from './place.js';
 import {measureLoss, estimateWork} from './loss.js';
 import {estimateRemaining} from './remaining.js';
@@ -27,9 +27,10 @@
 		.filter(({fitting}) => fitting > 0)
 		.toSorted((first, second) => (first.cost / first.fitting) - (second.cost / second.fitting));
 	const racks = unit.step.prefersOneRack ? groupByRack(options, ({candidate}) => candidate) : [];
+	const isLimitedToRack = unit.step.prefersOneRack && mayWaitForRack(unit, monotonic) && couldFitInRack(unit, pool);
 	const preemptions = [
 		...racks.map(rack => ({found: findWithin(unit, count, rack, monotonic), penalty: 0})),
-		{found: findWithin(unit, count, options, monotonic), penalty: unit.step.prefersOneRack ? rackPreferenceCoreSeconds : 0},
+		...(isLimitedToRack ? [] : [{found: findWithin(unit, count, options, monotonic), penalty: unit.step.prefersOneRack ? rackPreferenceCoreSeconds : 0}]),
 	].flatMap(({found, penalty}) => found === undefined ? [] : [{found, totalCost: penalty + measureTotalLoss(found.victims, monotonic)}]);
 	return preemptions.toSorted((first, second) => first.totalCost - second.totalCost)[0]?.found;
 }
--- a/packages/scheduling/schedule.ts
+++ b/packages/scheduling/schedule.ts
@@ -12,6 +12,7 @@
 import {
 	countByAgent, countPlaced, distributeTasks, hasRoomForTask, withFullCapacity, listCandidates, placeUnit, type Placement, type TaskCounts,
 } from './place.js';
+import {isUtilizationLow} from './low-rank.js';
 import {findPreemption, type Preemption} from './preempt.js';
 import {rankJobs} from './rank.js';
 import {
@@ -24,7 +25,7 @@
 import type {
 	AgentName, Claim, SchedulerEffect, SchedulerState,
 } from './types.js';
-import {listSchedulingUnits, type SchedulingUnit} from './units.js';
+import {extendRackWait, listSchedulingUnits, type SchedulingUnit} from './units.js';
 import {logWaiting} from './wait-logs.js';
 
 /** Lowest rank that may preempt other work. */
@@ -51,12 +52,13 @@
 	}
 
 	const ranks = rankJobs(state);
-	const units = listSchedulingUnits(state, ranks, time);
-	if (units.length === 0) {
+	const waiting = listSchedulingUnits(state, ranks, time);
+	if (waiting.length === 0) {
 		return {state: next, effects: []};
 	}
 
 	const pool = createPool(state, ranks, time.monotonic);
+	const units = isUtilizationLow(pool) ? waiting : waiting.map(unit => extendRackWait(unit));
 	const claims = listHeldClaims(state, units, pool, time.monotonic);
 	let pass: Pass = {
 		state: next, pool: holdClaims(pool, claims), effects: [], reservedRanks: new Set(), exhausted: [], claims, waiting: [],
--- a/packages/scheduling/units.ts
+++ b/packages/scheduling/units.ts
@@ -4,7 +4,9 @@
 import type {
 	JobStep, Queue, TaskName, JobKey,
 } from '#jobs';
-import {earlyStartMilliseconds, longTaskFactor, atRiskSlackShare} from './constants.js';
+import {
+	atRiskSlackShare, earlyStartMilliseconds, guaranteedRackWaitMilliseconds, longTaskFactor, remoteRackFactor,
+} from './constants.js';
 import type {Rank} from './rank.js';
 import {
 	countFailures, isOpen, mayRunOnUnreadWorker, resolveQueue,
@@ -27,6 +29,8 @@
 	isLong: boolean;
 	/** Whether the job has used up so much of its slack that it will be late unless it starts soon. */
 	isAtRisk: boolean;
+	/** How long the tasks wait for one rack, or the rack of their data, before they run elsewhere. */
+	rackWaitLimit: Milliseconds;
 }>;
 
 /** Lists the units that may start now, in order of placement. */
@@ -54,6 +58,7 @@
 				isAtRisk,
 				isLong: unit.step.estimatedMilliseconds * (job.slowdown ?? 1) >= medianDuration * longTaskFactor,
 				waitingSince: Math.min(job.changedAt, monotonic),
+				rackWaitLimit: rank === 0 ? Math.min(unit.step.estimatedMilliseconds, guaranteedRackWaitMilliseconds) : unit.step.estimatedMilliseconds,
 			})));
 		}
 	}
@@ -61,6 +66,11 @@
 	return units.toSorted(compareUnits);
 }
 
+/** Lets a unit wait for its rack as long as its tasks would take elsewhere. In a busy pool, tasks that run slowly take the room of others for that time. */
+export function extendRackWait(unit: SchedulingUnit): SchedulingUnit {
+	return unit.rank === 0 ? unit : {...unit, rackWaitLimit: unit.rackWaitLimit * remoteRackFactor};
+}
+
 function listDueOccurrences({submission: {request: {schedule}}}: SchedulerJob, now: Timestamp): readonly number[] {
 	if (schedule === undefined) {
 		return [0];
--- a/test/scheduling/decisions.test.ts
+++ b/test/scheduling/decisions.test.ts
@@ -554,6 +554,21 @@
 			expect(stopsOf(wide(3))).to.deep.equal([]);
 		},
 	},
+	{
+		name: 'a gang that belongs in one rack claims no room in several while it may wait (gangs that take three times as long fill the pool)',
+		run() {
+			const driver = createReadyDriver([['b', {rack: 'r-1'}], ['d', {rack: 'r-2'}]]);
+			submitAndStart(driver, 1, [{count: 2, accelerators: 8, estimatedMilliseconds: 60_000}], {priority: 1});
+			driver.send({kind: 'renewed', agent: 'a', snapshot: snapshotOf('a', {rack: 'r-1'})});
+			driver.send({kind: 'renewed', agent: 'c', snapshot: snapshotOf('c', {rack: 'r-2'})});
+			const submission = submissionOf(2, [{
+				count: 2, accelerators: 8, isGang: true, prefersOneRack: true, estimatedMilliseconds: 3000,
+			}], {priority: 1, submittedAt: driver.time()});
+			expect(startsOf([...driver.send({kind: 'submitted', submission}), ...driver.elapse(2500)])).to.deep.equal([]);
+			// No other work needs the room that the gang would take for longer.
+			expect(startsOf(driver.elapse(1000)).map(({agent}) => agent)).to.have.members(['a', 'c']);
+		},
+	},
 	{
 		name: 'new checkpoints of runs are stored periodically (progress lost when all machines lose power)',
 		run() {
--- a/test/scheduling/load.test.ts
+++ b/test/scheduling/load.test.ts
@@ -5,6 +5,11 @@
 /** Urgent work starts within this time, according to the target. */
 const urgentStartMilliseconds = 5900;
 
+/** Share of the starts that may be in several racks: those of gangs that waited for a rack as long as they would take elsewhere. */
+const spreadStartsShare = 0.1;
+/** Share of the urgent jobs on time at which the deployment's days earn their upper mark. */
+const urgentOnTimeShare = 0.75;
+
 type Check = Readonly<{name: string; verify(played: Played): void}>;
 
 const checks: readonly Check[] = [
@@ -21,6 +26,19 @@
 			expect(Math.max(...waits)).to.be.at.most(urgentStartMilliseconds);
 		},
 	},
+	{
+		name: 'gangs that belong in one rack run in one (three times as long in several, and late)',
+		verify({spreadStarts, starts}) {
+			expect(spreadStarts).to.be.at.most(starts * spreadStartsShare);
+		},
+	},
+	{
+		name: 'callers get most of the urgent jobs on time (rosters late behind layouts and curves)',
+		verify({jobs}) {
+			const urgent = jobs.filter(({kind}) => kind === 'roster');
+			expect(urgent.filter(({isOnTime}) => isOnTime).length).to.be.at.least(urgent.length * urgentOnTimeShare);
+		},
+	},
 	{
 		name: 'preemption discards less than the work that ends on time (more work lost than gained)',
 		verify({discardedCoreSeconds, onTimeCoreSeconds}) {
@@ -29,13 +47,13 @@
 	},
 ];
 
-describe('scheduler at twice the usual load', () => {
+describe('scheduler at one and a half times the usual load with a crest', () => {
 	for (const seed of [7, 8]) {
 		describe(`seed ${seed}`, () => {
 			let played: Played;
 			before(() => {
 				played = playScenario(createScenario('crest', {
-					workers: 48, factor: 2, length: 24_000, seed,
+					workers: 96, rate: 1.5, factor: 2.5, length: 20_000, seed,
 				}));
 			});
 			for (const {name, verify} of checks) {
