--- a/packages/coordinator/constants.ts
+++ b/packages/coordinator/constants.ts
@@ -6,6 +6,8 @@
 export const watchMilliseconds = 1500;
 /** Interval at which the scheduler checks for orders without a reply. */
 export const schedulerTickMilliseconds = 250;
+/** Delay of the scheduler's ticks that is reported as an overload: a third of the lease that it has to renew. */
+export const overloadDelayMilliseconds = 500;
 /** Shortest delay of a scheduling pass; the answers and reports of one moment share it. */
 export const minimumPassDelayMilliseconds = 5;
 /** Longest delay of a scheduling pass, so that urgent work is noticed in time on a slow machine. */
--- a/packages/coordinator/plugins/scheduler.ts
+++ b/packages/coordinator/plugins/scheduler.ts
@@ -1,10 +1,11 @@
+import type {Milliseconds, MonotonicTime} from '#core';
 import {
 	createServiceKey, startTask, type Cancel, type TaskHandle,
 } from '#kernel';
 import {
 	countPending, createSchedulerState, receiveSchedulerMessage, type SchedulerEffect, type SchedulerMessage, type SchedulerState,
 } from '#scheduling';
-import {schedulerTickMilliseconds} from '../constants.js';
+import {overloadDelayMilliseconds, schedulerTickMilliseconds} from '../constants.js';
 import {startJobWatch} from '../job-watch.js';
 import {sendStarts, sendStops} from '../orders.js';
 import {peerAddressOf} from '../peer-address.js';
@@ -105,8 +106,9 @@
 	const cancelSubscription = configuration.subscribe(sendConfiguration);
 	const stopWatch = startJobWatch(term, context);
 	services.use(agentsService).announceScheduler({address: peerAddressOf(context.settings), epoch});
-	const tick = () => {
+	const tick = (dueAt: MonotonicTime) => {
 		if (!isOver) {
+			reportDelay(clock.monotonic() - dueAt, task.read(), context);
 			task.send({kind: 'tick'});
 			// A pass that failed with an unexpected error has not requested the next one.
 			if (task.read().isScheduleDue) {
@@ -115,11 +117,14 @@
 
 			term.workersRecord.prune();
 			updateGauges(task.read(), context);
-			clock.schedule(schedulerTickMilliseconds, tick);
+			const nextAt = clock.monotonic() + schedulerTickMilliseconds;
+			clock.schedule(schedulerTickMilliseconds, () => {
+				tick(nextAt);
+			});
 		}
 	};
 
-	tick();
+	tick(clock.monotonic());
 	return {
 		term,
 		stop() {
@@ -131,6 +136,15 @@
 	};
 }
 
+/** Reports how late the scheduler handles its ticks; renewals and callers wait as long. */
+function reportDelay(delay: Milliseconds, {jobs, workers}: SchedulerState, {counters, log}: CoordinatorContext): void {
+	counters.recordLatency('scheduler-delay', Math.max(0, delay));
+	if (delay > overloadDelayMilliseconds) {
+		counters.countEvent('scheduler-overloaded');
+		log.withPrefix('scheduler').warn({delayMilliseconds: Math.round(delay), jobs: jobs.size, workers: workers.size}, 'scheduler is overloaded');
+	}
+}
+
 function updateGauges(state: SchedulerState, {counters}: CoordinatorContext): void {
 	const usable = [...state.workers.values()].filter(({contact, snapshot}) => contact.kind === 'attached' && snapshot.isResponsive && snapshot.state === 'ready');
 	counters.setGauge('usable-workers', usable.length);
