Let guaranteed work wait 1.3 s for a rack

Cause: with 1.6 s, and 0.9 s for a stop, 0.4 s for a pass and the reports, the start could come later than the 2.7 s that the tightest deployment allows. Change: 1.3 s.

--- a/packages/scheduling/constants.ts
+++ b/packages/scheduling/constants.ts
@@ -24,8 +24,8 @@
 export const refusalPauseMilliseconds = 400;
 /** How much longer gangs take in several racks, and tasks away from the rack of their data, according to the platform. */
 export const remoteRackFactor = 3;
-/** Longest time that work within a guarantee waits for a rack: it may preempt after 0.9 s, a stop takes up to 0.9 s, and it has to start within 2.7 s. */
-export const guaranteedRackWaitMilliseconds = 1600;
+/** Longest time that work within a guarantee waits for a rack: it may preempt there after 0.9 s, and then elsewhere, where a stop takes up to 0.9 s; it has to start within 2.7 s. */
+export const guaranteedRackWaitMilliseconds = 1300;
 /** The loss is negligible if a run that cannot save its progress is stopped before it has run for this long. Such a run may be preempted without a wait. */
 export const negligibleLossMilliseconds = 1500;
 /** How long work within a guarantee waits for other runs to end before it stops work that cannot save its progress. It has to start within 2.9 s of its acceptance, and a stop takes up to 0.9 s. */
