Send no orders after a pause in which the lease ran out

Cause: operators of similar systems told of processes that were paused for some seconds and then acted on a permission that had run out. It could happen here: a scheduler may go on for 4 s without the store, so that one that was paused for 2 to 5 s sent orders of its ended term until it learned of the next one. Agents that know a higher epoch refuse them, others carried them out.

Change: the guard that detects a suspended machine also detects a pause of the process, by the time since its last check, four times a second. A lease that ran out during a pause counts only after it was renewed.

--- a/packages/coordinator/plugins/leadership.ts
+++ b/packages/coordinator/plugins/leadership.ts
@@ -1,6 +1,9 @@
 import type {Milliseconds} from '#core';
-import {createServiceKey, startTask, type TaskHandle} from '#kernel';
+import {
+	createServiceKey, startTask, type Cancel, type TaskHandle,
+} from '#kernel';
 import {unconfirmedLeadershipMilliseconds} from '#scheduling';
+import {schedulerTickMilliseconds} from '../constants.js';
 import {computeElectionDelay} from '../election-delay.js';
 import {epochKey, leaderKey, type LeaderRecord} from '../keys.js';
 import {
@@ -38,7 +41,7 @@
 	kind: 'task',
 	name: 'leadership',
 	start(context) {
-		const {clock, services, settings} = context;
+		const {clock, services, settings, counters} = context;
 		services.provide(suspensionService, createSuspensionGuard(clock));
 		const leadership = startTask<LeadershipState, LeadershipMessage, LeadershipEffect>(
 			{name: 'leadership', initialState: createLeadershipState(settings.entry, peerAddressOf(settings)), receive: receiveLeadershipMessage},
@@ -53,7 +56,16 @@
 		const cancel = services.use(leaseService).onChanged(lease => {
 			leadership.send({kind: 'lease-changed', lease});
 		});
+		let cancelCheck: Cancel = () => undefined;
+		// Regular checks let the suspension guard notice a pause of this process.
+		const check = () => {
+			counters.setGauge('may-send-orders', Number(holdsLeadership(context)));
+			cancelCheck = clock.schedule(schedulerTickMilliseconds, check);
+		};
+
+		check();
 		return () => {
+			cancelCheck();
 			cancel();
 			leadership.stop();
 		};
--- a/test/coordinator/suspension.test.ts
+++ b/test/coordinator/suspension.test.ts
@@ -13,6 +13,9 @@
 	{
 		name: 'a wall clock that is set back is no suspension (scheduler that steps down for no reason)', now: 500, monotonic: 2000, validUntil: 3000, isConfirmed: true,
 	},
+	{
+		name: 'a confirmation that ran out while the process was paused is void (orders of a replaced scheduler)', now: 3500, monotonic: 3500, validUntil: 3000, isConfirmed: false,
+	},
 ];
 
 describe('suspension guard', () => {
@@ -28,4 +31,13 @@
 			expect(guard.isConfirmed(validUntil + 1000)).to.equal(true);
 		});
 	}
+
+	it('a confirmation that ran out while the process went on still counts (scheduler that gives up in every outage of the store)', () => {
+		const time = {now: 1000, monotonic: 1000};
+		const guard = createSuspensionGuard({now: () => time.now, monotonic: () => time.monotonic, schedule: () => () => undefined});
+		for (let elapsed = 0; elapsed < 3000; elapsed += 250) {
+			expect(guard.isConfirmed(2000)).to.equal(true);
+			Object.assign(time, {now: time.now + 250, monotonic: time.monotonic + 250});
+		}
+	});
 });
