--- a/packages/coordinator/constants.ts
+++ b/packages/coordinator/constants.ts
@@ -22,6 +22,8 @@
 export const outageBeforeHandOverMilliseconds = 300;
 /** Interval at which the scheduler checks for such an outage. */
 export const outageCheckIntervalMilliseconds = 100;
+/** Delay before the other entries are asked again; while the store is down for all of them, each round asks every entry. */
+export const successorRetryMilliseconds = 500;
 /** Timeout of calls between entries. */
 export const entryCallTimeoutMilliseconds = 900;
 /** Delay before a failed write of the scheduler's records is retried. */
--- a/packages/coordinator/plugins/hand-over.ts
+++ b/packages/coordinator/plugins/hand-over.ts
@@ -1,6 +1,8 @@
 import {emptySchema, takeOverParametersSchema} from '#protocol';
 import type {RpcPeer} from '#transport';
-import {entryCallTimeoutMilliseconds, outageBeforeHandOverMilliseconds, outageCheckIntervalMilliseconds} from '../constants.js';
+import {
+	entryCallTimeoutMilliseconds, outageBeforeHandOverMilliseconds, outageCheckIntervalMilliseconds, successorRetryMilliseconds,
+} from '../constants.js';
 import {epochKey} from '../keys.js';
 import {coordinatorPlugins} from '../plugins.js';
 import {storeMonitorService, storePort} from '../ports.js';
@@ -23,22 +25,24 @@
 			},
 		});
 
-		const check = async () => {
-			if (services.use(leadershipService).read().term !== undefined && services.use(storeMonitorService).measureOutage() >= outageBeforeHandOverMilliseconds) {
-				successor = await findSuccessor(context);
-				const outage = services.use(storeMonitorService).measureOutage();
-				if (successor !== undefined && outage > 0) {
-					context.counters.countRetry('term-handed-over');
-					context.log.withPrefix('leadership').warn({outageMilliseconds: Math.round(outage), successor: successor.address}, 'handing over to an entry that reaches the store');
-					services.use(leadershipService).send({kind: 'hand-over', reason: 'the store answers other entries only'});
-				}
+		const handOver = async () => {
+			successor = await findSuccessor(context);
+			const outage = services.use(storeMonitorService).measureOutage();
+			if (successor !== undefined && outage > 0) {
+				context.counters.countRetry('term-handed-over');
+				context.log.withPrefix('leadership').warn({outageMilliseconds: Math.round(outage), successor: successor.address}, 'handing over to an entry that reaches the store');
+				services.use(leadershipService).send({kind: 'hand-over', reason: 'the store answers other entries only'});
 			}
 		};
 
 		const tick = async () => {
-			await check();
+			const isCutOff = services.use(leadershipService).read().term !== undefined && services.use(storeMonitorService).measureOutage() >= outageBeforeHandOverMilliseconds;
+			if (isCutOff) {
+				await handOver();
+			}
+
 			if (!isStopped) {
-				clock.schedule(outageCheckIntervalMilliseconds, () => {
+				clock.schedule(isCutOff ? successorRetryMilliseconds : outageCheckIntervalMilliseconds, () => {
 					void tick();
 				});
 			}
