--- a/bench/scheduling/model.ts
+++ b/bench/scheduling/model.ts
@@ -1,6 +1,6 @@
 /** Plays a scenario: the scheduler's decisions against simulated workers, in virtual time and without a network. */
 import {createRandomSource, type Milliseconds} from '#core';
-import {parseJobOfTask, type JobKey, type TaskName} from '#jobs';
+import type {JobKey} from '#jobs';
 import {
 	createSchedulerState, receiveSchedulerMessage, type SchedulerEffect, type SchedulerMessage, type SchedulerState,
 } from '#scheduling';
@@ -71,21 +71,38 @@
 		return job?.submission.request.steps[0]?.prefersOneRack === true && new Set(agents.map(agent => workers.get(agent)?.rack)).size > 1;
 	};
 
-	const findStep = (task: TaskName) => jobs.get(parseJobOfTask(task))?.submission.request.steps[0];
+	const startTasks = ({agent, job, orders}: Extract<SchedulerEffect, {kind: 'start'}>): void => {
+		const arriving = jobs.get(job);
+		const step = arriving?.submission.request.steps[0];
+		if (arriving === undefined || step === undefined) {
+			return;
+		}
+
+		const isSlow = isSpread(job);
+		starts += orders.length;
+		spreadStarts += isSlow ? orders.length : 0;
+		firstStarts.set(job, firstStarts.get(job) ?? time);
+		for (const order of orders) {
+			workers.get(agent)?.start(order, step, arriving.duration * (isSlow ? spreadFactor : 1), time);
+		}
+	};
+
+	const noteEvent = ({event, fields: {reason, lossCoreSeconds, job}}: Extract<SchedulerEffect, {kind: 'log'}>): void => {
+		if (event === 'stop-ordered' && typeof reason === 'string' && reason.startsWith('room for')) {
+			repeatedStops += time - (lastStops.get(reason) ?? -Infinity) < stopMilliseconds ? 1 : 0;
+			lastStops.set(reason, time);
+			discardedCoreSeconds += Number(lossCoreSeconds);
+		}
+
+		if (event === 'job-ended') {
+			completions.set(job as JobKey, time);
+		}
+	};
+
 	const perform = (effect: SchedulerEffect): void => {
 		switch (effect.kind) {
 			case 'start': {
-				starts += effect.orders.length;
-				firstStarts.set(effect.job, firstStarts.get(effect.job) ?? time);
-				const duration = (jobs.get(effect.job)?.duration ?? 0) * (isSpread(effect.job) ? spreadFactor : 1);
-				spreadStarts += isSpread(effect.job) ? effect.orders.length : 0;
-				for (const order of effect.orders) {
-					const step = findStep(order.task);
-					if (step !== undefined) {
-						workers.get(effect.agent)?.start(order, step, duration, time);
-					}
-				}
-
+				startTasks(effect);
 				send({kind: 'start-answered', agent: effect.agent, answers: effect.orders.map(({task, run}) => ({task, run, result: 'started'}))});
 				break;
 			}
@@ -109,17 +126,7 @@
 			}
 
 			case 'log': {
-				const {reason, lossCoreSeconds} = effect.fields;
-				if (effect.event === 'stop-ordered' && typeof reason === 'string' && reason.startsWith('room for')) {
-					repeatedStops += time - (lastStops.get(reason) ?? -Infinity) < stopMilliseconds ? 1 : 0;
-					lastStops.set(reason, time);
-					discardedCoreSeconds += Number(lossCoreSeconds);
-				}
-
-				if (effect.event === 'job-ended') {
-					completions.set(effect.fields['job'] as JobKey, time);
-				}
-
+				noteEvent(effect);
 				break;
 			}
 
--- a/bench/scheduling/scenarios.ts
+++ b/bench/scheduling/scenarios.ts
@@ -55,6 +55,8 @@
 	};
 }
 
+export type ScenarioOptions = Readonly<{workers: number; rate?: number; factor: number; length: number; seed: number}>;
+
 /**
 Creates jobs for `workers` workers over `length` milliseconds; `rate` multiplies the usual rates, `factor` those from a sixth to the half of that time.
 
@@ -63,7 +65,7 @@
 createScenario({workers: 160, factor: 2, length: 30_000, seed: 7});
 ```
 */
-export function createScenario({workers, rate = 1, factor, length, seed}: Readonly<{workers: number; rate?: number; factor: number; length: number; seed: number}>): Scenario {
+export function createScenario({workers, rate = 1, factor, length, seed}: ScenarioOptions): Scenario {
 	const random = createRandomSource(seed);
 	const arrivals: ArrivingJob[] = [];
 	let count = 0;
@@ -78,7 +80,8 @@
 		}
 	}
 
-	const tenants = Array.from({length: tenantCount}, (_, index) => ({name: `tenant-${index}` as TenantName, apiKeys: [], guaranteedAccelerators: Math.floor(workers * 8 * guaranteedShare / tenantCount)}));
+	const guaranteedAccelerators = Math.floor(workers * acceleratorsPerWorker * guaranteedShare / tenantCount);
+	const tenants = Array.from({length: tenantCount}, (_, index) => ({name: `tenant-${index}` as TenantName, apiKeys: [], guaranteedAccelerators}));
 	return {
 		workers, length, configuration: {version: 1, queues: kinds.map(kind => queueOf(kind)), tenants}, arrivals: arrivals.toSorted((first, second) => first.at - second.at),
 	};
--- a/packages/scheduling/preempt.ts
+++ b/packages/scheduling/preempt.ts
@@ -4,7 +4,8 @@
 	add, countFitting, subtract, type Pool, type PoolWorker, type PlacedRun,
 } from './pool.js';
 import {
-	affordableLossFactors, lowestUrgentRank, negligibleLossMilliseconds, endingSoonMilliseconds, freshProgressMilliseconds, lateValueShare, maximumPreemptions, preemptionDelayMilliseconds, rackPreferenceCoreSeconds, urgentVictimCoreSeconds,
+	affordableLossFactors, lowestUrgentRank, negligibleLossMilliseconds, endingSoonMilliseconds, freshProgressMilliseconds,
+	lateValueShare, maximumPreemptions, preemptionDelayMilliseconds, rackPreferenceCoreSeconds, urgentVictimCoreSeconds,
 } from './constants.js';
 import {
 	countAllowedTasks, couldFitInRack, groupByRack, listCandidates, mayWaitForRack, type TaskCounts,
