--- a/packages/scheduling/claims.ts
+++ b/packages/scheduling/room-claims.ts
@@ -9,19 +9,19 @@
 } from './place.js';
 import type {Rank} from './rank.js';
 import {resourcesOf} from './state.js';
-import type {Claim, SchedulerState} from './types.js';
+import type {RoomClaim, SchedulerState} from './types.js';
 import type {SchedulingUnit} from './units.js';
 
-export function createClaim({occurrence, stepIndex}: SchedulingUnit, taskCounts: TaskCounts, until: MonotonicTime): Claim {
+export function createRoomClaim({occurrence, stepIndex}: SchedulingUnit, taskCounts: TaskCounts, until: MonotonicTime): RoomClaim {
 	return {
 		occurrence, stepIndex, taskCounts, until,
 	};
 }
 
-export type HeldClaim = Readonly<{job: JobKey; rank: Rank; need: Resources; claim: Claim}>;
+export type HeldRoomClaim = Readonly<{job: JobKey; rank: Rank; need: Resources; claim: RoomClaim}>;
 
 /** Lists the claims that still count: not after their time, and not if a claimed worker cannot be used. */
-export function listHeldClaims({jobs}: SchedulerState, units: readonly SchedulingUnit[], pool: Pool, monotonic: MonotonicTime): readonly HeldClaim[] {
+export function listHeldClaims({jobs}: SchedulerState, units: readonly SchedulingUnit[], pool: Pool, monotonic: MonotonicTime): readonly HeldRoomClaim[] {
 	return units.flatMap(({job, occurrence, stepIndex, step, rank}) => {
 		const claim = jobs.get(job.submission.job)?.claim;
 		return claim?.occurrence === occurrence && claim.stepIndex === stepIndex && monotonic < claim.until
@@ -34,12 +34,12 @@
 }
 
 /** Allocates claimed room in the pool. */
-export function holdClaims(pool: Pool, claims: readonly HeldClaim[]): Pool {
+export function holdClaims(pool: Pool, claims: readonly HeldRoomClaim[]): Pool {
 	return claims.reduce((next, {need, claim}) => changeRoom(next, claim.taskCounts, free => subtract(free, need)), pool);
 }
 
 /** Returns claimed room to the pool. */
-export function releaseClaims(pool: Pool, claims: readonly HeldClaim[]): Pool {
+export function releaseClaims(pool: Pool, claims: readonly HeldRoomClaim[]): Pool {
 	return claims.reduce((next, {need, claim}) => changeRoom(next, claim.taskCounts, free => add(free, need)), pool);
 }
 
@@ -56,7 +56,7 @@
 }
 
 /** Places all waiting tasks of the unit on the claimed workers, if they fit there. */
-export function placeOnClaim({tasks, step}: SchedulingUnit, {taskCounts}: Claim, pool: Pool): readonly Placement[] {
+export function placeOnClaim({tasks, step}: SchedulingUnit, {taskCounts}: RoomClaim, pool: Pool): readonly Placement[] {
 	const need = resourcesOf(step);
 	const isFree = [...taskCounts].every(([agent, count]) => {
 		const worker = pool.get(agent);
--- a/packages/scheduling/schedule.ts
+++ b/packages/scheduling/schedule.ts
@@ -4,8 +4,8 @@
 	createPool, reserveWorkers, allocate, type Pool, type PlacedRun,
 } from './pool.js';
 import {
-	createClaim, holdClaims, listHeldClaims, placeOnClaim, releaseClaims, type HeldClaim,
-} from './claims.js';
+	createRoomClaim, holdClaims, listHeldClaims, placeOnClaim, releaseClaims, type HeldRoomClaim,
+} from './room-claims.js';
 import {
 	claimMilliseconds, endingSoonMilliseconds, maximumPreemptionRetryMilliseconds, preemptionRetryMillisecondsPerWorker, reservationDelayMilliseconds,
 } from './constants.js';
@@ -23,7 +23,7 @@
 	findTask, listStepMembers, replaceJob, resourcesOf, withTask,
 } from './state.js';
 import type {
-	AgentName, Claim, SchedulerEffect, SchedulerState,
+	AgentName, RoomClaim, SchedulerEffect, SchedulerState,
 } from './types.js';
 import {extendRackWait, listSchedulingUnits, type SchedulingUnit} from './units.js';
 import {logWaiting} from './wait-logs.js';
@@ -39,7 +39,7 @@
 	/** Shapes for which no worker has room for the rest of the pass, since a pass only allocates resources. */
 	exhausted: readonly TaskShape[];
 	/** Claims whose room is allocated in the pool. */
-	claims: readonly HeldClaim[];
+	claims: readonly HeldRoomClaim[];
 	/** Units of which tasks still wait. */
 	waiting: readonly SchedulingUnit[];
 }>;
@@ -91,7 +91,7 @@
 		: reserveForUnit(waiting, unit, monotonic);
 }
 
-function findPlacements({pool, exhausted}: Pass, unit: SchedulingUnit, claim: Claim | undefined, monotonic: MonotonicTime): readonly Placement[] {
+function findPlacements({pool, exhausted}: Pass, unit: SchedulingUnit, claim: RoomClaim | undefined, monotonic: MonotonicTime): readonly Placement[] {
 	const onClaim = claim === undefined ? [] : placeOnClaim(unit, claim, pool);
 	if (onClaim.length > 0) {
 		return onClaim;
@@ -123,7 +123,7 @@
 	const next = {...pass, pool};
 	const agents = placements.map(({agent}) => agent);
 	if (job.outcome === 'queued' || (job.agents !== undefined && !agents.every(agent => job.agents?.has(agent)))) {
-		const claim = createClaim(unit, countByAgent(placements), monotonic + claimMilliseconds);
+		const claim = createRoomClaim(unit, countByAgent(placements), monotonic + claimMilliseconds);
 		return apply(next, storeJob(pass.state, {
 			...job, outcome: 'running', agents: job.agents?.union(agents), agentsVersion: job.version + 1, claim,
 		}));
@@ -160,7 +160,7 @@
 	const job = pass.state.jobs.get(unit.job.submission.job) ?? unit.job;
 	// Without victims, the room comes from runs that seem to end soon; a guarantee has too little time to rely on one estimate.
 	const duration = found.victims.length === 0 ? endingSoonMilliseconds : claimMilliseconds;
-	const claim = found.victims.length === 0 && unit.rank === 0 ? undefined : createClaim(unit, found.taskCounts, monotonic + duration);
+	const claim = found.victims.length === 0 && unit.rank === 0 ? undefined : createRoomClaim(unit, found.taskCounts, monotonic + duration);
 	const claimed = countPreemptions(replaceJob(pass.state, {...job, claim}), found.victims);
 	return apply(
 		{...pass, pool: allocateTasks(unit, found.taskCounts, pass.pool)},
--- a/packages/scheduling/types.ts
+++ b/packages/scheduling/types.ts
@@ -54,7 +54,7 @@
 export type TaskCounts = Readonly<{waiting: number; running: number; unfinished: number}>;
 
 /** Room that a step is to get from runs being stopped, or once its workers are stored; lower ranks do not take it, and no other runs are stopped for the step meanwhile. */
-export type Claim = Readonly<{
+export type RoomClaim = Readonly<{
 	occurrence: number;
 	stepIndex: number;
 	/** Number of the step's tasks by agent. */
@@ -91,7 +91,7 @@
 	/** Version that has to be stored before a run may be ordered to one of `agents`. */
 	agentsVersion: number;
 	/** Workers on which room is held for the job. */
-	claim: Claim | undefined;
+	claim: RoomClaim | undefined;
 	/** When a search for runs to preempt for the job last found none. */
 	preemptionFailedAt: MonotonicTime;
 	/** Whether the job was in the store when this scheduler took over; its tasks may run on workers that have not reported yet. */
