Log when an entry is behind with its configuration, and how much of a response arrived before a timeout

An entry now records the versions that others announce, logs the first announcement of a newer one and how long it was behind, and a timed-out call names the bytes that it received.

--- /dev/null
+++ b/packages/coordinator/configuration-state.ts
@@ -0,0 +1,89 @@
+/** Decides which configuration is in force in an entry, and records versions that only other entries have. */
+import {assertNever, type MonotonicTime, type Step} from '#core';
+import {isNewerConfiguration, type SchedulingConfiguration} from '#jobs';
+import type {CurrentTime} from '#kernel';
+
+/** A version that another entry announced and that this one does not have. */
+export type MissedVersion = Readonly<{
+	version: number;
+	/** Peer address of the entry that announced it last. */
+	address: string;
+	/** When this entry first learned that it is behind. */
+	since: MonotonicTime;
+}>;
+
+export type ConfigurationState = Readonly<{
+	/** The configuration in force; its version never decreases. */
+	current: SchedulingConfiguration | undefined;
+	missed: MissedVersion | undefined;
+}>;
+
+export type ConfigurationMessage =
+	| Readonly<{kind: 'received'; configuration: SchedulingConfiguration; source: 'store' | 'entry'}>
+	| Readonly<{kind: 'announced'; version: number; address: string}>;
+
+export type ConfigurationEffect =
+	| Readonly<{kind: 'accepted'; version: number; earlier: number | undefined; source: string; behindMilliseconds: number}>
+	| Readonly<{kind: 'missed'; version: number; current: number; address: string}>;
+
+export const initialConfigurationState: ConfigurationState = {current: undefined, missed: undefined};
+
+/**
+Handles a configuration that was read, or a version that another entry announced.
+
+@example
+```
+const {state} = receiveConfigurationMessage(initialConfigurationState, {kind: 'announced', version: 3, address: '10.0.0.1:7000'}, {now: 0, monotonic: 5});
+state.missed;
+//=> {version: 3, address: '10.0.0.1:7000', since: 5}
+```
+*/
+export function receiveConfigurationMessage(state: ConfigurationState, message: ConfigurationMessage, {monotonic}: CurrentTime): Step<ConfigurationState, ConfigurationEffect> {
+	switch (message.kind) {
+		case 'received': {
+			return acceptConfiguration(state, message, monotonic);
+		}
+
+		case 'announced': {
+			return noteAnnouncement(state, message, monotonic);
+		}
+
+		default: {
+			return assertNever(message);
+		}
+	}
+}
+
+type ReceivedMessage = Extract<ConfigurationMessage, {kind: 'received'}>;
+type AnnouncedMessage = Extract<ConfigurationMessage, {kind: 'announced'}>;
+type ConfigurationStep = Step<ConfigurationState, ConfigurationEffect>;
+
+function acceptConfiguration({current, missed}: ConfigurationState, {configuration, source}: ReceivedMessage, monotonic: MonotonicTime): ConfigurationStep {
+	if (!isNewerConfiguration(configuration, current)) {
+		return {state: {current, missed}, effects: []};
+	}
+
+	const {version} = configuration;
+	return {
+		state: {current: configuration, missed: missed !== undefined && missed.version > version ? missed : undefined},
+		effects: [{
+			kind: 'accepted', version, earlier: current?.version, source, behindMilliseconds: missed === undefined ? 0 : Math.round(monotonic - missed.since),
+		}],
+	};
+}
+
+function noteAnnouncement({current, missed}: ConfigurationState, {version, address}: AnnouncedMessage, monotonic: MonotonicTime): ConfigurationStep {
+	const currentVersion = current?.version ?? 0;
+	if (version <= currentVersion || version < (missed?.version ?? 0)) {
+		return {state: {current, missed}, effects: []};
+	}
+
+	return {
+		state: {current, missed: {version, address, since: missed?.since ?? monotonic}},
+		effects: version === missed?.version
+			? []
+			: [{
+				kind: 'missed', version, current: currentVersion, address,
+			}],
+	};
+}
--- a/packages/coordinator/index.ts
+++ b/packages/coordinator/index.ts
@@ -1,4 +1,5 @@
 export * from './types.js';
+export * from './configuration-state.js';
 export * from './leadership.js';
 export * from './plugins.js';
 export * from './ports.js';
--- a/packages/coordinator/plugins/configuration.ts
+++ b/packages/coordinator/plugins/configuration.ts
@@ -1,40 +1,31 @@
 import {checkInput} from '#core';
-import {isNewerConfiguration, schedulingConfigurationSchema, type SchedulingConfiguration} from '#jobs';
+import {schedulingConfigurationSchema} from '#jobs';
 import {createServiceKey, startTask, type TaskHandle} from '#kernel';
 import {startWatchTask, extractValues, type StoredValue} from '#store';
+import {
+	initialConfigurationState, receiveConfigurationMessage, type ConfigurationEffect, type ConfigurationMessage, type ConfigurationState,
+} from '../configuration-state.js';
 import {storeRetryMaximumMilliseconds, watchMilliseconds} from '../constants.js';
 import {coordinatorPlugins} from '../plugins.js';
 import {configurationPort, storePort} from '../ports.js';
 import type {CoordinatorContext} from '../types.js';
 
-export type ConfigurationState = Readonly<{current: SchedulingConfiguration | undefined}>;
-export type ConfigurationMessage = Readonly<{kind: 'received'; configuration: SchedulingConfiguration; source: 'store' | 'entry'}>;
-
 /** Task that owns the configuration in force in this process; its version never decreases. */
 export const configurationService = createServiceKey<TaskHandle<ConfigurationState, ConfigurationMessage>>('configuration');
 
-type Accepted = Readonly<{kind: 'accepted'; version: number; earlier: number | undefined; source: string}>;
-
 coordinatorPlugins.register({
 	kind: 'task',
 	name: 'configuration',
 	start(context) {
 		const log = context.log.withPrefix('configuration');
-		const configuration = startTask<ConfigurationState, ConfigurationMessage, Accepted>({
+		const configuration = startTask<ConfigurationState, ConfigurationMessage, ConfigurationEffect>({
 			name: 'configuration',
-			initialState: {current: undefined},
-			receive: ({current}, {configuration: candidate, source}) => isNewerConfiguration(candidate, current)
-				? {
-					state: {current: candidate}, effects: [{
-						kind: 'accepted', version: candidate.version, earlier: current?.version, source,
-					}],
-				}
-				: {state: {current}, effects: []},
+			initialState: initialConfigurationState,
+			receive: receiveConfigurationMessage,
 		}, {
 			clock: context.clock,
-			perform({version, earlier, source}) {
-				context.counters.setGauge('configuration-version', version);
-				log.info({version, earlier, source}, 'configuration is in force');
+			perform(effect) {
+				logEffect(effect, context);
 			},
 		});
 		context.services.provide(configurationService, configuration);
@@ -62,6 +53,22 @@
 	},
 });
 
+function logEffect({kind, ...details}: ConfigurationEffect, {log, counters}: CoordinatorContext): void {
+	const configurationLog = log.withPrefix('configuration');
+	switch (kind) {
+		case 'accepted': {
+			counters.setGauge('configuration-version', details.version);
+			configurationLog.info(details, 'configuration is in force');
+			break;
+		}
+
+		case 'missed': {
+			counters.countEvent('configuration-missed');
+			configurationLog.info(details, 'another entry has a newer configuration');
+		}
+	}
+}
+
 function receiveStored({key, value}: StoredValue, {services, log, counters}: CoordinatorContext): void {
 	const source = services.use(configurationPort);
 	if (key !== source.key) {
--- a/packages/coordinator/plugins/entry-peers.ts
+++ b/packages/coordinator/plugins/entry-peers.ts
@@ -110,6 +110,7 @@
 	switch (reply.kind) {
 		case 'answered': {
 			applySharedState(reply.result, context);
+			context.services.use(configurationService).send({kind: 'announced', version: reply.result.configurationVersion, address: peer.address});
 			break;
 		}
 
--- a/packages/transport/http-client.ts
+++ b/packages/transport/http-client.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import {Agent, request} from 'undici';
 import type {Milliseconds} from '#core';
 
@@ -38,6 +39,7 @@
 		async send(method, path, {body, timeout, signal, headers}) {
 			const currentDispatcher = dispatcher;
 			const timeoutSignal = AbortSignal.timeout(timeout);
+			const chunks: Buffer[] = [];
 			try {
 				const signals = [timeoutSignal, ...(signal === undefined ? [] : [signal])];
 				const response = await request(`${origin}${path}`, {
@@ -47,7 +49,11 @@
 					headers: {...headers, ...(body === undefined ? {} : {'content-type': 'application/json'})},
 					...(body === undefined ? {} : {body: JSON.stringify(body)}),
 				});
-				const text = await response.body.text();
+				for await (const chunk of response.body) {
+					chunks.push(chunk as Buffer);
+				}
+
+				const text = Buffer.concat(chunks).toString('utf8');
 				return {kind: 'answered', status: response.statusCode, body: text === '' ? undefined : JSON.parse(text)};
 			} catch (error) {
 				if (timeoutSignal.aborted) {
@@ -55,7 +61,11 @@
 				}
 
 				const {code, message} = error as Readonly<{code?: string; message: string}>;
-				return {kind: 'failed', delivery: neverSentCodes.has(code ?? '') ? 'never-sent' : 'perhaps-sent', message};
+				return {
+					kind: 'failed',
+					delivery: neverSentCodes.has(code ?? '') ? 'never-sent' : 'perhaps-sent',
+					message: timeoutSignal.aborted ? `timed out after ${timeout} ms, ${countBytes(chunks)} bytes of the response were received` : message,
+				};
 			}
 		},
 		async close() {
@@ -63,3 +73,7 @@
 		},
 	};
 }
+
+function countBytes(chunks: readonly Buffer[]): number {
+	return chunks.reduce((sum, {length}) => sum + length, 0);
+}
