--- /dev/null
+++ b/test/platform/configuration.test.ts
@@ -0,0 +1,95 @@
+import {expect} from 'chai';
+import type {EntryId} from '#core';
+import {createRegistry, silentLog, systemClock} from '#kernel';
+import {connectToPeer, type RpcPeer} from '#transport';
+import {loopbackHost} from '#test/support/loopback';
+import {waitFor} from '#test/support/processes';
+import {describeManifest, manifestKey, type QueueDescription} from '#test/support/platform/caller';
+import {startDeployment, type Deployment} from '#test/support/platform/deployment';
+
+const queue: QueueDescription = {
+	name: 'urgent', priority: 0, attempts: 3, stretch: 1.5, targetMilliseconds: 600,
+};
+
+/** A configuration of about 0.8 MB, which grows by a third when it is sent. */
+const describeLargeManifest = (version: number, name: string) => describeManifest(version, [
+	{...queue, name}, ...Array.from({length: 4200}, (_, index) => ({...queue, name: `${name}-${index.toString(36).padStart(24, 'x')}`})),
+]);
+
+/** Rate of the slowest links between entries and the store, 7 Mbit/s. */
+const slowBytesPerSecond = 875_000;
+/** Size of an exchange that does not grow with the configuration. */
+const maximumExchangeBytes = 4000;
+/** Time within which a confirmed configuration has to be in force. */
+const applyMilliseconds = 4000;
+
+async function waitForQueue(deployment: Deployment, name: string, timeout?: number): Promise<void> {
+	await waitFor(`queue ${name}`, async () => {
+		const answer = await deployment.call(0, 'GET', `/${name}/`);
+		return answer?.status === 200 ? true : undefined;
+	}, timeout);
+}
+
+/** Connects as another entry would. */
+async function connectAsEntry(deployment: Deployment, entry: number): Promise<RpcPeer> {
+	const address = `${loopbackHost(entry)}:${deployment.entries[entry]?.daemon.ports['peers'] ?? 0}`;
+	return waitFor('connection', async () => connectToPeer(address, {
+		registry: createRegistry<undefined, RpcPeer>('test'), context: undefined, clock: systemClock, log: silentLog.withPrefix('test'),
+	}));
+}
+
+type Case = Readonly<{name: string; entries: number; run(deployment: Deployment): Promise<void>}>;
+
+const cases: readonly Case[] = [
+	{
+		name: 'two large versions that were written while the link was down are in force in time over a slow link (transfer ended by its timeout and begun anew)',
+		entries: 1,
+		async run(deployment) {
+			const link = deployment.entries[0]?.storeLink;
+			link?.setResetting(true);
+			deployment.store.put(manifestKey, describeLargeManifest(9, 'first'));
+			deployment.store.put(manifestKey, describeLargeManifest(13, 'second'));
+			link?.setBytesPerSecond(slowBytesPerSecond);
+			link?.setResetting(false);
+			await waitForQueue(deployment, 'second', applyMilliseconds);
+		},
+	},
+	{
+		name: 'an exchange with an entry that is behind carries versions only (copies of every entry fill a slow link)',
+		entries: 1,
+		async run(deployment) {
+			deployment.store.put(manifestKey, describeLargeManifest(9, 'first'));
+			await waitForQueue(deployment, 'first');
+			const peer = await connectAsEntry(deployment, 0);
+			const reply = await peer.call('entry.exchange', {
+				entry: 'entry-9' as EntryId, configurationVersion: 3, epoch: 0, undecided: [],
+			}, applyMilliseconds);
+			expect(reply).to.include({kind: 'answered'});
+			expect(peer.traffic().received).to.be.below(maximumExchangeBytes);
+			peer.close('test ended');
+		},
+	},
+	{
+		name: 'an entry that does not reach the store gets a large version from another entry in time (stale configuration while the store turns one entry away)',
+		entries: 3,
+		async run(deployment) {
+			deployment.entries[0]?.storeLink.setResetting(true);
+			deployment.store.put(manifestKey, describeLargeManifest(9, 'first'));
+			await waitForQueue(deployment, 'first', applyMilliseconds);
+		},
+	},
+];
+
+describe('configuration of the entry programs', function () {
+	this.timeout(60_000);
+	for (const {name, entries, run} of cases) {
+		it(name, async () => {
+			const deployment = await startDeployment({entries, workers: 0, workMilliseconds: 100});
+			try {
+				await run(deployment);
+			} finally {
+				await deployment.stop();
+			}
+		});
+	}
+});
