Let transfers over slow links finish: time out on silence, not on the whole call

The call was ended, begun anew, and never finished: 'timed out after 2200 ms, 1931093 bytes of the response were received'.

A connection that goes silent half way is still noticed after one timeout. The same limit ended reads of long lists, such as the jobs that a new scheduler reads.

--- a/packages/transport/http-client.ts
+++ b/packages/transport/http-client.ts
@@ -1,13 +1,20 @@
 import {Buffer} from 'node:buffer';
 import {Agent, request} from 'undici';
 import type {Milliseconds} from '#core';
+import {startSilenceTimeout} from './silence-timeout.js';
 
 /** Result of an HTTP call. `never-sent` means that the request certainly did not reach the server; with `perhaps-sent` the server may have processed it. */
 export type HttpResult =
 	| Readonly<{kind: 'answered'; status: number; body: unknown}>
 	| Readonly<{kind: 'failed'; delivery: 'never-sent' | 'perhaps-sent'; message: string}>;
 
-export type HttpCallOptions = Readonly<{body?: unknown; timeout: Milliseconds; signal?: AbortSignal; headers?: Readonly<Record<string, string>>}>;
+export type HttpCallOptions = Readonly<{
+	body?: unknown;
+	/** Longest time without data from the server: until the response begins, and between two parts of it. */
+	timeout: Milliseconds;
+	signal?: AbortSignal;
+	headers?: Readonly<Record<string, string>>;
+}>;
 
 export type HttpClient = Readonly<{
 	send(method: 'GET' | 'POST' | 'PUT' | 'DELETE', path: string, options: HttpCallOptions): Promise<HttpResult>;
@@ -38,10 +45,10 @@
 	return {
 		async send(method, path, {body, timeout, signal, headers}) {
 			const currentDispatcher = dispatcher;
-			const timeoutSignal = AbortSignal.timeout(timeout);
+			const silence = startSilenceTimeout(timeout);
 			const chunks: Buffer[] = [];
 			try {
-				const signals = [timeoutSignal, ...(signal === undefined ? [] : [signal])];
+				const signals = [silence.signal, ...(signal === undefined ? [] : [signal])];
 				const response = await request(`${origin}${path}`, {
 					method,
 					dispatcher: currentDispatcher,
@@ -49,14 +56,16 @@
 					headers: {...headers, ...(body === undefined ? {} : {'content-type': 'application/json'})},
 					...(body === undefined ? {} : {body: JSON.stringify(body)}),
 				});
+				silence.restart();
 				for await (const chunk of response.body) {
+					silence.restart();
 					chunks.push(chunk as Buffer);
 				}
 
 				const text = Buffer.concat(chunks).toString('utf8');
 				return {kind: 'answered', status: response.statusCode, body: text === '' ? undefined : JSON.parse(text)};
 			} catch (error) {
-				if (timeoutSignal.aborted) {
+				if (silence.signal.aborted) {
 					replaceDispatcher(currentDispatcher);
 				}
 
@@ -64,8 +73,10 @@
 				return {
 					kind: 'failed',
 					delivery: neverSentCodes.has(code ?? '') ? 'never-sent' : 'perhaps-sent',
-					message: timeoutSignal.aborted ? `timed out after ${timeout} ms, ${countBytes(chunks)} bytes of the response were received` : message,
+					message: silence.signal.aborted ? `no data for ${timeout} ms, ${countBytes(chunks)} bytes of the response were received` : message,
 				};
+			} finally {
+				silence.stop();
 			}
 		},
 		async close() {
