Give up tasks under which workers crash, and start them apart from other work

A run whose worker started again, or stayed silent beyond its lease, now counts as a crash of its task. The count is stored with the job's progress, so that it outlasts a scheduler. After three crashes before any progress, or five in all, the job fails. Until then a task with a crash at its start starts on an idle worker, one worker at a time, and nothing joins it before it makes progress, so that a sound job that lost the same worker is not blamed twice. After 2 s without an idle worker it starts beside other work.

--- a/packages/jobs/types.ts
+++ b/packages/jobs/types.ts
@@ -125,12 +125,22 @@
 export const jobOutcomeSchema = valibot.picklist(['running', 'completed', 'failed', 'cancelled']);
 export type JobOutcome = valibot.InferOutput<typeof jobOutcomeSchema>;
 
+/** A crash of the worker on which a task ran. */
+export const taskCrashSchema = valibot.pipe(valibot.object({
+	/** Number of the run. */
+	run: valibot.number(),
+	/** Whether the run had made progress; one that crashes its worker at the start has not. */
+	hadProgress: valibot.boolean(),
+}), valibot.readonly());
+export type TaskCrash = valibot.InferOutput<typeof taskCrashSchema>;
+
 /** Stored progress of one task. */
 export const taskProgressSchema = valibot.pipe(valibot.object({
 	isDone: valibot.optional(valibot.boolean()),
 	/** Numbers of the failed runs; each counts once, however often it is reported. */
 	failedRuns: valibot.optional(valibot.pipe(valibot.array(valibot.number()), valibot.readonly())),
 	checkpoint: valibot.optional(valibot.string()),
+	crashes: valibot.optional(valibot.pipe(valibot.array(taskCrashSchema), valibot.readonly())),
 }), valibot.readonly());
 export type TaskProgress = valibot.InferOutput<typeof taskProgressSchema>;
 
--- a/packages/scheduling/constants.ts
+++ b/packages/scheduling/constants.ts
@@ -16,6 +16,12 @@
 export const stuckMilliseconds = 3500;
 /** A run may go without progress for this multiple of the time that an earlier percent took on average. */
 export const stuckPercentFactor = 6;
+/** A task is given up after this many workers crashed at its start. The platform counts further starts from the third crash on, and permits to give up after two; a third one makes chance unlikely. */
+export const maximumCrashesAtStart = 3;
+/** A task is given up after this many workers crashed under it, whatever progress it had made: the platform permits two starts after the third crash. */
+export const maximumCrashes = 5;
+/** How long a task that may have crashed a worker waits for an idle one, so that it takes no other runs along. */
+export const isolationMilliseconds = 2000;
 /** A worker is avoided after this many different jobs failed there in a row. */
 export const failuresBeforeAvoidance = 2;
 /** How long a failing worker is avoided before it is used again. The platform's disturbances last 4 to 7 s. */
--- a/packages/scheduling/place.ts
+++ b/packages/scheduling/place.ts
@@ -1,7 +1,7 @@
 import type {MonotonicTime} from '#core';
 import {parseTaskName, type TaskName} from '#jobs';
 import {
-	countFitting, type Pool, type PoolWorker,
+	countFitting, isIdle, type Pool, type PoolWorker,
 } from './pool.js';
 import {
 	countRuns, isLowRankWithoutCheckpoints, isUtilizationLow, limitToShare, limitToProbeTasks,
@@ -16,10 +16,14 @@
 export type TaskCounts = ReadonlyMap<AgentName, number>;
 
 /** Lists usable workers with the service and label that the unit requires. */
-function listEligible({step, queue}: SchedulingUnit, pool: Pool): readonly PoolWorker[] {
-	return [...pool.values()].filter(({worker: {snapshot}, isUsable}) => isUsable
-		&& snapshot.service === queue.service
-		&& (step.requiredLabel === undefined || snapshot.labels.includes(step.requiredLabel)));
+function listEligible({step, queue, isolation}: SchedulingUnit, pool: Pool): readonly PoolWorker[] {
+	return [...pool.values()].filter(candidate => {
+		const {worker: {snapshot}, isUsable} = candidate;
+		return isUsable
+			&& snapshot.service === queue.service
+			&& (step.requiredLabel === undefined || snapshot.labels.includes(step.requiredLabel))
+			&& (isolation !== 'idle-worker' || isIdle(candidate));
+	});
 }
 
 /** Lists the workers on which the unit may be placed; low-rank work that cannot save its progress is limited to a share of them. */
@@ -47,7 +51,12 @@
 }
 
 function placeAmong(unit: SchedulingUnit, candidates: readonly PoolWorker[], pool: Pool, monotonic: MonotonicTime): readonly Placement[] {
-	return unit.step.isGang ? placeGang(unit, candidates, pool, monotonic) : placeTasks(limitToProbeTasks(unit), candidates, monotonic);
+	if (unit.step.isGang) {
+		return placeGang(unit, candidates, pool, monotonic);
+	}
+
+	const placements = placeTasks(limitToProbeTasks(unit), candidates, monotonic);
+	return unit.isolation === 'none' ? placements : placements.filter(({agent}) => agent === placements[0]?.agent);
 }
 
 /** Whether the unit should still wait for its preferred rack rather than run slower elsewhere. */
--- a/packages/scheduling/pool.ts
+++ b/packages/scheduling/pool.ts
@@ -7,6 +7,7 @@
 import {
 	isOpen, isRunOn, findJob, resourcesOf, resolveQueue,
 } from './state.js';
+import {isOnProbation} from './crashes.js';
 import type {Rank} from './rank.js';
 import {listRunsOf, type ListedRun} from './runs.js';
 import type {
@@ -24,6 +25,8 @@
 	agent: AgentName;
 	/** How often the task was preempted. */
 	preemptions: number;
+	/** Whether the run may crash the worker as an earlier one did. */
+	isOnProbation: boolean;
 }>;
 
 export type PoolWorker = Readonly<{
@@ -44,7 +47,7 @@
 			worker,
 			runs,
 			free: runs.reduce((free, {need}) => subtract(free, need), worker.snapshot.capacity),
-			isUsable: isUsable(worker, monotonic) && !hasOrphanedRun(state, worker),
+			isUsable: isUsable(worker, monotonic) && !hasOrphanedRun(state, worker) && !runs.some(run => run.isOnProbation),
 		};
 	});
 }
@@ -54,7 +57,7 @@
 	return step === undefined
 		? []
 		: [{
-			task: name, job, step, run, rank: findRank(state, job, ranks), need: resourcesOf(step), agent: run.agent, preemptions: task.preemptions,
+			task: name, job, step, run, rank: findRank(state, job, ranks), need: resourcesOf(step), agent: run.agent, preemptions: task.preemptions, isOnProbation: isOnProbation(task),
 		}];
 }
 
@@ -91,6 +94,14 @@
 	};
 }
 
+/** Whether nothing runs on the worker and none of its room is allocated in this pass. */
+export function isIdle({worker: {snapshot: {capacity}}, free, runs}: PoolWorker): boolean {
+	return runs.length === 0
+		&& free.processorMillicores === capacity.processorMillicores
+		&& free.memoryMegabytes === capacity.memoryMegabytes
+		&& free.accelerators === capacity.accelerators;
+}
+
 /** Number of tasks of one size that fit, up to a limit. */
 export function countFitting(free: Resources, need: Resources, limit: number): number {
 	const countByAmount = (available: number, needed: number) => needed === 0 ? limit : Math.floor(available / needed);
--- a/packages/scheduling/reports.ts
+++ b/packages/scheduling/reports.ts
@@ -38,7 +38,7 @@
 		next => withoutEffects(withSnapshot(next, agent, snapshot, time.monotonic)),
 		// Ends are handled only after the stored jobs are loaded, so that none is acknowledged without being recorded.
 		...(state.isLoaded ? snapshot.ended : []).map(end => (next: SchedulerState) => handleEnd(next, agent, end, time)),
-		next => snapshot.isLeaseOver && isKnown ? releaseIncarnation(next, worker, 'worker is silent and its lease is over', time) : reconcile(next, agent, snapshot, time),
+		next => snapshot.isLeaseOver && isKnown ? releaseIncarnation(next, worker, 'worker-silent', time) : reconcile(next, agent, snapshot, time),
 	]);
 }
 
@@ -60,7 +60,7 @@
 		}
 	}
 
-	return releaseIncarnation(next, earlier, 'worker started again', time);
+	return releaseIncarnation(next, earlier, 'worker-restarted', time);
 }
 
 function withSnapshot(state: SchedulerState, agent: AgentName, snapshot: WorkerSnapshot, monotonic: MonotonicTime): SchedulerState {
@@ -238,7 +238,7 @@
 		return withoutEffects(state);
 	}
 
-	return removeWorker(state, worker, 'worker left', time);
+	return removeWorker(state, worker, 'worker-left', time);
 }
 
 /** The agent keeps its runs alive until its last grant expires. */
--- a/packages/scheduling/schedule.ts
+++ b/packages/scheduling/schedule.ts
@@ -86,13 +86,13 @@
 		return placements.length > 0 ? waiting : {...waiting, pool: holdClaims(waiting.pool, own), claims: [...waiting.claims, ...own]};
 	}
 
-	return mayPreempt(waiting.state, unit, monotonic)
+	return unit.isolation !== 'idle-worker' && mayPreempt(waiting.state, unit, monotonic)
 		? preempt(waiting, unit, remaining, monotonic)
 		: reserveForUnit(waiting, unit, monotonic);
 }
 
 function findPlacements({pool, exhausted}: Pass, unit: SchedulingUnit, claim: RoomClaim | undefined, monotonic: MonotonicTime): readonly Placement[] {
-	const onClaim = claim === undefined ? [] : placeOnClaim(unit, claim, pool);
+	const onClaim = claim === undefined || unit.isolation !== 'none' ? [] : placeOnClaim(unit, claim, pool);
 	if (onClaim.length > 0) {
 		return onClaim;
 	}
@@ -101,7 +101,7 @@
 }
 
 function noteExhaustion(pass: Pass, unit: SchedulingUnit): Pass {
-	return isExhausted(unit, pass.exhausted) || hasRoomForTask(unit, pass.pool)
+	return unit.isolation !== 'none' || isExhausted(unit, pass.exhausted) || hasRoomForTask(unit, pass.pool)
 		? pass
 		: {...pass, exhausted: [...pass.exhausted, shapeOf(unit)]};
 }
@@ -120,8 +120,8 @@
 	}
 
 	const job = pass.state.jobs.get(unit.job.submission.job) ?? unit.job;
-	const next = {...pass, pool};
 	const agents = placements.map(({agent}) => agent);
+	const next = {...pass, pool: unit.isolation === 'none' ? pool : reserveWorkers(pool, agents)};
 	if (job.outcome === 'queued' || (job.agents !== undefined && !agents.every(agent => job.agents?.has(agent)))) {
 		const claim = createRoomClaim(unit, countByAgent(placements), monotonic + claimMilliseconds);
 		return apply(next, storeJob(pass.state, {
--- a/packages/scheduling/state.ts
+++ b/packages/scheduling/state.ts
@@ -179,6 +179,7 @@
 		taskNames,
 		counts: {waiting: tasks.size - doneCount, running: 0, unfinished: tasks.size - doneCount},
 		hasStarted: tasks.some(task => hasStarted(task)),
+		hasCrashes: tasks.some(({crashes}) => crashes.length > 0),
 		outcome: stored.progress?.outcome ?? 'queued',
 		version: stored.progress === undefined ? 0 : 1,
 		storedVersion: stored.progress === undefined ? 0 : 1,
@@ -212,6 +213,7 @@
 		checkpointPercent: 0,
 		run: undefined,
 		avoided: [],
+		crashes: progress?.crashes ?? [],
 		preemptions: 0,
 	};
 }
@@ -219,12 +221,12 @@
 /** Progress of a job as it is stored; tasks without progress are left out. */
 export function describeProgress({outcome, tasks, endedAt, agents}: SchedulerJob): JobProgress {
 	const stored: Record<string, TaskProgress> = {};
-	for (const [name, {isDone, failedRuns, checkpoint}] of tasks) {
+	for (const [name, {isDone, failedRuns, checkpoint, crashes}] of tasks) {
 		if (isDone) {
 			stored[formatLocalTaskName(name)] = {isDone: true};
-		} else if (failedRuns.length > 0 || checkpoint !== '') {
+		} else if (failedRuns.length > 0 || checkpoint !== '' || crashes.length > 0) {
 			stored[formatLocalTaskName(name)] = {
-				...(failedRuns.length === 0 ? {} : {failedRuns}), ...(checkpoint === '' ? {} : {checkpoint}),
+				...(failedRuns.length === 0 ? {} : {failedRuns}), ...(checkpoint === '' ? {} : {checkpoint}), ...(crashes.length === 0 ? {} : {crashes}),
 			};
 		}
 	}
--- a/packages/scheduling/tick.ts
+++ b/packages/scheduling/tick.ts
@@ -104,7 +104,7 @@
 
 function removeLostWorkers(state: SchedulerState, time: CurrentTime): SchedulerTransition {
 	const lost = [...state.workers.values()].filter(({contact}) => contact.kind === 'lost' && contact.runsUntil <= time.monotonic);
-	return chain(state, lost.map(worker => next => removeWorker(next, worker, 'agent was lost and its grant is over', time)));
+	return chain(state, lost.map(worker => next => removeWorker(next, worker, 'agent-lost', time)));
 }
 
 function expireUnreadWorkers(state: SchedulerState, monotonic: MonotonicTime): SchedulerState {
--- a/packages/scheduling/types.ts
+++ b/packages/scheduling/types.ts
@@ -2,7 +2,7 @@
 import type {Map as PersistentMap, Set as PersistentSet} from 'immutable';
 import type {MonotonicTime, Unit, WorkerId} from '#core';
 import type {
-	JobKey, JobOutcome, JobProgress, JobSubmission, QueueName, SchedulingConfiguration, TaskName, WorkerIncarnation, WorkerSnapshot,
+	JobKey, JobOutcome, JobProgress, JobSubmission, QueueName, SchedulingConfiguration, TaskCrash, TaskName, WorkerIncarnation, WorkerSnapshot,
 } from '#jobs';
 
 /** Name of the agent that runs beside a worker. */
@@ -46,6 +46,8 @@
 	run: TaskRun | undefined;
 	/** Workers on which the task failed, got stuck or was not confirmed to have started. */
 	avoided: readonly WorkerId[];
+	/** Crashes of workers on which the task ran. */
+	crashes: readonly TaskCrash[];
 	/** How often the task was preempted in this epoch. */
 	preemptions: number;
 }>;
@@ -71,6 +73,8 @@
 	counts: TaskCounts;
 	/** Whether a task has started in this epoch or is done. */
 	hasStarted: boolean;
+	/** Whether a worker crashed under one of its tasks. */
+	hasCrashes: boolean;
 	outcome: 'queued' | JobOutcome;
 	/** Incremented by every change that has to be stored. */
 	version: number;
--- a/packages/scheduling/units.ts
+++ b/packages/scheduling/units.ts
@@ -7,6 +7,7 @@
 import {
 	atRiskSlackShare, earlyStartMilliseconds, guaranteedRackWaitMilliseconds, longTaskFactor, remoteRackFactor,
 } from './constants.js';
+import {chooseIsolation, selectStartable, type Isolation} from './crashes.js';
 import type {Rank} from './rank.js';
 import {
 	countFailures, isOpen, mayRunOnUnreadWorker, resolveQueue,
@@ -31,6 +32,7 @@
 	isAtRisk: boolean;
 	/** How long the tasks wait for one rack, or the rack of their data, before they run elsewhere. */
 	rackWaitLimit: Milliseconds;
+	isolation: Isolation;
 }>;
 
 /** Lists the units that may start now, in order of placement. */
@@ -51,13 +53,15 @@
 		const isLate = age > onTimeLimit;
 		const isAtRisk = age > (onTimeLimit - criticalPath) * atRiskSlackShare;
 		for (const occurrence of listDueOccurrences(job, now)) {
+			const waitingSince = Math.min(job.changedAt, monotonic);
 			units.push(...listReadySteps(job, queue, occurrence).map(unit => ({
 				...unit,
 				rank,
 				isLate,
 				isAtRisk,
 				isLong: unit.step.estimatedMilliseconds * (job.slowdown ?? 1) >= medianDuration * longTaskFactor,
-				waitingSince: Math.min(job.changedAt, monotonic),
+				waitingSince,
+				isolation: chooseIsolation(job, unit.tasks, waitingSince, monotonic),
 				rackWaitLimit: rank === 0 ? Math.min(unit.step.estimatedMilliseconds, guaranteedRackWaitMilliseconds) : unit.step.estimatedMilliseconds,
 			})));
 		}
@@ -94,7 +98,7 @@
 		}
 
 		const names = namesOf(stepIndex);
-		const waiting = listWaiting(job, names, step, queue);
+		const waiting = selectStartable(job, names, listWaiting(job, names, step, queue), step.isGang);
 		const isStartable = step.isGang ? waiting.length === names.length : waiting.length > 0;
 		return isStartable
 			? [{
--- a/packages/scheduling/wait-logs.ts
+++ b/packages/scheduling/wait-logs.ts
@@ -16,12 +16,17 @@
 - `no-worker`: no usable worker provides the service and the label.
 - `larger-than-pool`: the unit would not fit on all workers that it may use, even if they were idle.
 - `wants-rack`: the unit fits elsewhere but still waits for a single rack or the rack of its data.
+- `wants-idle-worker`: a worker crashed at an earlier start, so that the unit waits for one without other work.
 - `no-room`: other runs occupy the workers that the unit could use.
 */
-type WaitReason = 'no-worker' | 'larger-than-pool' | 'wants-rack' | 'no-room';
+type WaitReason = 'no-worker' | 'larger-than-pool' | 'wants-rack' | 'wants-idle-worker' | 'no-room';
 
 function findWaitReason(unit: SchedulingUnit, candidates: readonly PoolWorker[], monotonic: MonotonicTime): WaitReason {
 	const needed = unit.step.isGang ? unit.tasks.length : 1;
+	if (unit.isolation === 'idle-worker') {
+		return 'wants-idle-worker';
+	}
+
 	if (candidates.length === 0) {
 		return 'no-worker';
 	}
@@ -64,6 +69,7 @@
 
 		case 'larger-than-pool':
 		case 'wants-rack':
+		case 'wants-idle-worker':
 		case 'no-room': {
 			return {
 				...common,
