Model workers that crash under a task and whose capacity changes, and report a changed capacity at once

The worker's stand-in crashes under given tasks and comes back under the same identifier, and says that its capacity shrank or grew. The random model of the scheduler has both, and checks that no worker gets more than it last reported and that a task that crashes its workers is started at most five times, and once more for each scheduler that was replaced meanwhile.

Starts kept to a changed capacity before, within half a second; the agent now reports it at once, and the pass that may use it follows.

--- a/packages/scheduling/reports.ts
+++ b/packages/scheduling/reports.ts
@@ -47,6 +47,9 @@
 	return contact.kind === 'lost'
 		|| earlier.state !== snapshot.state
 		|| earlier.isResponsive !== snapshot.isResponsive
+		|| earlier.capacity.processorMillicores !== snapshot.capacity.processorMillicores
+		|| earlier.capacity.memoryMegabytes !== snapshot.capacity.memoryMegabytes
+		|| earlier.capacity.accelerators !== snapshot.capacity.accelerators
 		|| earlier.running.length !== snapshot.running.length;
 }
 
--- a/packages/supervision/announcements.ts
+++ b/packages/supervision/announcements.ts
@@ -1,5 +1,5 @@
 import type {MonotonicTime} from '#core';
-import {isSameIncarnation} from '#jobs';
+import {isSameIncarnation, type Resources} from '#jobs';
 import {incrementRevision, type SupervisionStep} from './state.js';
 import type {Announcement, SupervisedWorker, SupervisionState} from './types.js';
 
@@ -17,10 +17,16 @@
 			return {state, effects: []};
 		}
 
-		const hasStateChanged = announcement.state !== worker.announcement.state;
+		const hasStateChanged = announcement.state !== worker.announcement.state || !isSameCapacity(announcement.capacity, worker.announcement.capacity);
 		const next = {...state, worker: {...worker, announcement, leavesAt}};
 		return hasStateChanged
-			? {state: incrementRevision(next), effects: [{kind: 'renew'}, {kind: 'log', event: 'worker-state-changed', fields: {worker: announcement.worker, state: announcement.state}}]}
+			? {
+				state: incrementRevision(next),
+				effects: [
+					{kind: 'renew'},
+					{kind: 'log', event: 'worker-state-changed', fields: {worker: announcement.worker, state: announcement.state, ...announcement.capacity}},
+				],
+			}
 			: {state: next, effects: []};
 	}
 
@@ -49,6 +55,10 @@
 	};
 }
 
+function isSameCapacity(first: Resources, second: Resources): boolean {
+	return first.processorMillicores === second.processorMillicores && first.memoryMegabytes === second.memoryMegabytes && first.accelerators === second.accelerators;
+}
+
 export function handleDeparture(state: SupervisionState, {announcement: {worker, incarnation}}: SupervisedWorker): SupervisionStep {
 	return {
 		state: incrementRevision({...state, worker: undefined}),
--- a/test/platform/path.test.ts
+++ b/test/platform/path.test.ts
@@ -35,6 +35,9 @@
 /** Shortest time for which the record of a scheduler that lost the store would stand: its lease, less the time since its last renewal. */
 const leaseMilliseconds = 1000;
 
+/** A worker announces itself every 0.3 s, and its agent passes it on twice a second. */
+const capacityReportMilliseconds = 1000;
+
 const first = '00000000000000a1';
 const second = '00000000000000a2';
 
@@ -201,6 +204,40 @@
 			expect(findOverlaps(deployment)).to.deep.equal([]);
 		},
 	},
+	{
+		name: 'a task that crashes its workers is given up, and other work completes (worker after worker crashes)',
+		options: {
+			entries: 1, workers: 3, workMilliseconds: 300, crashesOn: task => task.startsWith(first),
+		},
+		async run(deployment) {
+			await submit(deployment, `/batch/${first}`, [{...step, count: 1}]);
+			await submit(deployment, `/batch/${second}`, [step]);
+			await waitForState(deployment, `/batch/${first}`, 'failed');
+			await waitForState(deployment, `/batch/${second}`, 'completed');
+			expect(deployment.workers.reduce((total, worker) => total + worker.crashes(), 0)).to.equal(3);
+		},
+	},
+	{
+		name: 'starts keep to the capacity of a worker that shrinks and grows again (worker over its capacity)',
+		options: {entries: 1, workers: 1, workMilliseconds: 1500},
+		async run(deployment) {
+			const [worker] = deployment.workers;
+			await submit(deployment, `/batch/${first}`, [step]);
+			await waitFor('starts', async () => worker?.records().length === 2 ? true : undefined);
+			worker?.setAccelerators(1);
+			await new Promise(resolve => {
+				setTimeout(resolve, capacityReportMilliseconds);
+			});
+			await submit(deployment, `/batch/${second}`, [step]);
+			await waitForState(deployment, `/batch/${first}`, 'completed');
+			await waitFor('start', async () => worker?.records().length === 3 ? true : undefined);
+			expect(worker?.records()[2]?.startedAt).to.be.at.least(Math.max(...worker?.records().slice(0, 2).map(({endedAt}) => endedAt ?? Infinity) ?? []));
+			worker?.setAccelerators(8);
+			await waitFor('start in the room that grew', async () => worker?.records().length === 4 ? true : undefined);
+			expect(worker?.records()[2]?.endedAt).to.equal(undefined);
+			await waitForState(deployment, `/batch/${second}`, 'completed');
+		},
+	},
 ];
 
 describe('entry and agent programs on the platform', function () {
--- a/test/scheduling/properties.test.ts
+++ b/test/scheduling/properties.test.ts
@@ -10,20 +10,23 @@
 
 /** Simulates a worker: executes orders under leases, with fencing by epoch, independently of the scheduler's state. */
 class SimulatedWorker {
-	readonly runs = new Map<TaskName, {run: number; step: JobStep; until: number; endsAt: number; fails: boolean}>();
+	readonly runs = new Map<TaskName, {run: number; step: JobStep; until: number; endsAt: number; fails: boolean; crashes: boolean}>();
 	readonly highestRuns = new Map<TaskName, number>();
 	ends: EndedRun[] = [];
 	fencingEpoch = 0;
 	endCount = 0;
 	incarnation = 1;
 	isDisconnected = false;
+	accelerators = 8;
+	/** What the scheduler was told; it keeps to this, while the worker starts whatever it is told to. */
+	reportedAccelerators = 8;
 	leaseUntil = grantValidityMilliseconds;
 	/** Ends up to this number no longer count, since the lease expired before they were acknowledged. */
 	expiredThrough = 0;
 
 	constructor(readonly agent: string, readonly observe: (event: Readonly<{kind: 'started' | 'ended' | 'end-expired'; task: TaskName; worker: SimulatedWorker; ending?: string}>) => void) {}
 
-	start(task: TaskName, run: number, step: JobStep, options: Readonly<{epoch: number; now: number; duration: number; fails: boolean}>): 'started' | 'no-room' | 'run-too-low' | 'superseded' {
+	start(task: TaskName, run: number, step: JobStep, options: Readonly<{epoch: number; now: number; duration: number; fails: boolean; crashes: boolean}>): 'started' | 'run-too-low' | 'superseded' {
 		if (options.epoch < this.fencingEpoch) {
 			return 'superseded';
 		}
@@ -34,12 +37,9 @@
 		}
 
 		const used = [...this.runs.values()].reduce((total, current) => total + current.step.accelerators, 0);
-		if (used + step.accelerators > 8) {
-			return 'no-room';
-		}
-
+		expect(used + step.accelerators, `${this.agent} is over its capacity`).to.be.at.most(this.reportedAccelerators);
 		this.runs.set(task, {
-			run, step, until: options.now + grantValidityMilliseconds, endsAt: options.now + options.duration, fails: options.fails,
+			run, step, until: options.now + grantValidityMilliseconds, endsAt: options.now + options.duration, fails: options.fails, crashes: options.crashes,
 		});
 		this.observe({kind: 'started', task, worker: this});
 		return 'started';
@@ -77,6 +77,10 @@
 			this.expireEnds();
 		}
 
+		if ([...this.runs.values()].some(({crashes}) => crashes)) {
+			this.crash();
+		}
+
 		for (const [task, run] of this.runs) {
 			if (now >= run.until) {
 				this.end(task, 'lapsed');
@@ -117,8 +121,12 @@
 	}
 }
 
+/** What a job's tasks do on every worker. */
+type Behaviour = 'works' | 'fails' | 'crashes';
+
 type Action =
-	| Readonly<{kind: 'submit'; count: number; accelerators: number; isGang: boolean; priority: number; duration: number; fails: boolean}>
+	| Readonly<{kind: 'submit'; count: number; accelerators: number; isGang: boolean; priority: number; duration: number; behaviour: Behaviour}>
+	| Readonly<{kind: 'resize'; worker: number; accelerators: number}>
 	| Readonly<{kind: 'disconnect' | 'reconnect' | 'crash'; worker: number}>
 	| Readonly<{kind: 'take-over'}>
 	| Readonly<{kind: 'cancel'; job: number}>
@@ -129,9 +137,10 @@
 const actionArbitrary: fastCheck.Arbitrary<Action> = fastCheck.oneof(
 	fastCheck.record({
 		kind: fastCheck.constant('submit' as const), count: fastCheck.integer({min: 1, max: 4}), accelerators: fastCheck.constantFrom(1, 2, 4, 8), isGang: fastCheck.boolean(),
-		priority: fastCheck.nat(2), duration: fastCheck.integer({min: 300, max: 9000}), fails: fastCheck.constantFrom(false, false, false, true),
+		priority: fastCheck.nat(2), duration: fastCheck.integer({min: 300, max: 9000}), behaviour: fastCheck.constantFrom<Behaviour>('works', 'works', 'works', 'fails', 'crashes'),
 	}),
 	fastCheck.record({kind: fastCheck.constantFrom('disconnect' as const, 'reconnect' as const, 'crash' as const), worker: workerIndex}),
+	fastCheck.record({kind: fastCheck.constant('resize' as const), worker: workerIndex, accelerators: fastCheck.constantFrom(0, 2, 4, 8)}),
 	fastCheck.constant({kind: 'take-over' as const}),
 	fastCheck.record({kind: fastCheck.constant('cancel' as const), job: fastCheck.nat(8)}),
 	fastCheck.record({kind: fastCheck.constant('lose-answers' as const), starts: fastCheck.integer({min: 1, max: 3})}),
@@ -143,6 +152,8 @@
 	readonly running = new Map<TaskName, SimulatedWorker>();
 	readonly done = new Set<TaskName>();
 	readonly failures = new Map<TaskName, number>();
+	/** Starts of tasks that crash their workers. */
+	readonly crashingStarts = new Map<TaskName, number>();
 	readonly workers = [0, 1, 2].map(index => new SimulatedWorker(`agent-${index}`, event => {
 		this.check(event);
 	}));
@@ -152,7 +163,7 @@
 	jobs = 0;
 	lostAnswers = 0;
 	cancelled = new Set<number>();
-	profiles = new Map<string, Readonly<{duration: number; fails: boolean}>>();
+	profiles = new Map<string, Readonly<{duration: number; fails: boolean; crashes: boolean}>>();
 	submissions = new Map<string, ReturnType<typeof submissionOf>>();
 	stored = new Map<string, ReturnType<typeof describeProgress>>();
 	driver: Driver = createDriver();
@@ -167,6 +178,7 @@
 			expect(this.done.has(task), `${task} is already done`).to.equal(false);
 			expect(this.failures.get(task) ?? 0, `${task} has no attempts left`).to.be.below(3);
 			this.running.set(task, worker);
+			this.countCrashingStart(task);
 			return;
 		}
 
@@ -188,6 +200,15 @@
 		}
 	}
 
+	/** Two starts may follow the third crash, and one more for each scheduler that was replaced before it heard of a crash. */
+	countCrashingStart(task: TaskName): void {
+		if (this.profiles.get(task.slice(0, 16))?.crashes === true) {
+			const starts = (this.crashingStarts.get(task) ?? 0) + 1;
+			this.crashingStarts.set(task, starts);
+			expect(starts, `${task} has crashed enough workers`).to.be.at.most(5 + this.epoch - 1);
+		}
+	}
+
 	takeOver(): void {
 		this.epoch++;
 		// Runs may end while there is no scheduler.
@@ -321,10 +342,12 @@
 			worker.ends = worker.ends.filter(({number}) => number > known.notedEnd);
 		}
 
+		worker.reportedAccelerators = worker.accelerators;
 		this.send({
 			kind: 'renewed',
 			agent: worker.agent,
 			snapshot: snapshotOf(worker.agent, {
+				capacity: {processorMillicores: 128_000, memoryMegabytes: 262_144, accelerators: worker.accelerators},
 				incarnation: String(worker.incarnation),
 				running: [...worker.runs].map(([task, {run, endsAt}]) => ({
 					task, run, checkpoint: '', percent: Math.max(0, Math.min(99, 100 - ((endsAt - this.time) / 100))),
@@ -344,7 +367,7 @@
 						count: action.isGang ? Math.min(action.count, 3) : action.count, accelerators: action.accelerators, isGang: action.isGang, estimatedMilliseconds: action.duration,
 					}], {priority: action.priority, submittedAt: this.time}), queue: queueOf(action.priority),
 				};
-				this.profiles.set(submission.job, {duration: action.duration, fails: action.fails});
+				this.profiles.set(submission.job, {duration: action.duration, fails: action.behaviour === 'fails', crashes: action.behaviour === 'crashes'});
 				this.submissions.set(submission.job, submission);
 				this.send({kind: 'submitted', submission});
 				break;
@@ -365,6 +388,11 @@
 				break;
 			}
 
+			case 'resize': {
+				this.pick(action.worker).accelerators = action.accelerators;
+				break;
+			}
+
 			case 'take-over': {
 				this.takeOver();
 				break;
@@ -409,7 +437,7 @@
 describe('scheduler guarantees under random failures', function () {
 	this.timeout(120_000);
 
-	it('no task runs twice at once, again after its completion or beyond its attempts, and every job ends after the failures stop', () => {
+	it('no task runs twice at once, again once done or beyond its attempts, or crashes worker after worker; no worker is over its capacity; every job ends after the failures stop', () => {
 		fastCheck.assert(fastCheck.property(fastCheck.array(actionArbitrary, {minLength: 5, maxLength: 30}), actions => {
 			const cluster = new Cluster();
 			for (const action of actions) {
@@ -419,6 +447,7 @@
 
 			for (const worker of cluster.workers) {
 				worker.isDisconnected = false;
+				worker.accelerators = 8;
 			}
 
 			cluster.lostAnswers = 0;
--- a/test/supervision/receive.test.ts
+++ b/test/supervision/receive.test.ts
@@ -140,6 +140,19 @@
 			expect(state.worker?.announcement.state).to.equal('draining');
 		},
 	},
+	{
+		name: 'a change of the capacity is reported at once (starts on room that is gone)',
+		run() {
+			const {state, effects} = applyMessages([
+				[0, {kind: 'announced', announcement: announcement()}],
+				[0, granted],
+				[5, extensionAnswered(50_005)],
+				[10, {kind: 'announced', announcement: announcement({sequence: 2, capacity: {processorMillicores: 1, memoryMegabytes: 1, accelerators: 0}})}],
+			]);
+			expect(describeWorker(state, 10)?.capacity.accelerators).to.equal(0);
+			expect(effects.map(({kind}) => kind)).to.include('renew');
+		},
+	},
 	{
 		name: 'an unresponsive worker is reported, and its lease is over only after all margins (runs declared lost too early)',
 		run() {
--- a/test/support/platform/deployment.ts
+++ b/test/support/platform/deployment.ts
@@ -21,7 +21,7 @@
 	stop(): Promise<void>;
 }>;
 
-export type DeploymentOptions = Readonly<{entries: number; workers: number; workMilliseconds: number; failingWorkers?: number; configuration?: unknown}>;
+export type DeploymentOptions = Readonly<{entries: number; workers: number; workMilliseconds: number; failingWorkers?: number; crashesOn?: (task: string) => boolean; configuration?: unknown}>;
 
 /** Two queues: `/urgent/` of priority 0 and `/batch/` of priority 2. */
 export const defaultManifest = describeManifest(3, [
@@ -41,7 +41,7 @@
 	return response.text();
 }
 
-export async function startDeployment({entries, workers, workMilliseconds, failingWorkers = 0, configuration = defaultManifest}: DeploymentOptions): Promise<Deployment> {
+export async function startDeployment({entries, workers, workMilliseconds, failingWorkers = 0, crashesOn, configuration = defaultManifest}: DeploymentOptions): Promise<Deployment> {
 	const store = await servePlatformStore();
 	const base = nextPort;
 	nextPort += 20;
@@ -60,7 +60,7 @@
 		};
 	}));
 	const workerList = await Promise.all(Array.from({length: workers}, async (_, index) => servePlatformWorker({
-		host: loopbackHost(100 + index), id: `i-${index}`, rack: `r-${index % 2}`, service: 'svc', workMilliseconds, failsAll: index < failingWorkers,
+		host: loopbackHost(100 + index), id: `i-${index}`, rack: `r-${index % 2}`, service: 'svc', workMilliseconds, failsAll: index < failingWorkers, ...(crashesOn === undefined ? {} : {crashesOn}),
 	})));
 	const agents = await Promise.all(workerList.map(async (worker, index) => startPlatformAgent({
 		index, host: loopbackHost(100 + index), base, seeds, storeAddress: store.address,
--- a/test/support/platform/worker.ts
+++ b/test/support/platform/worker.ts
@@ -18,13 +18,21 @@
 	setDraining(): void;
 	/** Carries out starts this much later and answers none of them. */
 	delayStarts(delay: number): void;
+	/** Changes what the worker says of its accelerators; it does not guard them. */
+	setAccelerators(accelerators: number): void;
+	/** How often the worker crashed. */
+	crashes(): number;
 	close(): Promise<void>;
 }>;
 
-export type PlatformWorkerOptions = Readonly<{host: string; id: string; rack: string; service: string; workMilliseconds: number; failsAll?: boolean}>;
+export type PlatformWorkerOptions = Readonly<{host: string; id: string; rack: string; service: string; workMilliseconds: number; failsAll?: boolean; crashesOn?: (task: string) => boolean}>;
 
-export async function servePlatformWorker({host, id, rack, service, workMilliseconds, failsAll = false}: PlatformWorkerOptions): Promise<PlatformWorker> {
-	const born = Date.now();
+export async function servePlatformWorker({host, id, rack, service, workMilliseconds, failsAll = false, crashesOn = () => false}: PlatformWorkerOptions): Promise<PlatformWorker> {
+	let born = Date.now();
+	let accelerators = 8;
+	let crashCount = 0;
+	let isDown = false;
+	let restartTimer: NodeJS.Timeout | undefined;
 	const runs = new Map<string, Run>();
 	const highest = new Map<string, number>();
 	const records: Array<{task: string; run: number; startedAt: number; endedAt: number | undefined; ending: string | undefined}> = [];
@@ -96,9 +104,41 @@
 		records.push({
 			task, run, startedAt: Date.now(), endedAt: undefined, ending: undefined,
 		});
+		if (crashesOn(task)) {
+			setTimeout(crash, crashDelayMilliseconds);
+		}
+
 		return [200, {clock_ms: clock()}];
 	};
 
+	/** Ends like a killed process and starts again under the same identifier, with nothing of before. */
+	const crash = () => {
+		if (isDown) {
+			return;
+		}
+
+		isDown = true;
+		crashCount++;
+		clearTimeout(leaseTimer);
+		for (const run of runs.values()) {
+			end(run, 'crashed');
+		}
+
+		highest.clear();
+		ends = [];
+		endCount = 0;
+		fence = 0;
+		deadline = 0;
+		sequence = 0;
+		server.close();
+		server.closeAllConnections();
+		restartTimer = setTimeout(() => {
+			born = Date.now();
+			isDown = false;
+			void listen(server, host, port);
+		}, restartMilliseconds);
+	};
+
 	const stop = (body: Readonly<Record<string, unknown>>): [number, unknown] => {
 		const task = String(body['task']);
 		const run = Number(body['run_id']);
@@ -191,25 +231,27 @@
 	const {port} = server.address() as AddressInfo;
 	const announce = async (address: string) => {
 		try {
-			await fetch(`http://${address}/v1/instances/${id}`, {
-				method: 'PUT',
-				headers: {'content-type': 'application/json'},
-				body: JSON.stringify({
-					service,
-					address: `${host}:${port}`,
-					zone: 'z',
-					version: 'v1',
-					slots: 8,
-					state,
-					cold_remaining_ms: 0,
-					capacity: {cpu: 128_000, mem_mb: 262_144, gpus: 8},
-					labels: ['a', rack],
-					clock_ms: clock(),
-					seq_no: ++sequence,
-					born,
-					...(state === 'draining' ? {drain_remaining_ms: 3000} : {}),
-				}),
-			});
+			await (isDown
+				? undefined
+				: fetch(`http://${address}/v1/instances/${id}`, {
+					method: 'PUT',
+					headers: {'content-type': 'application/json'},
+					body: JSON.stringify({
+						service,
+						address: `${host}:${port}`,
+						zone: 'z',
+						version: 'v1',
+						slots: 8,
+						state,
+						cold_remaining_ms: 0,
+						capacity: {cpu: 128_000, mem_mb: 262_144, gpus: accelerators},
+						labels: ['a', rack],
+						clock_ms: clock(),
+						seq_no: ++sequence,
+						born,
+						...(state === 'draining' ? {drain_remaining_ms: 3000} : {}),
+					}),
+				}));
 		} catch {
 			// The agent may not run yet; the next announcement finds it.
 		}
@@ -232,8 +274,13 @@
 		delayStarts(delay) {
 			startDelay = delay;
 		},
+		setAccelerators(next) {
+			accelerators = next;
+		},
+		crashes: () => crashCount,
 		async close() {
 			clearTimeout(beat);
+			clearTimeout(restartTimer);
 			clearTimeout(leaseTimer);
 			for (const run of runs.values()) {
 				clearTimeout(run.timer);
@@ -250,6 +297,8 @@
 /** A steady clock need not begin at 0. */
 const clockOffset = 50_000;
 const beatMilliseconds = 300;
+const crashDelayMilliseconds = 10;
+const restartMilliseconds = 800;
 
 function reply(response: ServerResponse, status: number, body: unknown): void {
 	if (!response.destroyed) {
