--- a/packages/coordinator/callers/show.ts
+++ b/packages/coordinator/callers/show.ts
@@ -59,7 +59,8 @@
 		const records = await store.list(jobStoreKey(job));
 		if (records.kind === 'listed') {
 			const record = records.values.find(({key}) => key === jobStoreKey(job));
-			if (record === undefined || (record.value as Readonly<{kind?: unknown}>).kind !== 'accepted') {
+			const checked = record === undefined ? undefined : checkInput(jobRecordSchema, record.value, record.key);
+			if (checked?.kind !== 'valid' || checked.value.kind !== 'accepted') {
 				return {kind: 'absent'};
 			}
 
--- a/packages/jobs/types.ts
+++ b/packages/jobs/types.ts
@@ -61,12 +61,22 @@
 }), valibot.readonly());
 export type Schedule = valibot.InferOutput<typeof scheduleSchema>;
 
+/** Number of tasks over all steps and occurrences of a job. The scheduler holds all of them in memory, at 0.5 KB each. */
+export const maximumTasksPerJob = 20_000;
+
 /** Job as requested by the caller. */
-export const jobRequestSchema = valibot.pipe(valibot.object({
-	specification: valibot.pipe(valibot.string(), valibot.maxLength(4000)),
-	steps: valibot.pipe(valibot.pipe(valibot.array(stepSchema), valibot.minLength(1), valibot.maxLength(100)), valibot.readonly()),
-	schedule: valibot.optional(scheduleSchema),
-}), valibot.readonly());
+export const jobRequestSchema = valibot.pipe(
+	valibot.object({
+		specification: valibot.pipe(valibot.string(), valibot.maxLength(4000)),
+		steps: valibot.pipe(valibot.pipe(valibot.array(stepSchema), valibot.minLength(1), valibot.maxLength(100)), valibot.readonly()),
+		schedule: valibot.optional(scheduleSchema),
+	}),
+	valibot.check(
+		({steps, schedule}) => steps.reduce((total, {count}) => total + count, 0) * (schedule?.occurrences ?? 1) <= maximumTasksPerJob,
+		`must have at most ${maximumTasksPerJob} tasks over all steps and occurrences`,
+	),
+	valibot.readonly(),
+);
 export type JobRequest = valibot.InferOutput<typeof jobRequestSchema>;
 
 export const queueSchema = valibot.pipe(valibot.object({
@@ -174,7 +184,7 @@
 /** A run that a worker reports as running. */
 export const reportedRunSchema = valibot.pipe(valibot.object({
 	task: taskNameSchema,
-	run: valibot.number(),
+	run: countSchema,
 	/** Empty if there is none. */
 	checkpoint: valibot.string(),
 	/** Percentage of the work that is done, 0 to 100. */
@@ -185,9 +195,9 @@
 /** The end of a run, which a worker lists until it is acknowledged. */
 export const endedRunSchema = valibot.pipe(valibot.object({
 	/** Sequence number among the ends of one incarnation, from 1. */
-	number: valibot.number(),
+	number: countSchema,
 	task: taskNameSchema,
-	run: valibot.number(),
+	run: countSchema,
 	ending: valibot.picklist(runEndings),
 	checkpoint: valibot.string(),
 }), valibot.readonly());
