Ignore announcements that another writer sent in a worker's name

An announcement with a start far in the future, or of a worker at another address or at a port that does not exist, took the place of the agent's worker, whose own announcements then looked outdated: the worker got no work any more.

It ignores a start more than an hour ahead of its clock, a number more than 3,000 above the last one, and, once it knows the worker at the configured address, an announcement of another address. Each is logged with its reason.

--- a/packages/core/work.ts
+++ b/packages/core/work.ts
@@ -5,7 +5,7 @@
 } from './types.js';
 
 /** A non-negative integer. */
-export const countSchema = valibot.pipe(valibot.number(), valibot.integer(), valibot.minValue(0));
+export const countSchema = valibot.pipe(valibot.number(), valibot.safeInteger('must be a whole number'), valibot.minValue(0));
 const timestampSchema = valibot.pipe(valibot.number(), valibot.minValue(0));
 /** A duration in milliseconds. */
 export const durationSchema = valibot.pipe(valibot.number(), valibot.minValue(0));
--- a/packages/supervision/announcements.ts
+++ b/packages/supervision/announcements.ts
@@ -1,11 +1,17 @@
-import type {MonotonicTime} from '#core';
+import type {CurrentTime, Timestamp} from '#core';
 import {isSameIncarnation, type Resources} from '#jobs';
-import {incrementRevision, type SupervisionStep} from './state.js';
+import {maximumSequenceGap, maximumStartAheadMilliseconds} from './constants.js';
+import {incrementRevision, type SupervisionOptions, type SupervisionStep} from './state.js';
 import type {Announcement, SupervisedWorker, SupervisionState} from './types.js';
 
-/** Applies an announcement. One of an earlier incarnation, or a stale one of this incarnation, is ignored. */
-export function handleAnnouncement(state: SupervisionState, announcement: Announcement, monotonic: MonotonicTime): SupervisionStep {
+/** Applies an announcement. One of an earlier incarnation, a stale one of this incarnation, or one that another writer sent is ignored. */
+export function handleAnnouncement(state: SupervisionState, announcement: Announcement, {now, monotonic}: CurrentTime, {workerAddress}: SupervisionOptions): SupervisionStep {
 	const {worker} = state;
+	const doubt = findDoubt(announcement, worker?.announcement, now, workerAddress);
+	if (doubt !== undefined) {
+		return {state, effects: [{kind: 'log', event: 'announcement-ignored', fields: {worker: announcement.worker, incarnation: announcement.incarnation, doubt}}]};
+	}
+
 	const isCurrentIncarnation = isSameIncarnation(worker?.announcement, announcement);
 	if (worker !== undefined && !isCurrentIncarnation && announcement.startedAt < worker.announcement.startedAt) {
 		return {state, effects: []};
@@ -55,6 +61,21 @@
 	};
 }
 
+/** Says why an announcement cannot be the worker's own. Accepting it would hide the worker, whose own ones then look outdated. */
+function findDoubt(announcement: Announcement, current: Announcement | undefined, now: Timestamp, workerAddress: string): string | undefined {
+	if (announcement.startedAt > now + maximumStartAheadMilliseconds) {
+		return 'claims to have started in the future';
+	}
+
+	if (current?.address === workerAddress && announcement.address !== workerAddress) {
+		return 'names another address';
+	}
+
+	return isSameIncarnation(current, announcement) && announcement.sequence > (current?.sequence ?? 0) + maximumSequenceGap
+		? 'its number is far ahead'
+		: undefined;
+}
+
 function isSameCapacity(first: Resources, second: Resources): boolean {
 	return first.processorMillicores === second.processorMillicores && first.memoryMegabytes === second.memoryMegabytes && first.accelerators === second.accelerators;
 }
--- a/packages/supervision/constants.ts
+++ b/packages/supervision/constants.ts
@@ -1,3 +1,7 @@
+/** An announcement that claims a later start than this after the present is not the worker's own; clocks of the machines differ by seconds. */
+export const maximumStartAheadMilliseconds = 3_600_000;
+/** An announcement with a number this far above the last one is not the worker's own; at the usual interval that takes over an hour. */
+export const maximumSequenceGap = 3000;
 /** Long-poll timeout of a lease extension that waits for a run to end; the worker allows at most 2 s. Leases are extended once in this time, because each call extends them. */
 export const extensionWaitMilliseconds = 1000;
 /** Delay before a failed lease extension is retried. */
--- a/packages/supervision/deadlines.ts
+++ b/packages/supervision/deadlines.ts
@@ -15,7 +15,7 @@
 export const noDeadline: Deadline = {deadline: undefined, leaseUntil: 0};
 
 /** Computes the latest expiry that leases may be given now; it never exceeds the grant. */
-export function computeLeaseDeadline(state: SupervisionState, monotonic: MonotonicTime, {maximumLeaseMilliseconds}: SupervisionOptions): Deadline {
+export function computeLeaseDeadline(state: SupervisionState, monotonic: MonotonicTime, {maximumLeaseMilliseconds}: Pick<SupervisionOptions, 'maximumLeaseMilliseconds'>): Deadline {
 	const {worker, grantUntil} = state;
 	const workerClock = worker === undefined ? undefined : estimateWorkerClock(worker, monotonic);
 	const remaining = Math.min(grantUntil - monotonic, maximumLeaseMilliseconds);
--- a/packages/supervision/receive.ts
+++ b/packages/supervision/receive.ts
@@ -13,7 +13,7 @@
 
 /** Decides when leases are extended, which scheduler's orders are accepted, and what is reported. */
 export function receiveSupervisionMessage(state: SupervisionState, message: SupervisionMessage, time: CurrentTime, options: SupervisionOptions): SupervisionStep {
-	return state.isStopped ? {state, effects: []} : handleMessage(updateClockOffset(state, time), message, time.monotonic, options);
+	return state.isStopped ? {state, effects: []} : handleMessage(updateClockOffset(state, time), message, time, options);
 }
 
 /**
@@ -27,10 +27,11 @@
 	return {...state, clockOffset, grantUntil: isSuspended ? 0 : state.grantUntil};
 }
 
-function handleMessage(state: SupervisionState, message: SupervisionMessage, monotonic: MonotonicTime, options: SupervisionOptions): SupervisionStep {
+function handleMessage(state: SupervisionState, message: SupervisionMessage, time: CurrentTime, options: SupervisionOptions): SupervisionStep {
+	const {monotonic} = time;
 	switch (message.kind) {
 		case 'announced': {
-			return handleAnnouncement(state, message.announcement, monotonic);
+			return handleAnnouncement(state, message.announcement, time, options);
 		}
 
 		case 'departed': {
--- a/packages/supervision/state.ts
+++ b/packages/supervision/state.ts
@@ -6,6 +6,8 @@
 export type SupervisionOptions = Readonly<{
 	/** Longest lease that the worker grants. */
 	maximumLeaseMilliseconds: Milliseconds;
+	/** Address of the worker beside the agent. */
+	workerAddress: string;
 }>;
 
 /** Marks a change that must be reported to the scheduler. */
--- a/packages/supervision/types.ts
+++ b/packages/supervision/types.ts
@@ -7,6 +7,8 @@
 /** A worker's description of itself. */
 export type Announcement = Readonly<{
 	worker: WorkerId;
+	/** Address (host:port) at which it takes orders. */
+	address: string;
 	/** Identifies one run of the worker process. */
 	incarnation: string;
 	/** Unix time at which the incarnation started; a lower one shows a delayed announcement of an earlier incarnation. */
--- a/packages/supervisor/plugins/supervision.ts
+++ b/packages/supervisor/plugins/supervision.ts
@@ -17,7 +17,7 @@
 	name: 'supervision',
 	start(context) {
 		const {clock, services, settings} = context;
-		const options = {maximumLeaseMilliseconds: settings['maximum-hold-milliseconds']};
+		const options = {maximumLeaseMilliseconds: settings['maximum-hold-milliseconds'], workerAddress: settings['worker-address']};
 		const supervision = startTask<SupervisionState, SupervisionMessage, SupervisionEffect>(
 			{
 				name: 'supervision',
--- a/test/supervision/receive.test.ts
+++ b/test/supervision/receive.test.ts
@@ -6,12 +6,12 @@
 	type SupervisionState,
 } from '#supervision';
 
-const options = {maximumLeaseMilliseconds: 6000};
+const options = {maximumLeaseMilliseconds: 6000, workerAddress: 'h:1'};
 const task = '00000000000000a1.0.0.0' as TaskName;
 
 function announcement(change: Partial<Announcement> = {}): Announcement {
 	return {
-		worker: 'w' as WorkerId, incarnation: '100', startedAt: 100, sequence: 1, service: 'svc' as ServiceName, zone: 'z', labels: ['a', 'r'], rack: 'r',
+		worker: 'w' as WorkerId, address: 'h:1', incarnation: '100', startedAt: 100, sequence: 1, service: 'svc' as ServiceName, zone: 'z', labels: ['a', 'r'], rack: 'r',
 		capacity: {processorMillicores: 1, memoryMegabytes: 1, accelerators: 1}, state: 'ready', leavesInMilliseconds: undefined, clock: 50_000, ...change,
 	};
 }
--- a/test/support/platform/deployment.ts
+++ b/test/support/platform/deployment.ts
@@ -16,6 +16,8 @@
 	entries: readonly PlatformEntry[];
 	agents: readonly Daemon[];
 	workers: readonly PlatformWorker[];
+	/** Announces a worker to an agent, as another writer may; returns the status. */
+	announce(agent: number, identifier: string, text: string): Promise<number>;
 	/** Sends a caller's request; undefined if no answer came. */
 	call(entry: number, method: CallMethod, path: string, body?: unknown): Promise<FrontAnswer | undefined>;
 	stop(): Promise<void>;
@@ -78,6 +80,11 @@
 		entries: running,
 		agents,
 		workers: workerList,
+		async announce(agent, identifier, text) {
+			const address = addressesOf.announcements(loopbackHost(100 + agent), base);
+			const response = await fetch(`http://${address}/v1/instances/${identifier}`, {method: 'PUT', body: text});
+			return response.status;
+		},
 		call: async (entry, method, path, body) => callFront(running[entry]?.front ?? '', method, path, {body}),
 		async stop() {
 			await killAll([...running.map(({daemon}) => daemon), ...agents]);
--- a/test/support/platform/worker.ts
+++ b/test/support/platform/worker.ts
@@ -20,6 +20,8 @@
 	delayStarts(delay: number): void;
 	/** Changes what the worker says of its accelerators; it does not guard them. */
 	setAccelerators(accelerators: number): void;
+	/** Unix time at which its incarnation started. */
+	startedAt(): number;
 	/** How often the worker crashed. */
 	crashes(): number;
 	close(): Promise<void>;
@@ -277,6 +279,7 @@
 		setAccelerators(next) {
 			accelerators = next;
 		},
+		startedAt: () => born,
 		crashes: () => crashCount,
 		async close() {
 			clearTimeout(beat);
