Check addresses, whole numbers and nesting of stored values, messages and settings

Values in the store, responses and messages between processes are refused if they are nested too deeply, since writing such a value to a log overflows the stack; addresses need a port from 1 to 65535, since opening a connection to another one throws; counts need to be safe integers. Settings refuse such ports with a finding instead of a stack trace, and accept times that are no whole numbers, as the platform gives some of them.

--- a/packages/coordinator/configuration-encoding.ts
+++ b/packages/coordinator/configuration-encoding.ts
@@ -2,7 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {promisify} from 'node:util';
 import {constants, gunzip, gzip} from 'node:zlib';
-import {checkInput, type CheckResult} from '#core';
+import {checkInput, parseJson, type CheckResult} from '#core';
 import {schedulingConfigurationSchema, type SchedulingConfiguration} from '#jobs';
 
 /** Limit of the uncompressed text: several times the largest value that the store accepts. */
@@ -29,7 +29,7 @@
 export async function decodeConfiguration(encoded: string): Promise<CheckResult<SchedulingConfiguration>> {
 	try {
 		const text = await decompress(Buffer.from(encoded, 'base64'), {maxOutputLength: maximumTextBytes});
-		return checkInput(schedulingConfigurationSchema, JSON.parse(text.toString('utf8')), 'configuration');
+		return checkInput(schedulingConfigurationSchema, parseJson(text.toString('utf8')), 'configuration');
 	} catch (error) {
 		return {kind: 'invalid', findings: [{place: 'configuration', message: `cannot be decoded: ${String(error)}`}]};
 	}
--- a/packages/coordinator/keys.ts
+++ b/packages/coordinator/keys.ts
@@ -1,6 +1,8 @@
 /** Keys in the store and the schemas of their values. */
 import * as valibot from 'valibot';
-import {countSchema, entryIdSchema, workerIdSchema} from '#core';
+import {
+	addressSchema, countSchema, entryIdSchema, workerIdSchema,
+} from '#core';
 import type {JobKey} from '#jobs';
 
 export const clusterPrefix = 'cluster/';
@@ -16,7 +18,7 @@
 const cancellationSuffix = '/cancellation';
 
 export const leaderRecordSchema = valibot.object({
-	entry: entryIdSchema, epoch: countSchema, address: valibot.string(), lease: valibot.string(),
+	entry: entryIdSchema, epoch: countSchema, address: addressSchema, lease: valibot.string(),
 });
 export type LeaderRecord = Readonly<valibot.InferOutput<typeof leaderRecordSchema>>;
 
--- a/packages/coordinator/settings.ts
+++ b/packages/coordinator/settings.ts
@@ -1,7 +1,7 @@
 import * as valibot from 'valibot';
 import {entryIdSchema, zoneNameSchema} from '#core';
 import {
-	addressListSettingSchema, addressSettingSchema, logLevels, portRangeSettingSchema, portSettingSchema, positiveNumberSettingSchema, wholeNumberSettingSchema, type SettingDefinitions,
+	addressListSettingSchema, addressSettingSchema, logLevels, portRangeSettingSchema, portSettingSchema, positiveNumberSettingSchema, decimalSettingSchema, type SettingDefinitions,
 	type SettingsOf,
 } from '#kernel';
 
@@ -15,7 +15,7 @@
 	'store-address': {schema: addressSettingSchema, description: 'host:port of the platform\'s key-value service'},
 	seeds: {schema: addressListSettingSchema, description: 'Addresses of entries to connect to before the store has listed any, also while it is down; only the hosts are used', default: ''},
 	'metrics-port': {schema: portSettingSchema, description: 'Operations port, which serves metrics and health checks', default: '7015'},
-	'grace-seconds': {schema: wholeNumberSettingSchema(1, 600), description: 'Seconds between SIGTERM and SIGKILL', default: '6'},
+	'grace-seconds': {schema: decimalSettingSchema(0.5, 600), description: 'Seconds between SIGTERM and SIGKILL', default: '6'},
 	'processor-share': {schema: positiveNumberSettingSchema, description: 'Share of a core that this process may use; entries with more of it are preferred as the scheduler', default: '1'},
 	'processor-speed': {schema: positiveNumberSettingSchema, description: 'Speed of that core as a multiple of a usual one', default: '1'},
 	'log-level': {schema: valibot.picklist(logLevels, 'must be debug, info, warn or error'), description: 'Least severe level that is logged', default: 'info'},
--- a/packages/kernel/settings.ts
+++ b/packages/kernel/settings.ts
@@ -1,5 +1,5 @@
 import * as valibot from 'valibot';
-import type {CheckResult, Finding} from '#core';
+import {type CheckResult, type Finding} from '#core';
 import {environmentPrefix} from './constants.js';
 import type {SettingDefinitions, SettingsOf} from './types.js';
 
@@ -86,6 +86,18 @@
 	valibot.check(value => value > 0, 'must be a positive number'),
 );
 
+/** A decimal number as text; both bounds are inclusive. */
+export function decimalSettingSchema(minimum: number, maximum: number) {
+	const message = `must be a number from ${minimum} to ${maximum}`;
+	return valibot.pipe(
+		valibot.string(),
+		valibot.regex(/^\d+(?:\.\d+)?$/, message),
+		valibot.transform(Number),
+		valibot.minValue(minimum, message),
+		valibot.maxValue(maximum, message),
+	);
+}
+
 /** A comma-separated list of `host:port`; may be empty. */
 export const addressListSettingSchema = valibot.pipe(
 	valibot.string(),
@@ -95,7 +107,6 @@
 );
 
 /** One `host:port`. */
-export const addressSettingSchema = valibot.pipe(valibot.string(), valibot.regex(/^[^\s:]+:\d+$/, 'must be host:port'));
 
 /** Two ports as text, separated by a comma. Example: `7000,7015`. */
 export const portRangeSettingSchema = valibot.pipe(
@@ -105,3 +116,5 @@
 	valibot.check(ports => ports.every(port => port > 0 && port < 65_536), 'must be ports from 1 to 65535'),
 	valibot.readonly(),
 );
+
+export {addressSchema as addressSettingSchema} from '#core';
--- a/packages/protocol/scheduling.ts
+++ b/packages/protocol/scheduling.ts
@@ -1,11 +1,13 @@
 /** Messages about jobs that consist of steps: between entries and agents, and between entries. */
 import * as valibot from 'valibot';
-import {countSchema, entryIdSchema, workerIdSchema} from '#core';
+import {
+	addressSchema, countSchema, entryIdSchema, workerIdSchema,
+} from '#core';
 import {jobRequestSchema, taskNameSchema, workerSnapshotSchema} from '#jobs';
 
 const workerIncarnationSchema = valibot.pipe(valibot.object({worker: workerIdSchema, incarnation: valibot.string()}), valibot.readonly());
 /** The scheduler known to the sender. */
-const schedulerReferenceSchema = valibot.pipe(valibot.object({address: valibot.string(), epoch: countSchema}), valibot.readonly());
+const schedulerReferenceSchema = valibot.pipe(valibot.object({address: addressSchema, epoch: countSchema}), valibot.readonly());
 export type SchedulerReference = valibot.InferOutput<typeof schedulerReferenceSchema>;
 const addressesSchema = valibot.pipe(valibot.array(valibot.string()), valibot.readonly());
 
@@ -142,5 +144,5 @@
 /** Prefix of the store keys under which entries register. */
 export const registeredEntriesPrefix = 'cluster/entries/';
 
-export const registeredEntrySchema = valibot.object({entry: entryIdSchema, address: valibot.string(), zone: valibot.string()});
+export const registeredEntrySchema = valibot.object({entry: entryIdSchema, address: addressSchema, zone: valibot.string()});
 export type RegisteredEntry = Readonly<valibot.InferOutput<typeof registeredEntrySchema>>;
--- a/packages/supervisor/settings.ts
+++ b/packages/supervisor/settings.ts
@@ -1,6 +1,6 @@
 import * as valibot from 'valibot';
 import {
-	addressListSettingSchema, addressSettingSchema, logLevels, portRangeSettingSchema, portSettingSchema, wholeNumberSettingSchema, type SettingDefinitions, type SettingsOf,
+	addressListSettingSchema, addressSettingSchema, logLevels, portRangeSettingSchema, portSettingSchema, decimalSettingSchema, type SettingDefinitions, type SettingsOf,
 } from '#kernel';
 
 export const supervisorSettings = {
@@ -11,7 +11,7 @@
 	'worker-address': {schema: addressSettingSchema, description: 'host:port of the worker that this agent supervises'},
 	seeds: {schema: addressListSettingSchema, description: 'Addresses of entries to connect to first; only the hosts are used', default: ''},
 	'store-address': {schema: addressSettingSchema, description: 'host:port of the platform\'s key-value service, to look up entries while no scheduler is connected'},
-	'maximum-hold-milliseconds': {schema: wholeNumberSettingSchema(100, 3_600_000), description: 'Maximum lease duration that the worker grants'},
+	'maximum-hold-milliseconds': {schema: decimalSettingSchema(100, 3_600_000), description: 'Maximum lease duration that the worker grants'},
 	'metrics-port': {schema: portSettingSchema, description: 'Operations port, which serves metrics and health checks', default: '7015'},
 	'log-level': {schema: valibot.picklist(logLevels, 'must be debug, info, warn or error'), description: 'Least severe level that is logged', default: 'info'},
 } as const satisfies SettingDefinitions;
--- a/packages/transport/http-client.ts
+++ b/packages/transport/http-client.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {Agent, request} from 'undici';
-import type {Milliseconds} from '#core';
+import {parseJson, type Milliseconds} from '#core';
 import {startSilenceTimeout} from './silence-timeout.js';
 
 /** Result of an HTTP call. `never-sent` means that the request certainly did not reach the server; with `perhaps-sent` the server may have processed it. */
@@ -63,7 +63,7 @@
 				}
 
 				const text = Buffer.concat(chunks).toString('utf8');
-				return {kind: 'answered', status: response.statusCode, body: text === '' ? undefined : JSON.parse(text)};
+				return {kind: 'answered', status: response.statusCode, body: text === '' ? undefined : parseJson(text)};
 			} catch (error) {
 				if (silence.signal.aborted) {
 					replaceDispatcher(currentDispatcher);
--- a/packages/transport/peer.ts
+++ b/packages/transport/peer.ts
@@ -3,7 +3,7 @@
 } from 'json-rpc-2.0';
 import * as valibot from 'valibot';
 import type {WebSocket} from 'ws';
-import {checkInput, type Milliseconds} from '#core';
+import {checkInput, parseJson, type Milliseconds} from '#core';
 import {startTask, type TaskHandle} from '#kernel';
 import {methods, type MethodName} from '#protocol';
 import {livenessCheckIntervalMilliseconds, maximumBufferedBytes} from './constants.js';
@@ -154,7 +154,7 @@
 
 async function receiveMessage(rpc: JSONRPCServerAndClient, text: string, closePeer: (reason: string) => void): Promise<void> {
 	try {
-		await rpc.receiveAndSend(JSON.parse(text));
+		await rpc.receiveAndSend(parseJson(text));
 	} catch (error) {
 		closePeer(`invalid message: ${String(error)}`);
 	}
