Let a stand-alone entry ask one other entry at a time for the configuration

An exchange now says whether it wants the configuration. Only one at a time does, and only with an entry that reported a newer revision or has not reported yet, so that one that is behind as well does not keep the others from being asked. Entries of earlier versions are answered as before.

--- a/packages/entry/plugins/entries.ts
+++ b/packages/entry/plugins/entries.ts
@@ -10,6 +10,7 @@
 import {createOwnRecord} from '../entry-record.js';
 import {summarizeZone} from '../summary.js';
 import type {EntryContext} from '../types.js';
+import {configurationFetchService} from './configuration-fetch.js';
 import {membershipService} from './membership.js';
 import {entriesPrefix} from './register-entry.js';
 import {storeService} from './store.js';
@@ -101,7 +102,7 @@
 }
 
 /** Describes the state of this entry for an exchange. */
-export function describeOwnState({services, settings}: EntryContext, self: EntryRecord): Omit<PeerExchangeParameters, 'records'> {
+export function describeOwnState({services, settings}: EntryContext, self: EntryRecord): Omit<PeerExchangeParameters, 'records' | 'wantsConfiguration'> {
 	const {region, zone} = settings;
 	return {
 		record: self,
@@ -127,15 +128,22 @@
 
 /** Exchanges revisions, summaries and, on the first exchange of a connection, the known entries with another entry. */
 export async function exchange(peer: RpcPeer, {dialledBy, isFirst, dialledAddress}: ExchangeOptions, context: EntryContext): Promise<void> {
-	const entries = context.services.use(entriesService);
+	const {services} = context;
+	const entries = services.use(entriesService);
 	const {self, records} = entries.read();
 	if (self === undefined) {
 		return;
 	}
 
+	const fetch = services.use(configurationFetchService);
+	const wantsConfiguration = mayHaveNewerConfiguration(peer, context) && fetch.begin();
 	const reply = await peer.call('peer.exchange', {
-		...describeOwnState(context, self), ...(isFirst ? {records: [...records.values()]} : {}),
+		...describeOwnState(context, self), ...(isFirst ? {records: [...records.values()]} : {}), wantsConfiguration,
 	}, exchangeTimeoutMilliseconds);
+	if (wantsConfiguration) {
+		fetch.end();
+	}
+
 	if (reply.kind === 'failed') {
 		context.log.withPrefix('entries').debug({address: peer.address, reason: reply.message}, 'exchange failed');
 		peer.close(reply.message);
@@ -165,6 +173,12 @@
 	entries.send({kind: 'discovered', records: discovered});
 }
 
+/** Whether the other entry reported a newer configuration, or has not reported yet. */
+function mayHaveNewerConfiguration(peer: RpcPeer, {services}: EntryContext): boolean {
+	const link = [...services.use(entriesService).read().links.values()].find(candidate => candidate.peer === peer);
+	return link === undefined || link.configurationRevision > (services.use(configurationService).read().current?.revision ?? 0);
+}
+
 /** Reports a completed exchange to the task, and later the end of the connection. */
 export function trackLink(peer: RpcPeer, message: Extract<EntriesMessage, {kind: 'exchanged'}>, {services}: EntryContext): void {
 	const entries = services.use(entriesService);
--- a/packages/entry/plugins/exchange.ts
+++ b/packages/entry/plugins/exchange.ts
@@ -10,7 +10,7 @@
 	name: 'peer.exchange',
 	parametersSchema: peerExchangeParametersSchema,
 	async handle(parameters, context, peer): Promise<PeerExchangeResult> {
-		const {record, configurationRevision, summary, records} = parameters as PeerExchangeParameters;
+		const {record, configurationRevision, summary, records, wantsConfiguration} = parameters as PeerExchangeParameters;
 		const entries = context.services.use(entriesService);
 		const {self} = entries.read();
 		if (self === undefined) {
@@ -34,10 +34,10 @@
 			}
 		}
 
-		const hasNewer = current !== undefined && current.revision > configurationRevision;
+		const sendsConfiguration = wantsConfiguration && current !== undefined && current.revision > configurationRevision;
 		return {
 			...describeOwnState(context, self),
-			...(hasNewer ? {configuration: current} : {}),
+			...(sendsConfiguration ? {configuration: current} : {}),
 			...(records === undefined ? {} : {records: known}),
 		};
 	},
--- a/packages/protocol/types.ts
+++ b/packages/protocol/types.ts
@@ -250,10 +250,12 @@
 	summary: zoneSummarySchema,
 	/** Entries known to the sender; present in the first exchange of a connection. */
 	records: valibot.optional(valibot.pipe(valibot.array(entryRecordSchema), valibot.readonly())),
+	/** Whether the answer is to carry a newer configuration. */
+	wantsConfiguration: valibot.optional(valibot.boolean(), true),
 });
 export type PeerExchangeParameters = Readonly<valibot.InferOutput<typeof peerExchangeParametersSchema>>;
 
-/** The configuration is present only if it is newer than the sender's. */
+/** The configuration is present only if it is newer than the sender's and the sender wants it. */
 export const peerExchangeResultSchema = valibot.object({
 	/** The responding entry. */
 	record: entryRecordSchema,
