Let agents report the runs that a crash of their worker ended

A crash is noticed when the worker is back, about 4 s later.

The agent outlasts the scheduler. It reports the runs of an incarnation that another one replaced without a word, for a minute, and the scheduler records each run once. The end of a worker that drains is no crash.

--- a/bench/scheduling/workers.ts
+++ b/bench/scheduling/workers.ts
@@ -85,6 +85,7 @@
 				task: run.task, run: run.run, checkpoint: run.step.isCheckpointing ? String(measurePercent(run, time)) : '', percent: measurePercent(run, time),
 			})),
 			ended,
+			lost: [],
 		}),
 		reportsAt: () => reportOffset,
 	};
--- a/packages/jobs/types.ts
+++ b/packages/jobs/types.ts
@@ -203,6 +203,14 @@
 }), valibot.readonly());
 export type EndedRun = valibot.InferOutput<typeof endedRunSchema>;
 
+/** A run that was on the worker's machine when an earlier incarnation crashed. */
+export const lostRunSchema = valibot.pipe(valibot.object({
+	task: taskNameSchema,
+	run: countSchema,
+	hadProgress: valibot.boolean(),
+}), valibot.readonly());
+export type LostRun = valibot.InferOutput<typeof lostRunSchema>;
+
 /** A worker as its agent reports it. */
 export const workerSnapshotSchema = valibot.pipe(valibot.object({
 	worker: workerIdSchema,
@@ -222,5 +230,7 @@
 	isLeaseOver: valibot.boolean(),
 	running: valibot.pipe(valibot.array(reportedRunSchema), valibot.readonly()),
 	ended: valibot.pipe(valibot.array(endedRunSchema), valibot.readonly()),
+	/** Reported for some time, since a scheduler may be lost before it has stored them. Absent in reports of earlier versions. */
+	lost: valibot.optional(valibot.pipe(valibot.array(lostRunSchema), valibot.readonly()), []),
 }), valibot.readonly());
 export type WorkerSnapshot = valibot.InferOutput<typeof workerSnapshotSchema>;
--- a/packages/scheduling/crashes.ts
+++ b/packages/scheduling/crashes.ts
@@ -37,15 +37,19 @@
 	return crashes.length >= maximumCrashes || crashes.filter(({hadProgress}) => !hadProgress).length >= maximumCrashesAtStart;
 }
 
-/** Records that the worker of a run crashed. A run whose stop was confirmed had ended before. */
-export function recordCrash(state: SchedulerState, name: TaskName, {run, percent, isStopConfirmed}: TaskRun): SchedulerState {
+/** Whether a crash of the worker is to be held against the run. One whose stop was confirmed had ended before. */
+export function describeCrash({run, percent, isStopConfirmed}: TaskRun): TaskCrash | undefined {
+	return isStopConfirmed ? undefined : {run, hadProgress: percent > 0};
+}
+
+/** Records that the worker of a run crashed; each run counts once, however often it is reported. */
+export function recordCrash(state: SchedulerState, name: TaskName, crash: TaskCrash): SchedulerState {
 	const job = findJob(state, name);
 	const task = findTask(state, name);
-	if (job === undefined || task === undefined || !isOpen(job) || task.isDone || isStopConfirmed) {
+	if (job === undefined || task === undefined || !isOpen(job) || task.isDone || task.crashes.some(({run}) => run === crash.run)) {
 		return state;
 	}
 
-	const crash: TaskCrash = {run, hadProgress: percent > 0};
 	const next = withTask(state, name, {...task, crashes: [...task.crashes, crash]});
 	const updated = findJob(next, name);
 	return updated === undefined ? next : replaceJob(next, {...updated, hasCrashes: true});
--- a/packages/scheduling/ends.ts
+++ b/packages/scheduling/ends.ts
@@ -1,10 +1,10 @@
 /** Handles the ends of runs that workers list, and the runs of lost workers. */
 import {assertNever, type CurrentTime} from '#core';
 import {
-	parseJobOfTask, type EndedRun, type JobKey, type TaskName,
+	parseJobOfTask, type EndedRun, type JobKey, type LostRun, type TaskName,
 } from '#jobs';
 import {avoidanceMilliseconds, failuresBeforeAvoidance} from './constants.js';
-import {hasExhaustedCrashes, recordCrash} from './crashes.js';
+import {describeCrash, hasExhaustedCrashes, recordCrash} from './crashes.js';
 import {measureLoss} from './loss.js';
 import {
 	chain, endJob, listRunsOf, markChanged, releaseRun, stopRuns, storeJob, withoutEffects, type SchedulerTransition,
@@ -219,11 +219,11 @@
 }
 
 /** Whether the worker ended although it was in contact with its agent and did not announce that it leaves. */
-function isCrash(cause: ReleaseCause): boolean {
+function isCrash(cause: ReleaseCause, {snapshot}: SchedulerWorker): boolean {
 	switch (cause) {
 		case 'worker-restarted':
 		case 'worker-silent': {
-			return true;
+			return snapshot.state === 'ready';
 		}
 
 		case 'worker-left':
@@ -247,7 +247,8 @@
 			const step = findStep(job, name);
 			lostTasks.push(name);
 			loss += step === undefined ? 0 : measureLoss(run, step, time.monotonic);
-			next = releaseRun(isCrash(cause) ? recordCrash(next, name, run) : next, name, time.monotonic);
+			const crash = isCrash(cause, worker) ? describeCrash(run) : undefined;
+			next = releaseRun(crash === undefined ? next : recordCrash(next, name, crash), name, time.monotonic);
 		}
 	}
 
@@ -267,10 +268,16 @@
 				}],
 		}),
 		after => stopRuns(after, gangMembers, 'a member of the gang is lost', time.monotonic),
-		...(isCrash(cause) ? [...new Set(lostTasks.map(name => parseJobOfTask(name)))] : []).map(key => (after: SchedulerState) => handleCrashes(after, key, lostTasks, time)),
+		...(isCrash(cause, worker) ? [...new Set(lostTasks.map(name => parseJobOfTask(name)))] : []).map(key => (after: SchedulerState) => handleCrashes(after, key, lostTasks, time)),
 	]);
 }
 
+/** Handles a run that an agent lost with an earlier incarnation of its worker, perhaps under another scheduler. */
+export function handleLostRun(state: SchedulerState, {task: name, run, hadProgress}: LostRun, time: CurrentTime): SchedulerTransition {
+	const recorded = recordCrash(state, name, {run, hadProgress});
+	return recorded === state ? withoutEffects(state) : handleCrashes(recorded, parseJobOfTask(name), [name], time);
+}
+
 /** Stores the crashes of a job's tasks, and gives the job up once a task has exhausted them. */
 function handleCrashes(state: SchedulerState, key: JobKey, names: readonly TaskName[], time: CurrentTime): SchedulerTransition {
 	const job = state.jobs.get(key);
--- a/packages/scheduling/reports.ts
+++ b/packages/scheduling/reports.ts
@@ -6,7 +6,9 @@
 import {
 	grantSlackMilliseconds, grantValidityMilliseconds, slowClockFactor,
 } from './constants.js';
-import {removeWorker, handleEnd, releaseIncarnation} from './ends.js';
+import {
+	removeWorker, handleEnd, handleLostRun, releaseIncarnation,
+} from './ends.js';
 import {estimateSlowdown} from './remaining.js';
 import {
 	chain, listRunsOf, releaseRun, stopRuns, withoutEffects, type SchedulerTransition,
@@ -38,6 +40,7 @@
 		next => withoutEffects(withSnapshot(next, agent, snapshot, time.monotonic)),
 		// Ends are handled only after the stored jobs are loaded, so that none is acknowledged without being recorded.
 		...(state.isLoaded ? snapshot.ended : []).map(end => (next: SchedulerState) => handleEnd(next, agent, end, time)),
+		...(state.isLoaded ? snapshot.lost : []).map(lost => (next: SchedulerState) => handleLostRun(next, lost, time)),
 		next => snapshot.isLeaseOver && isKnown ? releaseIncarnation(next, worker, 'worker-silent', time) : reconcile(next, agent, snapshot, time),
 	]);
 }
--- a/packages/supervision/announcements.ts
+++ b/packages/supervision/announcements.ts
@@ -1,6 +1,7 @@
-import type {CurrentTime, Timestamp} from '#core';
+import type {CurrentTime, MonotonicTime, Timestamp} from '#core';
 import {isSameIncarnation, type Resources} from '#jobs';
 import {maximumSequenceGap, maximumStartAheadMilliseconds} from './constants.js';
+import {listRecentlyLost} from './describe.js';
 import {incrementRevision, type SupervisionOptions, type SupervisionStep} from './state.js';
 import type {Announcement, SupervisedWorker, SupervisionState} from './types.js';
 
@@ -38,6 +39,7 @@
 
 	const next: SupervisionState = {
 		...state,
+		lostRuns: [...listRecentlyLost(state, monotonic), ...listLostRuns(worker, monotonic)],
 		worker: {
 			announcement,
 			leavesAt,
@@ -61,6 +63,15 @@
 	};
 }
 
+/** Lists the runs of an incarnation that another one replaced without a word. One that drains ends as announced. */
+function listLostRuns(replaced: SupervisedWorker | undefined, at: MonotonicTime): SupervisionState['lostRuns'] {
+	return replaced?.announcement.state === 'ready'
+		? replaced.running.map(({task, run, percent}) => ({
+			task, run, hadProgress: percent > 0, at,
+		}))
+		: [];
+}
+
 /** Says why an announcement cannot be the worker's own. Accepting it would hide the worker, whose own ones then look outdated. */
 function findDoubt(announcement: Announcement, current: Announcement | undefined, now: Timestamp, workerAddress: string): string | undefined {
 	if (announcement.startedAt > now + maximumStartAheadMilliseconds) {
--- a/packages/supervision/describe.ts
+++ b/packages/supervision/describe.ts
@@ -1,10 +1,11 @@
 import type {MonotonicTime} from '#core';
 import type {WorkerSnapshot} from '#jobs';
-import {leaseExpiryMarginMilliseconds, maximumClockDriftRatio} from './constants.js';
+import {leaseExpiryMarginMilliseconds, lostRunRetentionMilliseconds, maximumClockDriftRatio} from './constants.js';
 import type {SupervisionState} from './types.js';
 
 /** Takes a snapshot of the worker for the scheduler; undefined until the worker has confirmed the scheduler's epoch. */
-export function describeWorker({worker, epoch}: SupervisionState, monotonic: MonotonicTime): WorkerSnapshot | undefined {
+export function describeWorker(state: SupervisionState, monotonic: MonotonicTime): WorkerSnapshot | undefined {
+	const {worker, epoch} = state;
 	if (worker === undefined || worker.fencedEpoch < epoch) {
 		return undefined;
 	}
@@ -24,9 +25,14 @@
 		isLeaseOver: !isResponsive && isLeaseOver(leaseUntil, monotonic),
 		running,
 		ended,
+		lost: listRecentlyLost(state, monotonic).map(({task, run, hadProgress}) => ({task, run, hadProgress})),
 	};
 }
 
+export function listRecentlyLost({lostRuns}: SupervisionState, monotonic: MonotonicTime): SupervisionState['lostRuns'] {
+	return lostRuns.filter(({at}) => monotonic - at < lostRunRetentionMilliseconds);
+}
+
 function isLeaseOver(leaseUntil: MonotonicTime, monotonic: MonotonicTime): boolean {
 	return monotonic > leaseUntil + leaseExpiryMarginMilliseconds + (Math.max(0, monotonic - leaseUntil) * maximumClockDriftRatio);
 }
--- a/packages/supervision/receive.ts
+++ b/packages/supervision/receive.ts
@@ -8,7 +8,7 @@
 import type {SupervisionMessage, SupervisionState} from './types.js';
 
 export const initialSupervisionState: SupervisionState = {
-	worker: undefined, epoch: 0, grantUntil: 0, clockOffset: undefined, revision: 0, isExtending: false, isStopped: false,
+	worker: undefined, lostRuns: [], epoch: 0, grantUntil: 0, clockOffset: undefined, revision: 0, isExtending: false, isStopped: false,
 };
 
 /** Decides when leases are extended, which scheduler's orders are accepted, and what is reported. */
--- a/packages/supervision/types.ts
+++ b/packages/supervision/types.ts
@@ -1,7 +1,7 @@
 /** State, messages and effects of the agent that extends the leases of one worker's runs. */
 import type {Milliseconds, MonotonicTime, WorkerId} from '#core';
 import type {
-	EndedRun, Resources, ReportedRun, ServiceName, TaskName,
+	EndedRun, LostRun, Resources, ReportedRun, ServiceName, TaskName,
 } from '#jobs';
 
 /** A worker's description of itself. */
@@ -48,6 +48,8 @@
 
 export type SupervisionState = Readonly<{
 	worker: SupervisedWorker | undefined;
+	/** Runs of earlier incarnations that crashed, with the time when the next one announced itself. */
+	lostRuns: ReadonlyArray<LostRun & Readonly<{at: MonotonicTime}>>;
 	/** Highest known epoch of a scheduler. */
 	epoch: number;
 	/** Expiry of the grant; leases are extended no further without another one. */
--- a/test/scheduling/crashes.test.ts
+++ b/test/scheduling/crashes.test.ts
@@ -88,6 +88,35 @@
 			expect(next.state().jobs.get(keyOf(1))?.outcome).to.equal('failed');
 		},
 	},
+	{
+		name: 'the next scheduler hears from agents of crashes that the last one did not store (budget that grows with each takeover)',
+		run() {
+			const lost = [1, 2, 3].map(run => ({task: taskOf(1), run, hadProgress: false}));
+			const driver = createDriver({epoch: 2});
+			driver.send({kind: 'configured', configuration});
+			driver.send({kind: 'renewed', agent: 'a', snapshot: snapshotOf('a', {lost})});
+			const effects = driver.send({
+				kind: 'loaded', workers: [], jobs: [{
+					submission: submissionOf(1, [{}]), isCancelled: false, progress: undefined, keyVersion: 0,
+				}],
+			});
+			expect(startsOf([...effects, ...driver.elapse(1000)])).to.deep.equal([]);
+			expect(driver.state().jobs.get(keyOf(1))?.outcome).to.equal('failed');
+		},
+	},
+	{
+		name: 'a crash that an agent reports again and again counts once (sound job given up)',
+		run() {
+			const driver = createReadyDriver([['a'], ['b']]);
+			confirmStarts(driver, driver.send({kind: 'submitted', submission: submissionOf(1, [{}])}));
+			const snapshot = snapshotOf('a', {incarnation: '2', lost: [{task: taskOf(1), run: 1, hadProgress: false}]});
+			for (let count = 0; count < 5; count++) {
+				driver.send({kind: 'renewed', agent: 'a', snapshot});
+			}
+
+			expect(driver.state().jobs.get(keyOf(1))?.tasks.get(taskOf(1))?.crashes).to.deep.equal([{run: 1, hadProgress: false}]);
+		},
+	},
 	{
 		name: 'jobs that lost the same worker at their start go on apart, and no other work joins them before they make progress (sound job given up with the one that crashes workers)',
 		run() {
--- a/test/scheduling/properties.test.ts
+++ b/test/scheduling/properties.test.ts
@@ -2,7 +2,9 @@
 import {expect} from 'chai';
 import * as fastCheck from 'fast-check';
 import type {WorkerId} from '#core';
-import type {EndedRun, JobStep, TaskName} from '#jobs';
+import type {
+	EndedRun, JobStep, LostRun, TaskName,
+} from '#jobs';
 import {describeProgress, grantValidityMilliseconds, type SchedulerEffect} from '#scheduling';
 import {
 	configuration, createDriver, keyOf, queueOf, snapshotOf, submissionOf, type Driver,
@@ -18,6 +20,8 @@
 	incarnation = 1;
 	isDisconnected = false;
 	accelerators = 8;
+	/** What the agent reports of the runs that crashes ended. */
+	lost: LostRun[] = [];
 	/** What the scheduler was told; it keeps to this, while the worker starts whatever it is told to. */
 	reportedAccelerators = 8;
 	leaseUntil = grantValidityMilliseconds;
@@ -103,7 +107,8 @@
 	}
 
 	crash(): void {
-		for (const task of this.runs.keys()) {
+		for (const [task, {run}] of this.runs) {
+			this.lost.push({task, run, hadProgress: false});
 			this.observe({
 				kind: 'ended', task, worker: this, ending: 'crashed',
 			});
@@ -147,6 +152,9 @@
 	fastCheck.record({kind: fastCheck.constant('wait' as const), duration: fastCheck.integer({min: 100, max: 4000})}),
 );
 
+/** The platform counts three starts after the third crash. */
+const maximumCrashingStarts = 5;
+
 /** Simulates the scheduler with its store, agents and workers; stored progress survives a takeover. */
 class Cluster {
 	readonly running = new Map<TaskName, SimulatedWorker>();
@@ -200,12 +208,12 @@
 		}
 	}
 
-	/** Two starts may follow the third crash, and one more for each scheduler that was replaced before it heard of a crash. */
+	/** Two starts may follow the third crash, however often the scheduler was replaced meanwhile. */
 	countCrashingStart(task: TaskName): void {
 		if (this.profiles.get(task.slice(0, 16))?.crashes === true) {
 			const starts = (this.crashingStarts.get(task) ?? 0) + 1;
 			this.crashingStarts.set(task, starts);
-			expect(starts, `${task} has crashed enough workers`).to.be.at.most(5 + this.epoch - 1);
+			expect(starts, `${task} has crashed enough workers`).to.be.at.most(maximumCrashingStarts);
 		}
 	}
 
@@ -353,6 +361,7 @@
 					task, run, checkpoint: '', percent: Math.max(0, Math.min(99, 100 - ((endsAt - this.time) / 100))),
 				})),
 				ended: [...worker.ends],
+				lost: [...worker.lost],
 			}),
 		});
 	}
--- a/test/supervision/receive.test.ts
+++ b/test/supervision/receive.test.ts
@@ -140,6 +140,24 @@
 			expect(state.worker?.announcement.state).to.equal('draining');
 		},
 	},
+	{
+		name: 'the runs of an incarnation that crashed are reported for a while (crash unknown to the next scheduler)',
+		run() {
+			const restarted: SupervisionMessage = {kind: 'announced', announcement: announcement({incarnation: '200', startedAt: 200})};
+			const confirmed: SupervisionMessage = {
+				kind: 'extension-answered',
+				extension: buildExtension({incarnation: '200'}),
+				result: {
+					kind: 'answered', incarnation: '200', clock: 50_030, running: [], ended: [],
+				},
+			};
+			const {state} = applyMessages([...startedAt10, [20, restarted], [30, confirmed]]);
+			expect(describeWorker(state, 40)?.lost).to.deep.equal([{task, run: 1, hadProgress: false}]);
+			expect(describeWorker(state, 100_000)?.lost).to.deep.equal([]);
+			const draining: SupervisionMessage = {kind: 'announced', announcement: announcement({sequence: 2, state: 'draining'})};
+			expect(describeWorker(applyMessages([...startedAt10, [15, draining], [20, restarted], [30, confirmed]]).state, 40)?.lost).to.deep.equal([]);
+		},
+	},
 	{
 		name: 'a change of the capacity is reported at once (starts on room that is gone)',
 		run() {
