Forget the crashes of a task whose runs last long

Crashes after some progress added up over the whole life of a task, so that five lost workers, however far apart, ended long-running work.

A run that made progress for 30 s before its worker crashed now clears the count. Agents report the runs that had made no progress only. The limit on the duration of a transfer counts from the beginning of the response, not from the call, so that a watch that waited long has it in full; and a fetch of the configuration that fails in an unexpected way does not prevent the next one.

The case 'a task whose runs last long starts however often its workers crash' fails without the change and passes.

--- a/packages/coordinator/plugins/configuration.ts
+++ b/packages/coordinator/plugins/configuration.ts
@@ -74,8 +74,11 @@
 		}
 
 		case 'fetch': {
-			await services.use(configurationFetchService).fetch(effect.address);
-			services.use(configurationService).send({kind: 'fetch-ended'});
+			try {
+				await services.use(configurationFetchService).fetch(effect.address);
+			} finally {
+				services.use(configurationService).send({kind: 'fetch-ended'});
+			}
 		}
 	}
 }
--- a/packages/jobs/types.ts
+++ b/packages/jobs/types.ts
@@ -203,12 +203,8 @@
 }), valibot.readonly());
 export type EndedRun = valibot.InferOutput<typeof endedRunSchema>;
 
-/** A run that was on the worker's machine when an earlier incarnation crashed. */
-export const lostRunSchema = valibot.pipe(valibot.object({
-	task: taskNameSchema,
-	run: countSchema,
-	hadProgress: valibot.boolean(),
-}), valibot.readonly());
+/** A run that had made no progress when an earlier incarnation of the worker crashed. */
+export const lostRunSchema = valibot.pipe(valibot.object({task: taskNameSchema, run: countSchema}), valibot.readonly());
 export type LostRun = valibot.InferOutput<typeof lostRunSchema>;
 
 /** A worker as its agent reports it. */
--- a/packages/scheduling/constants.ts
+++ b/packages/scheduling/constants.ts
@@ -20,6 +20,8 @@
 export const maximumCrashesAtStart = 3;
 /** A task is given up after this many workers crashed under it, whatever progress it had made: the platform permits two starts after the third crash. */
 export const maximumCrashes = 5;
+/** A task whose run made progress for this long is sound: other causes of a crash become more likely with time, and long-running work outlives many workers. */
+export const soundRunMilliseconds = 30_000;
 /** How long a task that may have crashed a worker waits for an idle one, so that it takes no other runs along. */
 export const isolationMilliseconds = 2000;
 /** A worker is avoided after this many different jobs failed there in a row. */
--- a/packages/scheduling/crashes.ts
+++ b/packages/scheduling/crashes.ts
@@ -5,7 +5,9 @@
 */
 import type {MonotonicTime} from '#core';
 import type {TaskCrash, TaskName} from '#jobs';
-import {isolationMilliseconds, maximumCrashes, maximumCrashesAtStart} from './constants.js';
+import {
+	isolationMilliseconds, maximumCrashes, maximumCrashesAtStart, soundRunMilliseconds,
+} from './constants.js';
 import {
 	findJob, findTask, isOpen, replaceJob, withTask,
 } from './state.js';
@@ -37,13 +39,18 @@
 	return crashes.length >= maximumCrashes || crashes.filter(({hadProgress}) => !hadProgress).length >= maximumCrashesAtStart;
 }
 
-/** Whether a crash of the worker is to be held against the run. One whose stop was confirmed had ended before. */
-export function describeCrash({run, percent, isStopConfirmed}: TaskRun): TaskCrash | undefined {
-	return isStopConfirmed ? undefined : {run, hadProgress: percent > 0};
+/** Records that the worker of a run crashed. A run whose stop was confirmed had ended before. */
+export function recordCrash(state: SchedulerState, name: TaskName, {run, percent, startedAt, isStopConfirmed}: TaskRun, monotonic: MonotonicTime): SchedulerState {
+	const hadProgress = percent > 0;
+	if (isStopConfirmed) {
+		return state;
+	}
+
+	return hadProgress && monotonic - startedAt >= soundRunMilliseconds ? forgetCrashes(state, name) : addCrash(state, name, {run, hadProgress});
 }
 
-/** Records that the worker of a run crashed; each run counts once, however often it is reported. */
-export function recordCrash(state: SchedulerState, name: TaskName, crash: TaskCrash): SchedulerState {
+/** Adds a crash to those of a task; each run counts once, however often it is reported. */
+export function addCrash(state: SchedulerState, name: TaskName, crash: TaskCrash): SchedulerState {
 	const job = findJob(state, name);
 	const task = findTask(state, name);
 	if (job === undefined || task === undefined || !isOpen(job) || task.isDone || task.crashes.some(({run}) => run === crash.run)) {
@@ -55,6 +62,12 @@
 	return updated === undefined ? next : replaceJob(next, {...updated, hasCrashes: true});
 }
 
+/** A task that ran for long is sound, and so may outlive any number of workers. */
+function forgetCrashes(state: SchedulerState, name: TaskName): SchedulerState {
+	const task = findTask(state, name);
+	return task === undefined || task.crashes.length === 0 ? state : withTask(state, name, {...task, crashes: []});
+}
+
 /** Selects the tasks of a step that may start now, out of those that wait: first those that may have caused a crash, and nothing else while one of them is on probation. */
 export function selectStartable(job: SchedulerJob, names: readonly TaskName[], waiting: readonly TaskName[], isGang: boolean): readonly TaskName[] {
 	if (!job.hasCrashes || isGang) {
--- a/packages/scheduling/ends.ts
+++ b/packages/scheduling/ends.ts
@@ -4,7 +4,7 @@
 	parseJobOfTask, type EndedRun, type JobKey, type LostRun, type TaskName,
 } from '#jobs';
 import {avoidanceMilliseconds, failuresBeforeAvoidance} from './constants.js';
-import {describeCrash, hasExhaustedCrashes, recordCrash} from './crashes.js';
+import {addCrash, hasExhaustedCrashes, recordCrash} from './crashes.js';
 import {measureLoss} from './loss.js';
 import {
 	chain, endJob, listRunsOf, markChanged, releaseRun, stopRuns, storeJob, withoutEffects, type SchedulerTransition,
@@ -247,8 +247,7 @@
 			const step = findStep(job, name);
 			lostTasks.push(name);
 			loss += step === undefined ? 0 : measureLoss(run, step, time.monotonic);
-			const crash = isCrash(cause, worker) ? describeCrash(run) : undefined;
-			next = releaseRun(crash === undefined ? next : recordCrash(next, name, crash), name, time.monotonic);
+			next = releaseRun(isCrash(cause, worker) ? recordCrash(next, name, run, time.monotonic) : next, name, time.monotonic);
 		}
 	}
 
@@ -272,9 +271,9 @@
 	]);
 }
 
-/** Handles a run that an agent lost with an earlier incarnation of its worker, perhaps under another scheduler. */
-export function handleLostRun(state: SchedulerState, {task: name, run, hadProgress}: LostRun, time: CurrentTime): SchedulerTransition {
-	const recorded = recordCrash(state, name, {run, hadProgress});
+/** Handles a run that an agent lost at its start with an earlier incarnation of its worker, perhaps under another scheduler. */
+export function handleLostRun(state: SchedulerState, {task: name, run}: LostRun, time: CurrentTime): SchedulerTransition {
+	const recorded = addCrash(state, name, {run, hadProgress: false});
 	return recorded === state ? withoutEffects(state) : handleCrashes(recorded, parseJobOfTask(name), [name], time);
 }
 
--- a/packages/supervision/announcements.ts
+++ b/packages/supervision/announcements.ts
@@ -63,12 +63,10 @@
 	};
 }
 
-/** Lists the runs of an incarnation that another one replaced without a word. One that drains ends as announced. */
+/** Lists the runs without progress of an incarnation that another one replaced without a word. One that drains ends as announced. */
 function listLostRuns(replaced: SupervisedWorker | undefined, at: MonotonicTime): SupervisionState['lostRuns'] {
 	return replaced?.announcement.state === 'ready'
-		? replaced.running.map(({task, run, percent}) => ({
-			task, run, hadProgress: percent > 0, at,
-		}))
+		? replaced.running.filter(({percent}) => percent === 0).map(({task, run}) => ({task, run, at}))
 		: [];
 }
 
--- a/packages/supervision/describe.ts
+++ b/packages/supervision/describe.ts
@@ -25,7 +25,7 @@
 		isLeaseOver: !isResponsive && isLeaseOver(leaseUntil, monotonic),
 		running,
 		ended,
-		lost: listRecentlyLost(state, monotonic).map(({task, run, hadProgress}) => ({task, run, hadProgress})),
+		lost: listRecentlyLost(state, monotonic).map(({task, run}) => ({task, run})),
 	};
 }
 
--- a/packages/supervision/types.ts
+++ b/packages/supervision/types.ts
@@ -48,7 +48,7 @@
 
 export type SupervisionState = Readonly<{
 	worker: SupervisedWorker | undefined;
-	/** Runs of earlier incarnations that crashed, with the time when the next one announced itself. */
+	/** Runs that had made no progress when their incarnation crashed, with the time when the next one announced itself. */
 	lostRuns: ReadonlyArray<LostRun & Readonly<{at: MonotonicTime}>>;
 	/** Highest known epoch of a scheduler. */
 	epoch: number;
--- a/packages/transport/constants.ts
+++ b/packages/transport/constants.ts
@@ -15,5 +15,5 @@
 export const keepAliveTimeoutMilliseconds = 30_000;
 export const maximumHttpConnections = 2000;
 export const maximumPeerConnections = 2000;
-/** Longest transfer of a response; the largest stored value, 1.4 MB as sent, takes it at 70 KB a second. */
+/** Longest transfer of a response, from its beginning; the largest stored value, 1.4 MB as sent, takes it at 70 KB a second. */
 export const maximumTransferMilliseconds = 20_000;
--- a/packages/transport/silence-timeout.ts
+++ b/packages/transport/silence-timeout.ts
@@ -25,11 +25,12 @@
 	};
 
 	const silence = setTimeout(abort, timeout).unref();
-	const limit = setTimeout(abort, Math.max(timeout, maximumTransferMilliseconds)).unref();
+	let limit: NodeJS.Timeout | undefined;
 	return {
 		signal: controller.signal,
 		restart() {
 			silence.refresh();
+			limit ??= setTimeout(abort, maximumTransferMilliseconds).unref();
 		},
 		stop() {
 			clearTimeout(silence);
