Log which incarnation answers orders, and what is known of a worker that leaves

The agent's 'worker left' now names the runs and the unacknowledged ends that it knew, 'start ordered' and 'stop ordered' the clock that answered and the one expected, and the scheduler's 'runs lost' each run with its stage.

--- a/packages/scheduling/incarnations.ts
+++ b/packages/scheduling/incarnations.ts
@@ -11,7 +11,7 @@
 import {
 	findJob, findStep, isOpen, isRunOn, listStepMembers,
 } from './state.js';
-import type {SchedulerState, SchedulerWorker} from './types.js';
+import type {SchedulerState, SchedulerWorker, TaskRun} from './types.js';
 
 /** Why the runs of a worker's incarnation have certainly ended. */
 export type ReleaseCause = 'worker-restarted' | 'worker-silent' | 'worker-left' | 'agent-lost';
@@ -63,11 +63,13 @@
 export function releaseIncarnation(state: SchedulerState, worker: SchedulerWorker, cause: ReleaseCause, time: CurrentTime): SchedulerTransition {
 	let next = state;
 	const lostTasks: TaskName[] = [];
+	const lostRuns: Array<Pick<TaskRun, 'run' | 'stage' | 'isStopConfirmed'>> = [];
 	let loss = 0;
 	for (const {name, run, job} of listRunsOf(state, worker.agent)) {
 		if (isRunOn(run, worker)) {
 			const step = findStep(job, name);
 			lostTasks.push(name);
+			lostRuns.push({run: run.run, stage: run.stage, isStopConfirmed: run.isStopConfirmed});
 			loss += step === undefined ? 0 : measureLoss(run, step, time.monotonic);
 			next = releaseRun(isCrash(cause, worker) ? recordCrash(next, name, run, time.monotonic) : next, name, time.monotonic);
 		}
@@ -84,7 +86,7 @@
 				? []
 				: [{
 					kind: 'log', event: 'runs-lost', fields: {
-						reason: describeCause(cause), lossCoreSeconds: Math.round(loss), worker: worker.snapshot.worker, incarnation: worker.snapshot.incarnation, tasks: lostTasks,
+						reason: describeCause(cause), lossCoreSeconds: Math.round(loss), worker: worker.snapshot.worker, incarnation: worker.snapshot.incarnation, tasks: lostTasks, runs: lostRuns,
 					},
 				}],
 		}),
--- a/packages/supervision/announcements.ts
+++ b/packages/supervision/announcements.ts
@@ -89,9 +89,19 @@
 	return first.processorMillicores === second.processorMillicores && first.memoryMegabytes === second.memoryMegabytes && first.accelerators === second.accelerators;
 }
 
-export function handleDeparture(state: SupervisionState, {announcement: {worker, incarnation}}: SupervisedWorker): SupervisionStep {
+export function handleDeparture(state: SupervisionState, {announcement: {worker, incarnation}, running, ended}: SupervisedWorker): SupervisionStep {
 	return {
 		state: incrementRevision({...state, worker: undefined}),
-		effects: [{kind: 'report-departure', worker, incarnation}, {kind: 'log', event: 'worker-left', fields: {worker, incarnation}}],
+		effects: [
+			{kind: 'report-departure', worker, incarnation},
+			{
+				kind: 'log', event: 'worker-left', fields: {
+					worker,
+					incarnation,
+					running: running.map(({task, run}) => ({task, run})),
+					unacknowledged: ended.map(({task, run, ending}) => ({task, run, ending})),
+				},
+			},
+		],
 	};
 }
--- a/packages/supervisor/plugins/start-tasks.ts
+++ b/packages/supervisor/plugins/start-tasks.ts
@@ -1,6 +1,6 @@
 import {startTasksParametersSchema} from '#protocol';
 import type {StartAnswer, StartOrder} from '#scheduling';
-import {computeLeaseDeadline} from '#supervision';
+import {computeLeaseDeadline, estimateWorkerClock} from '#supervision';
 import {supervisorPlugins} from '../plugins.js';
 import {workerPort, type StartReply} from '../ports.js';
 import type {SupervisorContext} from '../types.js';
@@ -28,13 +28,23 @@
 	const sentAt = clock.monotonic();
 	const {deadline, leaseUntil} = computeLeaseDeadline(state, sentAt, {maximumLeaseMilliseconds: settings['maximum-hold-milliseconds']});
 	const refusal = findRefusal();
+	let answeredClock: number | undefined;
 	const result = refusal ?? await sendStart();
 	if (result !== 'started') {
 		counters.countRefusal(`start-${result}`);
 	}
 
 	log.withPrefix('orders').info({
-		task, run, epoch, incarnation, result, knownEpoch: state.epoch, worker: worker?.announcement.worker, milliseconds: Math.round(clock.monotonic() - sentAt),
+		task,
+		run,
+		epoch,
+		incarnation,
+		result,
+		knownEpoch: state.epoch,
+		worker: worker?.announcement.worker,
+		expectedClock: worker === undefined ? undefined : estimateWorkerClock(worker, sentAt),
+		answeredClock,
+		milliseconds: Math.round(clock.monotonic() - sentAt),
 	}, 'start ordered');
 	return {task, run, result};
 
@@ -65,6 +75,7 @@
 	function handleReply(reply: StartReply): StartAnswer['result'] {
 		switch (reply.kind) {
 			case 'started': {
+				answeredClock = reply.clock;
 				supervision.send({
 					kind: 'started', incarnation, task, run, clock: reply.clock,
 				});
--- a/packages/supervisor/plugins/stop-tasks.ts
+++ b/packages/supervisor/plugins/stop-tasks.ts
@@ -1,6 +1,6 @@
 import {stopTasksParametersSchema} from '#protocol';
 import type {StopOrder} from '#scheduling';
-import {noDeadline} from '#supervision';
+import {estimateWorkerClock, noDeadline} from '#supervision';
 import {supervisorPlugins} from '../plugins.js';
 import {workerPort} from '../ports.js';
 import type {SupervisorContext} from '../types.js';
@@ -27,16 +27,18 @@
 });
 
 async function stopRuns(orders: readonly StopOrder[], epoch: number, context: SupervisorContext): Promise<readonly StopOrder[]> {
-	const {services, log} = context;
-	const worker = services.use(supervisionService).read().worker?.announcement.worker;
-	if (worker === undefined) {
+	const {services, log, clock} = context;
+	const supervised = services.use(supervisionService).read().worker;
+	if (supervised === undefined) {
 		return [];
 	}
 
+	const {worker, incarnation} = supervised.announcement;
+	const expectedClock = estimateWorkerClock(supervised, clock.monotonic());
 	const replies = await Promise.all(orders.map(async order => ({order, reply: await services.use(workerPort).stop({worker, epoch, ...order})})));
 	for (const {order, reply} of replies) {
 		log.withPrefix('orders').info({
-			...order, epoch, worker, result: reply.kind,
+			...order, epoch, worker, incarnation, result: reply.kind, expectedClock, ...(reply.kind === 'stopped' ? {answeredClock: reply.clock} : {}),
 		}, 'stop ordered');
 	}
 
--- a/packages/supervisor/ports.ts
+++ b/packages/supervisor/ports.ts
@@ -15,6 +15,7 @@
 	deadline: Milliseconds;
 }>;
 
+/** `clock` is a reading of the worker's clock, which begins anew with each incarnation. */
 export type StartReply =
 	| Readonly<{kind: 'started'; clock: Milliseconds | undefined}>
 	/** The run definitely did not start. */
@@ -24,7 +25,7 @@
 
 export type StopCall = Readonly<{worker: WorkerId; epoch: number; task: TaskName; run: number}>;
 
-export type StopReply = Readonly<{kind: 'stopped'}> | Readonly<{kind: 'failed'; message: string}>;
+export type StopReply = Readonly<{kind: 'stopped'; clock: Milliseconds | undefined}> | Readonly<{kind: 'failed'; message: string}>;
 
 /** The agent's worker. Every call has a timeout; none throws. */
 export type WorkerPort = Readonly<{
