Let the stand-in of a worker restart, leave and carry out any order late

Cause: it could delay starts only, kept one file for runs, calls and announcements, and could not leave. It also differed from the protocol: a crash answered waiting calls with a list of ends, a stop did not raise the highest epoch, a missing token passed every check, a lease was not cut to the longest hold, a start of a run that had ended did not extend leases, a stop ended lower runs and took no time, and a second run of a task replaced the first one's record.

Change: one file for an incarnation, one for orders, one for announcements. Orders of any kind may get no answer and be carried out later, by the incarnation that is up then. A departure may go unconfirmed or arrive late.

--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -113,9 +113,9 @@
 			}
 
 			case 'late-starts': {
-				workerList[fault.index]?.delayStarts(fault.delay);
+				workerList[fault.index]?.delayOrders(['start'], fault.delay);
 				await sleep(systemClock, fault.duration);
-				workerList[fault.index]?.delayStarts(0);
+				workerList[fault.index]?.answerOrders();
 				break;
 			}
 
@@ -134,7 +134,7 @@
 	return {
 		fronts: entryPrograms.map((_, index) => addressesOf.front(loopbackHost(index), base)),
 		apply,
-		listRuns: () => workerList.flatMap(worker => worker.records().map(record => ({...record, worker: worker.id}))),
+		listRuns: () => workerList.flatMap(worker => worker.records()),
 		newestQueuePath: () => `/v${version}/`,
 		async stop() {
 			const daemons = [...entryPrograms, ...agentPrograms].flatMap(program => program.end());
--- a/test/platform/path.test.ts
+++ b/test/platform/path.test.ts
@@ -198,7 +198,7 @@
 		name: 'unanswered starts that are applied late run no task twice (late order)',
 		options: {entries: 1, workers: 2, workMilliseconds: 1500},
 		async run(deployment) {
-			deployment.workers[0]?.delayStarts(2500);
+			deployment.workers[0]?.delayOrders(['start'], 2500);
 			await submit(deployment, `/batch/${first}`, [step]);
 			await waitForState(deployment, `/batch/${first}`, 'completed');
 			expect(findOverlaps(deployment)).to.deep.equal([]);
--- a/test/support/platform/deployment.ts
+++ b/test/support/platform/deployment.ts
@@ -7,7 +7,7 @@
 } from './caller.js';
 import {addressesOf, startPlatformAgent, startPlatformEntry} from './programs.js';
 import {servePlatformStore, type PlatformStore} from './store.js';
-import {servePlatformWorker, type PlatformWorker} from './worker.js';
+import {servePlatformWorker, type PlatformWorker, type PlatformWorkerOptions} from './worker.js';
 
 export type PlatformEntry = Readonly<{name: string; front: string; readiness: string; daemon: Daemon; storeLink: SilentProxy}>;
 
@@ -23,7 +23,10 @@
 	stop(): Promise<void>;
 }>;
 
-export type DeploymentOptions = Readonly<{entries: number; workers: number; workMilliseconds: number; failingWorkers?: number; crashesOn?: (task: string) => boolean; configuration?: unknown}>;
+/** What a crash of its workers looks like. */
+type CrashOptions = Pick<PlatformWorkerOptions, 'crashesOn' | 'answersBeforeCrash' | 'restart'>;
+
+export type DeploymentOptions = Readonly<{entries: number; workers: number; workMilliseconds: number; failingWorkers?: number; configuration?: unknown}> & CrashOptions;
 
 /** Two queues: `/urgent/` of priority 0 and `/batch/` of priority 2. */
 export const defaultManifest = describeManifest(3, [
@@ -43,7 +46,7 @@
 	return response.text();
 }
 
-export async function startDeployment({entries, workers, workMilliseconds, failingWorkers = 0, crashesOn, configuration = defaultManifest}: DeploymentOptions): Promise<Deployment> {
+export async function startDeployment({entries, workers, workMilliseconds, failingWorkers = 0, configuration = defaultManifest, ...crashOptions}: DeploymentOptions): Promise<Deployment> {
 	const store = await servePlatformStore();
 	const base = nextPort;
 	nextPort += 20;
@@ -62,7 +65,7 @@
 		};
 	}));
 	const workerList = await Promise.all(Array.from({length: workers}, async (_, index) => servePlatformWorker({
-		host: loopbackHost(100 + index), id: `i-${index}`, rack: `r-${index % 2}`, service: 'svc', workMilliseconds, failsAll: index < failingWorkers, ...(crashesOn === undefined ? {} : {crashesOn}),
+		host: loopbackHost(100 + index), id: `i-${index}`, rack: `r-${index % 2}`, service: 'svc', workMilliseconds, failsAll: index < failingWorkers, ...crashOptions,
 	})));
 	const agents = await Promise.all(workerList.map(async (worker, index) => startPlatformAgent({
 		index, host: loopbackHost(100 + index), base, seeds, storeAddress: store.address,
--- a/test/support/platform/worker.ts
+++ b/test/support/platform/worker.ts
@@ -1,311 +1,268 @@
-/** Stand-in of a platform's worker, by its published protocol: it runs tasks under leases and announces itself. */
-import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
-import type {AddressInfo} from 'node:net';
-import {listen} from './store.js';
-
-type Run = {task: string; run: number; startedAt: number; checkpoint: string; timer: NodeJS.Timeout};
-type End = readonly [number, string, number, string, string];
-
-/** One start, for comparison with what callers were told. */
-export type StartRecord = Readonly<{task: string; run: number; startedAt: number; endedAt: number | undefined; ending: string | undefined}>;
+/** Stand-in of a platform's worker, by its published protocol: it runs tasks under leases, announces itself, crashes, leaves and comes back. */
+import {assertNever, type Milliseconds} from '#core';
+import {
+	sendAnnouncement, sendDeparture, type Departure, type SentAnnouncement,
+} from './worker-announcements.js';
+import {startIncarnation, type Incarnation, type StartRecord} from './worker-incarnation.js';
+import {serveOrders, type OrderListener} from './worker-orders.js';
+
+export type {StartRecord} from './worker-incarnation.js';
+
+export type Restart = Readonly<{
+	downMilliseconds: Milliseconds;
+	/** How long the next incarnation takes orders before it announces itself. */
+	silentMilliseconds?: Milliseconds;
+}>;
 
 export type PlatformWorker = Readonly<{
-	id: string;
 	address: string;
+	/** Its present identifier. */
+	identifier(): string;
 	records(): readonly StartRecord[];
 	/** Tells the agent; again and again until the worker is closed. */
 	announceTo(address: string): void;
-	setDraining(): void;
-	/** Carries out starts this much later and answers none of them. */
-	delayStarts(delay: number): void;
 	/** Changes what the worker says of its accelerators; it does not guard them. */
 	setAccelerators(accelerators: number): void;
 	/** Unix time at which its incarnation started. */
 	startedAt(): number;
 	/** How often the worker crashed. */
 	crashes(): number;
-	close(): Promise<void>;
+	isUp(): boolean;
+	/** Ends like a killed process and starts again under the same identifier, with nothing of before. */
+	crash(restart: Restart): void;
+	/** Announces that it leaves; it goes on until `depart`. */
+	drain(remainingMilliseconds: Milliseconds): void;
+	/** Reports its departure and ends, with everything that runs there. */
+	depart(departure: Departure): Promise<void>;
+	/** Starts again after it left, under the same identifier unless another is given. */
+	comeBack(identifier?: string): Promise<void>;
+	/** Sends a message of the incarnation before, which was under way until now; returns whether it was acknowledged. */
+	deliverLate(message: 'announcement' | 'departure'): Promise<boolean>;
+}> & Pick<OrderListener, 'delayOrders' | 'answerOrders' | 'lateOrders' | 'carryOutLateOrders' | 'close'>;
+
+export type PlatformWorkerOptions = Readonly<{
+	host: string;
+	id: string;
+	rack: string;
+	service: string;
+	workMilliseconds: Milliseconds;
+	maximumHoldMilliseconds?: Milliseconds;
+	failsAll?: boolean;
+	/** A start of such a task crashes the worker. */
+	crashesOn?: (task: string) => boolean;
+	/** Whether the start is answered before the worker crashes. */
+	answersBeforeCrash?: boolean;
+	/** How it starts again after such a crash. */
+	restart?: Restart;
 }>;
 
-export type PlatformWorkerOptions = Readonly<{host: string; id: string; rack: string; service: string; workMilliseconds: number; failsAll?: boolean; crashesOn?: (task: string) => boolean}>;
+type Presence =
+	| Readonly<{kind: 'up'; incarnation: Incarnation}>
+	| Readonly<{kind: 'down'}>;
 
-export async function servePlatformWorker({host, id, rack, service, workMilliseconds, failsAll = false, crashesOn = () => false}: PlatformWorkerOptions): Promise<PlatformWorker> {
-	let born = Date.now();
+export async function servePlatformWorker({
+	host, id, rack, service, workMilliseconds, maximumHoldMilliseconds = defaultMaximumHoldMilliseconds, failsAll = false, crashesOn = () => false, answersBeforeCrash = true, restart = defaultRestart,
+}: PlatformWorkerOptions): Promise<PlatformWorker> {
+	const records: StartRecord[] = [];
+	let identifier = id;
 	let accelerators = 8;
 	let crashCount = 0;
-	let isDown = false;
-	let restartTimer: NodeJS.Timeout | undefined;
-	const runs = new Map<string, Run>();
-	const highest = new Map<string, number>();
-	const records: Array<{task: string; run: number; startedAt: number; endedAt: number | undefined; ending: string | undefined}> = [];
-	let ends: End[] = [];
-	let endCount = 0;
-	let fence = 0;
-	let deadline = 0;
 	let sequence = 0;
-	let state = 'ready';
-	let startDelay = 0;
-	let leaseTimer: NodeJS.Timeout | undefined;
+	let drainsUntil: number | undefined;
+	let isSilent = false;
+	let agent: string | undefined;
+	let earlier: SentAnnouncement | undefined;
+	let restartTimer: NodeJS.Timeout | undefined;
 	let beat: NodeJS.Timeout | undefined;
-	const waiting = new Set<() => void>();
-	const clock = () => Date.now() - born + clockOffset;
+	let isClosed = false;
+
+	const begin = (): Presence => ({
+		kind: 'up',
+		incarnation: startIncarnation({
+			worker: identifier, born: Date.now(), workMilliseconds, maximumHoldMilliseconds, stopMilliseconds, failsAll,
+			addRecord(record) {
+				records.push(record);
+			},
+		}),
+	});
+	let presence = begin();
+	let born = Date.now();
 
-	const end = (run: Run, ending: string) => {
-		clearTimeout(run.timer);
-		runs.delete(run.task);
-		highest.set(run.task, Math.max(highest.get(run.task) ?? 0, run.run));
-		ends = [...ends, [++endCount, run.task, run.run, ending, run.checkpoint]];
-		const record = records.findLast(({task, run: number}) => task === run.task && number === run.run);
-		if (record !== undefined) {
-			record.endedAt = Date.now();
-			record.ending = ending;
-		}
+	const describe = (incarnation: Incarnation): SentAnnouncement => ({
+		identifier,
+		body: {
+			service,
+			address: listener.address,
+			zone: 'z',
+			version: 'v1',
+			slots: 8,
+			state: drainsUntil === undefined ? 'ready' : 'draining',
+			cold_remaining_ms: 0,
+			capacity: {cpu: 128_000, mem_mb: 262_144, gpus: accelerators},
+			labels: ['a', rack],
+			clock_ms: incarnation.clock(),
+			seq_no: ++sequence,
+			born: incarnation.born,
+			...(drainsUntil === undefined ? {} : {drain_remaining_ms: Math.max(0, drainsUntil - Date.now())}),
+		},
+	});
 
-		for (const wake of waiting) {
-			wake();
+	const end = (ending: 'crashed' | 'left') => {
+		if (presence.kind === 'up') {
+			earlier = describe(presence.incarnation);
+			presence.incarnation.end(ending);
 		}
-	};
 
-	const extend = (until: number | undefined) => {
-		deadline = Math.max(deadline, until ?? 0);
-		clearTimeout(leaseTimer);
-		leaseTimer = setTimeout(() => {
-			for (const run of runs.values()) {
-				end(run, 'lapsed');
-			}
-		}, Math.max(0, deadline - clock()));
+		presence = {kind: 'down'};
+		listener.goDown();
 	};
 
-	const start = (body: Readonly<Record<string, unknown>>): [number, unknown] => {
-		const task = String(body['task']);
-		const run = Number(body['run_id']);
-		if (Number(body['fencing_token']) < fence) {
-			return [409, {reason: 'fence', clock_ms: clock()}];
-		}
-
-		fence = Number(body['fencing_token']);
-		if (runs.get(task)?.run === run) {
-			return [200, {clock_ms: clock()}];
-		}
-
-		if (run <= (highest.get(task) ?? 0)) {
-			return [409, {reason: 'old', clock_ms: clock()}];
-		}
-
-		if (Number(body['deadline_ms']) <= clock()) {
-			return [409, {reason: 'late', clock_ms: clock()}];
-		}
-
-		extend(Number(body['deadline_ms']));
-		const started: Run = {
-			task, run, startedAt: Date.now(), checkpoint: '', timer: setTimeout(() => {
-				end(started, failsAll ? 'failed' : 'done');
-			}, workMilliseconds),
-		};
-		runs.set(task, started);
-		records.push({
-			task, run, startedAt: Date.now(), endedAt: undefined, ending: undefined,
-		});
-		if (crashesOn(task)) {
-			setTimeout(crash, crashDelayMilliseconds);
-		}
-
-		return [200, {clock_ms: clock()}];
+	const start = async (silentMilliseconds: Milliseconds) => {
+		sequence = 0;
+		drainsUntil = undefined;
+		isSilent = silentMilliseconds > 0;
+		presence = begin();
+		born = presence.kind === 'up' ? presence.incarnation.born : born;
+		await listener.comeUp();
+		clearTimeout(restartTimer);
+		restartTimer = setTimeout(() => {
+			isSilent = false;
+			void announce();
+		}, silentMilliseconds);
 	};
 
-	/** Ends like a killed process and starts again under the same identifier, with nothing of before. */
-	const crash = () => {
-		if (isDown) {
+	const crash = ({downMilliseconds, silentMilliseconds = 0}: Restart) => {
+		if (presence.kind === 'down') {
 			return;
 		}
 
-		isDown = true;
 		crashCount++;
-		clearTimeout(leaseTimer);
-		for (const run of runs.values()) {
-			end(run, 'crashed');
-		}
-
-		highest.clear();
-		ends = [];
-		endCount = 0;
-		fence = 0;
-		deadline = 0;
-		sequence = 0;
-		server.close();
-		server.closeAllConnections();
+		end('crashed');
+		clearTimeout(restartTimer);
 		restartTimer = setTimeout(() => {
-			born = Date.now();
-			isDown = false;
-			void listen(server, host, port);
-		}, restartMilliseconds);
+			void start(silentMilliseconds);
+		}, downMilliseconds);
 	};
 
-	const stop = (body: Readonly<Record<string, unknown>>): [number, unknown] => {
-		const task = String(body['task']);
-		const run = Number(body['run_id']);
-		if (Number(body['fencing_token']) < fence) {
-			return [409, {reason: 'fence', clock_ms: clock()}];
+	const announce = async () => {
+		clearTimeout(beat);
+		if (agent !== undefined && presence.kind === 'up' && !isSilent) {
+			await sendAnnouncement(agent, describe(presence.incarnation));
 		}
 
-		highest.set(task, Math.max(highest.get(task) ?? 0, run));
-		const present = runs.get(task);
-		if (present !== undefined && present.run <= run) {
-			end(present, 'stopped');
+		if (!isClosed) {
+			clearTimeout(beat);
+			beat = setTimeout(() => {
+				void announce();
+			}, beatMilliseconds);
 		}
-
-		return [200, {clock_ms: clock()}];
 	};
 
-	const hold = (body: Readonly<Record<string, unknown>>, response: ServerResponse) => {
-		const token = Number(body['fencing_token']);
-		if (token < fence) {
-			reply(response, 409, {reason: 'fence', clock_ms: clock()});
-			return;
-		}
+	const reportDeparture = async (leaving: string) => agent !== undefined && sendDeparture(agent, leaving);
 
-		fence = token;
-		ends = ends.filter(([number]) => number > Number(body['last_seen']));
-		if (body['deadline_ms'] !== undefined) {
-			extend(Number(body['deadline_ms']));
+	const reportUntilConfirmed = async (until: number) => {
+		const isConfirmed = await reportDeparture(identifier);
+		if (!isConfirmed && Date.now() < until) {
+			await wait(beatMilliseconds);
+			await reportUntilConfirmed(until);
 		}
-
-		const answer = () => {
-			waiting.delete(answer);
-			clearTimeout(timer);
-			reply(response, 200, {
-				clock_ms: clock(),
-				born,
-				running: [...runs.values()].map(run => [run.task, run.run, run.checkpoint, Math.min(99, Math.floor((Date.now() - run.startedAt) / workMilliseconds * 100)), 0]),
-				finished: ends,
-			});
-		};
-
-		const timer = setTimeout(answer, ends.length > 0 ? 0 : Number(body['wait_ms'] ?? 0));
-		waiting.add(answer);
 	};
 
-	const serve = async (request: IncomingMessage, response: ServerResponse) => {
-		const chunks: Buffer[] = [];
-		for await (const chunk of request) {
-			chunks.push(chunk as Buffer);
-		}
-
-		const body = JSON.parse(Buffer.concat(chunks).toString('utf8')) as Readonly<Record<string, unknown>>;
-		if (request.headers['expect-instance'] !== undefined && request.headers['expect-instance'] !== id) {
-			reply(response, 421, {});
-			return;
-		}
-
-		switch (request.url ?? '') {
-			case '/v1/run-start': {
-				if (startDelay > 0) {
-					setTimeout(() => {
-						start(body);
-					}, startDelay);
-				} else {
-					reply(response, ...start(body));
-				}
-
-				break;
-			}
-
-			case '/v1/run-stop': {
-				reply(response, ...stop(body));
-				break;
+	const listener = await serveOrders(host, {
+		identifier: () => identifier,
+		incarnation: () => presence.kind === 'up' ? presence.incarnation : undefined,
+		crashesAt({task}) {
+			if (!crashesOn(String(task))) {
+				return false;
 			}
 
-			case '/v1/hold': {
-				hold(body, response);
-				break;
+			if (answersBeforeCrash) {
+				setTimeout(crash, crashDelayMilliseconds, restart);
+			} else {
+				crash(restart);
 			}
 
-			default: {
-				reply(response, 404, {});
-			}
-		}
-	};
-
-	const server = createServer((request, response) => {
-		void serve(request, response);
+			return !answersBeforeCrash;
+		},
 	});
-	await listen(server, host);
-	const {port} = server.address() as AddressInfo;
-	const announce = async (address: string) => {
-		try {
-			await (isDown
-				? undefined
-				: fetch(`http://${address}/v1/instances/${id}`, {
-					method: 'PUT',
-					headers: {'content-type': 'application/json'},
-					body: JSON.stringify({
-						service,
-						address: `${host}:${port}`,
-						zone: 'z',
-						version: 'v1',
-						slots: 8,
-						state,
-						cold_remaining_ms: 0,
-						capacity: {cpu: 128_000, mem_mb: 262_144, gpus: accelerators},
-						labels: ['a', rack],
-						clock_ms: clock(),
-						seq_no: ++sequence,
-						born,
-						...(state === 'draining' ? {drain_remaining_ms: 3000} : {}),
-					}),
-				}));
-		} catch {
-			// The agent may not run yet; the next announcement finds it.
-		}
-
-		beat = setTimeout(() => {
-			void announce(address);
-		}, beatMilliseconds);
-	};
-
 	return {
-		id,
-		address: `${host}:${port}`,
+		...listener,
+		identifier: () => identifier,
 		records: () => records,
 		announceTo(address) {
-			void announce(address);
-		},
-		setDraining() {
-			state = 'draining';
-		},
-		delayStarts(delay) {
-			startDelay = delay;
+			agent = address;
+			void announce();
 		},
 		setAccelerators(next) {
 			accelerators = next;
 		},
 		startedAt: () => born,
 		crashes: () => crashCount,
+		isUp: () => presence.kind === 'up',
+		crash,
+		drain(remainingMilliseconds) {
+			drainsUntil = Date.now() + remainingMilliseconds;
+			void announce();
+		},
+		async depart(departure) {
+			isSilent = true;
+			const endsAt = Date.now() + departure.endsAfter;
+			switch (departure.kind) {
+				case 'confirmed': {
+					await reportUntilConfirmed(endsAt);
+					break;
+				}
+
+				case 'confirmation-lost': {
+					await reportDeparture(identifier);
+					await wait(Math.max(0, endsAt - Date.now()));
+					break;
+				}
+
+				case 'report-delayed': {
+					await wait(departure.endsAfter);
+					break;
+				}
+
+				default: {
+					assertNever(departure);
+				}
+			}
+
+			end('left');
+		},
+		async comeBack(next = identifier) {
+			identifier = next;
+			await start(0);
+		},
+		async deliverLate(message) {
+			if (agent === undefined || earlier === undefined) {
+				return false;
+			}
+
+			return message === 'announcement' ? sendAnnouncement(agent, earlier) : reportDeparture(earlier.identifier);
+		},
 		async close() {
+			isClosed = true;
 			clearTimeout(beat);
 			clearTimeout(restartTimer);
-			clearTimeout(leaseTimer);
-			for (const run of runs.values()) {
-				clearTimeout(run.timer);
+			if (presence.kind === 'up') {
+				presence.incarnation.end('left');
 			}
 
-			server.closeAllConnections();
-			await new Promise(resolve => {
-				server.close(resolve);
-			});
+			await listener.close();
 		},
 	};
 }
 
-/** A steady clock need not begin at 0. */
-const clockOffset = 50_000;
+const defaultMaximumHoldMilliseconds = 6000;
+const stopMilliseconds = 200;
 const beatMilliseconds = 300;
 const crashDelayMilliseconds = 10;
-const restartMilliseconds = 800;
+const defaultRestart: Restart = {downMilliseconds: 800};
 
-function reply(response: ServerResponse, status: number, body: unknown): void {
-	if (!response.destroyed) {
-		response.writeHead(status, {'content-type': 'application/json'});
-		response.end(JSON.stringify(body));
-	}
+async function wait(milliseconds: Milliseconds): Promise<void> {
+	await new Promise(resolve => {
+		setTimeout(resolve, milliseconds);
+	});
 }
