Show four ways to run a task twice around a worker's restart and departure

An order, an end or a departure is taken for the present incarnation of an identifier whichever it was meant for.

--- /dev/null
+++ b/test/platform/incarnations.test.ts
@@ -0,0 +1,144 @@
+import {expect} from 'chai';
+import {waitFor} from '#test/support/processes';
+import {describeStep} from '#test/support/platform/caller';
+import {startDeployment, type Deployment, type DeploymentOptions} from '#test/support/platform/deployment';
+import {findRepeatedRuns} from '#test/support/platform/repeated-runs';
+import type {PlatformWorker, StartRecord} from '#test/support/platform/worker';
+
+const first = '00000000000000b1';
+
+/** A worker announces itself every 0.3 s, and its agent passes it on twice a second. */
+const reportMilliseconds = 1000;
+
+async function pause(milliseconds: number): Promise<void> {
+	await new Promise(resolve => {
+		setTimeout(resolve, milliseconds);
+	});
+}
+
+async function submit(deployment: Deployment, job: string, count = 1): Promise<void> {
+	await waitFor('acceptance', async () => {
+		const answer = await deployment.call(0, 'POST', `/batch/${job}`, {spec: 'text', steps: [describeStep(count, [])]});
+		return answer?.status === 200 ? answer : undefined;
+	});
+}
+
+async function waitForState(deployment: Deployment, job: string, state: string): Promise<void> {
+	await waitFor(`${job} ${state}`, async () => {
+		const answer = await deployment.call(0, 'GET', `/batch/${job}`);
+		return (answer?.body as Readonly<{state?: string}> | undefined)?.state === state ? state : undefined;
+	});
+}
+
+const recordsOf = ({workers}: Deployment, job: string): readonly StartRecord[] => workers.flatMap(worker => worker.records()).filter(({task}) => task.startsWith(job));
+
+async function waitForStart(deployment: Deployment, job: string, count = 1): Promise<StartRecord> {
+	return waitFor(`start ${count} of ${job}`, async () => recordsOf(deployment, job)[count - 1]);
+}
+
+/** Lets only one of two workers take new work, so that the test knows where a task starts. */
+async function allowOnly({workers}: Deployment, allowed: number): Promise<readonly [PlatformWorker, PlatformWorker]> {
+	for (const [index, worker] of workers.entries()) {
+		worker.setAccelerators(index === allowed ? 8 : 0);
+	}
+
+	await pause(reportMilliseconds);
+	return [workers[allowed]!, workers[1 - allowed]!];
+}
+
+function allowAll({workers}: Deployment): void {
+	for (const worker of workers) {
+		worker.setAccelerators(8);
+	}
+}
+
+type Case = Readonly<{name: string; options: DeploymentOptions; run(deployment: Deployment): Promise<void>}>;
+
+const cases: readonly Case[] = [
+	{
+		name: 'an unanswered start that the worker\'s next incarnation carries out is no second run (start for an earlier incarnation)',
+		options: {entries: 1, workers: 2, workMilliseconds: 4000},
+		async run(deployment) {
+			const [worker, other] = await allowOnly(deployment, 0);
+			worker.delayOrders(['start'], 'until-told');
+			await submit(deployment, first);
+			await waitFor('late start', async () => worker.lateOrders()[0]);
+			worker.answerOrders();
+			worker.setAccelerators(0);
+			other.setAccelerators(8);
+			worker.crash({downMilliseconds: 100});
+			await Promise.race([waitForStart(deployment, first), pause(4000)]);
+			worker.carryOutLateOrders();
+			await waitForState(deployment, first, 'completed');
+		},
+	},
+	{
+		name: 'an end that a worker listed just before it left is not lost with it (done task started again)',
+		options: {entries: 1, workers: 2, workMilliseconds: 2500},
+		async run(deployment) {
+			const [worker] = await allowOnly(deployment, 0);
+			await submit(deployment, first);
+			const record = await waitForStart(deployment, first);
+			await pause(1200);
+			worker.drain(6000);
+			allowAll(deployment);
+			await pause(reportMilliseconds - 500);
+			// A renewal without the end is under way while the end is listed.
+			const {process: scheduler} = deployment.entries[0]!.daemon;
+			scheduler.kill('SIGSTOP');
+			await waitFor('listed end', async () => record.listedAt);
+			const departure = worker.depart({kind: 'confirmed', endsAfter: 3000});
+			await pause(100);
+			scheduler.kill('SIGCONT');
+			await departure;
+			await waitForState(deployment, first, 'completed');
+		},
+	},
+	{
+		name: 'the runs of a worker whose departure was not confirmed start elsewhere only once it ended (runs released while they go on)',
+		options: {entries: 1, workers: 2, workMilliseconds: 6000},
+		async run(deployment) {
+			const [worker] = await allowOnly(deployment, 0);
+			await submit(deployment, first);
+			await waitForStart(deployment, first);
+			await pause(1700);
+			worker.drain(1000);
+			allowAll(deployment);
+			await pause(reportMilliseconds);
+			await worker.depart({kind: 'confirmation-lost', endsAfter: 3000});
+			await waitForState(deployment, first, 'completed');
+		},
+	},
+	{
+		name: 'a delayed departure of the incarnation before releases no runs of the present one (departure of an earlier incarnation)',
+		options: {entries: 1, workers: 2, workMilliseconds: 4000},
+		async run(deployment) {
+			const [worker] = await allowOnly(deployment, 0);
+			worker.drain(0);
+			await pause(reportMilliseconds);
+			await worker.depart({kind: 'report-delayed', endsAfter: 0});
+			await worker.comeBack();
+			await submit(deployment, first);
+			await waitForStart(deployment, first);
+			allowAll(deployment);
+			await pause(reportMilliseconds);
+			expect(await worker.deliverLate('departure')).to.equal(true);
+			await waitForState(deployment, first, 'completed');
+		},
+	},
+];
+
+describe('incarnations of a worker', function () {
+	this.timeout(90_000);
+	for (const {name, options, run} of cases) {
+		it(name, async () => {
+			const deployment = await startDeployment(options);
+			try {
+				await run(deployment);
+				expect(findRepeatedRuns(deployment.workers.flatMap(worker => worker.records()))).to.deep.equal([]);
+			} finally {
+				await deployment.stop();
+			}
+		});
+	}
+});
