Let the stand-in of a worker begin with a long uptime, and lose orders

Cause: with a fresh first incarnation, a deadline on its clock lies hardly ahead of the clock of the next one, so that a late lease extension extended nothing there.

Change: the first incarnation has run for ten minutes. Orders may also be lost.

--- a/test/support/platform/worker-orders.ts
+++ b/test/support/platform/worker-orders.ts
@@ -9,8 +9,8 @@
 
 export type OrderKind = 'start' | 'stop' | 'hold';
 
-/** How late orders are carried out; `until-told` waits for `carryOutLateOrders`. */
-export type OrderDelay = Milliseconds | 'until-told';
+/** How late orders are carried out; `until-told` waits for `carryOutLateOrders`, `never` loses them. */
+export type OrderDelay = Milliseconds | 'until-told' | 'never';
 
 /** An order that gets no answer and has not been carried out yet. */
 export type LateOrder = Readonly<{kind: OrderKind; order: Order}>;
@@ -106,6 +106,10 @@
 			return;
 		}
 
+		if (delay === 'never') {
+			return;
+		}
+
 		const delayed = {kind, order};
 		late.set(delayed, delay === 'until-told'
 			? undefined
--- a/test/support/platform/worker.ts
+++ b/test/support/platform/worker.ts
@@ -76,17 +76,17 @@
 	let beat: NodeJS.Timeout | undefined;
 	let isClosed = false;
 
-	const begin = (): Presence => ({
+	const begin = (uptimeMilliseconds: Milliseconds): Presence => ({
 		kind: 'up',
 		incarnation: startIncarnation({
-			worker: identifier, born: Date.now(), workMilliseconds, maximumHoldMilliseconds, stopMilliseconds, failsAll,
+			worker: identifier, born: Date.now() - uptimeMilliseconds, workMilliseconds, maximumHoldMilliseconds, stopMilliseconds, failsAll,
 			addRecord(record) {
 				records.push(record);
 			},
 		}),
 	});
-	let presence = begin();
-	let born = Date.now();
+	let presence = begin(initialUptimeMilliseconds);
+	let born = Date.now() - initialUptimeMilliseconds;
 
 	const describe = (incarnation: Incarnation): SentAnnouncement => ({
 		identifier,
@@ -121,7 +121,7 @@
 		sequence = 0;
 		drainsUntil = undefined;
 		isSilent = silentMilliseconds > 0;
-		presence = begin();
+		presence = begin(0);
 		born = presence.kind === 'up' ? presence.incarnation.born : born;
 		await listener.comeUp();
 		clearTimeout(restartTimer);
@@ -255,6 +255,8 @@
 	};
 }
 
+/** The first incarnation has run for long, so that times on its clock lie far ahead of the clock of the next one. */
+const initialUptimeMilliseconds = 600_000;
 const defaultMaximumHoldMilliseconds = 6000;
 const stopMilliseconds = 200;
 const beatMilliseconds = 300;
