--- a/test/platform/incarnations.test.ts
+++ b/test/platform/incarnations.test.ts
@@ -6,6 +6,7 @@
 import type {PlatformWorker, StartRecord} from '#test/support/platform/worker';
 
 const first = '00000000000000b1';
+const second = '00000000000000b2';
 
 /** A worker announces itself every 0.3 s, and its agent passes it on twice a second. */
 const reportMilliseconds = 1000;
@@ -126,6 +127,100 @@
 			await waitForState(deployment, first, 'completed');
 		},
 	},
+	{
+		name: 'a delayed announcement of the incarnation before releases no runs of the present one (announcement of an earlier incarnation)',
+		options: {entries: 1, workers: 2, workMilliseconds: 4000},
+		async run(deployment) {
+			const [worker] = await allowOnly(deployment, 0);
+			worker.crash({downMilliseconds: 100});
+			await pause(reportMilliseconds);
+			await submit(deployment, first);
+			await waitForStart(deployment, first);
+			allowAll(deployment);
+			await pause(reportMilliseconds);
+			expect(await worker.deliverLate('announcement')).to.equal(true);
+			await waitForState(deployment, first, 'completed');
+		},
+	},
+	{
+		name: 'a lease extension of the incarnation before does not acknowledge ends of the present one (done task started again)',
+		options: {entries: 1, workers: 1, workMilliseconds: 2000},
+		async run(deployment) {
+			const [worker] = deployment.workers;
+			await submit(deployment, first, 2);
+			await waitForState(deployment, first, 'completed');
+			await waitFor('acknowledged ends', async () => recordsOf(deployment, first).every(({notedAt}) => notedAt !== undefined) ? true : undefined);
+			worker!.delayOrders(['hold'], 'until-told');
+			await waitFor('late lease extension', async () => worker!.lateOrders()[0]);
+			worker!.answerOrders();
+			worker!.crash({downMilliseconds: 100});
+			await submit(deployment, second);
+			const record = await waitForStart(deployment, second);
+			// The answers that would list the end are lost.
+			await pause(500);
+			worker!.delayOrders(['hold'], 0);
+			await waitFor('end', async () => record.endedAt);
+			worker!.carryOutLateOrders();
+			worker!.answerOrders();
+			await waitForState(deployment, second, 'completed');
+		},
+	},
+	{
+		name: 'a lease extension of the incarnation before keeps no run of the present one alive beyond its lease (run released while it goes on)',
+		options: {entries: 1, workers: 2, workMilliseconds: 12_000},
+		async run(deployment) {
+			const [worker] = await allowOnly(deployment, 0);
+			worker.delayOrders(['hold'], 'until-told');
+			await waitFor('late lease extension', async () => worker.lateOrders()[0]);
+			worker.answerOrders();
+			worker.crash({downMilliseconds: 100});
+			await submit(deployment, first);
+			const record = await waitForStart(deployment, first);
+			allowAll(deployment);
+			await pause(reportMilliseconds);
+			worker.delayOrders(['start', 'stop', 'hold'], 'never');
+			await pause(record.startedAt + 6000 - Date.now());
+			worker.carryOutLateOrders();
+			await waitForStart(deployment, first, 2);
+			await pause(reportMilliseconds);
+			worker.answerOrders();
+			await waitForState(deployment, first, 'completed');
+		},
+	},
+	{
+		name: 'a stop that the next incarnation confirms leaves the crash of the earlier one counted (endless crashes)',
+		options: {
+			entries: 1, workers: 3, workMilliseconds: 300, crashesOn: task => task.startsWith(first), answersBeforeCrash: false, restart: {downMilliseconds: 100, silentMilliseconds: 3000},
+		},
+		async run(deployment) {
+			const countCrashes = () => deployment.workers.reduce((total, worker) => total + worker.crashes(), 0);
+			await submit(deployment, first);
+			await Promise.race([waitForState(deployment, first, 'failed'), waitFor('a further crash', async () => countCrashes() > 3 ? true : undefined)]);
+			expect(countCrashes()).to.equal(3);
+		},
+	},
+	{
+		name: 'a start that a later incarnation carries out after the one before confirmed its stop is no second run (stop confirmed by one incarnation only)',
+		options: {entries: 1, workers: 2, workMilliseconds: 4000},
+		async run(deployment) {
+			const [worker, other] = await allowOnly(deployment, 0);
+			worker.delayOrders(['start'], 'until-told');
+			await submit(deployment, first);
+			await waitFor('late start', async () => worker.lateOrders()[0]);
+			worker.answerOrders();
+			worker.setAccelerators(0);
+			other.setAccelerators(8);
+			worker.crash({downMilliseconds: 100});
+			await Promise.race([waitForStart(deployment, first), pause(4000)]);
+			worker.crash({downMilliseconds: 100});
+			while (!worker.isUp()) {
+				await pause(1);
+			}
+
+			worker.carryOutLateOrders();
+			await waitForState(deployment, first, 'completed');
+		},
+	},
 ];
 
 describe('incarnations of a worker', function () {
