Report the ends that a worker listed before it left or started again

Cause: the agent forgot its worker when the departure or the next incarnation was announced, and reported the departure by name only. An end that was listed after the last renewal had been sent was dropped with it, and the scheduler released the run and started the task again.

Change: the agent keeps the unacknowledged ends of each ended incarnation and reports them with its end until the scheduler has answered; the scheduler handles them before it releases the rest, also if it is a new one that has not loaded the jobs yet, or no longer knows the incarnation.

--- a/bench/scheduling/model.ts
+++ b/bench/scheduling/model.ts
@@ -212,7 +212,7 @@
 
 function createDurations(): Record<SchedulerMessage['kind'], Milliseconds[]> {
 	return {
-		configured: [], loaded: [], submitted: [], cancelled: [], renewed: [], left: [], detached: [], 'start-answered': [], 'stop-answered': [], stored: [], tick: [], pass: [],
+		configured: [], loaded: [], submitted: [], cancelled: [], renewed: [], 'incarnation-ended': [], detached: [], 'start-answered': [], 'stop-answered': [], stored: [], tick: [], pass: [],
 	};
 }
 
--- a/packages/coordinator/plugins/renew-worker.ts
+++ b/packages/coordinator/plugins/renew-worker.ts
@@ -1,13 +1,13 @@
-import {renewWorkerParametersSchema} from '#protocol';
+import {renewWorkerParametersSchema, type EndedIncarnation} from '#protocol';
 import {grantValidityMilliseconds} from '#scheduling';
-import type {WorkerIncarnation, WorkerSnapshot} from '#jobs';
+import type {WorkerSnapshot} from '#jobs';
 import {findScheduler, listEntryAddresses} from '../addresses.js';
 import {coordinatorPlugins} from '../plugins.js';
 import {agentsService} from './agents.js';
 import {holdsLeadership, leadershipService} from './leadership.js';
 import {schedulerService} from './scheduler.js';
 
-type Renewal = Readonly<{agent: string; snapshot?: WorkerSnapshot; left?: WorkerIncarnation; epoch: number}>;
+type Renewal = Readonly<{agent: string; snapshot?: WorkerSnapshot; left?: EndedIncarnation; epoch: number}>;
 
 coordinatorPlugins.register({
 	kind: 'rpc-method',
@@ -27,7 +27,7 @@
 		}
 
 		if (left !== undefined) {
-			scheduler.send({kind: 'left', agent, incarnation: left});
+			scheduler.send({kind: 'incarnation-ended', agent, ...left});
 		}
 
 		// A snapshot taken under an earlier epoch may miss runs that an earlier scheduler has started since.
--- a/packages/protocol/scheduling.ts
+++ b/packages/protocol/scheduling.ts
@@ -3,9 +3,17 @@
 import {
 	addressSchema, countSchema, entryIdSchema, workerIdSchema,
 } from '#core';
-import {jobRequestSchema, taskNameSchema, workerSnapshotSchema} from '#jobs';
+import {
+	endedRunSchema, jobRequestSchema, taskNameSchema, workerSnapshotSchema,
+} from '#jobs';
 
-const workerIncarnationSchema = valibot.pipe(valibot.object({worker: workerIdSchema, incarnation: valibot.string()}), valibot.readonly());
+const endedIncarnationSchema = valibot.pipe(valibot.object({
+	worker: workerIdSchema,
+	incarnation: valibot.string(),
+	ending: valibot.optional(valibot.picklist(['left', 'replaced']), 'left'),
+	ended: valibot.optional(valibot.pipe(valibot.array(endedRunSchema), valibot.readonly()), []),
+}), valibot.readonly());
+export type EndedIncarnation = valibot.InferOutput<typeof endedIncarnationSchema>;
 /** The scheduler known to the sender. */
 const schedulerReferenceSchema = valibot.pipe(valibot.object({address: addressSchema, epoch: countSchema}), valibot.readonly());
 export type SchedulerReference = valibot.InferOutput<typeof schedulerReferenceSchema>;
@@ -26,8 +34,8 @@
 	agent: valibot.string(),
 	/** Absent if the receiver is not the scheduler, and until the worker has confirmed the epoch. */
 	snapshot: valibot.optional(workerSnapshotSchema),
-	/** A worker incarnation that ended gracefully. */
-	left: valibot.optional(workerIncarnationSchema),
+	/** A worker incarnation that ended, and the ends that it listed last. Agents of earlier versions report departures only. */
+	left: valibot.optional(endedIncarnationSchema),
 	/** Epoch with which the snapshot was read. */
 	epoch: countSchema,
 });
--- a/packages/scheduling/ends.ts
+++ b/packages/scheduling/ends.ts
@@ -1,14 +1,14 @@
 /** Handles the ends of runs that workers list. */
 import type {CurrentTime} from '#core';
 import {
-	parseJobOfTask, type EndedRun, type JobKey, type TaskName,
+	isSameIncarnation, parseJobOfTask, type EndedRun, type JobKey, type TaskName, type WorkerIncarnation,
 } from '#jobs';
 import {avoidanceMilliseconds, failuresBeforeAvoidance} from './constants.js';
 import {
 	chain, endJob, markChanged, stopRuns, storeJob, withoutEffects, type SchedulerTransition,
 } from './runs.js';
 import {
-	countFailures, isOpen, isRunOn, findJob, findTask, resolveQueue, listStepMembers, findStep, withTask, withWorker,
+	countFailures, isOpen, findJob, findTask, resolveQueue, listStepMembers, findStep, withTask, withWorker,
 } from './state.js';
 import type {
 	AgentName, SchedulerJob, SchedulerState, TaskState,
@@ -22,18 +22,21 @@
 	}
 
 	return chain(withWorker(state, {...worker, handledEnd: end.number}), [
-		next => applyEnd(next, agent, end, time),
-		next => ({
-			state: next, effects: [{
-				kind: 'log', event: 'run-ended', fields: {
-					task: end.task, run: end.run, ending: end.ending, worker: worker.snapshot.worker,
-				},
-			}],
-		}),
+		next => applyEnd(next, {agent, worker: worker.snapshot.worker, incarnation: worker.snapshot.incarnation}, end, time),
 		next => deferAcknowledgement(next, agent, end),
 	]);
 }
 
+/** Handles an end that an incarnation listed before it ended itself. If that incarnation is no longer known, only what lasts counts: a task that is done, or failed. */
+export function handleLastEnd(state: SchedulerState, origin: EndOrigin, end: EndedRun, time: CurrentTime): SchedulerTransition {
+	const worker = state.workers.get(origin.agent);
+	if (worker !== undefined && isSameIncarnation(worker.snapshot, origin)) {
+		return handleEnd(state, origin.agent, end, time);
+	}
+
+	return end.ending === 'done' || end.ending === 'failed' ? applyEnd(state, origin, end, time) : withoutEffects(state);
+}
+
 /** Defers the acknowledgement of an end until the progress that contains it is stored. */
 function deferAcknowledgement(state: SchedulerState, agent: AgentName, {number, task}: EndedRun): SchedulerTransition {
 	const worker = state.workers.get(agent);
@@ -66,16 +69,28 @@
 	};
 }
 
-function applyEnd(state: SchedulerState, agent: AgentName, end: EndedRun, time: CurrentTime): SchedulerTransition {
+/** The incarnation that listed an end, and the agent beside it. */
+type EndOrigin = WorkerIncarnation & Readonly<{agent: AgentName}>;
+
+function applyEnd(state: SchedulerState, origin: EndOrigin, end: EndedRun, time: CurrentTime): SchedulerTransition {
+	const {state: next, effects} = applyEndToTask(state, origin, end, time);
+	const log = {
+		kind: 'log', event: 'run-ended', fields: {
+			task: end.task, run: end.run, ending: end.ending, worker: origin.worker,
+		},
+	} as const;
+	return {state: next, effects: [...effects, log]};
+}
+
+function applyEndToTask(state: SchedulerState, origin: EndOrigin, end: EndedRun, time: CurrentTime): SchedulerTransition {
 	const job = findJob(state, end.task);
 	const task = job?.tasks.get(end.task);
-	const worker = state.workers.get(agent);
 	const step = job === undefined ? undefined : findStep(job, end.task);
-	if (job === undefined || task === undefined || worker === undefined || step === undefined) {
+	if (job === undefined || task === undefined || step === undefined) {
 		return withoutEffects(state);
 	}
 
-	const isCurrentRun = isRunOn(task.run, worker) && task.run.run === end.run;
+	const isCurrentRun = isSameIncarnation(task.run?.incarnation, origin) && task.run?.run === end.run;
 	const released = isCurrentRun ? {...task, run: undefined} : task;
 	const updated = {...released, lastRun: Math.max(released.lastRun, end.run)};
 	if (!isOpen(job)) {
@@ -87,7 +102,7 @@
 			return step.isLongRunning
 				? requeueTask(state, {job, end, task: updated}, time)
 				: finishTask(state, {
-					job, end, task: updated, agent,
+					job, end, task: updated, origin,
 				}, time);
 		}
 
@@ -95,7 +110,7 @@
 			return step.isLongRunning
 				? requeueTask(state, {job, end, task: updated}, time)
 				: failTask(state, {
-					job, end, task: updated, agent,
+					job, end, task: updated, origin,
 				}, time);
 		}
 
@@ -109,10 +124,10 @@
 }
 
 type TaskEnd = Readonly<{job: SchedulerJob; end: EndedRun; task: TaskState}>;
-type TaskEndOnAgent = TaskEnd & Readonly<{agent: AgentName}>;
+type TaskEndWithOrigin = TaskEnd & Readonly<{origin: EndOrigin}>;
 
 /** Marks a task as done; one member that is done completes its whole gang. */
-function finishTask(state: SchedulerState, {job, end, task, agent}: TaskEndOnAgent, time: CurrentTime): SchedulerTransition {
+function finishTask(state: SchedulerState, {job, end, task, origin}: TaskEndWithOrigin, time: CurrentTime): SchedulerTransition {
 	const names = findStep(job, end.task)?.isGang === true ? listStepMembers(job, end.task) : [end.task];
 	let next = withTask(state, end.task, task);
 	for (const name of names) {
@@ -123,7 +138,7 @@
 	}
 
 	const {job: key} = job.submission;
-	return chain(clearFailures(markChanged(next, end.task, time.monotonic), agent), [
+	return chain(clearFailures(markChanged(next, end.task, time.monotonic), origin.agent), [
 		// Stops another run of the same task, which is no longer needed.
 		after => end.run === job.tasks.get(end.task)?.run?.run ? withoutEffects(after) : stopRuns(after, [end.task], 'task completed on another worker', time.monotonic),
 		after => after.jobs.get(key)?.counts.unfinished === 0 ? endJob(after, key, 'completed', time) : storeCurrent(after, key),
@@ -135,14 +150,13 @@
 	return job === undefined ? withoutEffects(state) : storeJob(state, job);
 }
 
-function failTask(state: SchedulerState, {job, end, task, agent}: TaskEndOnAgent, time: CurrentTime): SchedulerTransition {
+function failTask(state: SchedulerState, {job, end, task, origin}: TaskEndWithOrigin, time: CurrentTime): SchedulerTransition {
 	const {job: key} = job.submission;
-	const workerId = state.workers.get(agent)?.snapshot.worker;
 	const failedRuns = task.failedRuns.includes(end.run) ? task.failedRuns : [...task.failedRuns, end.run];
 	const next = markChanged(withTask(state, end.task, {
-		...task, failedRuns, avoided: workerId === undefined ? task.avoided : [...task.avoided, workerId],
+		...task, failedRuns, avoided: [...task.avoided, origin.worker],
 	}), end.task, time.monotonic);
-	return chain(recordFailure(next, agent, key, time.monotonic), [
+	return chain(recordFailure(next, origin.agent, key, time.monotonic), [
 		after => hasAttemptsLeft(after, end.task) ? storeCurrent(after, key) : endJob(after, key, 'failed', time),
 		after => stopGang(after, end, time),
 	]);
--- a/packages/scheduling/incarnations.ts
+++ b/packages/scheduling/incarnations.ts
@@ -1,9 +1,10 @@
 /** Releases the runs of worker incarnations that have ended, and counts the crashes of workers. */
 import {assertNever, type CurrentTime} from '#core';
 import {
-	parseJobOfTask, type JobKey, type LostRun, type TaskName,
+	isSameIncarnation, parseJobOfTask, type JobKey, type LostRun, type TaskName,
 } from '#jobs';
 import {addCrash, hasExhaustedCrashes, recordCrash} from './crashes.js';
+import {handleLastEnd} from './ends.js';
 import {measureLoss} from './loss.js';
 import {
 	chain, endJob, listRunsOf, releaseRun, stopRuns, storeJob, withoutEffects, type SchedulerTransition,
@@ -11,7 +12,9 @@
 import {
 	findJob, findStep, isOpen, isRunOn, listStepMembers,
 } from './state.js';
-import type {SchedulerState, SchedulerWorker, TaskRun} from './types.js';
+import type {
+	IncarnationEnd, SchedulerState, SchedulerWorker, TaskRun,
+} from './types.js';
 
 /** Why the runs of a worker's incarnation have certainly ended. */
 export type ReleaseCause = 'worker-restarted' | 'worker-silent' | 'worker-left' | 'agent-lost';
@@ -129,3 +132,18 @@
 		state: {...released, workers: released.workers.delete(worker.agent), unacknowledged: released.unacknowledged.delete(worker.agent)}, effects,
 	};
 }
+
+/** Handles the end of an incarnation: first the ends that it listed last, then, if it left, its other runs. The runs of one that was replaced are released by the next one's first report. */
+export function handleIncarnationEnd(state: SchedulerState, end: IncarnationEnd, time: CurrentTime): SchedulerTransition {
+	if (!state.isLoaded) {
+		return withoutEffects({...state, deferredIncarnationEnds: [...state.deferredIncarnationEnds, end]});
+	}
+
+	return chain(state, [
+		...end.ended.map(row => (next: SchedulerState) => handleLastEnd(next, end, row, time)),
+		next => {
+			const worker = next.workers.get(end.agent);
+			return end.ending === 'left' && worker !== undefined && isSameIncarnation(worker.snapshot, end) ? removeWorker(next, worker, 'worker-left', time) : withoutEffects(next);
+		},
+	]);
+}
--- a/packages/scheduling/receive.ts
+++ b/packages/scheduling/receive.ts
@@ -6,9 +6,8 @@
 } from './constants.js';
 import {handleStartAnswers, handleStopAnswers} from './order-answers.js';
 import {advanceNotedEnd} from './ends.js';
-import {
-	handleDetached, handleDeparture, handleRenewal,
-} from './reports.js';
+import {handleIncarnationEnd} from './incarnations.js';
+import {handleDetached, handleRenewal} from './reports.js';
 import {
 	chain, endJob, withoutEffects, type SchedulerTransition,
 } from './runs.js';
@@ -66,8 +65,8 @@
 			return handleRenewal(state, message.agent, message.snapshot, time);
 		}
 
-		case 'left': {
-			return handleDeparture(state, message.agent, message.incarnation, time);
+		case 'incarnation-ended': {
+			return handleIncarnationEnd(state, message, time);
 		}
 
 		case 'detached': {
@@ -110,12 +109,13 @@
 	const unread = workers
 		.filter(({agent}) => !state.workers.has(agent))
 		.map(({agent, worker}): [AgentName, UnreadWorker] => [agent, {worker, until: time.monotonic + unreadMilliseconds}]);
-	next = {...next, unread: PersistentMap(unread)};
+	next = {...next, unread: PersistentMap(unread), deferredIncarnationEnds: []};
 	return chain(next, [
 		// Reprocesses the ends that workers listed before the jobs were loaded.
 		...[...state.workers.values()].map(worker => (after: SchedulerState) => handleRenewal(replaceWorker(after, {
 			...worker, handledEnd: 0, notedEnd: 0, pendingEnds: [],
 		}), worker.agent, worker.snapshot, time)),
+		...state.deferredIncarnationEnds.map(end => (after: SchedulerState) => handleIncarnationEnd(after, end, time)),
 		...jobs.filter(({isCancelled}) => isCancelled).map(({submission: {job}}) => (after: SchedulerState) => endJob(after, job, 'cancelled', time)),
 	]);
 }
--- a/packages/scheduling/reports.ts
+++ b/packages/scheduling/reports.ts
@@ -1,13 +1,13 @@
 /** Handles the renewals of agents: adopts, updates and releases the runs of their workers. */
 import type {Milliseconds, MonotonicTime, CurrentTime} from '#core';
 import {
-	isSameIncarnation, parseJobOfTask, type ReportedRun, type WorkerIncarnation, type WorkerSnapshot,
+	isSameIncarnation, parseJobOfTask, type ReportedRun, type WorkerSnapshot,
 } from '#jobs';
 import {
 	grantSlackMilliseconds, grantValidityMilliseconds, slowClockFactor,
 } from './constants.js';
 import {handleEnd} from './ends.js';
-import {handleLostRun, releaseIncarnation, removeWorker} from './incarnations.js';
+import {handleLostRun, releaseIncarnation} from './incarnations.js';
 import {estimateSlowdown} from './remaining.js';
 import {
 	chain, listRunsOf, releaseRun, stopRuns, withoutEffects, type SchedulerTransition,
@@ -237,15 +237,6 @@
 	return chain(state, transitions);
 }
 
-export function handleDeparture(state: SchedulerState, agent: AgentName, incarnation: WorkerIncarnation, time: CurrentTime): SchedulerTransition {
-	const worker = state.workers.get(agent);
-	if (worker === undefined || !isSameIncarnation(worker.snapshot, incarnation)) {
-		return withoutEffects(state);
-	}
-
-	return removeWorker(state, worker, 'worker-left', time);
-}
-
 /** The agent keeps its runs alive until its last grant expires. */
 export function handleDetached(state: SchedulerState, agent: AgentName): SchedulerTransition {
 	const worker = state.workers.get(agent);
--- a/packages/scheduling/state.ts
+++ b/packages/scheduling/state.ts
@@ -20,6 +20,7 @@
 		unacknowledged: PersistentSet(),
 		unread: PersistentMap(),
 		isLoaded: false,
+		deferredIncarnationEnds: [],
 		isScheduleDue: false,
 	};
 }
--- a/packages/scheduling/types.ts
+++ b/packages/scheduling/types.ts
@@ -2,7 +2,7 @@
 import type {Map as PersistentMap, Set as PersistentSet} from 'immutable';
 import type {MonotonicTime, Unit, WorkerId} from '#core';
 import type {
-	JobKey, JobOutcome, JobProgress, JobSubmission, QueueName, SchedulingConfiguration, TaskCrash, TaskName, WorkerIncarnation, WorkerSnapshot,
+	EndedRun, JobKey, JobOutcome, JobProgress, JobSubmission, QueueName, SchedulingConfiguration, TaskCrash, TaskName, WorkerIncarnation, WorkerSnapshot,
 } from '#jobs';
 
 /** Name of the agent that runs beside a worker. */
@@ -149,6 +149,8 @@
 	unread: PersistentMap<AgentName, UnreadWorker>;
 	/** Whether the stored jobs have been loaded. */
 	isLoaded: boolean;
+	/** Ends of incarnations that were reported before the stored jobs were loaded. */
+	deferredIncarnationEnds: readonly IncarnationEnd[];
 	/** Whether a change may allow a task to start; a pass was requested and has not been carried out yet. */
 	isScheduleDue: boolean;
 }>;
@@ -160,6 +162,9 @@
 	result: 'started' | 'no-room' | 'unhealthy' | 'too-late' | 'run-too-low' | 'superseded' | 'invalid' | 'unknown';
 }>;
 
+/** A worker's incarnation left, or another one replaced it; `ended` holds ends that may not have been reported. */
+export type IncarnationEnd = WorkerIncarnation & Readonly<{kind: 'incarnation-ended'; agent: AgentName; ending: 'left' | 'replaced'; ended: readonly EndedRun[]}>;
+
 export type SchedulerMessage =
 	| Readonly<{kind: 'configured'; configuration: SchedulingConfiguration}>
 	/** Stored jobs and progress, loaded at the takeover. */
@@ -168,8 +173,7 @@
 	| Readonly<{kind: 'cancelled'; job: JobKey}>
 	/** A renewal of an agent; the snapshot is left out if nothing changed since the last one. */
 	| Readonly<{kind: 'renewed'; agent: AgentName; snapshot: WorkerSnapshot | undefined}>
-	/** The worker shut down cleanly. */
-	| Readonly<{kind: 'left'; agent: AgentName; incarnation: WorkerIncarnation}>
+	| IncarnationEnd
 	| Readonly<{kind: 'detached'; agent: AgentName}>
 	| Readonly<{kind: 'start-answered'; agent: AgentName; answers: readonly StartAnswer[]}>
 	/** Stops that the worker confirmed; a run that it never had counts as stopped. */
--- a/packages/supervision/announcements.ts
+++ b/packages/supervision/announcements.ts
@@ -1,9 +1,11 @@
 import type {CurrentTime, MonotonicTime, Timestamp} from '#core';
 import {isSameIncarnation, type Resources} from '#jobs';
-import {maximumSequenceGap, maximumStartAheadMilliseconds} from './constants.js';
+import {maximumEndedIncarnations, maximumSequenceGap, maximumStartAheadMilliseconds} from './constants.js';
 import {listRecentlyLost} from './describe.js';
 import {incrementRevision, type SupervisionOptions, type SupervisionStep} from './state.js';
-import type {Announcement, SupervisedWorker, SupervisionState} from './types.js';
+import type {
+	Announcement, EndedIncarnation, SupervisedWorker, SupervisionState,
+} from './types.js';
 
 /** Applies an announcement. One of an earlier incarnation, a stale one of this incarnation, or one that another writer sent is ignored. */
 export function handleAnnouncement(state: SupervisionState, announcement: Announcement, {now, monotonic}: CurrentTime, {workerAddress}: SupervisionOptions): SupervisionStep {
@@ -38,7 +40,7 @@
 	}
 
 	const next: SupervisionState = {
-		...state,
+		...(worker === undefined ? state : addEndedIncarnation(state, worker, 'replaced')),
 		lostRuns: [...listRecentlyLost(state, monotonic), ...listLostRuns(worker, monotonic)],
 		worker: {
 			announcement,
@@ -63,6 +65,19 @@
 	};
 }
 
+/** Keeps what an incarnation listed last, since no later list contains it. */
+function addEndedIncarnation(state: SupervisionState, {announcement: {worker, incarnation}, ended}: SupervisedWorker, ending: EndedIncarnation['ending']): SupervisionState {
+	if (ending === 'replaced' && ended.length === 0) {
+		return state;
+	}
+
+	return {
+		...state, endedIncarnations: [...state.endedIncarnations, {
+			worker, incarnation, ending, ended,
+		}].slice(-maximumEndedIncarnations),
+	};
+}
+
 /** Lists the runs without progress of an incarnation that another one replaced without a word. One that drains ends as announced. */
 function listLostRuns(replaced: SupervisedWorker | undefined, at: MonotonicTime): SupervisionState['lostRuns'] {
 	return replaced?.announcement.state === 'ready'
@@ -89,11 +104,12 @@
 	return first.processorMillicores === second.processorMillicores && first.memoryMegabytes === second.memoryMegabytes && first.accelerators === second.accelerators;
 }
 
-export function handleDeparture(state: SupervisionState, {announcement: {worker, incarnation}, running, ended}: SupervisedWorker): SupervisionStep {
+export function handleDeparture(state: SupervisionState, departed: SupervisedWorker): SupervisionStep {
+	const {announcement: {worker, incarnation}, running, ended} = departed;
 	return {
-		state: incrementRevision({...state, worker: undefined}),
+		state: incrementRevision({...addEndedIncarnation(state, departed, 'left'), worker: undefined}),
 		effects: [
-			{kind: 'report-departure', worker, incarnation},
+			{kind: 'renew'},
 			{
 				kind: 'log', event: 'worker-left', fields: {
 					worker,
--- a/packages/supervision/receive.ts
+++ b/packages/supervision/receive.ts
@@ -8,7 +8,7 @@
 import type {SupervisionMessage, SupervisionState} from './types.js';
 
 export const initialSupervisionState: SupervisionState = {
-	worker: undefined, lostRuns: [], epoch: 0, grantUntil: 0, clockOffset: undefined, revision: 0, isExtending: false, isStopped: false,
+	worker: undefined, endedIncarnations: [], lostRuns: [], epoch: 0, grantUntil: 0, clockOffset: undefined, revision: 0, isExtending: false, isStopped: false,
 };
 
 /** Decides when leases are extended, which scheduler's orders are accepted, and what is reported. */
@@ -42,6 +42,13 @@
 			return handleGrant(state, message, monotonic, options);
 		}
 
+		case 'incarnation-end-reported': {
+			return {
+				state: incrementRevision({...state, endedIncarnations: state.endedIncarnations.filter(ended => ended !== message.incarnation)}),
+				effects: [],
+			};
+		}
+
 		case 'epoch-raised': {
 			return raiseEpoch(state, message.epoch, monotonic, options);
 		}
--- a/packages/supervision/types.ts
+++ b/packages/supervision/types.ts
@@ -1,7 +1,7 @@
 /** State, messages and effects of the agent that extends the leases of one worker's runs. */
 import type {Milliseconds, MonotonicTime, WorkerId} from '#core';
 import type {
-	EndedRun, LostRun, Resources, ReportedRun, ServiceName, TaskName,
+	EndedRun, LostRun, Resources, ReportedRun, ServiceName, TaskName, WorkerIncarnation,
 } from '#jobs';
 
 /** A worker's description of itself. */
@@ -46,8 +46,17 @@
 	fencedEpoch: number;
 }>;
 
+/** The end of an incarnation, with the ends that it listed and that are not acknowledged. */
+export type EndedIncarnation = WorkerIncarnation & Readonly<{
+	/** `replaced`: another incarnation took its place without a departure. */
+	ending: 'left' | 'replaced';
+	ended: readonly EndedRun[];
+}>;
+
 export type SupervisionState = Readonly<{
 	worker: SupervisedWorker | undefined;
+	/** Incarnations whose end no scheduler has confirmed yet, oldest first. */
+	endedIncarnations: readonly EndedIncarnation[];
 	/** Runs that had made no progress when their incarnation crashed, with the time when the next one announced itself. */
 	lostRuns: ReadonlyArray<LostRun & Readonly<{at: MonotonicTime}>>;
 	/** Highest known epoch of a scheduler. */
@@ -74,6 +83,8 @@
 	| Readonly<{kind: 'departed'; worker: WorkerId}>
 	/** The scheduler's answer to a renewal; `sentAt` is taken before the renewal is sent. */
 	| Readonly<{kind: 'granted'; epoch: number; sentAt: MonotonicTime; validity: Milliseconds; incarnation: string | undefined; notedEnd: number}>
+	/** The scheduler has received the end of an incarnation. */
+	| Readonly<{kind: 'incarnation-end-reported'; incarnation: EndedIncarnation}>
 	/** An entry reported an epoch that may be higher. */
 	| Readonly<{kind: 'epoch-raised'; epoch: number}>
 	| Readonly<{kind: 'extension-answered'; extension: LeaseExtension; result: LeaseExtensionResult}>
@@ -102,5 +113,4 @@
 	| Readonly<{kind: 'schedule-extension'; delay: Milliseconds}>
 	/** Reports a change to the scheduler at once. */
 	| Readonly<{kind: 'renew'}>
-	| Readonly<{kind: 'report-departure'; worker: WorkerId; incarnation: string}>
 	| Readonly<{kind: 'log'; event: string; fields: Readonly<Record<string, unknown>>}>;
--- a/packages/supervisor/plugins/entries.ts
+++ b/packages/supervisor/plugins/entries.ts
@@ -1,6 +1,5 @@
 import type {EntryId, MonotonicTime} from '#core';
 import {createServiceKey} from '#kernel';
-import type {WorkerIncarnation} from '#jobs';
 import type {SchedulerReference} from '#protocol';
 import {chooseEntries, describeWorker} from '#supervision';
 import {connectToPeer, replacePort, type RpcPeer} from '#transport';
@@ -16,8 +15,6 @@
 export type Entries = Readonly<{
 	/** Reports a change to the scheduler at once. */
 	renewNow(): void;
-	/** Reports the worker's departure with each renewal until one is granted. */
-	reportDeparture(departure: WorkerIncarnation): void;
 	/** Connects to the scheduler that an entry announced. */
 	followScheduler(scheduler: SchedulerReference): void;
 }>;
@@ -55,7 +52,6 @@
 	const failuresByAddress = new Map<string, number>(seeds.map(address => [address, 0]));
 	const dialling = new Set<string>();
 	let scheduler: SchedulerReference | undefined;
-	let unreportedDeparture: WorkerIncarnation | undefined;
 	let isStopped = false;
 	let lastLookupAt = -Infinity;
 
@@ -79,9 +75,9 @@
 		const state = supervision.read();
 		const snapshot = connection.isScheduler ? describeWorker(state, sentAt) : undefined;
 		connection.sentRevision = state.revision;
-		const departure = connection.isScheduler ? unreportedDeparture : undefined;
+		const [ended] = connection.isScheduler ? state.endedIncarnations : [];
 		const reply = await connection.peer.call('worker.renew', {
-			agent: settings.agent, epoch: state.epoch, ...(snapshot === undefined ? {} : {snapshot}), ...(departure === undefined ? {} : {left: departure}),
+			agent: settings.agent, epoch: state.epoch, ...(snapshot === undefined ? {} : {snapshot}), ...(ended === undefined ? {} : {left: ended}),
 		}, renewalTimeoutMilliseconds);
 		connection.isRenewing = false;
 		if (reply.kind === 'failed') {
@@ -94,8 +90,8 @@
 		const {result} = reply;
 		switch (result.kind) {
 			case 'granted': {
-				if (departure !== undefined && departure === unreportedDeparture) {
-					unreportedDeparture = undefined;
+				if (ended !== undefined) {
+					supervision.send({kind: 'incarnation-end-reported', incarnation: ended});
 				}
 
 				supervision.send({
@@ -243,10 +239,6 @@
 			}
 		},
 		renewNow,
-		reportDeparture(departure) {
-			unreportedDeparture = departure;
-			renewNow();
-		},
 		followScheduler(reference) {
 			services.use(supervisionService).send({kind: 'epoch-raised', epoch: reference.epoch});
 			const connection = connections.get(reference.address);
--- a/packages/supervisor/plugins/supervision.ts
+++ b/packages/supervisor/plugins/supervision.ts
@@ -66,11 +66,6 @@
 			break;
 		}
 
-		case 'report-departure': {
-			services.use(entriesService).reportDeparture({worker: effect.worker, incarnation: effect.incarnation});
-			break;
-		}
-
 		case 'log': {
 			counters.countEvent(effect.event);
 			log.withPrefix('supervision').info(effect.fields, effect.event.replaceAll('-', ' '));
--- a/test/scheduling/crashes.test.ts
+++ b/test/scheduling/crashes.test.ts
@@ -193,7 +193,9 @@
 			const driver = createReadyDriver([['a']]);
 			confirmStarts(driver, driver.send({kind: 'submitted', submission: submissionOf(1, [{}])}));
 			for (let incarnation = 1; incarnation < 5; incarnation++) {
-				driver.send({kind: 'left', agent: 'a', incarnation: {worker: 'w-a' as WorkerId, incarnation: String(incarnation)}});
+				driver.send({
+					kind: 'incarnation-ended', agent: 'a', worker: 'w-a' as WorkerId, incarnation: String(incarnation), ending: 'left', ended: [],
+				});
 				confirmStarts(driver, driver.send({kind: 'renewed', agent: 'a', snapshot: snapshotOf('a', {incarnation: String(incarnation + 1)})}));
 			}
 
--- /dev/null
+++ b/test/scheduling/incarnations.test.ts
@@ -0,0 +1,77 @@
+import {expect} from 'chai';
+import type {WorkerId} from '#core';
+import type {EndedRun} from '#jobs';
+import type {SchedulerMessage} from '#scheduling';
+import {
+	configuration, createDriver, createReadyDriver, endedRunOf, keyOf, snapshotOf, startsOf, submissionOf, taskOf, type Driver,
+} from '#test/support/scheduling';
+
+/** The end of the first incarnation of the worker beside an agent. */
+function endOf(agent: string, ending: 'left' | 'replaced', ended: readonly EndedRun[] = []): SchedulerMessage {
+	return {
+		kind: 'incarnation-ended', agent, worker: `w-${agent}` as WorkerId, incarnation: '1', ending, ended,
+	};
+}
+
+/** Starts a job's only task on the worker beside agent `a`, the only one. */
+function startTask(driver: Driver): void {
+	const [start] = startsOf(driver.send({kind: 'submitted', submission: submissionOf(1, [{}])}));
+	expect(start).to.include({agent: 'a', run: 1});
+	driver.send({kind: 'start-answered', agent: 'a', answers: [{task: taskOf(1), run: 1, result: 'started'}]});
+}
+
+type Case = Readonly<{name: string; run(): void}>;
+
+const cases: readonly Case[] = [
+	...(['left', 'replaced'] as const).map((ending): Case => ({
+		name: `an end that a worker listed last counts before its runs are released (${ending}: task started again after it was done)`,
+		run() {
+			const driver = createReadyDriver([['a']]);
+			startTask(driver);
+			const effects = [
+				...driver.send(endOf('a', ending, [endedRunOf(1, taskOf(1), 1, 'done')])),
+				...driver.send({kind: 'renewed', agent: 'a', snapshot: snapshotOf('a', {incarnation: '2'})}),
+			];
+			expect(startsOf(effects)).to.deep.equal([]);
+			expect(driver.state().jobs.get(keyOf(1))?.outcome).to.equal('completed');
+		},
+	})),
+	{
+		name: 'a run without a listed end starts elsewhere once its worker has left (task lost with its worker)',
+		run() {
+			const driver = createReadyDriver([['a']]);
+			startTask(driver);
+			driver.send({kind: 'renewed', agent: 'b', snapshot: snapshotOf('b')});
+			expect(startsOf(driver.send(endOf('a', 'left')))).to.deep.include.members([{
+				agent: 'b', task: taskOf(1), run: 2, checkpoint: '',
+			}]);
+		},
+	},
+	{
+		name: 'an end of an earlier scheduler\'s run counts although its worker left before this scheduler loaded the jobs (task started again after a takeover)',
+		run() {
+			const driver = createDriver({epoch: 2});
+			driver.send({kind: 'configured', configuration});
+			driver.send({kind: 'renewed', agent: 'b', snapshot: snapshotOf('b')});
+			driver.send(endOf('a', 'left', [endedRunOf(1, taskOf(1), 1, 'done')]));
+			const effects = driver.send({
+				kind: 'loaded',
+				jobs: [{
+					submission: submissionOf(1, [{}]),
+					isCancelled: false,
+					progress: {outcome: 'running', tasks: {}},
+					keyVersion: 1,
+				}],
+				workers: [],
+			});
+			expect(startsOf(effects)).to.deep.equal([]);
+			expect(driver.state().jobs.get(keyOf(1))?.outcome).to.equal('completed');
+		},
+	},
+];
+
+describe('ends of worker incarnations', () => {
+	for (const {name, run} of cases) {
+		it(name, run);
+	}
+});
--- a/test/supervision/receive.test.ts
+++ b/test/supervision/receive.test.ts
@@ -279,8 +279,37 @@
 	{
 		name: 'the departure of a worker is reported with its incarnation (departure attributed to a restarted worker)',
 		run() {
-			const {effects} = applyMessages([[0, {kind: 'announced', announcement: announcement()}], [1, {kind: 'departed', worker: 'w' as WorkerId}]]);
-			expect(effects).to.deep.include({kind: 'report-departure', worker: 'w', incarnation: '100'});
+			const {state, effects} = applyMessages([[0, {kind: 'announced', announcement: announcement()}], [1, {kind: 'departed', worker: 'w' as WorkerId}]]);
+			expect(state.endedIncarnations).to.deep.equal([{
+				worker: 'w', incarnation: '100', ending: 'left', ended: [],
+			}]);
+			expect(effects).to.deep.include({kind: 'renew'});
+		},
+	},
+	{
+		name: 'ends that were listed before the worker left or started again are reported with its end (task started again after it was done)',
+		run() {
+			const ended = [{
+				number: 1, task, run: 1, ending: 'done', checkpoint: '',
+			}] as const;
+			const listed: SupervisionMessage = {
+				kind: 'extension-answered', extension: buildExtension(), result: {
+					kind: 'answered', incarnation: '100', clock: 50_100, running: [], ended,
+				},
+			};
+			const ends: ReadonlyArray<readonly ['left' | 'replaced', SupervisionMessage]> = [
+				['left', {kind: 'departed', worker: 'w' as WorkerId}],
+				['replaced', {kind: 'announced', announcement: announcement({incarnation: '200', startedAt: 200})}],
+			];
+			for (const [ending, message] of ends) {
+				const {state} = applyMessages([...startedAt10, [100, listed], [101, message]]);
+				const [incarnation] = state.endedIncarnations;
+				expect(incarnation).to.deep.equal({
+					worker: 'w', incarnation: '100', ending, ended,
+				});
+				const reported = receiveSupervisionMessage(state, {kind: 'incarnation-end-reported', incarnation: incarnation!}, {now: 200, monotonic: 200}, options);
+				expect(reported.state.endedIncarnations).to.deep.equal([]);
+			}
 		},
 	},
 ];
