Repeat no acknowledgement that the worker has answered

What callers saw: a task started again after it had ended as done.

Cause: every lease extension carried the number of the last stored end. One without an answer may be carried out by the next incarnation of the same identifier, whose ends are numbered anew: it discards them before the agent has seen them, and the run looks as if it had vanished.

Change: the number is sent until a call with it is answered, and then left out. If an incarnation ended without answering it, the next one under the same identifier gets no starts while the call may still be carried out.

--- a/packages/supervision/describe.ts
+++ b/packages/supervision/describe.ts
@@ -11,7 +11,8 @@
 		return undefined;
 	}
 
-	const {announcement, isLeaving, leavesAt, running, ended, isResponsive, leaseUntil} = worker;
+	const {announcement, isLeaving, leavesAt, running, ended, leaseUntil, startsBarredUntil} = worker;
+	const isResponsive = worker.isResponsive && monotonic >= startsBarredUntil;
 	return {
 		worker: announcement.worker,
 		incarnation: announcement.incarnation,
@@ -23,7 +24,7 @@
 		state: isLeaving ? 'draining' : announcement.state,
 		...(leavesAt === undefined ? {} : {leavesInMilliseconds: Math.max(0, Math.round(leavesAt - monotonic))}),
 		isResponsive,
-		isLeaseOver: !isResponsive && isLeaseOver(leaseUntil, monotonic),
+		isLeaseOver: !worker.isResponsive && isLeaseOver(leaseUntil, monotonic),
 		running,
 		ended,
 		lost: listRecentlyLost(state, monotonic).map(({task, run}) => ({task, run})),
--- a/packages/supervision/incarnation-checks.ts
+++ b/packages/supervision/incarnation-checks.ts
@@ -89,8 +89,8 @@
 function listChecks(state: SupervisionState): readonly SupervisionEffect[] {
 	const {candidate, worker, epoch} = state;
 	const extensions = [
-		...(candidate === undefined ? [] : [createCheck(state, candidate, 0)]),
-		...(worker?.isLeaving === true ? [createCheck(state, worker.announcement, worker.notedEnd)] : []),
+		...(candidate === undefined ? [] : [createCheck(state, candidate)]),
+		...(worker?.isLeaving === true ? [createCheck(state, worker.announcement)] : []),
 	];
 	return [
 		...extensions.map((extension): SupervisionEffect => ({kind: 'extend-leases', extension})),
@@ -98,9 +98,9 @@
 	];
 }
 
-/** Creates a call that extends no lease and returns at once. */
-function createCheck({epoch}: SupervisionState, {worker, incarnation}: WorkerIncarnation, notedEnd: number): LeaseExtension {
+/** Creates a call that extends no lease, acknowledges nothing and returns at once. */
+function createCheck({epoch}: SupervisionState, {worker, incarnation}: WorkerIncarnation): LeaseExtension {
 	return {
-		worker, incarnation, epoch, ...noDeadline, notedEnd, wait: 0, isRecurring: false,
+		worker, incarnation, epoch, ...noDeadline, notedEnd: 0, wait: 0, isRecurring: false,
 	};
 }
--- a/packages/supervision/incarnations.ts
+++ b/packages/supervision/incarnations.ts
@@ -1,6 +1,6 @@
 /** Changes from one incarnation of the worker to the next. */
 import type {MonotonicTime} from '#core';
-import {maximumEndedIncarnations} from './constants.js';
+import {lateCallMilliseconds, maximumEndedIncarnations} from './constants.js';
 import {listRecentlyLost} from './describe.js';
 import {incrementRevision, type SupervisionOptions, type SupervisionStep} from './state.js';
 import {listStartsToRevoke} from './unanswered-starts.js';
@@ -11,6 +11,7 @@
 /** Replaces the worker by the incarnation that announced itself. */
 export function adoptIncarnation(state: SupervisionState, announcement: Announcement, monotonic: MonotonicTime, {maximumLeaseMilliseconds}: SupervisionOptions): SupervisionStep {
 	const {worker} = state;
+	const earlier = [worker, state.departed].find(known => known?.announcement.worker === announcement.worker);
 	const adopted: SupervisedWorker = {
 		announcement,
 		isLeaving: false,
@@ -23,6 +24,9 @@
 		// An earlier process of this agent may have extended the leases.
 		leaseUntil: monotonic + maximumLeaseMilliseconds,
 		notedEnd: 0,
+		acknowledgedEnd: 0,
+		acknowledgementSentAt: undefined,
+		startsBarredUntil: earlier?.acknowledgementSentAt === undefined ? -Infinity : earlier.acknowledgementSentAt + lateCallMilliseconds,
 		startsToRevoke: listStartsToRevoke(state, announcement.worker, monotonic),
 		fencedEpoch: 0,
 	};
@@ -47,7 +51,7 @@
 export function completeDeparture(state: SupervisionState, departed: SupervisedWorker): SupervisionStep {
 	const {announcement: {worker, incarnation}, running, ended} = departed;
 	return {
-		state: incrementRevision({...addEndedIncarnation(state, departed, 'left'), worker: undefined}),
+		state: incrementRevision({...addEndedIncarnation(state, departed, 'left'), worker: undefined, departed}),
 		effects: [
 			{kind: 'renew'},
 			{
--- a/packages/supervision/lease-extension.ts
+++ b/packages/supervision/lease-extension.ts
@@ -20,7 +20,7 @@
 	const extension = createExtension(state, monotonic, options);
 	return extension === undefined
 		? {state, effects: []}
-		: {state: recordLease(state, extension.leaseUntil), effects: [{kind: 'extend-leases', extension: {...extension, wait: 0, isRecurring: false}}]};
+		: {state: recordExtension(state, extension, monotonic), effects: [{kind: 'extend-leases', extension: {...extension, wait: 0, isRecurring: false}}]};
 }
 
 function createExtension(state: SupervisionState, monotonic: MonotonicTime, options: SupervisionOptions): LeaseExtension | undefined {
@@ -33,12 +33,17 @@
 			epoch,
 			// An unanswered call may still have been applied. If leases were extended while the worker is unresponsive, it would never be certain that they have expired.
 			...(worker.isResponsive && !worker.isLeaving ? computeLeaseDeadline(state, monotonic, options) : noDeadline),
-			notedEnd: worker.notedEnd,
+			notedEnd: worker.notedEnd > worker.acknowledgedEnd ? worker.notedEnd : 0,
 			wait: extensionWaitMilliseconds,
 			isRecurring: true,
 		};
 }
 
+function recordExtension(state: SupervisionState, {leaseUntil, notedEnd}: LeaseExtension, sentAt: MonotonicTime): SupervisionState {
+	const recorded = recordLease(state, leaseUntil);
+	return notedEnd === 0 || recorded.worker === undefined ? recorded : {...recorded, worker: {...recorded.worker, acknowledgementSentAt: sentAt}};
+}
+
 export function startExtending(state: SupervisionState, monotonic: MonotonicTime, options: SupervisionOptions): SupervisionStep {
 	if (state.isExtending) {
 		return {state, effects: []};
@@ -47,7 +52,7 @@
 	const extension = createExtension(state, monotonic, options);
 	return extension === undefined
 		? {state: {...state, isExtending: true}, effects: [{kind: 'schedule-extension', delay: extensionRetryMilliseconds}]}
-		: {state: {...recordLease(state, extension.leaseUntil), isExtending: true}, effects: [{kind: 'extend-leases', extension}]};
+		: {state: {...recordExtension(state, extension, monotonic), isExtending: true}, effects: [{kind: 'extend-leases', extension}]};
 }
 
 export function handleExtensionResult(
@@ -77,8 +82,9 @@
 
 /** Applies the answer to the incarnation that was asked: the worker's, or one that announced itself and is now adopted if the answer confirms it. */
 function applyResult(state: SupervisionState, answer: ExtensionAnswer, monotonic: MonotonicTime, options: SupervisionOptions): SupervisionStep {
-	const {worker, candidate} = state;
+	const {candidate} = state;
 	const {extension, result} = answer;
+	const worker = state.worker === undefined ? undefined : acknowledge(state.worker, answer);
 	if (worker !== undefined && isSameIncarnation(worker.announcement, extension)) {
 		const departure = worker.isLeaving ? handleLeavingAnswer(state, worker, result, monotonic) : undefined;
 		if (departure !== undefined) {
@@ -98,6 +104,14 @@
 		: {state: next, effects: []});
 }
 
+/** Notes that the worker has received an acknowledgement. */
+function acknowledge(worker: SupervisedWorker, {extension, result}: ExtensionAnswer): SupervisedWorker {
+	return result.kind === 'answered' && extension.notedEnd > worker.acknowledgedEnd && isSameIncarnation(worker.announcement, extension)
+		&& (result.incarnation === undefined || result.incarnation === extension.incarnation)
+		? {...worker, acknowledgedEnd: extension.notedEnd, acknowledgementSentAt: extension.notedEnd === worker.notedEnd ? undefined : worker.acknowledgementSentAt}
+		: worker;
+}
+
 function continueWith({state, effects}: SupervisionStep, transition: (state: SupervisionState) => SupervisionStep): SupervisionStep {
 	const next = transition(state);
 	return {state: next.state, effects: [...effects, ...next.effects]};
--- a/packages/supervision/receive.ts
+++ b/packages/supervision/receive.ts
@@ -13,6 +13,7 @@
 
 export const initialSupervisionState: SupervisionState = {
 	worker: undefined,
+	departed: undefined,
 	candidate: undefined,
 	isCheckScheduled: false,
 	unansweredStarts: [],
--- a/packages/supervision/types.ts
+++ b/packages/supervision/types.ts
@@ -47,6 +47,12 @@
 	leaseUntil: MonotonicTime;
 	/** Number of the last ended run that is stored; the worker may discard ends up to it. */
 	notedEnd: number;
+	/** Highest number that an answered call has acknowledged. Calls repeat an acknowledgement only until then: one that the next incarnation carries out discards ends of its own. */
+	acknowledgedEnd: number;
+	/** When an acknowledgement was last sent that is not answered. */
+	acknowledgementSentAt: MonotonicTime | undefined;
+	/** Until when a call for an earlier incarnation may discard ends; the worker gets no starts before. */
+	startsBarredUntil: MonotonicTime;
 	/** Starts that earlier incarnations of the same identifier did not answer. They are stopped before the worker is reported, since it may still carry them out. */
 	startsToRevoke: readonly UnansweredStart[];
 	/** Highest epoch that the worker has confirmed; it refuses lower ones from then on. */
@@ -62,6 +68,8 @@
 
 export type SupervisionState = Readonly<{
 	worker: SupervisedWorker | undefined;
+	/** The last worker that left; it may come back under its identifier. */
+	departed: SupervisedWorker | undefined;
 	/** Announcement of another incarnation, until the worker confirms or denies it. */
 	candidate: Announcement | undefined;
 	/** Whether a check of the candidate or of a departure is scheduled. */
--- a/packages/supervisor/plugins/start-tasks.ts
+++ b/packages/supervisor/plugins/start-tasks.ts
@@ -57,7 +57,7 @@
 			return 'too-late';
 		}
 
-		return worker.announcement.state === 'draining' || worker.isLeaving ? 'unhealthy' : undefined;
+		return worker.announcement.state === 'draining' || worker.isLeaving || sentAt < worker.startsBarredUntil ? 'unhealthy' : undefined;
 	}
 
 	async function sendStart(): Promise<StartAnswer['result']> {
--- a/packages/supervisor/stop-runs.ts
+++ b/packages/supervisor/stop-runs.ts
@@ -25,7 +25,7 @@
 		return isConfirmed ? [order] : [];
 	}));
 	const extension: LeaseExtension = {
-		worker: identifier, incarnation, epoch, notedEnd: worker.notedEnd, wait: 0, isRecurring: false, ...noDeadline,
+		worker: identifier, incarnation, epoch, notedEnd: 0, wait: 0, isRecurring: false, ...noDeadline,
 	};
 	// Queries the runs after the stops, so that the next report includes a run that started late and is being stopped.
 	const result = await services.use(workerPort).extendLeases(extension);
--- a/test/supervision/incarnations.test.ts
+++ b/test/supervision/incarnations.test.ts
@@ -2,7 +2,7 @@
 import type {WorkerId} from '#core';
 import type {EndedRun} from '#jobs';
 import {
-	describeWorker, isAnswerOf, lateCallMilliseconds, receiveSupervisionMessage, type LeaseExtensionResult, type SupervisionMessage, type SupervisionState,
+	describeWorker, isAnswerOf, lateCallMilliseconds, receiveSupervisionMessage, type LeaseExtensionResult, type SupervisionEffect, type SupervisionMessage, type SupervisionState,
 } from '#supervision';
 import {
 	announcement, applyMessages, buildExtension, extensionAnswered, granted, options, startedAt10, task,
@@ -171,6 +171,30 @@
 		expect(refused.state.worker?.startsToRevoke).to.deep.equal([]);
 	});
 
+	it('an acknowledgement is sent until it is answered, and not with every call (end of the next incarnation discarded)', () => {
+		const acknowledged = {...granted, notedEnd: 1} as const;
+		const listed = answered('100', {ended: [done]});
+		const notedEndsOf = (effects: readonly SupervisionEffect[]) => effects.flatMap(effect => effect.kind === 'extend-leases' ? [effect.extension.notedEnd] : []);
+		const sent = applyMessages([...startedAt10, [20, listed], [30, acknowledged]]);
+		expect(notedEndsOf(sent.effects)).to.deep.equal([1]);
+		expect(notedEndsOf(applyMessages([...startedAt10, [20, listed], [30, acknowledged], [40, {kind: 'extension-due'}]]).effects)).to.deep.equal([1]);
+		const answer: SupervisionMessage = {
+			kind: 'extension-answered', extension: buildExtension({notedEnd: 1}), result: {
+				kind: 'answered', incarnation: '100', clock: 51_100, running: [], ended: [],
+			},
+		};
+		expect(notedEndsOf(applyMessages([...startedAt10, [20, listed], [30, acknowledged], [35, answer], [40, {kind: 'extension-due'}]]).effects)).to.deep.equal([0]);
+	});
+
+	it('a worker whose earlier incarnation did not answer an acknowledgement gets no starts while it may be carried out (end of the next incarnation discarded)', () => {
+		const messages = [...startedAt10, [20, answered('100', {ended: [done]})], [30, {...granted, notedEnd: 1}]] as const;
+		const {state} = applyMessages([...messages, [40, restarted], [45, answered('200')]]);
+		expect(describeWorker(state, 45)).to.include({isResponsive: false, isLeaseOver: false});
+		expect(describeWorker(state, 30 + lateCallMilliseconds)).to.include({isResponsive: true});
+		const back = applyMessages([...messages, [40, departed], [45, unanswered('absent')], [50, restarted], [55, answered('200')]]);
+		expect(back.state.worker?.startsBarredUntil).to.equal(30 + lateCallMilliseconds);
+	});
+
 	it('an answer by a clock that began anew comes from a later incarnation (stop of one incarnation confirmed by the next)', () => {
 		const {state} = applyMessages(startedAt10);
 		expect([51_000, 50_980, 50_100, undefined].map(clock => isAnswerOf(state.worker!, clock, 1000))).to.deep.equal([true, true, false, false]);
