Never answer by an older configuration than callers have seen through another entry

An entry whose store had failed forwarded a call to an entry that had read version 14. It kept no record of what callers saw through other entries, and did not even know of version 14 before the next exchange. The reverse existed too: an entry with a new version that loses the store passed on answers of entries that had not read it.

The newest version that callers may have seen is now part of the state of the configuration, and answers below it are not given. It is recorded before its effect: a forwarded call names a version, and the receiver answers by that version or not at all. If it has a newer one, the sender records it and calls again; if it has an older one, the sender tries the next entry. While the entry is behind what it has shown, other entries answer, else it answers 503 with Retry-After. Keys are decided by the same configuration and are covered. An entry that did not serve a call is no longer tried twice for it. The gauge connected-entries is new, and a test waits for it.

The six cases with entry programs failed before, with 404 or 401 after a 200 (a new queue and a new key, each through an entry that stays, through one that is gone, and before the store is lost), and pass.

--- a/packages/coordinator/callers/forward.ts
+++ b/packages/coordinator/callers/forward.ts
@@ -1,27 +1,104 @@
-import type {CallerAnswer, CallerRequest} from '#protocol';
-import type {RpcPeer} from '#transport';
+import type {CallerAnswer, CallerRequest, ForwardedAnswer} from '#protocol';
+import type {CallReply, RpcPeer} from '#transport';
+import {findShownVersion} from '../configuration-state.js';
 import {entryCallTimeoutMilliseconds} from '../constants.js';
+import {configurationService} from '../plugins/configuration.js';
 import type {CoordinatorContext} from '../types.js';
 
-/** Asks other entries in turn; undefined if none of them could serve the call and it certainly had no effect. */
-export async function forwardCall(call: CallerRequest, peers: readonly RpcPeer[], {counters}: CoordinatorContext): Promise<CallerAnswer | undefined> {
+/** Meaning of another entry's reply to a forwarded call. */
+export type ForwardOutcome =
+	| Readonly<{kind: 'served'; answer: CallerAnswer}>
+	/** The other entry may have stored the job, although its reply was lost. */
+	| Readonly<{kind: 'undecided'; answer: CallerAnswer}>
+	/** The call certainly had no effect. */
+	| Readonly<{kind: 'not-served'}>
+	/** The other entry did nothing, because it has a newer configuration than the call names. */
+	| Readonly<{kind: 'newer'; version: number}>
+	/** The other entry did nothing, because it has an older configuration than callers have seen. */
+	| Readonly<{kind: 'older'}>;
+
+/** Asks other entries in turn, up to a maximum that does not count those with an older configuration; undefined if none of them could serve the call and it certainly had no effect. */
+export async function forwardCall(call: CallerRequest, {peers, maximum}: Readonly<{peers: readonly RpcPeer[]; maximum: number}>, context: CoordinatorContext): Promise<CallerAnswer | undefined> {
+	let attempts = 0;
 	for (const peer of peers) {
-		const reply = await peer.call('entry.call', call, entryCallTimeoutMilliseconds);
-		const isServed = reply.kind === 'answered' && reply.result.kind !== 'refused' && reply.result.kind !== 'undecided';
-		counters.countRetry(isServed ? 'forwarded' : 'forward-failed');
-		if (isServed) {
-			return reply.result;
+		if (attempts >= maximum) {
+			return undefined;
 		}
 
-		// The other entry may have stored the job although its reply was lost.
-		if (reply.kind === 'failed' && reply.delivery === 'perhaps-sent' && call.action.kind === 'submit') {
-			return {kind: 'undecided', reason: 'another entry did not answer'};
-		}
+		const outcome = await callEntry(call, peer, context);
+		context.counters.countRetry(outcome.kind === 'served' ? 'forwarded' : 'forward-failed');
+		switch (outcome.kind) {
+			case 'served':
+			case 'undecided': {
+				return outcome.answer;
+			}
+
+			case 'not-served':
+			case 'newer': {
+				attempts++;
+				break;
+			}
 
-		if (reply.kind === 'answered' && reply.result.kind === 'undecided' && call.action.kind === 'submit') {
-			return reply.result;
+			case 'older': {
+				break;
+			}
 		}
 	}
 
 	return undefined;
 }
+
+/** Calls one entry, and again if it has a newer configuration: only then has this entry recorded which version its callers see. */
+async function callEntry(call: CallerRequest, peer: RpcPeer, {services}: CoordinatorContext): Promise<ForwardOutcome> {
+	const configuration = services.use(configurationService);
+	let outcome: ForwardOutcome;
+	let calls = 0;
+	do {
+		const configurationVersion = findShownVersion(configuration.read());
+		const reply = await peer.call('entry.call', {...call, configurationVersion}, entryCallTimeoutMilliseconds);
+		outcome = interpretReply(reply, call, configurationVersion);
+		if (outcome.kind === 'newer') {
+			configuration.send({kind: 'shown', version: outcome.version, address: peer.address});
+		}
+
+		calls++;
+	} while (outcome.kind === 'newer' && calls < maximumCallsOfEntry);
+
+	return outcome;
+}
+
+/** Calls of one entry for one caller's request; a second one follows a newer configuration, a third one another change at that moment. */
+const maximumCallsOfEntry = 3;
+
+/** Decides what a reply means for the call, which named the given version. */
+export function interpretReply(reply: CallReply<ForwardedAnswer>, {action}: CallerRequest, namedVersion: number): ForwardOutcome {
+	if (reply.kind === 'failed') {
+		return reply.delivery === 'perhaps-sent' && action.kind === 'submit' ? {kind: 'undecided', answer: {kind: 'undecided', reason: 'another entry did not answer'}} : {kind: 'not-served'};
+	}
+
+	const {result} = reply;
+	switch (result.kind) {
+		case 'other-configuration': {
+			return result.version > namedVersion ? {kind: 'newer', version: result.version} : {kind: 'older'};
+		}
+
+		case 'refused': {
+			return {kind: 'not-served'};
+		}
+
+		case 'undecided': {
+			return action.kind === 'submit' ? {kind: 'undecided', answer: result} : {kind: 'not-served'};
+		}
+
+		case 'accepted':
+		case 'state':
+		case 'pending':
+		case 'cancelled':
+		case 'absent':
+		case 'unknown-queue':
+		case 'unauthorized':
+		case 'invalid': {
+			return {kind: 'served', answer: result};
+		}
+	}
+}
--- a/packages/coordinator/configuration-state.ts
+++ b/packages/coordinator/configuration-state.ts
@@ -1,4 +1,4 @@
-/** Decides which configuration is in force in an entry, and records versions that only other entries have. */
+/** Decides which configuration is in force in an entry and whether its callers may be answered by it, and records versions that only other entries have. */
 import {assertNever, type MonotonicTime, type Step} from '#core';
 import {isNewerConfiguration, type SchedulingConfiguration} from '#jobs';
 import type {CurrentTime} from '#kernel';
@@ -17,6 +17,8 @@
 	/** The configuration in force; its version never decreases. */
 	current: SchedulingConfiguration | undefined;
 	missed: MissedVersion | undefined;
+	/** Newest version whose effect callers of this entry may have seen through another entry; 0 if none. */
+	shownVersion: number;
 	/** Whether a configuration is being fetched from another entry; one at a time, as copies from several would fill a slow link. */
 	isFetching: boolean;
 }>;
@@ -24,14 +26,19 @@
 export type ConfigurationMessage =
 	| Readonly<{kind: 'received'; configuration: SchedulingConfiguration; source: 'store' | 'entry'}>
 	| Readonly<{kind: 'announced'; version: number; address: string}>
+	/** The next answer of another entry to a caller of this one is by this version. */
+	| Readonly<{kind: 'shown'; version: number; address: string}>
 	| Readonly<{kind: 'fetch-ended'}>;
 
 export type ConfigurationEffect =
 	| Readonly<{kind: 'accepted'; version: number; earlier: number | undefined; source: string; behindMilliseconds: number}>
 	| Readonly<{kind: 'missed'; version: number; current: number; address: string}>
+	| Readonly<{kind: 'shown'; version: number; current: number; address: string}>
 	| Readonly<{kind: 'fetch'; address: string}>;
 
-export const initialConfigurationState: ConfigurationState = {current: undefined, missed: undefined, isFetching: false};
+export const initialConfigurationState: ConfigurationState = {
+	current: undefined, missed: undefined, shownVersion: 0, isFetching: false,
+};
 
 /**
 Handles a configuration that was read, or a version that another entry announced.
@@ -53,6 +60,10 @@
 			return fetchWhenOverdue(noteAnnouncement(state, message, monotonic), monotonic);
 		}
 
+		case 'shown': {
+			return noteShownVersion(noteAnnouncement(state, message, monotonic), message);
+		}
+
 		case 'fetch-ended': {
 			return {state: {...state, isFetching: false}, effects: []};
 		}
@@ -63,13 +74,50 @@
 	}
 }
 
-/** Finds the address of an entry that should answer callers instead, because this one has been behind for too long. */
-export function findUpToDateEntry({missed}: ConfigurationState, monotonic: MonotonicTime): string | undefined {
-	return missed !== undefined && monotonic - missed.since >= outdatedConfigurationMilliseconds ? missed.address : undefined;
+/** What an entry may answer its callers by. */
+export type AnswerBasis =
+	| Readonly<{kind: 'current'; configuration: SchedulingConfiguration}>
+	/** Callers have seen the effect of a newer version, so that an answer by the current one would take it back. */
+	| Readonly<{kind: 'outdated'}>
+	| Readonly<{kind: 'no-configuration'}>;
+
+/**
+Decides whether callers may be answered by the configuration in force.
+
+@example
+```
+findAnswerBasis({...initialConfigurationState, current: version12, shownVersion: 14});
+//=> {kind: 'outdated'}
+```
+*/
+export function findAnswerBasis(state: ConfigurationState): AnswerBasis {
+	const {current} = state;
+	if (current !== undefined && current.version >= state.shownVersion) {
+		return {kind: 'current', configuration: current};
+	}
+
+	return state.shownVersion > 0 ? {kind: 'outdated'} : {kind: 'no-configuration'};
+}
+
+/** Newest version whose effect callers of this entry may have seen, by its own answers or by those of other entries; it never decreases. */
+export function findShownVersion({current, shownVersion}: ConfigurationState): number {
+	return Math.max(current?.version ?? 0, shownVersion);
+}
+
+/** Finds the address of an entry that should answer callers instead, because this one has been behind for too long or callers have seen a newer version. */
+export function findUpToDateEntry(state: ConfigurationState, monotonic: MonotonicTime): string | undefined {
+	const {missed} = state;
+	if (missed === undefined) {
+		return undefined;
+	}
+
+	const isOverdue = monotonic - missed.since >= outdatedConfigurationMilliseconds;
+	return isOverdue || findAnswerBasis(state).kind === 'outdated' ? missed.address : undefined;
 }
 
 type ReceivedMessage = Extract<ConfigurationMessage, {kind: 'received'}>;
 type AnnouncedMessage = Extract<ConfigurationMessage, {kind: 'announced'}>;
+type ShownMessage = Extract<ConfigurationMessage, {kind: 'shown'}>;
 type ConfigurationStep = Step<ConfigurationState, ConfigurationEffect>;
 
 function acceptConfiguration(state: ConfigurationState, {configuration, source}: ReceivedMessage, monotonic: MonotonicTime): ConfigurationStep {
@@ -87,7 +135,7 @@
 	};
 }
 
-function noteAnnouncement(state: ConfigurationState, {version, address}: AnnouncedMessage, monotonic: MonotonicTime): ConfigurationStep {
+function noteAnnouncement(state: ConfigurationState, {version, address}: AnnouncedMessage | ShownMessage, monotonic: MonotonicTime): ConfigurationStep {
 	const {current, missed} = state;
 	const currentVersion = current?.version ?? 0;
 	if (version <= currentVersion || version < (missed?.version ?? 0)) {
@@ -104,6 +152,17 @@
 	};
 }
 
+function noteShownVersion({state, effects}: ConfigurationStep, {version, address}: ShownMessage): ConfigurationStep {
+	return version <= findShownVersion(state)
+		? {state, effects}
+		: {
+			state: {...state, shownVersion: version},
+			effects: [...effects, {
+				kind: 'shown', version, current: state.current?.version ?? 0, address,
+			}],
+		};
+}
+
 function fetchWhenOverdue({state, effects}: ConfigurationStep, monotonic: MonotonicTime): ConfigurationStep {
 	const {missed, isFetching} = state;
 	return missed === undefined || isFetching || monotonic - missed.since < configurationFetchDelayMilliseconds
--- a/packages/coordinator/index.ts
+++ b/packages/coordinator/index.ts
@@ -14,3 +14,4 @@
 export {computeElectionDelay} from './election-delay.js';
 export {choosePassDelay, createPassTimer, type LastPass} from './pass-timer.js';
 export {computeProcessingTime} from './callers/processing-time.js';
+export {interpretReply, type ForwardOutcome} from './callers/forward.js';
--- a/packages/coordinator/plugins/callers.ts
+++ b/packages/coordinator/plugins/callers.ts
@@ -1,17 +1,18 @@
 import {
-	findQueue, findTenant, parseJobKey, type JobSubmission, type Queue, type Tenant,
+	findQueue, findTenant, parseJobKey, type JobSubmission, type Queue, type SchedulingConfiguration, type Tenant,
 } from '#jobs';
 import {createServiceKey} from '#kernel';
-import {callerRequestSchema, type CallerAnswer, type CallerRequest} from '#protocol';
-import {findUpToDateEntry} from '../configuration-state.js';
-import {storeRetryAfterMilliseconds} from '../constants.js';
+import {
+	forwardedCallSchema, type CallerAnswer, type CallerRequest, type ForwardedAnswer, type ForwardedCall,
+} from '#protocol';
+import {findAnswerBasis, findUpToDateEntry} from '../configuration-state.js';
 import {forwardCall} from '../callers/forward.js';
 import {computeProcessingTime} from '../callers/processing-time.js';
 import {coordinatorPlugins} from '../plugins.js';
 import {storeMonitorService} from '../ports.js';
 import {showPending} from '../callers/pending.js';
 import {cancelJob, showJob} from '../callers/show.js';
-import {storeUnavailableAnswer} from '../callers/unavailable.js';
+import {configurationOutdatedAnswer, noConfigurationAnswer, storeUnavailableAnswer} from '../callers/unavailable.js';
 import {submitJob} from '../callers/submit.js';
 import type {CoordinatorContext} from '../types.js';
 import {configurationService} from './configuration.js';
@@ -44,10 +45,18 @@
 coordinatorPlugins.register({
 	kind: 'rpc-method',
 	name: 'entry.call',
-	parametersSchema: callerRequestSchema,
-	handle: async (parameters, context) => answerLocally(parameters as CallerRequest, context),
+	parametersSchema: forwardedCallSchema,
+	handle: async (parameters, context) => answerForwardedCall(parameters as ForwardedCall, context),
 });
 
+/** Answers a caller of another entry, by the version that this caller may see. */
+async function answerForwardedCall({configurationVersion, ...call}: ForwardedCall, context: CoordinatorContext): Promise<ForwardedAnswer> {
+	const {current} = context.services.use(configurationService).read();
+	return configurationVersion === undefined || current === undefined || current.version === configurationVersion
+		? answerLocally(call, context)
+		: {kind: 'other-configuration', version: current.version};
+}
+
 function logAnswer({path, action}: CallerRequest, answer: CallerAnswer, elapsed: number, {log, counters, services}: CoordinatorContext): void {
 	const fields = {
 		path, action: action.kind, answer: answer.kind, milliseconds: Math.round(elapsed), configuration: services.use(configurationService).read().current?.version ?? 0,
@@ -113,26 +122,43 @@
 	const peers = services.use(entryPeersService);
 	const upToDate = findUpToDateEntry(services.use(configurationService).read(), clock.monotonic());
 	const upToDatePeer = upToDate === undefined ? undefined : peers.findByAddress(upToDate);
-	const answerOfPeer = upToDatePeer === undefined ? undefined : await forwardCall(call, [upToDatePeer], context);
+	const answerOfPeer = upToDatePeer === undefined ? undefined : await forwardCall(call, {peers: [upToDatePeer], maximum: 1}, context);
 	if (answerOfPeer !== undefined) {
 		return answerOfPeer;
 	}
 
 	const answer = services.use(storeMonitorService).isFailing() && peers.list().length > 0 ? storeUnavailableAnswer : await answerLocally(call, context);
-	const isUnserved = (answer.kind === 'refused' && answer.reason === 'store-unavailable') || answer.kind === 'undecided';
-	const forwarded = isUnserved ? await forwardCall(call, peers.list().slice(0, maximumForwards), context) : undefined;
+	const others = {peers: peers.list().filter(peer => peer !== upToDatePeer), maximum: upToDatePeer === undefined ? maximumForwards : maximumForwards - 1};
+	const forwarded = mayBeServedElsewhere(answer) ? await forwardCall(call, others, context) : undefined;
 	return forwarded ?? answer;
 }
 
 /** Maximum number of entries that are tried in turn; each takes up to a third of a caller's usual timeout. */
 const maximumForwards = 2;
 
+/** Whether another entry may serve a call that this one answered so; an entry without any configuration leaves its callers to the load balancer. */
+function mayBeServedElsewhere(answer: CallerAnswer): boolean {
+	return answer.kind === 'undecided' || (answer.kind === 'refused' && answer !== noConfigurationAnswer);
+}
+
 async function answerLocally(call: CallerRequest, context: CoordinatorContext): Promise<CallerAnswer> {
-	const configuration = context.services.use(configurationService).read().current;
-	if (configuration === undefined) {
-		return {kind: 'refused', reason: 'no-configuration', retryAfterMilliseconds: storeRetryAfterMilliseconds};
+	const basis = findAnswerBasis(context.services.use(configurationService).read());
+	switch (basis.kind) {
+		case 'no-configuration': {
+			return noConfigurationAnswer;
+		}
+
+		case 'outdated': {
+			return configurationOutdatedAnswer;
+		}
+
+		case 'current': {
+			return answerBy(basis.configuration, call, context);
+		}
 	}
+}
 
+async function answerBy(configuration: SchedulingConfiguration, call: CallerRequest, context: CoordinatorContext): Promise<CallerAnswer> {
 	const queue = findQueue(configuration, call.host, call.path);
 	if (queue === undefined) {
 		return {kind: 'unknown-queue'};
--- a/packages/coordinator/plugins/configuration.ts
+++ b/packages/coordinator/plugins/configuration.ts
@@ -73,6 +73,13 @@
 			break;
 		}
 
+		case 'shown': {
+			const {kind, ...details} = effect;
+			counters.countEvent('configuration-shown-by-entry');
+			configurationLog.info(details, 'callers see a newer configuration through another entry');
+			break;
+		}
+
 		case 'fetch': {
 			try {
 				await services.use(configurationFetchService).fetch(effect.address);
--- a/packages/coordinator/plugins/entry-peers.ts
+++ b/packages/coordinator/plugins/entry-peers.ts
@@ -27,7 +27,9 @@
 	kind: 'task',
 	name: 'entry-peers',
 	start(context) {
-		const {services, clock, settings, log} = context;
+		const {
+			services, clock, settings, log, counters,
+		} = context;
 		const peers = new Map<string, RpcPeer>();
 		const dialling = new Set<string>();
 		let isStopped = false;
@@ -53,8 +55,10 @@
 
 			log.withPrefix('entries').info({address}, 'connected to an entry');
 			peers.set(address, peer);
+			counters.setGauge('connected-entries', peers.size);
 			peer.onClosed(reason => {
 				peers.delete(address);
+				counters.setGauge('connected-entries', peers.size);
 				log.withPrefix('entries').info({address, reason}, 'connection to an entry closed');
 			});
 		};
--- a/packages/protocol/methods.ts
+++ b/packages/protocol/methods.ts
@@ -8,9 +8,10 @@
 	withdrawResultSchema,
 } from './types.js';
 import {
-	attachParametersSchema, attachResultSchema, callerAnswerSchema, callerRequestSchema, checkStoreResultSchema, countPendingParametersSchema, countPendingResultSchema,
-	entryExchangeParametersSchema, entryExchangeResultSchema, fetchConfigurationResultSchema, schedulerAnnouncementSchema, renewWorkerParametersSchema, renewWorkerResultSchema,
-	startTasksParametersSchema, startTasksResultSchema, stopTasksParametersSchema, stopTasksResultSchema, takeOverParametersSchema,
+	attachParametersSchema, attachResultSchema, checkStoreResultSchema, countPendingParametersSchema, countPendingResultSchema,
+	entryExchangeParametersSchema, entryExchangeResultSchema, fetchConfigurationResultSchema, forwardedAnswerSchema, forwardedCallSchema,
+	schedulerAnnouncementSchema, renewWorkerParametersSchema, renewWorkerResultSchema, startTasksParametersSchema, startTasksResultSchema,
+	stopTasksParametersSchema, stopTasksResultSchema, takeOverParametersSchema,
 } from './scheduling.js';
 
 /** All JSON-RPC methods between processes, with their parameter and result schemas. */
@@ -37,7 +38,7 @@
 	'worker.stop': {parameters: stopTasksParametersSchema, result: stopTasksResultSchema},
 	'entry.exchange': {parameters: entryExchangeParametersSchema, result: entryExchangeResultSchema},
 	'entry.fetch-configuration': {parameters: emptySchema, result: fetchConfigurationResultSchema},
-	'entry.call': {parameters: callerRequestSchema, result: callerAnswerSchema},
+	'entry.call': {parameters: forwardedCallSchema, result: forwardedAnswerSchema},
 	'entry.count-pending': {parameters: countPendingParametersSchema, result: countPendingResultSchema},
 	'entry.check-store': {parameters: emptySchema, result: checkStoreResultSchema},
 	'entry.take-over': {parameters: takeOverParametersSchema, result: emptySchema},
--- a/packages/protocol/scheduling.ts
+++ b/packages/protocol/scheduling.ts
@@ -135,6 +135,21 @@
 ]);
 export type CallerAnswer = Readonly<valibot.InferOutput<typeof callerAnswerSchema>>;
 
+/** A call that is forwarded to another entry, which answers it only by the version that the sender names. So the sender knows which version its callers may see before they do. */
+export const forwardedCallSchema = valibot.object({
+	...callerRequestSchema.entries,
+	/** Newest version that callers of the sender may have seen; absent from earlier releases. */
+	configurationVersion: valibot.optional(valibot.number()),
+});
+export type ForwardedCall = Readonly<valibot.InferOutput<typeof forwardedCallSchema>>;
+
+export const forwardedAnswerSchema = valibot.variant('kind', [
+	...callerAnswerSchema.options,
+	/** The receiver answers by another version than the call names, and did nothing. */
+	valibot.object({kind: valibot.literal('other-configuration'), version: valibot.number()}),
+]);
+export type ForwardedAnswer = Readonly<valibot.InferOutput<typeof forwardedAnswerSchema>>;
+
 export const countPendingParametersSchema = valibot.object({queue: valibot.string()});
 export const countPendingResultSchema = valibot.variant('kind', [
 	valibot.object({kind: valibot.literal('counted'), count: countSchema}),
--- a/test/platform/configuration.test.ts
+++ b/test/platform/configuration.test.ts
@@ -7,7 +7,9 @@
 } from '#transport';
 import {loopbackHost} from '#test/support/loopback';
 import {waitFor} from '#test/support/processes';
-import {describeManifest, manifestKey, type QueueDescription} from '#test/support/platform/caller';
+import {
+	apiKey, callFront, describeManifest, manifestKey, type QueueDescription,
+} from '#test/support/platform/caller';
 import {startDeployment, type Deployment} from '#test/support/platform/deployment';
 
 const queue: QueueDescription = {
@@ -60,6 +62,98 @@
 	});
 }
 
+const newKey = 'key-2';
+
+/** A large configuration with a new queue and a new key, beside the queue and the key of the version before. */
+function describeNewVersion(): unknown {
+	const kept = describeManifest(9, [{...queue, name: 'urgent'}]) as Readonly<{routes: readonly unknown[]}>;
+	const large = describeLargeManifest(9, 'new') as Readonly<{routes: readonly unknown[]}>;
+	return {...large, routes: [...kept.routes, ...large.routes], tenants: [{name: 'tenant', api_keys: [apiKey, newKey], guaranteed: {gpus: 8}}]};
+}
+
+/** How entry 0 comes to have shown the new version to a caller, and what happens then. */
+type Course = Readonly<{name: string; answers: readonly string[]; beforeChange(deployment: Deployment): void; afterEffect(deployment: Deployment): void}>;
+
+function regainSlowStore({entries: [behind]}: Deployment): void {
+	behind?.storeLink.setBytesPerSecond(slowBytesPerSecond);
+	behind?.storeLink.setResetting(false);
+}
+
+const courses: readonly Course[] = [
+	{
+		name: 'through another entry stays in force once the store is back (configuration goes back)',
+		beforeChange({entries}) {
+			entries[0]?.storeLink.setResetting(true);
+		},
+		afterEffect: regainSlowStore,
+		answers: ['200'],
+	},
+	{
+		name: 'through an entry that is gone gives 503 until it is in force (refused by an older configuration)',
+		beforeChange({entries}) {
+			entries[0]?.storeLink.setResetting(true);
+		},
+		afterEffect(deployment) {
+			deployment.entries[1]?.daemon.process.kill('SIGKILL');
+			regainSlowStore(deployment);
+		},
+		answers: ['200', '503 retry-after 1'],
+	},
+	{
+		name: 'is not taken back by another entry that has not read it (forwarded to an older configuration)',
+		beforeChange({entries}) {
+			entries[1]?.storeLink.setBytesPerSecond(slowBytesPerSecond);
+		},
+		afterEffect({entries}) {
+			entries[0]?.storeLink.setResetting(true);
+		},
+		answers: ['200', '503 retry-after 1'],
+	},
+];
+
+/** The new version takes 1.5 s over the slow link, and the entry asks the other one for it after 0.6 s. */
+const observationMilliseconds = 3000;
+
+async function expectNoReturn(deployment: Deployment, {path, key}: Readonly<{path: string; key: string}>, {beforeChange, afterEffect, answers}: Course): Promise<void> {
+	const [entry] = deployment.entries;
+	await waitFor('connection between the entries', async () => {
+		const response = await fetch(`http://${loopbackHost(0)}:${entry?.daemon.ports['metrics'] ?? 0}/metrics`);
+		const metrics = await response.text();
+		return metrics.includes('name="connected-entries"} 1\n') ? true : undefined;
+	});
+	const call = async () => callFront(entry?.front ?? '', 'GET', path, {key});
+	beforeChange(deployment);
+	deployment.store.put(manifestKey, describeNewVersion());
+	await waitFor('effect of the new version', async () => {
+		const answer = await call();
+		return answer?.status === 200 ? true : undefined;
+	}, applyMilliseconds);
+	afterEffect(deployment);
+	const seen = new Set<string>();
+	const endsAt = Date.now() + observationMilliseconds;
+	await waitFor('end of the observation', async () => {
+		const answer = await call();
+		seen.add(answer?.status === 503 ? `503 retry-after ${answer.retryAfter}` : String(answer?.status));
+		return Date.now() < endsAt ? undefined : true;
+	});
+	expect([...seen].toSorted((left, right) => left.localeCompare(right))).to.deep.equal(answers);
+}
+
+const calls = [
+	{
+		name: 'a new queue', path: '/new/', key: apiKey,
+	},
+	{
+		name: 'a new key', path: '/urgent/', key: newKey,
+	},
+];
+
+const regressions = calls.flatMap(({name, ...call}) => courses.map((course): Case => ({
+	name: `${name} that callers saw ${course.name}`,
+	entries: 2,
+	run: async deployment => expectNoReturn(deployment, call, course),
+})));
+
 type Case = Readonly<{name: string; entries: number; run(deployment: Deployment): Promise<void>}>;
 
 const cases: readonly Case[] = [
@@ -118,7 +212,7 @@
 
 describe('configuration of the entry programs', function () {
 	this.timeout(60_000);
-	for (const {name, entries, run} of cases) {
+	for (const {name, entries, run} of [...cases, ...regressions]) {
 		it(name, async () => {
 			const deployment = await startDeployment({entries, workers: 0, workMilliseconds: 100});
 			try {
--- a/test/support/platform/caller.ts
+++ b/test/support/platform/caller.ts
@@ -7,21 +7,22 @@
 const callTimeoutMilliseconds = 3000;
 
 export type CallMethod = 'GET' | 'POST' | 'DELETE';
-export type FrontAnswer = Readonly<{status: number; body: unknown}>;
+export type FrontAnswer = Readonly<{status: number; body: unknown; retryAfter?: string}>;
 
 /** Sends a caller's request to an entry's front (host:port); undefined if no answer came. */
-export async function callFront(front: string, method: CallMethod, path: string, options: Readonly<{body?: unknown; dispatcher?: Dispatcher}> = {}): Promise<FrontAnswer | undefined> {
-	const {body, dispatcher} = options;
+export async function callFront(front: string, method: CallMethod, path: string, options: Readonly<{body?: unknown; dispatcher?: Dispatcher; key?: string}> = {}): Promise<FrontAnswer | undefined> {
+	const {body, dispatcher, key = apiKey} = options;
 	try {
 		const response = await request(`http://${front}${path}`, {
 			method,
 			headers: {
-				host: queueHost, 'api-key': apiKey, 'deadline-ms': String(callTimeoutMilliseconds), 'content-type': 'application/json',
+				host: queueHost, 'api-key': key, 'deadline-ms': String(callTimeoutMilliseconds), 'content-type': 'application/json',
 			},
 			...(dispatcher === undefined ? {} : {dispatcher, headersTimeout: callTimeoutMilliseconds, bodyTimeout: callTimeoutMilliseconds}),
 			...(body === undefined ? {} : {body: JSON.stringify(body)}),
 		});
-		return {status: response.statusCode, body: await response.body.json()};
+		const retryAfter = response.headers['retry-after'];
+		return {status: response.statusCode, body: await response.body.json(), ...(typeof retryAfter === 'string' ? {retryAfter} : {})};
 	} catch {
 		// No answer is what the caller sees of every failure of the connection.
 		return undefined;
