Check a forwarded request by the plans of the entry that took it only

A stand-alone entry whose zone has no worker left forwards a request to an entry of another zone, which checked the plan by its own configuration.

The entry that takes a request from its caller now checks the plan, and the one that runs it does not. Limits still apply where it runs.

The test of a plan that only the sender has failed before ('refused', expected 'ran') and passes.

--- a/packages/entry/plugins/run-request.ts
+++ b/packages/entry/plugins/run-request.ts
@@ -39,13 +39,18 @@
 		}
 
 		case 'accepted': {
-			const reply = await submitRequest(work, {isRetry, mayForward: true}, context, signal);
+			const reply: SubmitReply = isUnknownPlan(work.plan, context) ? {kind: 'refused', reason: 'unknown-plan'} : await submitRequest(work, {isRetry, mayForward: true}, context, signal);
 			return encodeSubmitReply(work.requestId, reply, isRetry);
 		}
 	}
 }
 
-/** Submits a request of a known plan within the plan's limits. */
+/** Whether the configuration in force has no such plan. Only the entry that took a request from its caller decides this: another one may have another configuration, whose effect the caller would see once and then no more. */
+function isUnknownPlan(plan: PlanName, {services}: EntryContext): boolean {
+	return services.use(configurationService).read().current?.plans.every(({name}) => name !== plan) ?? false;
+}
+
+/** Submits a request within the limits of its plan. */
 export async function submitRequest(
 	work: RequestWork,
 	options: Readonly<{isRetry: boolean; mayForward: boolean}>,
@@ -58,10 +63,6 @@
 		return {kind: 'refused', reason: 'no-configuration'};
 	}
 
-	if (!current.plans.some(plan => plan.name === work.plan)) {
-		return {kind: 'refused', reason: 'unknown-plan'};
-	}
-
 	const planLimit = Math.min(settings['maximum-in-flight-per-plan'], readPlanLimit(work.plan, context));
 	return services.use(requestsService).submit(work, {...options, planLimit, totalLimit: settings['maximum-in-flight']}, signal);
 }
