Replace the refusal record that an unanswered submission expects before the job is refused

Callers would see: every attempt to submit a job is answered 503, which says that the job never runs, and the job runs nevertheless.

Cause: a submission without a reply is refused only once a refusal record stands under its key, so that the write fails if the store applies it late. When an earlier attempt, or the entry that forwarded the call, had already left such a record, the submission replaces it on the condition of its version. Read back without a reply, that older record was taken for a refusal of this attempt, but its version is the one that the late write expects.

A record is now a refusal of an attempt only if its version differs from the one that the attempt expects; otherwise it is replaced first. While that has no certain outcome, the submission is undecided.

--- a/packages/coordinator/callers/submit.ts
+++ b/packages/coordinator/callers/submit.ts
@@ -16,7 +16,7 @@
 /**
 Stores a job at most once, however often it is submitted.
 
-A write without a reply may still be applied later. Before such a job is refused, a refusal record is stored under its key, so that the late write fails.
+A write without a reply may still be applied later. Before such a job is refused, a refusal record is stored under its key, so that the late write fails. A refusal record that this write was to replace does not prevent it.
 */
 export async function submitJob(submission: JobSubmission, deadline: MonotonicTime, context: CoordinatorContext): Promise<CallerAnswer> {
 	const {services, clock} = context;
@@ -28,9 +28,11 @@
 	const store = services.use(storePort);
 	const key = jobStoreKey(submission.job);
 	const record: JobRecord = {kind: 'accepted', submission};
-	let reply = await store.write(key, record, {expectedVersion: 0});
+	let expectedVersion = 0;
+	let reply = await store.write(key, record, {expectedVersion});
 	if (reply.kind === 'conflict' && isRefusal(reply.current)) {
-		reply = await store.write(key, record, {expectedVersion: reply.current?.version ?? 0});
+		expectedVersion = reply.current?.version ?? 0;
+		reply = await store.write(key, record, {expectedVersion});
 	}
 
 	const answer = interpretReply(reply, submission, context);
@@ -39,7 +41,7 @@
 	}
 
 	while (clock.monotonic() < deadline) {
-		const settled = await settle(submission, context);
+		const settled = await settle(submission, expectedVersion, context);
 		if (settled !== undefined) {
 			return settled;
 		}
@@ -77,30 +79,28 @@
 	}
 }
 
-/** Reads back whether the job was stored; if it was not, stores a refusal record that prevents it. */
-async function settle(submission: JobSubmission, context: CoordinatorContext): Promise<CallerAnswer | undefined> {
+/** Reads back whether the job was stored; if it was not, stores a refusal record that prevents it. The write without a reply expects the given version. */
+async function settle(submission: JobSubmission, expectedVersion: number, context: CoordinatorContext): Promise<CallerAnswer | undefined> {
 	const {services, clock, counters} = context;
 	const store = services.use(storePort);
 	const key = jobStoreKey(submission.job);
 	const current = await store.read(key);
 	counters.countRetry('submission-settled');
-	switch (current.kind) {
-		case 'unavailable': {
-			return undefined;
-		}
-
-		case 'found': {
-			if (!isRefusal(current.stored)) {
-				services.use(schedulerService).send({kind: 'submitted', submission});
-				return {kind: 'accepted'};
-			}
+	if (current.kind === 'unavailable') {
+		return undefined;
+	}
 
-			return storeUnavailableAnswer;
-		}
+	const stored = current.kind === 'found' ? current.stored : undefined;
+	if (stored !== undefined && !isRefusal(stored)) {
+		services.use(schedulerService).send({kind: 'submitted', submission});
+		return {kind: 'accepted'};
+	}
 
-		case 'absent': {
-			const reply = await store.write(key, {kind: 'refused', refusedAt: clock.now()} satisfies JobRecord, {expectedVersion: 0});
-			return reply.kind === 'written' ? storeUnavailableAnswer : undefined;
-		}
+	const version = stored?.version ?? 0;
+	if (version !== expectedVersion) {
+		return storeUnavailableAnswer;
 	}
+
+	const reply = await store.write(key, {kind: 'refused', refusedAt: clock.now()} satisfies JobRecord, {expectedVersion: version});
+	return reply.kind === 'written' ? storeUnavailableAnswer : undefined;
 }
--- a/packages/coordinator/index.ts
+++ b/packages/coordinator/index.ts
@@ -14,3 +14,6 @@
 export {computeElectionDelay} from './election-delay.js';
 export {choosePassDelay, createPassTimer, type LastPass} from './pass-timer.js';
 export {computeProcessingTime} from './callers/processing-time.js';
+export {submitJob} from './callers/submit.js';
+export {schedulerService, type Scheduler} from './plugins/scheduler.js';
+export type {StoreMonitor} from './store-monitor.js';
