End a term with the lease of its leader record, not with the next observation of the store

Callers would see: work that runs twice around a take-over, after a scheduler was paused for longer than its lease.

Cause: whether orders may be sent depends on the lease that the entry holds at present, not on the lease under which its leader record was written. After a pause the renewal is answered with 404, a new lease is granted a round trip later, and the term of the ended lease counts as confirmed by the new one. That goes on until the watch shows that the record is gone, up to 2.2 s if its connection has gone silent, and as long as lists fail: the entry sends orders and grants under the old epoch, and a grant counts on at agents for 7.5 s, while the next scheduler counts from the end of the lease.

The term now carries the lease of its record, and ends when the lease of the entry changes. An election that was won under a lease which has ended since begins no term.

Evidence: test/coordinator/leadership, three new cases, each of which failed before.

--- a/packages/coordinator/leadership.ts
+++ b/packages/coordinator/leadership.ts
@@ -14,7 +14,13 @@
 	/** Last observed values of the store; undefined before the first observation. */
 	view: Readonly<{leader: Versioned<LeaderRecord> | undefined; epoch: Versioned<number> | undefined}> | undefined;
 	/** The current term of this entry; undefined while it does not schedule. */
-	term: Readonly<{epoch: number; leaderVersion: number; isObserved: boolean}> | undefined;
+	term: Readonly<{
+		epoch: number;
+		leaderVersion: number;
+		/** Lease of the leader record; the store removes the record with it. */
+		lease: string;
+		isObserved: boolean;
+	}> | undefined;
 	lease: string | undefined;
 	/** Highest epoch received from the store, agents or entries. */
 	highestEpoch: number;
@@ -29,7 +35,7 @@
 	| Readonly<{kind: 'lease-changed'; lease: string | undefined}>
 	| Readonly<{kind: 'epoch-observed'; epoch: number}>
 	| Readonly<{kind: 'election-due'}>
-	| Readonly<{kind: 'election-ended'; outcome: 'won' | 'lost' | 'unknown'; epoch: number; version: number}>
+	| Readonly<{kind: 'election-ended'; outcome: 'won' | 'lost' | 'unknown'; lease: string; epoch: number; version: number}>
 	/** The store rejected a conditional write, so another entry is the scheduler. */
 	| Readonly<{kind: 'deposed'}>
 	/** Another entry can take over the term of this one. */
@@ -67,7 +73,7 @@
 		}
 
 		case 'lease-changed': {
-			return reconcile({...state, lease: message.lease});
+			return changeLease(state, message.lease);
 		}
 
 		case 'epoch-observed': {
@@ -110,6 +116,12 @@
 	return {state, effects: []};
 }
 
+/** Ends the term with the lease of its record, without waiting for the watch to report that another entry schedules. */
+function changeLease(state: LeadershipState, lease: string | undefined): LeadershipStep {
+	const next = {...state, lease};
+	return next.term !== undefined && next.term.lease !== lease ? stepDownAndCampaign(next, 'the lease of this entry ended') : reconcile(next);
+}
+
 /** Reconciles the state of this entry with the last observation of the store. */
 function reconcile(state: LeadershipState): LeadershipStep {
 	const {view, term, lease, self} = state;
@@ -126,7 +138,11 @@
 	// This entry won the election, but the reply was lost.
 	if (isOwn && !state.hasResigned) {
 		return {
-			state: {...state, term: {epoch: leader.value.epoch, leaderVersion: leader.version, isObserved: true}},
+			state: {
+				...state, term: {
+					epoch: leader.value.epoch, leaderVersion: leader.version, lease, isObserved: true,
+				},
+			},
 			effects: [{kind: 'lead', epoch: leader.value.epoch, leaderVersion: leader.version}],
 		};
 	}
@@ -191,27 +207,39 @@
 	return {state: steppedDown.state, effects: [...steppedDown.effects, {kind: 'offer-term', epoch, leaderVersion}]};
 }
 
-function endElection(state: LeadershipState, {outcome, epoch, version}: Extract<LeadershipMessage, {kind: 'election-ended'}>): LeadershipStep {
+function endElection(state: LeadershipState, {outcome, lease, epoch, version}: Extract<LeadershipMessage, {kind: 'election-ended'}>): LeadershipStep {
 	switch (outcome) {
 		case 'won': {
-			return state.hasResigned || state.term !== undefined
-				? unchanged(state)
-				: {
+			if (state.hasResigned || state.term !== undefined) {
+				return unchanged(state);
+			}
+
+			return lease === state.lease
+				? {
 					state: {
-						...state, term: {epoch, leaderVersion: version, isObserved: false}, highestEpoch: Math.max(state.highestEpoch, epoch),
+						...state,
+						term: {
+							epoch, leaderVersion: version, lease, isObserved: false,
+						},
+						highestEpoch: Math.max(state.highestEpoch, epoch),
 					},
 					effects: [{kind: 'lead', epoch, leaderVersion: version}],
-				};
+				}
+				: retryElection(state);
 		}
 
 		// The watch reports the winner; if there is none, the next election follows.
 		case 'lost':
 		case 'unknown': {
-			return state.isElectionScheduled ? unchanged(state) : {state: {...state, isElectionScheduled: true}, effects: [{kind: 'retry-later', delay: electionRetryMilliseconds}]};
+			return retryElection(state);
 		}
 	}
 }
 
+function retryElection(state: LeadershipState): LeadershipStep {
+	return state.isElectionScheduled ? unchanged(state) : {state: {...state, isElectionScheduled: true}, effects: [{kind: 'retry-later', delay: electionRetryMilliseconds}]};
+}
+
 function stepDown(state: LeadershipState, reason: string): LeadershipStep {
 	return state.term === undefined
 		? unchanged(state)
--- a/packages/coordinator/plugins/leadership.ts
+++ b/packages/coordinator/plugins/leadership.ts
@@ -136,7 +136,7 @@
 	switch (reply.kind) {
 		case 'committed': {
 			send({
-				kind: 'election-ended', outcome: 'won', epoch, version: reply.version,
+				kind: 'election-ended', outcome: 'won', lease, epoch, version: reply.version,
 			});
 			break;
 		}
@@ -145,7 +145,7 @@
 		case 'lease-unknown':
 		case 'unavailable': {
 			send({
-				kind: 'election-ended', outcome: reply.kind === 'unavailable' ? 'unknown' : 'lost', epoch, version: 0,
+				kind: 'election-ended', outcome: reply.kind === 'unavailable' ? 'unknown' : 'lost', lease, epoch, version: 0,
 			});
 		}
 	}
--- a/test/coordinator/leadership.test.ts
+++ b/test/coordinator/leadership.test.ts
@@ -31,8 +31,9 @@
 const lease: LeadershipMessage = {kind: 'lease-changed', lease: '1'};
 const noLeader: LeadershipMessage = {kind: 'observed', leader: undefined, epoch: {value: 4, version: 9}};
 const won: LeadershipMessage = {
-	kind: 'election-ended', outcome: 'won', epoch: 5, version: 12,
+	kind: 'election-ended', outcome: 'won', lease: '1', epoch: 5, version: 12,
 };
+const ownRecord: LeadershipMessage = {kind: 'observed', leader: createLeader(self, 5, 12), epoch: {value: 5, version: 12}};
 
 type Case = Readonly<{name: string; messages: readonly LeadershipMessage[]; kinds: ReadonlyArray<LeadershipEffect['kind']>}>;
 
@@ -62,6 +63,21 @@
 		messages: [lease, noLeader, {kind: 'election-due'}, won, {kind: 'observed', leader: createLeader(self, 5, 12), epoch: {value: 5, version: 12}}, noLeader],
 		kinds: ['schedule-election', 'elect', 'lead', 'step-down', 'schedule-election'],
 	},
+	{
+		name: 'a term ends with the lease of its record, although the watch still shows the record (orders of a replaced scheduler after a pause)',
+		messages: [lease, noLeader, {kind: 'election-due'}, won, ownRecord, {kind: 'lease-changed', lease: undefined}, {kind: 'lease-changed', lease: '2'}],
+		kinds: ['schedule-election', 'elect', 'lead', 'step-down', 'schedule-election'],
+	},
+	{
+		name: 'a term does not go on under a lease that replaced the one of its record (permission of an ended lease in use)',
+		messages: [lease, noLeader, {kind: 'election-due'}, won, ownRecord, {kind: 'lease-changed', lease: '2'}],
+		kinds: ['schedule-election', 'elect', 'lead', 'step-down', 'schedule-election'],
+	},
+	{
+		name: 'an election that was won under an ended lease begins no term (scheduler without a record)',
+		messages: [lease, noLeader, {kind: 'election-due'}, {kind: 'lease-changed', lease: '2'}, won],
+		kinds: ['schedule-election', 'elect', 'schedule-election'],
+	},
 	{
 		name: 'a term ends when a higher epoch is observed (scheduler cut off from the store)',
 		messages: [lease, noLeader, {kind: 'election-due'}, won, {kind: 'epoch-observed', epoch: 6}],
