Begin no term from a reply or record that has been superseded

Callers would see: runs of one task under run numbers that were given out before, or orders of a scheduler that another one has replaced.

Cause: the reply of an election may arrive after the watch has shown its record, the term has begun and has ended again, for example by a hand-over or a higher epoch. It then began the ended term a second time, with the same epoch and the same first run number, while another entry was asked to begin the next one. The same reply, or the record itself, began a term also after a higher epoch was known.

Both ways into a term now share one check: the lease of the record is the present one, no higher epoch was observed, and the record is not that of the last ended term. Earlier terms have a lower epoch than the last one.

--- a/packages/coordinator/leadership.ts
+++ b/packages/coordinator/leadership.ts
@@ -30,6 +30,8 @@
 	hasResigned: boolean;
 }>;
 
+type Term = NonNullable<LeadershipState['term']>;
+
 export type LeadershipMessage =
 	| Readonly<{kind: 'observed'; leader: Versioned<LeaderRecord> | undefined; epoch: Versioned<number> | undefined}>
 	| Readonly<{kind: 'lease-changed'; lease: string | undefined}>
@@ -124,34 +126,37 @@
 
 /** Reconciles the state of this entry with the last observation of the store. */
 function reconcile(state: LeadershipState): LeadershipStep {
-	const {view, term, lease, self} = state;
+	const {view, term, self} = state;
 	if (view === undefined) {
 		return unchanged(state);
 	}
 
-	const {leader} = view;
-	const isOwn = leader !== undefined && lease !== undefined && leader.value.entry === self && leader.value.lease === lease && leader.version !== state.endedVersion;
 	if (term !== undefined) {
 		return reconcileTerm(state, term);
 	}
 
-	// This entry won the election, but the reply was lost.
-	if (isOwn && !state.hasResigned) {
-		return {
-			state: {
-				...state, term: {
-					epoch: leader.value.epoch, leaderVersion: leader.version, lease, isObserved: true,
-				},
-			},
-			effects: [{kind: 'lead', epoch: leader.value.epoch, leaderVersion: leader.version}],
-		};
-	}
+	// This entry may have won the election although the reply was lost.
+	const {leader} = view;
+	const ownTerm: Term | undefined = leader?.value.entry === self
+		? {
+			epoch: leader.value.epoch, leaderVersion: leader.version, lease: leader.value.lease, isObserved: true,
+		}
+		: undefined;
+	return ownTerm !== undefined && mayLead(state, ownTerm) ? beginTerm(state, ownTerm) : campaign(state);
+}
+
+/** Whether a term that the store shows or confirms as won may begin. It may have ended meanwhile. */
+function mayLead({lease, highestEpoch, endedVersion, hasResigned}: LeadershipState, won: Term): boolean {
+	return !hasResigned && won.lease === lease && won.epoch >= highestEpoch && won.leaderVersion !== endedVersion;
+}
 
-	return campaign(state);
+function beginTerm(state: LeadershipState, term: Term): LeadershipStep {
+	const {epoch, leaderVersion} = term;
+	return {state: {...state, term, highestEpoch: Math.max(state.highestEpoch, epoch)}, effects: [{kind: 'lead', epoch, leaderVersion}]};
 }
 
 /** Observations may be older than the election's reply, so a missing leader record counts only after this entry's own record was observed. */
-function reconcileTerm(state: LeadershipState, term: NonNullable<LeadershipState['term']>): LeadershipStep {
+function reconcileTerm(state: LeadershipState, term: Term): LeadershipStep {
 	const leader = state.view?.leader;
 	if (leader === undefined) {
 		return term.isObserved ? stepDownAndCampaign(state, 'the lease of the leader record ended') : unchanged(state);
@@ -214,18 +219,10 @@
 				return unchanged(state);
 			}
 
-			return lease === state.lease
-				? {
-					state: {
-						...state,
-						term: {
-							epoch, leaderVersion: version, lease, isObserved: false,
-						},
-						highestEpoch: Math.max(state.highestEpoch, epoch),
-					},
-					effects: [{kind: 'lead', epoch, leaderVersion: version}],
-				}
-				: retryElection(state);
+			const term: Term = {
+				epoch, leaderVersion: version, lease, isObserved: false,
+			};
+			return mayLead(state, term) ? beginTerm(state, term) : retryElection(state);
 		}
 
 		// The watch reports the winner; if there is none, the next election follows.
--- a/test/coordinator/leadership.test.ts
+++ b/test/coordinator/leadership.test.ts
@@ -120,6 +120,21 @@
 		messages: [lease, noLeader, {kind: 'election-due'}, won, {kind: 'epoch-observed', epoch: 6}, {kind: 'observed', leader: createLeader(self, 5, 12), epoch: {value: 5, version: 12}}],
 		kinds: ['schedule-election', 'elect', 'lead', 'step-down', 'schedule-election'],
 	},
+	{
+		name: 'the reply of an election that arrives after its term was handed over does not resume it (run numbers of one epoch used twice)',
+		messages: [lease, noLeader, {kind: 'election-due'}, ownRecord, {kind: 'hand-over', reason: 'the store does not answer'}, won],
+		kinds: ['schedule-election', 'elect', 'lead', 'step-down', 'offer-term', 'retry-later'],
+	},
+	{
+		name: 'the reply of an election that arrives after a higher epoch was observed begins no term (orders of a replaced scheduler)',
+		messages: [lease, noLeader, {kind: 'election-due'}, {kind: 'epoch-observed', epoch: 6}, won],
+		kinds: ['schedule-election', 'elect', 'retry-later'],
+	},
+	{
+		name: 'an own record below an observed epoch begins no term (orders of a replaced scheduler)',
+		messages: [lease, noLeader, {kind: 'election-due'}, {kind: 'epoch-observed', epoch: 6}, ownRecord],
+		kinds: ['schedule-election', 'elect', 'schedule-election'],
+	},
 	{
 		name: 'an entry without a term has none to hand over (term of another entry replaced)',
 		messages: [lease, {kind: 'observed', leader: createLeader(other, 5, 11), epoch: {value: 5, version: 11}}, {kind: 'hand-over', reason: 'the store does not answer'}],
