Don't count a confirmation that was requested before a suspension as one from after it

Callers would see: work that runs twice around a take-over, after the machine of the scheduler was suspended or its process paused.

Cause: after a suspension the guard waits for a lease that is valid for longer than the one before, but a renewal that was sent before the suspension and is answered after it is such a lease: the monotonic clock stood still, or counted the pause into a lease that has run out. The scheduler then sent orders and grants although another one had replaced it, for up to 4 s after a pause and up to the next answer of the store after a suspension.

A held lease now records when its confirmation was requested, and the guard accepts only requests from after the moment at which it noticed the suspension.

Evidence: test/coordinator/suspension checks in each row a confirmation that was requested before and answered after.

--- a/packages/coordinator/plugins/leadership.ts
+++ b/packages/coordinator/plugins/leadership.ts
@@ -31,7 +31,7 @@
 	const held = services.use(leaseService).getLatest();
 	return services.use(leadershipService).read().term !== undefined
 		&& held !== undefined
-		&& services.use(suspensionService).isConfirmed(held.validUntil)
+		&& services.use(suspensionService).isConfirmed(held)
 		&& clock.monotonic() < held.validUntil + unconfirmedLeadershipMilliseconds;
 }
 
--- a/packages/coordinator/suspension.ts
+++ b/packages/coordinator/suspension.ts
@@ -7,30 +7,33 @@
 /** If the guard was not called for longer than this, the process was paused; the scheduler calls it four times a second. */
 const pauseThresholdMilliseconds = 1000;
 
+/** Something that was confirmed for a limited time, such as a lease, and when its confirmation was requested. */
+type Confirmation = Readonly<{requestedAt: MonotonicTime; validUntil: MonotonicTime}>;
+
 export type SuspensionGuard = Readonly<{
-	/** Whether something that is valid until this time was confirmed after the last suspension, and did not run out during a pause. */
-	isConfirmed(validUntil: MonotonicTime): boolean;
+	/** Whether the confirmation was requested after the last suspension, and did not run out during a pause. */
+	isConfirmed(confirmation: Confirmation): boolean;
 }>;
 
 /** Creates a guard. It has to be called often, because each call compares the clocks with those of the previous call. */
 export function createSuspensionGuard(clock: Clock): SuspensionGuard {
 	let checkedAt = clock.monotonic();
 	let offset = clock.now() - checkedAt;
-	/** Anything valid until this time or earlier was confirmed before the last suspension, or ran out during a pause. */
-	let unconfirmedUntil = -Infinity;
+	/** Confirmations that were requested until this time are void, also if their replies arrive later. */
+	let voidUntil = -Infinity;
 	return {
-		isConfirmed(validUntil) {
+		isConfirmed({requestedAt, validUntil}) {
 			const monotonic = clock.monotonic();
 			const currentOffset = clock.now() - monotonic;
 			const wasSuspended = currentOffset - offset > suspensionThresholdMilliseconds;
 			const hasRunOutInPause = monotonic - checkedAt > pauseThresholdMilliseconds && monotonic > validUntil;
 			if (wasSuspended || hasRunOutInPause) {
-				unconfirmedUntil = validUntil;
+				voidUntil = monotonic;
 			}
 
 			offset = currentOffset;
 			checkedAt = monotonic;
-			return validUntil > unconfirmedUntil;
+			return requestedAt > voidUntil;
 		},
 	};
 }
--- a/packages/store/lease.ts
+++ b/packages/store/lease.ts
@@ -6,8 +6,8 @@
 import {leaseClockMarginFraction, leaseRenewalFraction, leaseRenewalJitterFraction} from './constants.js';
 import type {LeaseReply} from './types.js';
 
-/** A granted lease and the time until which it is certainly valid in the store. */
-export type HeldLease = Readonly<{lease: string; validUntil: MonotonicTime}>;
+/** A granted lease, the time at which its last confirmation was requested, and the time until which it is certainly valid in the store. */
+export type HeldLease = Readonly<{lease: string; requestedAt: MonotonicTime; validUntil: MonotonicTime}>;
 
 export type LeaseState = Readonly<{
 	held: HeldLease | undefined;
@@ -79,7 +79,7 @@
 			const validUntil = sentAt + (timeToLive * (1 - leaseClockMarginFraction));
 			const jitterFactor = 1 + (leaseRenewalJitterFraction * ((2 * random()) - 1));
 			return {
-				state: {...state, held: {lease: reply.lease, validUntil}, failures: 0},
+				state: {...state, held: {lease: reply.lease, requestedAt: sentAt, validUntil}, failures: 0},
 				effects: [{kind: 'schedule', delay: timeToLive * leaseRenewalFraction * jitterFactor}],
 			};
 		}
--- a/test/coordinator/suspension.test.ts
+++ b/test/coordinator/suspension.test.ts
@@ -25,10 +25,12 @@
 		it(name, () => {
 			const time = {now: 1000, monotonic: 1000};
 			const guard = createSuspensionGuard({now: () => time.now, monotonic: () => time.monotonic, schedule: () => () => undefined});
-			expect(guard.isConfirmed(validUntil)).to.equal(true);
+			expect(guard.isConfirmed({requestedAt: 900, validUntil})).to.equal(true);
 			Object.assign(time, {now, monotonic});
-			expect(guard.isConfirmed(validUntil)).to.equal(isConfirmed);
-			expect(guard.isConfirmed(validUntil + 1000)).to.equal(true);
+			expect(guard.isConfirmed({requestedAt: 900, validUntil})).to.equal(isConfirmed);
+			// Requested before, and answered only now.
+			expect(guard.isConfirmed({requestedAt: 1000, validUntil: validUntil + 500})).to.equal(isConfirmed);
+			expect(guard.isConfirmed({requestedAt: monotonic + 1, validUntil: validUntil + 1000})).to.equal(true);
 		});
 	}
 
@@ -36,7 +38,7 @@
 		const time = {now: 1000, monotonic: 1000};
 		const guard = createSuspensionGuard({now: () => time.now, monotonic: () => time.monotonic, schedule: () => () => undefined});
 		for (let elapsed = 0; elapsed < 3000; elapsed += 250) {
-			expect(guard.isConfirmed(2000)).to.equal(true);
+			expect(guard.isConfirmed({requestedAt: 900, validUntil: 2000})).to.equal(true);
 			Object.assign(time, {now: time.now + 250, monotonic: time.monotonic + 250});
 		}
 	});
