--- a/packages/reservations/constants.ts
+++ b/packages/reservations/constants.ts
@@ -1,4 +1,4 @@
-/** Retention of a job's fencing number after the last new reservation, start or stop of its gang, and in any case while a record of the gang exists. A sender that was paused for longer no longer holds a lease of its own. */
+/** Retention of a job's fencing number after the last new reservation, start, stop or end of its gang, and in any case while a record of the gang exists. A sender that was paused for longer no longer holds a lease of its own. */
 export const fenceRetentionMilliseconds = 86_400_000;
 /** Retention of an ended gang, during which its end can be queried. */
 export const endedRetentionMilliseconds = 600_000;
--- a/packages/reservations/end.ts
+++ b/packages/reservations/end.ts
@@ -1,6 +1,6 @@
 import type {MonotonicTime, RefusalReason} from '#core';
 import {
-	isEnded, isHolding, putGang, reply, taskOf, type ReservationStep,
+	isEnded, isHolding, putFence, putGang, readFence, reply, taskOf, type ReservationStep,
 } from './state.js';
 import type {
 	GangRecord, MemberRecord, MemberState, EndNotification, ReservationAnswer, ReservationEffect, ReservationState,
@@ -30,11 +30,12 @@
 	const next: GangRecord = {
 		...gang, members, phase: {kind: 'ended', reason, endedAt: monotonic}, pendingReplyIds: [],
 	};
+	const fenced = putFence(state, gang.job, {...readFence(state, gang.job), retentionStartsAt: monotonic});
 	// A stop is answered only when every attempt of the job has ended.
 	const otherAttempt = [...state.gangs.values()].find(other => other.job === gang.job && other.attempt !== gang.attempt && !isEnded(other));
 	return otherAttempt === undefined
-		? {state: putGang(state, next), effects: [...effects, ...gang.pendingReplyIds.map(replyId => reply(replyId, describeEnd(next)))]}
-		: {state: putGang(putGang(state, next), {...otherAttempt, pendingReplyIds: [...otherAttempt.pendingReplyIds, ...gang.pendingReplyIds]}), effects};
+		? {state: putGang(fenced, next), effects: [...effects, ...gang.pendingReplyIds.map(replyId => reply(replyId, describeEnd(next)))]}
+		: {state: putGang(putGang(fenced, next), {...otherAttempt, pendingReplyIds: [...otherAttempt.pendingReplyIds, ...gang.pendingReplyIds]}), effects};
 }
 
 /** Ends a gang: immediately if it has not started, otherwise by stopping its tasks. */
--- a/packages/reservations/types.ts
+++ b/packages/reservations/types.ts
@@ -63,7 +63,7 @@
 	isClosed: boolean;
 	/** Lowest attempt that started on this incarnation; 0 if none did. */
 	firstStartedAttempt: number;
-	/** Time of the last new reservation, start or stop; commits and renewals do not change it. */
+	/** Time of the last new reservation, start, stop or end; commits and renewals do not change it. */
 	retentionStartsAt: MonotonicTime;
 }>;
 
--- a/test/reservations/receive.test.ts
+++ b/test/reservations/receive.test.ts
@@ -39,6 +39,8 @@
 /** The owner of a cell reserves accelerators that a borrower uses. */
 const reclaim: readonly ReservationMessage[] = [cell('urgent'), ...run('a', {preemptible: true}), reserve('u', {plan: 'urgent'})];
 
+const runForMoreThanADay = [...run('a'), {...renew('a', 1), leaseMilliseconds: 100_000_000}, wait(90_000_000)] as const;
+
 type Event = ReservationMessage | ReturnType<typeof wait>;
 
 type Case = Readonly<{
@@ -59,6 +61,16 @@
 		events: [...run('a', {attempt: 3}), finished('a', 3), wait(3_600_000), tick, reserve('a', {attempt: 2})],
 		expected: [refused('stale-attempt')],
 	},
+	{
+		name: 'a stop long after the end of a gang that ran for more than a day does not report that it never started (job run twice)',
+		events: [...runForMoreThanADay, finished('a'), wait(3_600_000), tick, stop('a')],
+		expected: [{reply: {kind: 'stopped', checkpoints: {}}}],
+	},
+	{
+		name: 'a lower attempt is refused after the record of a job that ran for more than a day was deleted',
+		events: [...runForMoreThanADay, renew('a', 1, 2), finished('a'), wait(3_600_000), tick, reserve('a')],
+		expected: [refused('stale-attempt')],
+	},
 	{
 		name: 'a reservation that arrives after its stop is refused', events: [stop('a'), reserve('a')], expected: [refused('stale-attempt')], holding: [],
 	},
