Don't let an earlier incarnation of an agent take the place of its successor

Callers would see: a worker that gets no work until its agent starts again, and requests or gangs of the restarted agent sent to the process that is leaving.

Cause: an announcement of another incarnation counted as newer unless that incarnation had been replaced while it was connected. An agent that drains, loses its connection and announces itself again after the restarted one was therefore taken for the newest, and the restarted one, as the replaced incarnation, was ignored from then on. The same happened at an entry that has just started and hears from both.

The last incarnation that was removed counts as replaced as soon as another one announces itself, and one that is leaving does not replace one that is not.

Evidence: test/membership/view, three of five new cases failed before.

--- a/packages/membership/types.ts
+++ b/packages/membership/types.ts
@@ -38,6 +38,8 @@
 	available: readonly AgentView[];
 	/** Incarnations that were replaced by a newer one, newest last. */
 	replaced: ReadonlyMap<WorkerId, readonly Incarnation[]>;
+	/** Last incarnation of each worker that was removed; it may reconnect until another one announces itself. */
+	removed: ReadonlyMap<WorkerId, Incarnation>;
 }>;
 
 /** Probes an agent whose report is overdue. */
--- a/packages/membership/view.ts
+++ b/packages/membership/view.ts
@@ -8,7 +8,9 @@
 
 type MembershipStep = Step<MembershipState, MembershipEffect>;
 
-export const initialMembershipState: MembershipState = {agents: new Map(), available: [], replaced: new Map()};
+export const initialMembershipState: MembershipState = {
+	agents: new Map(), available: [], replaced: new Map(), removed: new Map(),
+};
 
 /** Maintains the view of the agents that announced themselves to this entry. */
 export function receiveMembershipMessage(state: MembershipState, message: MembershipMessage, {monotonic}: Readonly<{monotonic: MonotonicTime}>): MembershipStep {
@@ -40,7 +42,7 @@
 
 			const agents = new Map(state.agents);
 			agents.delete(message.worker);
-			return {state: withAgents(state, agents), effects: []};
+			return {state: withAgents({...state, removed: new Map(state.removed).set(message.worker, message.incarnation)}, agents), effects: []};
 		}
 
 		case 'tick': {
@@ -58,16 +60,20 @@
 	return !agent.isLeaving && monotonic - agent.reportedAt < staleAfterMilliseconds;
 }
 
-/** Adds or updates an agent. A late announcement of a replaced incarnation is ignored. */
+/** Adds or updates an agent. An announcement of a replaced incarnation is ignored. */
 function applyAnnouncement(state: MembershipState, announced: Omit<AgentView, 'reportedAt' | 'joinedAt'>, monotonic: MonotonicTime): MembershipStep {
 	const {worker, incarnation} = announced;
-	const replaced = state.replaced.get(worker) ?? [];
-	if (replaced.includes(incarnation)) {
+	if (state.replaced.get(worker)?.includes(incarnation) === true) {
 		return {state, effects: []};
 	}
 
 	const known = state.agents.get(worker);
 	const isSameIncarnation = known?.incarnation === incarnation;
+	// A restarted agent announces itself while the earlier one, which is leaving, may reconnect.
+	if (known !== undefined && !isSameIncarnation && announced.isLeaving && !known.isLeaving) {
+		return {state: addReplaced(state, worker, incarnation), effects: []};
+	}
+
 	const agent: AgentView = {
 		...announced,
 		// Leaving is final for an incarnation; an announcement sent earlier may arrive after it.
@@ -76,14 +82,18 @@
 		reportedAt: monotonic,
 	};
 	const next = withAgents(state, new Map(state.agents).set(worker, agent));
+	const previous = known?.incarnation ?? state.removed.get(worker);
 	return {
-		state: known === undefined || isSameIncarnation
-			? next
-			: {...next, replaced: new Map(state.replaced).set(worker, [...replaced, known.incarnation].slice(-maximumReplacedIncarnations))},
+		state: previous === undefined || previous === incarnation ? next : addReplaced(next, worker, previous),
 		effects: [],
 	};
 }
 
+function addReplaced(state: MembershipState, worker: WorkerId, incarnation: Incarnation): MembershipState {
+	const replaced = [...(state.replaced.get(worker) ?? []), incarnation].slice(-maximumReplacedIncarnations);
+	return {...state, replaced: new Map(state.replaced).set(worker, replaced)};
+}
+
 function withAgents(state: MembershipState, agents: ReadonlyMap<WorkerId, AgentView>): MembershipState {
 	return {...state, agents, available: [...agents.values()].filter(agent => !agent.isLeaving)};
 }
--- a/test/membership/view.test.ts
+++ b/test/membership/view.test.ts
@@ -60,6 +60,48 @@
 	{
 		name: 'a late announcement of an earlier incarnation is ignored', messages: [[0, announce('a')], [1, announce('b')], [2, announce('a')]], at: 2, incarnation: 'b', available: true,
 	},
+	{
+		name: 'an earlier incarnation that reconnects after its successor has announced itself is ignored (calls for one process sent to another)',
+		messages: [[0, announce('a')], [1, agentMessage('disconnected', 'a')], [2, announce('b')], [3, announce('a', true)]],
+		at: 3,
+		incarnation: 'b',
+		available: true,
+	},
+	{
+		name: 'an incarnation is not excluded because an earlier one reconnected (worker without work until the next restart of its agent)',
+		messages: [
+			[0, announce('a')],
+			[1, agentMessage('probe-failed', 'a')],
+			[2, announce('b')],
+			[3, announce('a', true)],
+			[4, agentMessage('disconnected', 'a')],
+			[5, announce('b')],
+		],
+		at: 5,
+		incarnation: 'b',
+		available: true,
+	},
+	{
+		name: 'an incarnation that is leaving does not replace one that is not (worker without work until the next restart of its agent)',
+		messages: [[0, announce('b')], [1, announce('a', true)], [2, announce('b')]],
+		at: 2,
+		incarnation: 'b',
+		available: true,
+	},
+	{
+		name: 'an incarnation that is leaving is listed if no other one is known (member of a gang reported as gone)',
+		messages: [[0, announce('a', true)]],
+		at: 0,
+		incarnation: 'a',
+		available: false,
+	},
+	{
+		name: 'an incarnation that reconnects is available again while no other one has announced itself (worker without work)',
+		messages: [[0, announce('a')], [1, agentMessage('disconnected', 'a')], [2, announce('a')]],
+		at: 2,
+		incarnation: 'a',
+		available: true,
+	},
 	{
 		name: 'a late disconnect of an earlier incarnation is ignored',
 		messages: [[0, announce('a')], [1, announce('b')], [2, agentMessage('disconnected', 'a')]], at: 2, incarnation: 'b', available: true,
