Keep the connection of an agent's present incarnation when an earlier one announces itself

Callers would see: a non-idempotent gang that runs a second time, or a worker that gets no work.

Cause: a late announcement of a replaced incarnation was ignored by the view of the agents, but its connection still became the one over which the worker is called. Calls about gangs carry no incarnation; they rely on the connection. A stop for a gang of the restarted agent that reached the process which is leaving was answered `never-started`, and such a job returns to the queue with its start reverted. When that connection closed, the restarted agent counted as not connected, its reports were ignored, and it did not notice.

The entry now refuses the announcement, so that the earlier process closes its connection.

--- a/packages/entry/plugins/announce-agent.ts
+++ b/packages/entry/plugins/announce-agent.ts
@@ -1,3 +1,4 @@
+import {JSONRPCErrorException} from 'json-rpc-2.0';
 import {announceParametersSchema, type AnnounceParameters} from '#protocol';
 import {listZoneEntries} from '../entries.js';
 import {entryPlugins} from '../plugins.js';
@@ -6,6 +7,8 @@
 import {layoutService} from './layout-task.js';
 import {membershipService} from './membership.js';
 
+const replacedIncarnationCode = -32_002;
+
 entryPlugins.register({
 	kind: 'rpc-method',
 	name: 'agent.announce',
@@ -20,6 +23,11 @@
 				worker, incarnation, rack, capacity, load, holdings, isLeaving: leaving, configurationRevision, layoutRevision,
 			},
 		});
+		// Calls to the present incarnation must not reach the process of an earlier one.
+		if (membership.read().agents.get(worker)?.incarnation !== incarnation) {
+			throw new JSONRPCErrorException('another incarnation of the agent has replaced this one', replacedIncarnationCode);
+		}
+
 		connections.send({kind: 'opened', worker, peer});
 		peer.onClosed(reason => {
 			log.withPrefix('membership').info({worker, reason}, 'agent disconnected');
