Prevent an undecided submission from being stored after its cancellation was confirmed

Callers would see: a job runs although its cancelling was answered with 410.

Cause: a submission without a reply is undecided, and the store may apply its write seconds later. A cancellation found no record of the job, or the refusal of an earlier attempt, and confirmed that there is nothing to cancel; the late write then created the job.

While a submission of the path is undecided, the cancellation now stores a refusal in place of what that write expects, before it is confirmed. If the submission is applied first, the job is cancelled as usual. Cancellations of other unknown jobs store nothing, as before.

The cancellation moves from show.ts to a file of its own.

--- a/packages/coordinator/callers/show.ts
+++ b/packages/coordinator/callers/show.ts
@@ -1,5 +1,4 @@
-import {sleep} from '#kernel';
-import {checkInput, type Milliseconds} from '#core';
+import {checkInput} from '#core';
 import {
 	jobProgressSchema, jobRecordSchema, type JobKey, type JobState,
 } from '#jobs';
@@ -50,37 +49,3 @@
 	const isEnded = scheduled.endedAt !== undefined;
 	return isEnded && scheduled.storedVersion < scheduled.version ? 'running' : scheduled.outcome;
 }
-
-/** Stores the cancellation of a job; the scheduler receives it through its watch. */
-export async function cancelJob(job: JobKey, {deadline, context}: Readonly<{deadline: Milliseconds; context: CoordinatorContext}>): Promise<CallerAnswer> {
-	const {services, clock, log} = context;
-	const store = services.use(storePort);
-	do {
-		const records = await store.list(jobStoreKey(job));
-		if (records.kind === 'listed') {
-			const record = records.values.find(({key}) => key === jobStoreKey(job));
-			const checked = record === undefined ? undefined : checkInput(jobRecordSchema, record.value, record.key);
-			if (checked?.kind !== 'valid' || checked.value.kind !== 'accepted') {
-				return {kind: 'absent'};
-			}
-
-			if (records.values.some(({key}) => key === cancellationStoreKey(job))) {
-				return {kind: 'cancelled'};
-			}
-
-			const reply = await store.write(cancellationStoreKey(job), {cancelledAt: clock.now()}, {expectedVersion: 0});
-			if (reply.kind === 'written' || reply.kind === 'conflict') {
-				services.use(schedulerService).send({kind: 'cancelled', job});
-				log.withPrefix('callers').info({job, outcome: reply.kind}, 'stored the cancellation');
-				return {kind: 'cancelled'};
-			}
-		}
-
-		await sleep(clock, cancellationRetryMilliseconds);
-	} while (clock.monotonic() < deadline);
-
-	return {kind: 'undecided', reason: 'the store did not answer in time'};
-}
-
-/** Delay before storing a cancellation is retried. */
-const cancellationRetryMilliseconds = 120;
--- a/packages/coordinator/index.ts
+++ b/packages/coordinator/index.ts
@@ -19,3 +19,4 @@
 export type {StoreMonitor} from './store-monitor.js';
 export {directoryService} from './plugins/directory.js';
 export {leaseService} from './plugins/lease.js';
+export {cancelJob} from './callers/cancel.js';
--- a/packages/coordinator/plugins/callers.ts
+++ b/packages/coordinator/plugins/callers.ts
@@ -10,7 +10,8 @@
 import {coordinatorPlugins} from '../plugins.js';
 import {storeMonitorService} from '../ports.js';
 import {showPending} from '../callers/pending.js';
-import {cancelJob, showJob} from '../callers/show.js';
+import {showJob} from '../callers/show.js';
+import {cancelJob} from '../callers/cancel.js';
 import {storeUnavailableAnswer} from '../callers/unavailable.js';
 import {submitJob} from '../callers/submit.js';
 import type {CoordinatorContext} from '../types.js';
@@ -170,7 +171,7 @@
 		}
 
 		case 'cancel': {
-			return cancelJob(job.value, {deadline, context});
+			return cancelJob(job.value, {deadline, isUndecided: context.services.use(undecidedService).has(call.path), context});
 		}
 	}
 }
