--- a/packages/coordinator/plugins/leadership.ts
+++ b/packages/coordinator/plugins/leadership.ts
@@ -31,7 +31,7 @@
 	const held = services.use(leaseService).getLatest();
 	return services.use(leadershipService).read().term !== undefined
 		&& held !== undefined
-		&& services.use(suspensionService).isConfirmed(held.validUntil)
+		&& services.use(suspensionService).isConfirmed(held)
 		&& clock.monotonic() < held.validUntil + unconfirmedLeadershipMilliseconds;
 }
 
@@ -136,7 +136,7 @@
 	switch (reply.kind) {
 		case 'committed': {
 			send({
-				kind: 'election-ended', outcome: 'won', epoch, version: reply.version,
+				kind: 'election-ended', outcome: 'won', lease, epoch, version: reply.version,
 			});
 			break;
 		}
@@ -145,7 +145,7 @@
 		case 'lease-unknown':
 		case 'unavailable': {
 			send({
-				kind: 'election-ended', outcome: reply.kind === 'unavailable' ? 'unknown' : 'lost', epoch, version: 0,
+				kind: 'election-ended', outcome: reply.kind === 'unavailable' ? 'unknown' : 'lost', lease, epoch, version: 0,
 			});
 		}
 	}
