Reject a late order at a worker that came back under another identifier

Cause: the stand-in compared Expect-Instance when the order arrived, not when it was carried out, so that a worker with a new identifier carried out orders to the earlier one.

Change: the comparison happens when the order is carried out.

--- a/test/support/platform/worker-orders.ts
+++ b/test/support/platform/worker-orders.ts
@@ -13,7 +13,12 @@
 export type OrderDelay = Milliseconds | 'until-told' | 'never';
 
 /** An order that gets no answer and has not been carried out yet. */
-export type LateOrder = Readonly<{kind: OrderKind; order: Order}>;
+export type LateOrder = Readonly<{
+	kind: OrderKind;
+	order: Order;
+	/** Identifier of the worker that it is for; a worker with another one carries out nothing. */
+	expected: string | undefined;
+}>;
 
 export type OrderListener = Readonly<{
 	address: string;
@@ -44,12 +49,17 @@
 	const delays = new Map<OrderKind, OrderDelay>();
 	const late = new Map<LateOrder, NodeJS.Timeout | undefined>();
 
-	const carryOut = ({kind, order}: LateOrder, respond: Respond) => {
+	const carryOut = ({kind, order, expected}: LateOrder, respond: Respond) => {
 		const incarnation = owner.incarnation();
 		if (incarnation === undefined) {
 			return;
 		}
 
+		if (expected !== undefined && expected !== owner.identifier()) {
+			respond({status: 421, body: {}});
+			return;
+		}
+
 		switch (kind) {
 			case 'start': {
 				const answer = incarnation.start(order);
@@ -94,15 +104,11 @@
 			return;
 		}
 
-		if (request.headers['expect-instance'] !== undefined && request.headers['expect-instance'] !== owner.identifier()) {
-			reply(response, {status: 421, body: {}});
-			return;
-		}
-
+		const expected = request.headers['expect-instance']?.toString();
 		const order = JSON.parse(Buffer.concat(chunks).toString('utf8')) as Order;
 		const delay = delays.get(kind);
 		if (delay === undefined) {
-			carryOut({kind, order}, answer => reply(response, answer));
+			carryOut({kind, order, expected}, answer => reply(response, answer));
 			return;
 		}
 
@@ -110,7 +116,7 @@
 			return;
 		}
 
-		const delayed = {kind, order};
+		const delayed = {kind, order, expected};
 		late.set(delayed, delay === 'until-told'
 			? undefined
 			: setTimeout(() => {
