Play restarts, late orders and departures of workers in the soak

Change: plans of the scope programs-and-workers add these faults from a random source of their own; plans of the scope programs, and so the regression seeds, stay as they were. A task that starts again after a run was done, whose end was acknowledged or listed with no fault near, is a violation.

--- a/soak/check.ts
+++ b/soak/check.ts
@@ -1,6 +1,7 @@
 /** Checks the invariants of the system against what callers and workers recorded. */
+import {assertNever, type Milliseconds} from '#core';
 import type {
-	Violation, CallRecord, History, JobDescription, RunRecord,
+	Violation, CallRecord, Fault, History, JobDescription, RunRecord,
 } from './types.js';
 
 // The sites of the users' platform set these time limits.
@@ -11,6 +12,10 @@
 const cancelMilliseconds = 3000;
 /** After a job is shown as completed, a run of it that starts later than this is a violation. */
 const noticeMilliseconds = 1000;
+/** An end that a worker lists with no fault near counts as acknowledged within this time. */
+const acknowledgementMilliseconds = 100;
+/** A fault is near until this long after it. */
+const contactMilliseconds = 5000;
 
 /** Response statuses of submissions that were not accepted and must never run. */
 const refusalStatuses: ReadonlySet<number> = new Set([401, 404, 429, 503]);
@@ -28,6 +33,7 @@
 			const runs = runsByJob.get(job.job) ?? [];
 			return [
 				...checkOverlaps(job, runs),
+				...checkRepeats(job, runs, history),
 				...checkRefusals(job, calls, runs),
 				...checkStates(job, calls, runs),
 				...checkOrder(job, runs),
@@ -60,6 +66,58 @@
 	return violations;
 }
 
+/** A task does not start again after a run of it ended as done and that end was acknowledged, even later; or was listed with no fault near. */
+function checkRepeats({job}: JobDescription, runs: readonly RunRecord[], history: History): readonly Violation[] {
+	const done = runs.filter(run => run.ending === 'done' && (run.notedAt !== undefined || (run.listedAt !== undefined && isCalm(run.listedAt, history))));
+	return done.flatMap(first => runs
+		.filter(({task, startedAt}) => task === first.task && startedAt >= (first.endedAt ?? Infinity))
+		.map(({task, run, worker}) => ({invariant: 'a task that was done does not start again', job, detail: `${task} run ${run} on ${worker} after run ${first.run} on ${first.worker}`})));
+}
+
+/** Whether no fault is near the listing of an end; it then counts as acknowledged within 100 ms. */
+function isCalm(listedAt: number, {plan, startedAt}: History): boolean {
+	return plan.faults.every(fault => {
+		const from = startedAt + fault.at;
+		return measureDisturbance(fault) === 0 || from > listedAt + acknowledgementMilliseconds || from + measureDisturbance(fault) + contactMilliseconds < listedAt;
+	});
+}
+
+/** How long a fault may disturb or postpone orders; a graceful departure and a new configuration disturb none. */
+function measureDisturbance(fault: Fault): Milliseconds {
+	switch (fault.kind) {
+		case 'change-configuration': {
+			return 0;
+		}
+
+		case 'leave-worker': {
+			return fault.departure.kind === 'confirmed' ? 0 : fault.duration;
+		}
+
+		case 'late-starts':
+		case 'late-orders': {
+			return fault.duration + fault.delay;
+		}
+
+		case 'kill-entry':
+		case 'stop-entry':
+		case 'pause-entry':
+		case 'kill-agent':
+		case 'pause-agent':
+		case 'store':
+		case 'compact-store':
+		case 'entry-store-link':
+		case 'agent-worker-link':
+		case 'restart-worker':
+		case 'late-announcement': {
+			return Math.max(1, fault.duration);
+		}
+
+		default: {
+			return assertNever(fault);
+		}
+	}
+}
+
 /** A job whose submissions were all refused never runs. */
 function checkRefusals({job}: JobDescription, calls: readonly CallRecord[], runs: readonly RunRecord[]): readonly Violation[] {
 	const submissions = calls.filter(({action}) => action === 'submit');
@@ -110,7 +168,9 @@
 	}
 
 	// Delayed starts and faults can postpone the effect of orders sent before the cancellation.
-	const toleranceMilliseconds = cancelMilliseconds + Math.max(0, ...plan.faults.map(fault => fault.kind === 'late-starts' ? fault.delay : 0), ...plan.faults.map(({duration}) => duration));
+	const delays = plan.faults.map(fault => fault.kind === 'late-starts' || fault.kind === 'late-orders' ? fault.delay : 0);
+	const durations = plan.faults.map(fault => fault.kind === 'leave-worker' ? fault.departure.endsAfter : fault.duration);
+	const toleranceMilliseconds = cancelMilliseconds + Math.max(0, ...delays, ...durations);
 	const late = runs.filter(({startedAt}) => startedAt > cancelled + toleranceMilliseconds);
 	const unfinished = runs.filter(run => run.endedAt === undefined && endedAt > cancelled + toleranceMilliseconds);
 	return [...late, ...unfinished].map(({task, run}) => ({invariant: 'a cancelled job does not run', job, detail: `${task} run ${run}`}));
--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -10,7 +10,11 @@
 import {servePlatformStore} from '#test/support/platform/store';
 import {servePlatformWorker} from '#test/support/platform/worker';
 import {openProxy} from './proxy.js';
-import type {Fault, RunRecord, SoakSize} from './types.js';
+import type {
+	Fault, PlanScope, ProgramFault, RunRecord, SoakPlan,
+} from './types.js';
+import {isWorkerFault} from './worker-faults.js';
+import {createWorkerFaults} from './worker-incidents.js';
 
 const firstVersion = 3;
 const portsPerFleet = 20;
@@ -41,7 +45,13 @@
 	return describeManifest(version, [queue('urgent', 0), queue('batch', 2), queue(`v${version}`, 1)]);
 }
 
-export async function startFleet({entries, workers}: SoakSize, seed: number): Promise<Fleet> {
+/** Faults of workers need runs that go on while they last. */
+const workMillisecondsOf = {
+	programs: (index: number) => 300 + (index * 200),
+	'programs-and-workers': (index: number) => 600 + (index * 900),
+} as const satisfies Readonly<Record<PlanScope, (index: number) => Milliseconds>>;
+
+export async function startFleet({seed, size: {entries, workers}, scope = 'programs'}: SoakPlan): Promise<Fleet> {
 	const base = firstPort + ((seed % portRangeCount) * portsPerFleet);
 	const agentHostOf = (index: number) => loopbackHost(100 + index);
 	const store = await servePlatformStore();
@@ -49,7 +59,7 @@
 	store.put(manifestKey, describeConfiguration(version));
 	const storeLinks = await Promise.all(Array.from({length: entries}, async (_, index) => openProxy(loopbackHost(index), store.address)));
 	const workerList = await Promise.all(Array.from({length: workers}, async (_, index) => servePlatformWorker({
-		host: agentHostOf(index), id: `i-${index}`, rack: `r-${index % 2}`, service: 'svc', workMilliseconds: 300 + (index * 200),
+		host: agentHostOf(index), id: `i-${index}`, rack: `r-${index % 2}`, service: 'svc', workMilliseconds: workMillisecondsOf[scope](index),
 	})));
 	const workerLinks = await Promise.all(workerList.map(async (worker, index) => openProxy(agentHostOf(index), worker.address)));
 	const seeds = `${loopbackHost(0)}:1`;
@@ -64,7 +74,8 @@
 		worker.announceTo(addressesOf.announcements(agentHostOf(index), base));
 	}
 
-	const apply = async (fault: Fault): Promise<void> => {
+	const applyWorkerFault = createWorkerFaults(workerList);
+	const applyProgramFault = async (fault: ProgramFault): Promise<void> => {
 		switch (fault.kind) {
 			case 'kill-entry': {
 				entryPrograms[fault.index]?.signal('SIGKILL');
@@ -133,7 +144,7 @@
 
 	return {
 		fronts: entryPrograms.map((_, index) => addressesOf.front(loopbackHost(index), base)),
-		apply,
+		apply: async fault => isWorkerFault(fault) ? applyWorkerFault(fault) : applyProgramFault(fault),
 		listRuns: () => workerList.flatMap(worker => worker.records()),
 		newestQueuePath: () => `/v${version}/`,
 		async stop() {
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -2,13 +2,15 @@
 import {
 	assertNever, createRandomSource, pickInteger, type RandomSource,
 } from '#core';
+import {pick} from './pick.js';
 import type {
-	Fault, LinkMode, SoakPlan, SoakSize,
+	LinkMode, PlanScope, ProgramFault, SoakPlan, SoakSize,
 } from './types.js';
+import {planWorkerFaults} from './worker-faults.js';
 
-const faultKinds = [
+const programFaultKinds = [
 	'kill-entry', 'stop-entry', 'pause-entry', 'kill-agent', 'pause-agent', 'store', 'compact-store', 'entry-store-link', 'agent-worker-link', 'late-starts', 'change-configuration',
-] as const satisfies ReadonlyArray<Fault['kind']>;
+] as const satisfies ReadonlyArray<ProgramFault['kind']>;
 const linkModes = ['delayed', 'silent', 'one-way', 'reset'] as const satisfies readonly LinkMode[];
 const storeModes = ['busy', 'losing', 'silent'] as const;
 
@@ -21,7 +23,7 @@
 const lateStartMilliseconds = 3000;
 
 /**
-Creates a plan; the same seed and size give the same plan.
+Creates a plan; the same seed, size and scope give the same plan. Faults of workers come from a random source of their own, so that they leave those of the programs as they are.
 
 @example
 ```
@@ -29,20 +31,19 @@
 //=> 14
 ```
 */
-export function planSoak(seed: number, size: SoakSize): SoakPlan {
+export function planSoak(seed: number, size: SoakSize, scope: PlanScope = 'programs'): SoakPlan {
 	const random = createRandomSource(seed);
 	const count = Math.max(1, Math.round(size.seconds * faultsPerSecond));
 	const times = Array.from({length: count}, () => Math.floor(random() * size.seconds * 1000)).toSorted((first, second) => first - second);
-	return {seed, size, faults: times.map((at, index) => planFault(at, index, size, random))};
+	const faults = times.map((at, index) => planFault(at, index, size, random));
+	return {
+		seed, size, scope, faults: scope === 'programs' ? faults : [...faults, ...planWorkerFaults(seed, size)].toSorted((first, second) => first.at - second.at),
+	};
 }
 
-function pick<Value>(values: readonly [Value, ...Value[]], random: RandomSource): Value {
-	return values[pickInteger(random, values.length)] ?? values[0];
-}
-
-function planFault(at: number, index: number, {entries, workers}: SoakSize, random: RandomSource): Fault {
+function planFault(at: number, index: number, {entries, workers}: SoakSize, random: RandomSource): ProgramFault {
 	const duration = minimumDurationMilliseconds + Math.floor(random() * (maximumDurationMilliseconds - minimumDurationMilliseconds));
-	const kind = pick(faultKinds, random);
+	const kind = pick(programFaultKinds, random);
 	const base = {at, duration};
 	switch (kind) {
 		case 'kill-entry':
--- a/soak/regressions.ts
+++ b/soak/regressions.ts
@@ -1,16 +1,16 @@
-import type {SoakSize} from './types.js';
+import type {PlanScope, SoakSize} from './types.js';
 
-/** A plan that once violated an invariant. The size is part of it, since it changes the plan. */
-export type RegressionSeed = Readonly<{seed: number; size: SoakSize; cause: string}>;
+/** A plan that once violated an invariant. The size and the scope are part of it, since they change the plan. */
+export type RegressionSeed = Readonly<{seed: number; size: SoakSize; scope: PlanScope; cause: string}>;
 
 export const regressionSeeds: readonly RegressionSeed[] = [
 	{
-		seed: 235, size: {entries: 3, workers: 5, seconds: 20}, cause: 'the soak ended 115 ms after a late acceptance, before the job could run',
+		seed: 235, size: {entries: 3, workers: 5, seconds: 20}, scope: 'programs', cause: 'the soak ended 115 ms after a late acceptance, before the job could run',
 	},
 	{
-		seed: 223, size: {entries: 3, workers: 5, seconds: 20}, cause: 'the soak queried the configuration of an entry 0.8 s after it was killed',
+		seed: 223, size: {entries: 3, workers: 5, seconds: 20}, scope: 'programs', cause: 'the soak queried the configuration of an entry 0.8 s after it was killed',
 	},
 	{
-		seed: 240, size: {entries: 3, workers: 5, seconds: 20}, cause: 'the soak queried the configuration of an entry while it restarted after a planned stop',
+		seed: 240, size: {entries: 3, workers: 5, seconds: 20}, scope: 'programs', cause: 'the soak queried the configuration of an entry while it restarted after a planned stop',
 	},
 ];
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -23,7 +23,7 @@
 }
 
 export async function runSoak(plan: SoakPlan): Promise<History> {
-	const fleet = await startFleet(plan.size, plan.seed);
+	const fleet = await startFleet(plan);
 	const startedAt = Date.now();
 	const callers = startCallers(fleet.fronts, plan.seed);
 	try {
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -7,9 +7,11 @@
 import {regressionSeeds} from './regressions.js';
 import {plotHistory, summarize} from './report.js';
 import {runSoak} from './run.js';
-import type {History, SoakPlan, SoakSize} from './types.js';
+import {
+	planScopes, type History, type PlanScope, type SoakPlan, type SoakSize,
+} from './types.js';
 
-type Options = Readonly<{seeds: string; seed?: string; seconds: string; entries: string; workers: string; out: string; check?: string}>;
+type Options = Readonly<{seeds: string; seed?: string; seconds: string; entries: string; workers: string; scope: string; out: string; check?: string}>;
 
 function report(history: History): boolean {
 	const violations = checkHistory(history);
@@ -28,14 +30,14 @@
 }
 
 /** Chooses new seeds for each invocation; seeds of earlier failures run first. */
-function choosePlans({seeds, seed}: Options, size: SoakSize): readonly SoakPlan[] {
+function choosePlans({seeds, seed}: Options, size: SoakSize, scope: PlanScope): readonly SoakPlan[] {
 	if (seed !== undefined) {
-		return [planSoak(Number(seed), size)];
+		return [planSoak(Number(seed), size, scope)];
 	}
 
 	const first = Math.floor(Date.now() / 1000) % 1_000_000;
-	const fresh = Array.from({length: Number(seeds)}, (_, index) => planSoak(first + index, size));
-	return [...regressionSeeds.map(known => planSoak(known.seed, known.size)), ...fresh];
+	const fresh = Array.from({length: Number(seeds)}, (_, index) => planSoak(first + index, size, scope));
+	return [...regressionSeeds.map(known => planSoak(known.seed, known.size, known.scope)), ...fresh];
 }
 
 async function main(options: Options): Promise<void> {
@@ -45,9 +47,16 @@
 	}
 
 	const size = {entries: Number(options.entries), workers: Number(options.workers), seconds: Number(options.seconds)};
+	const scope = planScopes.find(known => known === options.scope);
+	if (scope === undefined) {
+		console.error(`scope ${options.scope} is not one of ${planScopes.join(', ')}`);
+		process.exitCode = 2;
+		return;
+	}
+
 	await mkdir(options.out, {recursive: true});
 	const failed: number[] = [];
-	for (const plan of choosePlans(options, size)) {
+	for (const plan of choosePlans(options, size, scope)) {
 		const history = await runSoak(plan);
 		if (!report(history)) {
 			failed.push(plan.seed);
@@ -66,6 +75,7 @@
 	.option('--seconds', 'Duration of the faults for each seed, in seconds', '20')
 	.option('--entries', 'Number of entries', '3')
 	.option('--workers', 'Number of workers', '5')
+	.option('--scope', 'Faults: programs, or programs-and-workers', 'programs-and-workers')
 	.option('--out', 'Directory for the histories of failed seeds', 'target/soak')
 	.option('--check', 'Check a history file of an earlier run')
 	.action(main)
--- a/soak/types.ts
+++ b/soak/types.ts
@@ -1,11 +1,15 @@
 /** Plan, faults and recorded history of a soak. */
 import type {Milliseconds} from '#core';
+import type {Departure} from '#test/support/platform/worker-announcements';
+import type {OrderKind} from '#test/support/platform/worker-orders';
 
 /** How a proxy treats the bytes that it relays: `silent` drops them in both directions, `one-way` drops responses. A connection that lost bytes stays silent in both directions. */
 export type LinkMode = 'passing' | 'delayed' | 'silent' | 'one-way' | 'reset';
 
-/** A fault injected from outside the programs; `at` is relative to the start of the callers. */
-export type Fault = Readonly<{at: Milliseconds; duration: Milliseconds}> & (
+type FaultTime = Readonly<{at: Milliseconds; duration: Milliseconds}>;
+
+/** A fault of a program, the store, a link or the configuration. */
+export type ProgramFault = FaultTime & (
 	| Readonly<{kind: 'kill-entry' | 'stop-entry' | 'pause-entry'; index: number}>
 	| Readonly<{kind: 'kill-agent' | 'pause-agent'; index: number}>
 	| Readonly<{kind: 'store'; mode: 'busy' | 'losing' | 'silent'}>
@@ -15,9 +19,29 @@
 	| Readonly<{kind: 'change-configuration'; version: number}>
 );
 
+/** What happens to an incarnation of a worker, and to what was sent to it or by it. */
+export type WorkerFault = FaultTime & (
+	/** The worker crashes and starts again under its identifier; it takes orders for `silent` before it announces itself. */
+	| Readonly<{kind: 'restart-worker'; index: number; down: Milliseconds; silent: Milliseconds}>
+	/** For the duration of the fault, orders of these kinds get no answer and are carried out after `delay`. With a restart, the worker then crashes. */
+	| Readonly<{kind: 'late-orders'; index: number; orders: readonly OrderKind[]; delay: Milliseconds; restart: Readonly<{down: Milliseconds}> | undefined}>
+	/** The worker drains and leaves, and comes back after `away`. A delayed report of its departure arrives `reportedAfter` it came back. */
+	| Readonly<{kind: 'leave-worker'; index: number; drain: Milliseconds; departure: Departure; away: Milliseconds; identifier: 'same' | 'new'; reportedAfter: Milliseconds}>
+	/** An announcement of the incarnation before arrives. */
+	| Readonly<{kind: 'late-announcement'; index: number}>
+);
+
+/** A fault injected from outside the programs; `at` is relative to the start of the callers. */
+export type Fault = ProgramFault | WorkerFault;
+
 export type SoakSize = Readonly<{entries: number; workers: number; seconds: number}>;
 
-export type SoakPlan = Readonly<{seed: number; size: SoakSize; faults: readonly Fault[]}>;
+/** Which faults a plan contains. Plans for `programs` stay as they were before there were faults of workers. */
+export const planScopes = ['programs', 'programs-and-workers'] as const;
+export type PlanScope = typeof planScopes[number];
+
+/** Histories of earlier versions have no scope. */
+export type SoakPlan = Readonly<{seed: number; size: SoakSize; scope?: PlanScope; faults: readonly Fault[]}>;
 
 /** One call and its response; status 0 means that no response arrived. */
 export type CallRecord = Readonly<{
@@ -34,7 +58,18 @@
 export type JobDescription = Readonly<{job: string; steps: ReadonlyArray<Readonly<{count: number; after: readonly number[]}>>}>;
 
 /** One run on a worker; times are Unix times in milliseconds. */
-export type RunRecord = Readonly<{worker: string; task: string; run: number; startedAt: number; endedAt: number | undefined; ending: string | undefined}>;
+export type RunRecord = Readonly<{
+	worker: string;
+	task: string;
+	run: number;
+	startedAt: number;
+	endedAt: number | undefined;
+	ending: string | undefined;
+	/** When an answer first listed the end. */
+	listedAt?: number | undefined;
+	/** When the end was acknowledged before the worker's lease lapsed. */
+	notedAt?: number | undefined;
+}>;
 
 /** Everything that callers and workers recorded, for checks after the run. */
 export type History = Readonly<{
--- a/test/soak/check.test.ts
+++ b/test/soak/check.test.ts
@@ -22,6 +22,8 @@
 const accepted = callOf('submit', 500);
 const completed = callOf('show', 3000, {state: 'completed'});
 
+const calmPlan = {...planSoak(1, {entries: 1, workers: 1, seconds: 1}), faults: []};
+
 type Case = Readonly<{name: string; history: Partial<History>; violated: readonly string[]}>;
 
 const cases: readonly Case[] = [
@@ -36,6 +38,32 @@
 		history: {calls: [accepted, completed], runs: [runOf({endedAt: undefined, ending: undefined}), runOf({run: 2, startedAt: 1500})]},
 		violated: ['a task runs at one place at a time'],
 	},
+	{
+		name: 'reports a start after a run that was done, when its end was acknowledged later (done task started again)',
+		history: {calls: [accepted, callOf('show', 9000, {state: 'completed'})], runs: [runOf({notedAt: 7000}), runOf({run: 2, startedAt: 2500, endedAt: 3500})]},
+		violated: ['a task that was done does not start again'],
+	},
+	{
+		name: 'reports a start after a run that was done, when its end was listed with no fault near (done task started again)',
+		history: {plan: calmPlan, calls: [accepted, callOf('show', 9000, {state: 'completed'})], runs: [runOf({listedAt: 2010}), runOf({run: 2, startedAt: 2500, endedAt: 3500})]},
+		violated: ['a task that was done does not start again'],
+	},
+	{
+		name: 'accepts a start after a run whose end was listed under a fault and never acknowledged',
+		history: {
+			plan: {
+				...calmPlan, faults: [{
+					at: 1900, duration: 500, kind: 'kill-agent', index: 0,
+				}],
+			}, calls: [accepted, callOf('show', 9000, {state: 'completed'})], runs: [runOf({listedAt: 2010}), runOf({run: 2, startedAt: 2500, endedAt: 3500})],
+		},
+		violated: [],
+	},
+	{
+		name: 'accepts a start after a run that was done and whose end was never listed',
+		history: {plan: calmPlan, calls: [accepted, callOf('show', 9000, {state: 'completed'})], runs: [runOf(), runOf({run: 2, startedAt: 2500, endedAt: 3500})]},
+		violated: [],
+	},
 	{
 		name: 'accepts a run after a stopped run',
 		history: {calls: [accepted, completed], runs: [runOf({endedAt: 1200, ending: 'stopped'}), runOf({run: 2, startedAt: 1300})]},
--- a/test/soak/run.test.ts
+++ b/test/soak/run.test.ts
@@ -5,12 +5,14 @@
 import {runSoak} from '#soak/run';
 
 /** A short run of the whole system, and the seeds that once violated an invariant. */
-const seeds: readonly RegressionSeed[] = [{seed: 7, size: {entries: 3, workers: 3, seconds: 8}, cause: 'a short run of the whole system'}, ...regressionSeeds];
+const seeds: readonly RegressionSeed[] = [{
+	seed: 7, size: {entries: 3, workers: 3, seconds: 8}, scope: 'programs', cause: 'a short run of the whole system',
+}, ...regressionSeeds];
 
 describe('programs under faults', () => {
-	for (const {seed, size, cause} of seeds) {
+	for (const {seed, size, scope, cause} of seeds) {
 		it(`keep their invariants with seed ${seed} (${cause})`, async () => {
-			const history = await runSoak(planSoak(seed, size));
+			const history = await runSoak(planSoak(seed, size, scope));
 			expect(checkHistory(history)).to.deep.equal([]);
 			expect(history.runs).not.to.have.length(0);
 		}).timeout(120_000);
@@ -20,5 +22,13 @@
 		const size = {entries: 3, workers: 5, seconds: 20};
 		expect(planSoak(5, size)).to.deep.equal(planSoak(5, size));
 		expect(planSoak(5, size)).not.to.deep.equal(planSoak(6, size));
+		expect(planSoak(5, size, 'programs-and-workers')).to.deep.equal(planSoak(5, size, 'programs-and-workers'));
+	});
+
+	it('faults of workers leave those of the programs as they were (regression seeds that play another plan)', () => {
+		const size = {entries: 3, workers: 5, seconds: 20};
+		const {faults} = planSoak(235, size);
+		expect(faults.slice(0, 6).map(({at, kind}) => `${at} ${kind}`)).to.deep.equal(['322 late-starts', '3635 compact-store', '4759 store', '6075 compact-store', '8523 store', '9549 kill-entry']);
+		expect(planSoak(235, size, 'programs-and-workers').faults).to.include.deep.members([...faults]);
 	});
 });
