--- a/soak/regressions.ts
+++ b/soak/regressions.ts
@@ -13,4 +13,16 @@
 	{
 		seed: 240, size: {entries: 3, workers: 5, seconds: 20}, scope: 'programs', cause: 'the soak queried the configuration of an entry while it restarted after a planned stop',
 	},
+	{
+		seed: 1005, size: {entries: 3, workers: 5, seconds: 20}, scope: 'programs-and-workers', cause: 'the runs of a worker whose departure was not confirmed started elsewhere while they went on',
+	},
+	{
+		seed: 1013, size: {entries: 3, workers: 5, seconds: 20}, scope: 'programs-and-workers', cause: 'an agent that was paused handled the departure of a worker that had got starts since',
+	},
+	{
+		seed: 1017, size: {entries: 3, workers: 5, seconds: 20}, scope: 'programs-and-workers', cause: 'the next incarnation of a worker carried out a late start of a task that was done elsewhere',
+	},
+	{
+		seed: 1011, size: {entries: 3, workers: 5, seconds: 20}, scope: 'programs-and-workers', cause: 'a delayed departure released the runs of the worker\'s next incarnation',
+	},
 ];
