--- a/test/platform/incarnations.test.ts
+++ b/test/platform/incarnations.test.ts
@@ -167,7 +167,7 @@
 	},
 	{
 		name: 'a lease extension of the incarnation before keeps no run of the present one alive beyond its lease (run released while it goes on)',
-		options: {entries: 1, workers: 2, workMilliseconds: 12_000},
+		options: {entries: 1, workers: 2, workMilliseconds: 14_000},
 		async run(deployment) {
 			const [worker] = await allowOnly(deployment, 0);
 			worker.delayOrders(['hold'], 'until-told');
