Stop no gang by an end of an earlier run of a member

An end that is reported late, as with an incarnation that left, stopped the members of the gang's present run: work was thrown away. An end now stops only members of the same run or an earlier one.

--- a/packages/scheduling/ends.ts
+++ b/packages/scheduling/ends.ts
@@ -175,10 +175,12 @@
 	return stopGang(markChanged(next, end.task, time.monotonic), end, time);
 }
 
-/** Stops the other members of a gang. They would also end by themselves, but later. */
-function stopGang(state: SchedulerState, {task}: EndedRun, {monotonic}: CurrentTime): SchedulerTransition {
+/** Stops the other members of a gang that belong to the same run or an earlier one. They would also end by themselves, but later. */
+function stopGang(state: SchedulerState, {task, run}: EndedRun, {monotonic}: CurrentTime): SchedulerTransition {
 	const job = findJob(state, task);
-	return job !== undefined && findStep(job, task)?.isGang === true ? stopRuns(state, listStepMembers(job, task), 'a member of the gang ended', monotonic) : withoutEffects(state);
+	const members = job !== undefined && findStep(job, task)?.isGang === true ? listStepMembers(job, task) : [];
+	const hasNewerRun = members.some(name => (job?.tasks.get(name)?.run?.run ?? 0) > run);
+	return hasNewerRun ? withoutEffects(state) : stopRuns(state, members, 'a member of the gang ended', monotonic);
 }
 
 function clearFailures(state: SchedulerState, agent: AgentName): SchedulerState {
