Count each unanswered acknowledgement by itself, over several restarts

What callers would see: a task started again after it had ended as done.

Cause: one time stood for all acknowledgements without an answer. A later one that was answered cleared it, although the earlier may still be carried out, and a second restart of the worker forgot it.

Change: the agent keeps the time of each, and the bar on starts passes from incarnation to incarnation.

--- a/packages/supervision/incarnations.ts
+++ b/packages/supervision/incarnations.ts
@@ -25,8 +25,8 @@
 		leaseUntil: monotonic + maximumLeaseMilliseconds + (earlier === undefined ? 0 : lateCallMilliseconds),
 		notedEnd: 0,
 		acknowledgedEnd: 0,
-		acknowledgementSentAt: undefined,
-		startsBarredUntil: earlier?.acknowledgementSentAt === undefined ? -Infinity : earlier.acknowledgementSentAt + lateCallMilliseconds,
+		unansweredAcknowledgements: [],
+		startsBarredUntil: earlier === undefined ? -Infinity : Math.max(earlier.startsBarredUntil, ...earlier.unansweredAcknowledgements.map(sentAt => sentAt + lateCallMilliseconds)),
 		startsToRevoke: listStartsToRevoke(state, announcement.worker, monotonic),
 		fencedEpoch: 0,
 	};
--- a/packages/supervision/lease-extension.ts
+++ b/packages/supervision/lease-extension.ts
@@ -2,7 +2,7 @@
 import type {MonotonicTime} from '#core';
 import {isSameIncarnation} from '#jobs';
 import {
-	departureCheckMilliseconds, extensionRetryMilliseconds, extensionWaitMilliseconds, unacknowledgedEndPauseMilliseconds,
+	departureCheckMilliseconds, extensionRetryMilliseconds, extensionWaitMilliseconds, lateCallMilliseconds, unacknowledgedEndPauseMilliseconds,
 } from './constants.js';
 import {computeLeaseDeadline, noDeadline, recordLease} from './deadlines.js';
 import {handleCandidateAnswer, handleLeavingAnswer} from './incarnation-checks.js';
@@ -20,7 +20,7 @@
 	const extension = createExtension(state, monotonic, options);
 	return extension === undefined
 		? {state, effects: []}
-		: {state: recordExtension(state, extension, monotonic), effects: [{kind: 'extend-leases', extension: {...extension, wait: 0, isRecurring: false}}]};
+		: {state: recordExtension(state, extension), effects: [{kind: 'extend-leases', extension: {...extension, wait: 0, isRecurring: false}}]};
 }
 
 function createExtension(state: SupervisionState, monotonic: MonotonicTime, options: SupervisionOptions): LeaseExtension | undefined {
@@ -34,14 +34,18 @@
 			// An unanswered call may still have been applied. If leases were extended while the worker is unresponsive, it would never be certain that they have expired.
 			...(worker.isResponsive && !worker.isLeaving ? computeLeaseDeadline(state, monotonic, options) : noDeadline),
 			notedEnd: worker.notedEnd > worker.acknowledgedEnd ? worker.notedEnd : 0,
+			sentAt: monotonic,
 			wait: extensionWaitMilliseconds,
 			isRecurring: true,
 		};
 }
 
-function recordExtension(state: SupervisionState, {leaseUntil, notedEnd}: LeaseExtension, sentAt: MonotonicTime): SupervisionState {
+function recordExtension(state: SupervisionState, {leaseUntil, notedEnd, sentAt}: LeaseExtension): SupervisionState {
 	const recorded = recordLease(state, leaseUntil);
-	return notedEnd === 0 || recorded.worker === undefined ? recorded : {...recorded, worker: {...recorded.worker, acknowledgementSentAt: sentAt}};
+	const {worker} = recorded;
+	return notedEnd === 0 || sentAt === undefined || worker === undefined
+		? recorded
+		: {...recorded, worker: {...worker, unansweredAcknowledgements: [...worker.unansweredAcknowledgements.filter(earlier => sentAt - earlier < lateCallMilliseconds), sentAt]}};
 }
 
 export function startExtending(state: SupervisionState, monotonic: MonotonicTime, options: SupervisionOptions): SupervisionStep {
@@ -52,7 +56,7 @@
 	const extension = createExtension(state, monotonic, options);
 	return extension === undefined
 		? {state: {...state, isExtending: true}, effects: [{kind: 'schedule-extension', delay: extensionRetryMilliseconds}]}
-		: {state: {...recordExtension(state, extension, monotonic), isExtending: true}, effects: [{kind: 'extend-leases', extension}]};
+		: {state: {...recordExtension(state, extension), isExtending: true}, effects: [{kind: 'extend-leases', extension}]};
 }
 
 export function handleExtensionResult(
@@ -104,11 +108,16 @@
 		: {state: next, effects: []});
 }
 
-/** Notes that the worker has received an acknowledgement. */
+/** Notes that the worker has received an acknowledgement. Each call counts by itself: an earlier one without an answer may still be carried out. */
 function acknowledge(worker: SupervisedWorker, {extension, result}: ExtensionAnswer): SupervisedWorker {
-	return result.kind === 'answered' && extension.notedEnd > worker.acknowledgedEnd && isSameIncarnation(worker.announcement, extension)
-		&& (result.incarnation === undefined || result.incarnation === extension.incarnation)
-		? {...worker, acknowledgedEnd: extension.notedEnd, acknowledgementSentAt: extension.notedEnd === worker.notedEnd ? undefined : worker.acknowledgementSentAt}
+	const isReceived = result.kind === 'answered' && extension.notedEnd > 0 && isSameIncarnation(worker.announcement, extension)
+		&& (result.incarnation === undefined || result.incarnation === extension.incarnation);
+	return isReceived
+		? {
+			...worker,
+			acknowledgedEnd: Math.max(worker.acknowledgedEnd, extension.notedEnd),
+			unansweredAcknowledgements: worker.unansweredAcknowledgements.filter(sentAt => sentAt !== extension.sentAt),
+		}
 		: worker;
 }
 
--- a/packages/supervision/types.ts
+++ b/packages/supervision/types.ts
@@ -49,8 +49,8 @@
 	notedEnd: number;
 	/** Highest number that an answered call has acknowledged. Calls repeat an acknowledgement only until then: one that the next incarnation carries out discards ends of its own. */
 	acknowledgedEnd: number;
-	/** When an acknowledgement was last sent that is not answered. */
-	acknowledgementSentAt: MonotonicTime | undefined;
+	/** When acknowledgements were sent that are not answered. */
+	unansweredAcknowledgements: readonly MonotonicTime[];
 	/** Until when a call for an earlier incarnation may discard ends; the worker gets no starts before. */
 	startsBarredUntil: MonotonicTime;
 	/** Starts that earlier incarnations of the same identifier did not answer. They are stopped before the worker is reported, since it may still carry them out. */
@@ -131,6 +131,8 @@
 	deadline: Milliseconds | undefined;
 	leaseUntil: MonotonicTime;
 	notedEnd: number;
+	/** When the call was made, on the agent's clock; left out by calls that only ask. */
+	sentAt?: MonotonicTime;
 	wait: Milliseconds;
 	/** Whether the answer triggers the next call. */
 	isRecurring: boolean;
