Report a worker that may have left as unusable, not as draining

A late departure of an earlier incarnation made the scheduler stop runs on a healthy worker, as if it had no time left to serve. Until the worker is known to have left it gets no starts, and its runs go on.

--- a/packages/supervision/describe.ts
+++ b/packages/supervision/describe.ts
@@ -12,7 +12,8 @@
 	}
 
 	const {announcement, isLeaving, leavesAt, running, ended, leaseUntil, startsBarredUntil} = worker;
-	const isResponsive = worker.isResponsive && monotonic >= startsBarredUntil;
+	// A worker that may have left gets no starts. Its runs are not stopped, since the departure may be an earlier incarnation's.
+	const isResponsive = worker.isResponsive && !isLeaving && monotonic >= startsBarredUntil;
 	return {
 		worker: announcement.worker,
 		incarnation: announcement.incarnation,
@@ -21,10 +22,10 @@
 		labels: announcement.labels,
 		rack: announcement.rack,
 		capacity: announcement.capacity,
-		state: isLeaving ? 'draining' : announcement.state,
+		state: announcement.state,
 		...(leavesAt === undefined ? {} : {leavesInMilliseconds: Math.max(0, Math.round(leavesAt - monotonic))}),
 		isResponsive,
-		isLeaseOver: !worker.isResponsive && isLeaseOver(leaseUntil, monotonic),
+		isLeaseOver: !worker.isResponsive && !isLeaving && isLeaseOver(leaseUntil, monotonic),
 		running,
 		ended,
 		lost: listRecentlyLost(state, monotonic).map(({task, run}) => ({task, run})),
