Report the ends of several incarnations before the present one

An agent reports one ended incarnation with a renewal, but the present one with each: with two ended ones, the runs of the second were released before its ends were reported. The present one now waits, and a scheduler of an earlier epoch does not count as having received an end. Not covered by a test of its own.

--- a/packages/supervisor/plugins/entries.ts
+++ b/packages/supervisor/plugins/entries.ts
@@ -73,9 +73,10 @@
 		connection.lastRenewalAt = sentAt;
 		const supervision = services.use(supervisionService);
 		const state = supervision.read();
-		const snapshot = connection.isScheduler ? describeWorker(state, sentAt) : undefined;
+		const [ended, ...laterEnded] = connection.isScheduler ? state.endedIncarnations : [];
+		// The present incarnation follows all that ended: its report releases their runs.
+		const snapshot = connection.isScheduler && laterEnded.length === 0 ? describeWorker(state, sentAt) : undefined;
 		connection.sentRevision = state.revision;
-		const [ended] = connection.isScheduler ? state.endedIncarnations : [];
 		const reply = await connection.peer.call('worker.renew', {
 			agent: settings.agent, epoch: state.epoch, ...(snapshot === undefined ? {} : {snapshot}), ...(ended === undefined ? {} : {left: ended}),
 		}, renewalTimeoutMilliseconds);
@@ -90,7 +91,7 @@
 		const {result} = reply;
 		switch (result.kind) {
 			case 'granted': {
-				if (ended !== undefined) {
+				if (ended !== undefined && result.epoch >= supervision.read().epoch) {
 					supervision.send({kind: 'incarnation-end-reported', incarnation: ended});
 				}
 
