--- a/packages/supervision/lease-extension.ts
+++ b/packages/supervision/lease-extension.ts
@@ -135,7 +135,7 @@
 		}
 
 		case 'answered': {
-			// The worker's next announcement names the other incarnation; until then it gets neither orders nor leases.
+			// The worker's next announcement names the other incarnation; until then its leases are not extended.
 			return result.incarnation !== undefined && result.incarnation !== extension.incarnation
 				? markUnresponsive(state, worker, `another incarnation answers: ${result.incarnation}, expected ${extension.incarnation}`)
 				: applyRunLists(state, worker, {extension, result}, monotonic);
--- a/test/platform/incarnations.test.ts
+++ b/test/platform/incarnations.test.ts
@@ -53,6 +53,18 @@
 	}
 }
 
+/** Submits a job whose start the first worker does not answer; the task may start again on the second one only. */
+async function leaveStartUnanswered(deployment: Deployment): Promise<PlatformWorker> {
+	const [worker, other] = await allowOnly(deployment, 0);
+	worker.delayOrders(['start'], 'until-told');
+	await submit(deployment, first);
+	await waitFor('late start', async () => worker.lateOrders()[0]);
+	worker.answerOrders();
+	worker.setAccelerators(0);
+	other.setAccelerators(8);
+	return worker;
+}
+
 type Case = Readonly<{name: string; options: DeploymentOptions; run(deployment: Deployment): Promise<void>}>;
 
 const cases: readonly Case[] = [
@@ -60,13 +72,7 @@
 		name: 'an unanswered start that the worker\'s next incarnation carries out is no second run (start for an earlier incarnation)',
 		options: {entries: 1, workers: 2, workMilliseconds: 4000},
 		async run(deployment) {
-			const [worker, other] = await allowOnly(deployment, 0);
-			worker.delayOrders(['start'], 'until-told');
-			await submit(deployment, first);
-			await waitFor('late start', async () => worker.lateOrders()[0]);
-			worker.answerOrders();
-			worker.setAccelerators(0);
-			other.setAccelerators(8);
+			const worker = await leaveStartUnanswered(deployment);
 			worker.crash({downMilliseconds: 100});
 			await Promise.race([waitForStart(deployment, first), pause(4000)]);
 			worker.carryOutLateOrders();
@@ -77,13 +83,7 @@
 		name: 'an unanswered start of an earlier process of the agent that the next incarnation carries out is no second run (agent restarted together with its worker)',
 		options: {entries: 1, workers: 2, workMilliseconds: 4000},
 		async run(deployment) {
-			const [worker, other] = await allowOnly(deployment, 0);
-			worker.delayOrders(['start'], 'until-told');
-			await submit(deployment, first);
-			await waitFor('late start', async () => worker.lateOrders()[0]);
-			worker.answerOrders();
-			worker.setAccelerators(0);
-			other.setAccelerators(8);
+			const worker = await leaveStartUnanswered(deployment);
 			worker.crash({downMilliseconds: 100});
 			await deployment.restartAgent(0);
 			await Promise.race([waitForStart(deployment, first), pause(4000)]);
@@ -221,13 +221,7 @@
 		name: 'a start that a later incarnation carries out after the one before confirmed its stop is no second run (stop confirmed by one incarnation only)',
 		options: {entries: 1, workers: 2, workMilliseconds: 4000},
 		async run(deployment) {
-			const [worker, other] = await allowOnly(deployment, 0);
-			worker.delayOrders(['start'], 'until-told');
-			await submit(deployment, first);
-			await waitFor('late start', async () => worker.lateOrders()[0]);
-			worker.answerOrders();
-			worker.setAccelerators(0);
-			other.setAccelerators(8);
+			const worker = await leaveStartUnanswered(deployment);
 			worker.crash({downMilliseconds: 100});
 			await Promise.race([waitForStart(deployment, first), pause(4000)]);
 			worker.crash({downMilliseconds: 100});
