--- a/review/stand-ins/worker.mjs
+++ b/review/stand-ins/worker.mjs
@@ -175,8 +175,8 @@
 			chooseFault = choose;
 		},
 		isUp: () => incarnation !== undefined,
-		/** Ends like a killed process. Starts again under the same identifier after a time, or never. */
-		crash(downMilliseconds) {
+		/** Ends like a killed process. Starts again under the same identifier after a time, or never, and then announces itself after a second time. */
+		crash(downMilliseconds, announcementMilliseconds = 0) {
 			record(`worker ${id} crashes${downMilliseconds === undefined ? ' and is lost for good' : ` for ${downMilliseconds} ms`}`);
 			incarnation.end('crashed');
 			incarnation = undefined;
@@ -186,7 +186,8 @@
 				restartTimer = setTimeout(async () => {
 					begin();
 					await listen(port);
-					announce();
+					clearTimeout(beat);
+					beat = setTimeout(announce, announcementMilliseconds);
 				}, downMilliseconds);
 			}
 		},
