--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -1,7 +1,7 @@
 /** A worker is lost for good and the agent beside it is killed and starts again: the work items that ran there never start elsewhere. */
 import {
 	bounds, createClient, isDisturbed, jobOf, runCase, sleep, startDeployment, waitFor,
-} from '../stand-ins/case.mjs';
+} from '../stand-ins/harness.mjs';
 
 const [folder] = process.argv.slice(2);
 const queue = 'batch';
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,7 +1,7 @@
 /** Work that lasts, of a low priority, holds every accelerator: a job within its tenant's guarantee never starts. */
 import {
 	bounds, createClient, isDisturbed, jobOf, runCase, sleep, startDeployment, waitFor,
-} from '../stand-ins/case.mjs';
+} from '../stand-ins/harness.mjs';
 
 const [folder] = process.argv.slice(2);
 const lasting = jobOf(1);
--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,7 +1,7 @@
 /** A gang that can never be placed, since work that lasts holds an accelerator, keeps the idle workers of the pool from all other jobs. */
 import {
 	bounds, createClient, isDisturbed, jobOf, runCase, sleep, startDeployment, waitFor,
-} from '../stand-ins/case.mjs';
+} from '../stand-ins/harness.mjs';
 
 const [folder] = process.argv.slice(2);
 const lasting = jobOf(1);
