Review: withdraw the case of a late start in a worker's next lifetime

Its stand-in let a lifetime carry out a call that `Expect-Instance` meant for the one before, while the page says that any other lifetime answers 421.

--- a/review/stand-ins/worker.mjs
+++ b/review/stand-ins/worker.mjs
@@ -84,7 +84,7 @@
 		const order = await readJson(request);
 		const expected = request.headers['expect-instance'];
 		if (expected !== undefined && expected !== id) {
-			reply(response, {status: 421, body: {}});
+			reply(response, {status: 421, body: {clock_ms: incarnation.clock()}});
 			return;
 		}
 
@@ -92,7 +92,7 @@
 		switch (fault?.kind) {
 			case 'unhealthy': {
 				record(`worker ${id} answers 503 to ${request.url} of ${order.task} run ${order.run_id}`);
-				reply(response, {status: 503, body: {}});
+				reply(response, {status: 503, body: {clock_ms: incarnation.clock()}});
 				break;
 			}
 
@@ -175,8 +175,8 @@
 			chooseFault = choose;
 		},
 		isUp: () => incarnation !== undefined,
-		/** Ends like a killed process. Starts again under the same identifier after a time, or never, and then announces itself after a second time. */
-		crash(downMilliseconds, announcementMilliseconds = 0) {
+		/** Ends like a killed process. Starts again under the same identifier after a time, or never. */
+		crash(downMilliseconds) {
 			record(`worker ${id} crashes${downMilliseconds === undefined ? ' and is lost for good' : ` for ${downMilliseconds} ms`}`);
 			incarnation.end('crashed');
 			incarnation = undefined;
@@ -186,8 +186,7 @@
 				restartTimer = setTimeout(async () => {
 					begin();
 					await listen(port);
-					clearTimeout(beat);
-					beat = setTimeout(announce, announcementMilliseconds);
+					announce();
 				}, downMilliseconds);
 			}
 		},
