End the belief in a lost worker with its last grant

Callers saw a job shown as running without end while nothing of it ran and most workers were idle, after a worker was lost for good and the agent beside it started again.

Cause: a renewal without a worker counted as contact with the worker. An agent that starts again knows no worker until that announces itself, and a lost one never does, so the scheduler went on to believe in it. Loading the stored jobs after a takeover renewed the belief for every worker that had reported.

Change: only a renewal that reports the worker keeps it attached and obtains a grant. Everything believed of a worker ends with its last grant, also if its agent is still connected. Without the condition on grants, an agent that hears of its worker late could extend leases while the tasks start elsewhere.

Three renewals without a worker in scheduling/decisions kept a worker attached, which no agent does; they report the worker now, and the bounds are as before.

--- a/packages/coordinator/plugins/renew-worker.ts
+++ b/packages/coordinator/plugins/renew-worker.ts
@@ -39,7 +39,8 @@
 		return {
 			kind: 'granted',
 			epoch: term.epoch,
-			validityMilliseconds: grantValidityMilliseconds,
+			// A grant is for the worker that the renewal reported. With one from before, an agent that first hears of its worker could extend leases that the scheduler takes to be over.
+			validityMilliseconds: worker?.contact === 'attached' ? grantValidityMilliseconds : 0,
 			...(worker === undefined ? {} : {incarnation: worker.snapshot.incarnation}),
 			notedEnd: worker?.notedEnd ?? 0,
 		};
--- a/packages/coordinator/plugins/scheduler.ts
+++ b/packages/coordinator/plugins/scheduler.ts
@@ -146,7 +146,7 @@
 }
 
 function updateGauges(state: SchedulerState, {counters}: CoordinatorContext): void {
-	const usable = [...state.workers.values()].filter(({contact, snapshot}) => contact.kind === 'attached' && snapshot.isResponsive && snapshot.state === 'ready');
+	const usable = [...state.workers.values()].filter(({contact, snapshot}) => contact === 'attached' && snapshot.isResponsive && snapshot.state === 'ready');
 	counters.setGauge('usable-workers', usable.length);
 	counters.setGauge('unread-workers', state.unread.size);
 	counters.setGauge('jobs-waiting', [...countPending(state).values()].reduce((total, count) => total + count, 0));
--- a/packages/protocol/scheduling.ts
+++ b/packages/protocol/scheduling.ts
@@ -43,6 +43,7 @@
 	valibot.object({
 		kind: valibot.literal('granted'),
 		epoch: countSchema,
+		/** How long leases may be extended, from when the renewal was sent; 0 if it reported no worker. */
 		validityMilliseconds: valibot.number(),
 		incarnation: valibot.optional(valibot.string()),
 		/** Highest number up to which the progress of every ended run is stored. */
--- a/packages/scheduling/pool.ts
+++ b/packages/scheduling/pool.ts
@@ -66,7 +66,7 @@
 }
 
 function isUsable({contact, snapshot, health}: SchedulerWorker, monotonic: MonotonicTime): boolean {
-	return contact.kind === 'attached' && snapshot.isResponsive && snapshot.state === 'ready' && health.avoidedUntil <= monotonic;
+	return contact === 'attached' && snapshot.isResponsive && snapshot.state === 'ready' && health.avoidedUntil <= monotonic;
 }
 
 /** Whether the worker lists a run that the scheduler does not expect. It uses an unknown amount of resources until it is stopped. */
--- a/packages/scheduling/receive.ts
+++ b/packages/scheduling/receive.ts
@@ -7,7 +7,7 @@
 import {handleStartAnswers, handleStopAnswers} from './order-answers.js';
 import {advanceNotedEnd} from './ends.js';
 import {handleIncarnationEnd} from './incarnations.js';
-import {handleDetached, handleRenewal} from './reports.js';
+import {applySnapshot, handleDetached, handleRenewal} from './reports.js';
 import {
 	chain, endJob, withoutEffects, type SchedulerTransition,
 } from './runs.js';
@@ -111,10 +111,10 @@
 		.map(({agent, worker}): [AgentName, UnreadWorker] => [agent, {worker, until: time.monotonic + unreadMilliseconds}]);
 	next = {...next, unread: PersistentMap(unread), deferredIncarnationEnds: []};
 	return chain(next, [
-		// Reprocesses the ends that workers listed before the jobs were loaded.
-		...[...state.workers.values()].map(worker => (after: SchedulerState) => handleRenewal(replaceWorker(after, {
+		// Reprocesses what workers listed before the jobs were loaded; this is no new contact with them.
+		...[...state.workers.values()].map(worker => (after: SchedulerState) => applySnapshot(replaceWorker(after, {
 			...worker, handledEnd: 0, notedEnd: 0, pendingEnds: [],
-		}), worker.agent, worker.snapshot, time)),
+		}), worker.agent, {snapshot: worker.snapshot, isKnown: true}, time)),
 		...state.deferredIncarnationEnds.map(end => (after: SchedulerState) => handleIncarnationEnd(after, end, time)),
 		...jobs.filter(({isCancelled}) => isCancelled).map(({submission: {job}}) => (after: SchedulerState) => endJob(after, job, 'cancelled', time)),
 	]);
--- a/packages/scheduling/reports.ts
+++ b/packages/scheduling/reports.ts
@@ -19,34 +19,41 @@
 	AgentName, SchedulerJob, SchedulerState, SchedulerWorker, StopOrder, TaskState,
 } from './types.js';
 
-/** Latest time at which runs that an agent kept alive can end, counted from its last renewal. */
+/** Latest time at which runs that an agent kept alive can end, counted from its last grant. */
 export function latestEndOfRuns(grantedAt: MonotonicTime): MonotonicTime {
 	return grantedAt + (grantValidityMilliseconds * slowClockFactor) + grantSlackMilliseconds;
 }
 
 export function handleRenewal(state: SchedulerState, agent: AgentName, snapshot: WorkerSnapshot | undefined, time: CurrentTime): SchedulerTransition {
-	const worker = state.workers.get(agent);
+	// An agent that has started again knows no worker until that announces itself, which a lost one never does.
 	if (snapshot === undefined) {
-		return withoutEffects(worker === undefined
-			? state
-			: replaceWorker(state, {...worker, contact: {kind: 'attached'}, grantedAt: time.monotonic}));
+		return handleDetached(state, agent);
 	}
 
+	const worker = state.workers.get(agent);
 	const isKnown = worker !== undefined && isSameIncarnation(worker.snapshot, snapshot);
 	const isReplaced = worker !== undefined && !isKnown;
 	return chain(state, [
 		next => isReplaced ? replaceIncarnation(next, worker, snapshot, time) : withoutEffects(next),
 		next => withoutEffects(withSnapshot(next, agent, snapshot, time.monotonic)),
+		next => applySnapshot(next, agent, {snapshot, isKnown}, time),
+	]);
+}
+
+/** Handles the ends and runs that a worker listed with its latest snapshot. */
+export function applySnapshot(state: SchedulerState, agent: AgentName, {snapshot, isKnown}: Readonly<{snapshot: WorkerSnapshot; isKnown: boolean}>, time: CurrentTime): SchedulerTransition {
+	const worker = state.workers.get(agent);
+	return chain(state, [
 		// Ends are handled only after the stored jobs are loaded, so that none is acknowledged without being recorded.
 		...(state.isLoaded ? snapshot.ended : []).map(end => (next: SchedulerState) => handleEnd(next, agent, end, time)),
 		...(state.isLoaded ? snapshot.lost : []).map(lost => (next: SchedulerState) => handleLostRun(next, lost, time)),
-		next => snapshot.isLeaseOver && isKnown ? releaseIncarnation(next, worker, 'worker-silent', time) : reconcile(next, agent, snapshot, time),
+		next => snapshot.isLeaseOver && isKnown && worker !== undefined ? releaseIncarnation(next, worker, 'worker-silent', time) : reconcile(next, agent, snapshot, time),
 	]);
 }
 
 /** Whether the room for tasks on the worker may have changed. */
 function hasCapacityChanged({contact, snapshot: earlier}: SchedulerWorker, snapshot: WorkerSnapshot): boolean {
-	return contact.kind === 'lost'
+	return contact === 'lost'
 		|| earlier.state !== snapshot.state
 		|| earlier.isResponsive !== snapshot.isResponsive
 		|| earlier.capacity.processorMillicores !== snapshot.capacity.processorMillicores
@@ -103,7 +110,7 @@
 	const withoutUnread = {...state, unread: state.unread.delete(agent)};
 	if (worker !== undefined && isSameIncarnation(worker.snapshot, snapshot)) {
 		const next: SchedulerWorker = {
-			...worker, snapshot, contact: {kind: 'attached'}, grantedAt: monotonic,
+			...worker, snapshot, contact: 'attached', grantedAt: monotonic,
 		};
 		// Agents report twice a second, mostly without changes, which need no scheduling pass.
 		return hasCapacityChanged(worker, snapshot) ? withWorker(withoutUnread, next) : replaceWorker(withoutUnread, next);
@@ -112,7 +119,7 @@
 	return withWorker(withoutUnread, {
 		agent,
 		snapshot,
-		contact: {kind: 'attached'},
+		contact: 'attached',
 		grantedAt: monotonic,
 		health: worker?.snapshot.worker === snapshot.worker ? worker.health : {failedJobs: [], avoidedUntil: 0},
 		handledEnd: 0,
@@ -267,10 +274,8 @@
 	return chain(state, transitions);
 }
 
-/** The agent keeps its runs alive until its last grant expires. */
+/** The agent is not connected, or reports no worker. The runs may go on until the last grant is over. */
 export function handleDetached(state: SchedulerState, agent: AgentName): SchedulerTransition {
 	const worker = state.workers.get(agent);
-	return withoutEffects(worker === undefined || worker.contact.kind === 'lost'
-		? state
-		: withWorker(state, {...worker, contact: {kind: 'lost', runsUntil: latestEndOfRuns(worker.grantedAt)}}));
+	return withoutEffects(worker === undefined || worker.contact === 'lost' ? state : withWorker(state, {...worker, contact: 'lost'}));
 }
--- a/packages/scheduling/tick.ts
+++ b/packages/scheduling/tick.ts
@@ -7,6 +7,7 @@
 } from './constants.js';
 import {recordFailure} from './ends.js';
 import {removeWorker} from './incarnations.js';
+import {latestEndOfRuns} from './reports.js';
 import {estimateRemaining} from './remaining.js';
 import {
 	chain, listRuns, stopRuns, storeJob, withoutEffects, type ListedRun, type SchedulerTransition,
@@ -54,7 +55,7 @@
 	for (const {name, run, task} of runs) {
 		const isDue = run.stage === 'stopping' && monotonic - run.orderedAt > stopRetryMilliseconds;
 		const worker = isDue ? findWorkerOfRun(state, run) : undefined;
-		if (worker?.contact.kind !== 'attached') {
+		if (worker?.contact !== 'attached') {
 			continue;
 		}
 
@@ -103,8 +104,9 @@
 	return stopRuns(state, names, 'worker leaves before the run can end', monotonic);
 }
 
+/** Removes workers whose last grant is over, also those whose agents are still connected: their leases were not extended since. */
 function removeLostWorkers(state: SchedulerState, time: CurrentTime): SchedulerTransition {
-	const lost = [...state.workers.values()].filter(({contact}) => contact.kind === 'lost' && contact.runsUntil <= time.monotonic);
+	const lost = [...state.workers.values()].filter(({grantedAt}) => latestEndOfRuns(grantedAt) <= time.monotonic);
 	return chain(state, lost.map(worker => next => removeWorker(next, worker, 'agent-lost', time)));
 }
 
--- a/packages/scheduling/types.ts
+++ b/packages/scheduling/types.ts
@@ -118,8 +118,9 @@
 export type SchedulerWorker = Readonly<{
 	agent: AgentName;
 	snapshot: WorkerSnapshot;
-	contact: Readonly<{kind: 'attached'}> | Readonly<{kind: 'lost'; runsUntil: MonotonicTime}>;
-	/** When the agent's last renewal was answered. */
+	/** `attached`: the agent's last renewal reported the worker. A `lost` worker gets no orders, and keeps its runs until its last grant is over. */
+	contact: 'attached' | 'lost';
+	/** When the agent last reported the worker and received a grant for it. */
 	grantedAt: MonotonicTime;
 	health: WorkerHealth;
 	/** Highest number of an end that was handled. */
@@ -171,7 +172,7 @@
 	| Readonly<{kind: 'loaded'; jobs: readonly LoadedJob[]; workers: readonly UsedWorker[]}>
 	| Readonly<{kind: 'submitted'; submission: JobSubmission}>
 	| Readonly<{kind: 'cancelled'; job: JobKey}>
-	/** A renewal of an agent; the snapshot is left out if nothing changed since the last one. */
+	/** A renewal of an agent. Without a snapshot it shows that the agent is alive, and nothing about its worker. */
 	| Readonly<{kind: 'renewed'; agent: AgentName; snapshot: WorkerSnapshot | undefined}>
 	| IncarnationEnd
 	| Readonly<{kind: 'detached'; agent: AgentName}>
--- a/packages/supervisor/plugins/entries.ts
+++ b/packages/supervisor/plugins/entries.ts
@@ -110,7 +110,9 @@
 			}
 		}
 
-		if (connection.isScheduler && supervision.read().revision !== connection.sentRevision) {
+		// A renewal without the worker obtains no grant, so the worker is reported as soon as it can be.
+		const isReportDue = snapshot === undefined && describeWorker(supervision.read(), clock.monotonic()) !== undefined;
+		if (connection.isScheduler && (isReportDue || supervision.read().revision !== connection.sentRevision)) {
 			void renew(connection);
 		}
 	};
--- a/test/coordinator/agents.test.ts
+++ b/test/coordinator/agents.test.ts
@@ -1,16 +1,7 @@
 import {expect} from 'chai';
-import type {EntryId} from '#core';
-import {
-	coordinatorPlugins, directoryService, leadershipService, leaseService, schedulerService, type CoordinatorContext,
-} from '#coordinator';
-import {
-	createCounters, createServices, createVirtualClock, silentLog,
-} from '#kernel';
 import type {SchedulerMessage} from '#scheduling';
-import type {LeaseHandle} from '#store';
-import type {RpcPeer} from '#transport';
+import {callMethod, createFakePeer, startSchedulingEntry} from '#test/support/scheduling-entry';
 import {snapshotOf} from '#test/support/scheduling';
-import '../../packages/coordinator/plugins/index.js';
 
 type Connection = 'first' | 'second';
 
@@ -71,82 +62,16 @@
 	},
 ];
 
-function createFakePeer(address: string): RpcPeer {
-	const listeners = new Set<(reason: string) => void>();
-	let isOpen = true;
-	const peer: Partial<RpcPeer> = {
-		address,
-		close(reason) {
-			if (isOpen) {
-				isOpen = false;
-				for (const listener of listeners) {
-					listener(reason);
-				}
-			}
-		},
-		isOpen: () => isOpen,
-		onClosed(listener) {
-			listeners.add(listener);
-			return () => {
-				listeners.delete(listener);
-			};
-		},
-	};
-	return peer as RpcPeer;
-}
-
-/** Starts the tasks that handle renewals, in an entry that schedules. */
-function startSchedulingEntry(messages: string[]): CoordinatorContext {
-	const entry = 'entry-a' as EntryId;
-	const services = createServices();
-	const clock = createVirtualClock();
-	const held = {lease: '1', requestedAt: 1, validUntil: 1_000_000};
-	services.provide(leaseService, {getValid: () => held, getLatest: () => held, onChanged: () => () => undefined} as unknown as LeaseHandle);
-	services.provide(directoryService, {
-		name: 'directory', read: () => ({values: new Map()}), send: () => undefined, subscribe: () => () => undefined, stop: () => undefined,
-	});
-	services.provide(schedulerService, {
-		beginTerm: () => undefined,
-		endTerm: () => undefined,
-		send(message: SchedulerMessage) {
-			messages.push(message.kind === 'renewed' ? message.snapshot?.incarnation ?? 'renewed' : message.kind);
-		},
-		read: () => undefined,
-	});
-	const context = {
-		services, clock, counters: createCounters(), log: silentLog, settings: {
-			entry, 'listen-host': 'h', 'peer-ports': [1], seeds: [],
-		},
-	} as unknown as CoordinatorContext;
-	for (const task of coordinatorPlugins.tasks().filter(({name}) => name === 'leadership' || name === 'agents')) {
-		task.start(context);
-	}
-
-	const leadership = services.use(leadershipService);
-	leadership.send({kind: 'lease-changed', lease: '1'});
-	leadership.send({
-		kind: 'observed', epoch: {value: 1, version: 1}, leader: {
-			value: {
-				entry, epoch: 1, address: 'h:1', lease: '1',
-			}, version: 1,
-		},
-	});
-	return context;
-}
-
-async function callMethod(name: string, parameters: unknown, context: CoordinatorContext, peer: RpcPeer): Promise<void> {
-	try {
-		await coordinatorPlugins.rpcMethods().find(method => method.name === name)?.handle(parameters, context, peer);
-	} catch {
-		// The agent receives an error and closes its connection.
-	}
-}
-
 describe('connections of agents', () => {
 	for (const {name, events, messages, open} of cases) {
 		it(name, async () => {
 			const sent: string[] = [];
-			const context = startSchedulingEntry(sent);
+			const context = startSchedulingEntry({
+				send(message: SchedulerMessage) {
+					sent.push(message.kind === 'renewed' ? message.snapshot?.incarnation ?? 'renewed' : message.kind);
+				},
+				read: () => undefined,
+			});
 			const peers = {first: createFakePeer('h:10'), second: createFakePeer('h:11')} as const;
 			for (const event of events) {
 				const peer = peers[event.connection];
--- a/test/scheduling/decisions.test.ts
+++ b/test/scheduling/decisions.test.ts
@@ -150,7 +150,7 @@
 			submitAndStart(driver, 1, [{}]);
 			driver.send({kind: 'detached', agent: 'a'});
 			driver.send({kind: 'renewed', agent: 'b', snapshot: snapshotOf('b')});
-			const renewOther = () => driver.send({kind: 'renewed', agent: 'b', snapshot: undefined});
+			const renewOther = () => driver.send({kind: 'renewed', agent: 'b', snapshot: snapshotOf('b')});
 			expect(startsOf(driver.elapse(grantValidityMilliseconds))).to.deep.equal([]);
 			renewOther();
 			expect(startsOf([...driver.elapse(1000), ...renewOther()])).to.deep.equal([{
@@ -340,12 +340,12 @@
 			expect(startsOf(loaded)).to.deep.equal([]);
 			const waited: Array<ReturnType<typeof startsOf>> = [];
 			for (let turn = 0; turn < Math.ceil(unreadMilliseconds / 250) - 1; turn++) {
-				driver.send({kind: 'renewed', agent: 'a', snapshot: undefined});
+				driver.send({kind: 'renewed', agent: 'a', snapshot: snapshotOf('a')});
 				waited.push(startsOf(driver.elapse(250)));
 			}
 
 			expect(waited.flat()).to.deep.equal([]);
-			driver.send({kind: 'renewed', agent: 'a', snapshot: undefined});
+			driver.send({kind: 'renewed', agent: 'a', snapshot: snapshotOf('a')});
 			expect(startsOf(driver.elapse(500)).map(({run}) => run)).to.deep.equal([1001]);
 		},
 	},
--- /dev/null
+++ b/test/scheduling/expiry.test.ts
@@ -0,0 +1,110 @@
+/** Asks of each belief that the scheduler holds about workers and runs when it ends at the latest. */
+import {expect} from 'chai';
+import type {WorkerId} from '#core';
+import {
+	grantSlackMilliseconds, grantValidityMilliseconds, slowClockFactor, type SchedulerEffect,
+} from '#scheduling';
+import {
+	configuration, createDriver, createReadyDriver, reportedRunOf, snapshotOf, startsOf, submissionOf, taskOf, type Driver,
+} from '#test/support/scheduling';
+
+/** Time after the last grant at which all runs that it kept alive have ended. */
+const grantOverMilliseconds = (grantValidityMilliseconds * slowClockFactor) + grantSlackMilliseconds;
+/** Agents renew twice a second, and the scheduler checks four times a second. */
+const checkMilliseconds = 250;
+
+/** Lets time pass while the worker beside agent `b` reports; `renewLost` is what the agent beside the lost worker does. */
+function elapse(driver: Driver, duration: number, renewLost: () => void): readonly SchedulerEffect[] {
+	const effects: SchedulerEffect[] = [];
+	for (let passed = 0; passed < duration; passed += checkMilliseconds) {
+		renewLost();
+		effects.push(...driver.send({kind: 'renewed', agent: 'b', snapshot: snapshotOf('b')}), ...driver.elapse(Math.min(checkMilliseconds, duration - passed)));
+	}
+
+	return effects;
+}
+
+type Renewal = 'without-worker' | 'none';
+
+type LostWorkerCase = Readonly<{
+	name: string;
+	/** Whether the end of the agent's connection is noticed. */
+	isDetached: boolean;
+	renewals: Renewal;
+}>;
+
+const lostWorkerCases: readonly LostWorkerCase[] = [
+	{name: 'its agent starts again and knows no worker (job that waits without end for a lost worker)', isDetached: true, renewals: 'without-worker'},
+	{name: 'its agent starts again, and its new connection replaces the earlier one (job that waits without end for a lost worker)', isDetached: false, renewals: 'without-worker'},
+	{name: 'its agent is gone (job that waits without end for a lost worker)', isDetached: true, renewals: 'none'},
+	{name: 'its agent stops reporting over an open connection (job that waits without end for a lost worker)', isDetached: false, renewals: 'none'},
+];
+
+function renewAs(driver: Driver, renewals: Renewal): () => void {
+	return () => {
+		if (renewals === 'without-worker') {
+			driver.send({kind: 'renewed', agent: 'a', snapshot: undefined});
+		}
+	};
+}
+
+describe('what a scheduler believes of a lost worker', () => {
+	for (const {name, isDetached, renewals} of lostWorkerCases) {
+		it(`ends with the last grant: ${name}`, () => {
+			const driver = createReadyDriver([['a']]);
+			expect(startsOf(driver.send({kind: 'submitted', submission: submissionOf(1, [{}])}))).to.have.length(1);
+			driver.send({kind: 'start-answered', agent: 'a', answers: [{task: taskOf(1), run: 1, result: 'started'}]});
+			if (isDetached) {
+				driver.send({kind: 'detached', agent: 'a'});
+			}
+
+			const renewLost = renewAs(driver, renewals);
+			expect(startsOf(elapse(driver, grantValidityMilliseconds, renewLost)), 'starts before the grant is over').to.deep.equal([]);
+			expect(startsOf(elapse(driver, grantOverMilliseconds - grantValidityMilliseconds + checkMilliseconds, renewLost))).to.deep.equal([{
+				agent: 'b', task: taskOf(1), run: 2, checkpoint: '',
+			}]);
+		});
+
+		it(`ends with the last grant also after a takeover: ${name}`, () => {
+			const driver = createDriver({epoch: 2});
+			driver.send({kind: 'configured', configuration});
+			driver.send({kind: 'renewed', agent: 'a', snapshot: snapshotOf('a', {running: [reportedRunOf(taskOf(1), 1)]})});
+			if (isDetached) {
+				driver.send({kind: 'detached', agent: 'a'});
+			}
+
+			const renewLost = renewAs(driver, renewals);
+			driver.elapse(500);
+			renewLost();
+			driver.send({
+				kind: 'loaded',
+				jobs: [{
+					submission: submissionOf(1, [{}]), isCancelled: false, progress: {outcome: 'running', tasks: {}}, keyVersion: 4,
+				}],
+				workers: [{agent: 'a', worker: 'w-a' as WorkerId}],
+			});
+			expect(startsOf(elapse(driver, grantValidityMilliseconds - 500, renewLost)), 'starts before the grant is over').to.deep.equal([]);
+			expect(startsOf(elapse(driver, grantOverMilliseconds - grantValidityMilliseconds + checkMilliseconds, renewLost)).map(({agent}) => agent)).to.deep.equal(['b']);
+		});
+	}
+
+	it('does not outlast a renewal without it: no task starts there (starts that no worker receives, while others are idle)', () => {
+		const driver = createReadyDriver([['a']]);
+		driver.send({kind: 'detached', agent: 'a'});
+		driver.send({kind: 'renewed', agent: 'a', snapshot: undefined});
+		expect(startsOf(driver.send({kind: 'submitted', submission: submissionOf(1, [{}])}))).to.deep.equal([]);
+	});
+
+	it('keeps the runs of one that is only silent while its agent starts again (task run twice)', () => {
+		const driver = createReadyDriver([['a']]);
+		driver.send({kind: 'submitted', submission: submissionOf(1, [{}])});
+		driver.send({kind: 'start-answered', agent: 'a', answers: [{task: taskOf(1), run: 1, result: 'started'}]});
+		driver.send({kind: 'detached', agent: 'a'});
+		elapse(driver, 6000, renewAs(driver, 'without-worker'));
+		const report = () => {
+			driver.send({kind: 'renewed', agent: 'a', snapshot: snapshotOf('a', {running: [reportedRunOf(taskOf(1), 1)]})});
+		};
+
+		expect(startsOf(elapse(driver, 3000, report))).to.deep.equal([]);
+	});
+});
--- a/test/supervision/receive.test.ts
+++ b/test/supervision/receive.test.ts
@@ -42,6 +42,14 @@
 			expect(computeLeaseDeadline(state, 1000, options).deadline).to.equal(50_980 + 6000);
 		},
 	},
+	{
+		name: 'an agent without a grant extends no lease of a worker that it first hears of (task still running while its next run starts)',
+		run() {
+			const announced: SupervisionMessage = {kind: 'announced', announcement: announcement()};
+			const {state} = applyMessages([[0, {...granted, validity: 0}], [5000, {...granted, sentAt: 4990, validity: 0}], [5010, announced]]);
+			expect(computeLeaseDeadline(state, 5010, options).deadline).to.equal(undefined);
+		},
+	},
 	{
 		name: 'a grant of an earlier scheduler is ignored (two schedulers)',
 		run() {
