Reserve workers for a gang only where it can start soon

Callers saw a small job wait without end on an almost idle pool, after a gang had been submitted that could not be placed beside work that lasts.

Cause: a reservation counted every worker as if it were idle, also those with runs that never end, and it ended only with the lateness of the gang. The wait for one rack and for the rack of the data took every run to end as well.

Work that lasts counts as staying wherever the scheduler waits for room.

--- a/packages/scheduling/place.ts
+++ b/packages/scheduling/place.ts
@@ -1,7 +1,7 @@
 import type {MonotonicTime} from '#core';
 import {parseTaskName, type TaskName} from '#jobs';
 import {
-	countFitting, isIdle, type Pool, type PoolWorker,
+	countFitting, isIdle, withReclaimableRoom, type Pool, type PoolWorker,
 } from './pool.js';
 import {
 	countRuns, isLowRankWithoutCheckpoints, isUtilizationLow, limitToShare, limitToProbeTasks,
@@ -93,10 +93,16 @@
 	return Math.max(0, maximumPerWorker - placed.length);
 }
 
-/** Whether some rack that the unit may use would have room for all its tasks if it were idle. */
-export function couldFitInRack(unit: SchedulingUnit, pool: Pool): boolean {
-	return groupByRack(listCandidates(unit, pool), candidate => candidate)
-		.some(rack => countPlaced(distributeTasks(unit, rack.map(candidate => withFullCapacity(candidate)))) >= unit.tasks.length);
+/** Lists the racks, of those that the unit prefers, for which it may still wait: runs that end leave room for all its tasks there. */
+export function listRacksToWaitFor(unit: SchedulingUnit, candidates: readonly PoolWorker[], monotonic: MonotonicTime): ReadonlyArray<readonly PoolWorker[]> {
+	const {step: {prefersOneRack, dataRack}, tasks} = unit;
+	if (!(prefersOneRack || dataRack !== undefined) || !mayWaitForRack(unit, monotonic)) {
+		return [];
+	}
+
+	return groupByRack(candidates, candidate => candidate)
+		.filter(([first]) => dataRack === undefined || first?.worker.snapshot.rack === dataRack)
+		.filter(rack => countPlaced(distributeTasks(unit, rack.map(candidate => withReclaimableRoom(candidate)))) >= tasks.length);
 }
 
 function placeGang(unit: SchedulingUnit, candidates: readonly PoolWorker[], pool: Pool, monotonic: MonotonicTime): readonly Placement[] {
@@ -112,8 +118,7 @@
 			return assign(tasks, best);
 		}
 
-		const couldFit = preferredRacks.some(rack => countPlaced(distributeTasks(unit, rack.map(candidate => withFullCapacity(candidate)))) >= tasks.length);
-		if (couldFit && mayWaitForRack(unit, monotonic)) {
+		if (listRacksToWaitFor(unit, preferredWorkers, monotonic).length > 0) {
 			return [];
 		}
 	}
@@ -157,7 +162,8 @@
 	const {dataRack} = unit.step;
 	const ordered = candidates.toSorted((first, second) => first.free.accelerators - second.free.accelerators);
 	const inDataRack = ordered.filter(({worker}) => worker.snapshot.rack === dataRack);
-	return inDataRack.length > 0 && mayWaitForRack(unit, monotonic)
+	const canHaveRoom = inDataRack.some(candidate => countFitting(withReclaimableRoom(candidate).free, resourcesOf(unit.step), 1) === 1);
+	return canHaveRoom && mayWaitForRack(unit, monotonic)
 		? inDataRack
 		: [...inDataRack, ...ordered.filter(({worker}) => worker.snapshot.rack !== dataRack)];
 }
@@ -205,11 +211,6 @@
 	});
 }
 
-/** The worker with its whole capacity free, as if it were idle; its runs still count towards the limit per worker. */
-export function withFullCapacity(candidate: PoolWorker): PoolWorker {
-	return {...candidate, free: candidate.worker.snapshot.capacity};
-}
-
 /** Number of free accelerators on the chosen workers; fewer mean a tighter fit. */
 function countFreeAccelerators(taskCounts: TaskCounts, pool: Pool): number {
 	return [...taskCounts.keys()].reduce((total, agent) => total + (pool.get(agent)?.free.accelerators ?? 0), 0);
@@ -221,7 +222,7 @@
 
 /** Whether to leave out the workers on which the gang failed: only if it would fit on the others when they are idle. */
 function isAvoidanceUseful(unit: SchedulingUnit, candidates: readonly PoolWorker[]): boolean {
-	const others = candidates.filter(candidate => !isAvoided(unit, candidate)).map(candidate => withFullCapacity(candidate));
+	const others = candidates.filter(candidate => !isAvoided(unit, candidate)).map(candidate => withReclaimableRoom(candidate));
 	return countPlaced(distributeTasks(unit, others)) >= unit.tasks.length;
 }
 
--- a/packages/scheduling/pool.ts
+++ b/packages/scheduling/pool.ts
@@ -1,6 +1,6 @@
 /** Workers with their runs and free resources during one scheduling pass. */
 import type {Map as PersistentMap} from 'immutable';
-import type {MonotonicTime} from '#core';
+import type {Milliseconds, MonotonicTime} from '#core';
 import type {
 	Resources, JobKey, JobStep, TaskName,
 } from '#jobs';
@@ -9,6 +9,7 @@
 } from './state.js';
 import {isOnProbation} from './crashes.js';
 import type {Rank} from './rank.js';
+import {estimateRemaining} from './remaining.js';
 import {listRunsOf, type ListedRun} from './runs.js';
 import type {
 	AgentName, SchedulerJob, SchedulerState, SchedulerWorker, TaskRun,
@@ -102,6 +103,18 @@
 		&& free.accelerators === capacity.accelerators;
 }
 
+/** The worker with all the room that ends of its runs can free; work that lasts does not end by itself. Its runs still count towards the limit per worker. */
+export function withReclaimableRoom(candidate: PoolWorker): PoolWorker {
+	const {worker: {snapshot: {capacity}}, runs} = candidate;
+	return {...candidate, free: runs.filter(({run, step}) => step.isLongRunning && run.stage !== 'stopping').reduce((free, {need}) => subtract(free, need), capacity)};
+}
+
+/** The worker with the room that it is expected to have after a duration: that of the runs that end by then. */
+export function withRoomWithin(candidate: PoolWorker, duration: Milliseconds, monotonic: MonotonicTime): PoolWorker {
+	const ending = candidate.runs.filter(({run, step}) => run.stage === 'stopping' || estimateRemaining(run, step, monotonic) <= duration);
+	return {...candidate, free: ending.reduce((free, {need}) => add(free, need), candidate.free)};
+}
+
 /** Number of tasks of one size that fit, up to a limit. */
 export function countFitting(free: Resources, need: Resources, limit: number): number {
 	const countByAmount = (available: number, needed: number) => needed === 0 ? limit : Math.floor(available / needed);
--- a/packages/scheduling/preempt.ts
+++ b/packages/scheduling/preempt.ts
@@ -8,7 +8,7 @@
 	lateValueShare, maximumPreemptions, preemptionDelayMilliseconds, rackPreferenceCoreSeconds, urgentVictimCoreSeconds,
 } from './constants.js';
 import {
-	countAllowedTasks, couldFitInRack, groupByRack, listCandidates, mayWaitForRack, type TaskCounts,
+	countAllowedTasks, groupByRack, listCandidates, listRacksToWaitFor, type TaskCounts,
 } from './place.js';
 import {measureLoss, estimateWork} from './loss.js';
 import {estimateRemaining} from './remaining.js';
@@ -28,7 +28,7 @@
 		.filter(({fitting}) => fitting > 0)
 		.toSorted((first, second) => (first.cost / first.fitting) - (second.cost / second.fitting));
 	const racks = unit.step.prefersOneRack ? groupByRack(options, ({candidate}) => candidate) : [];
-	const isLimitedToRack = unit.step.prefersOneRack && mayWaitForRack(unit, monotonic) && couldFitInRack(unit, pool);
+	const isLimitedToRack = unit.step.prefersOneRack && listRacksToWaitFor(unit, listCandidates(unit, pool), monotonic).length > 0;
 	const preemptions = [
 		...racks.map(rack => ({found: findWithin(unit, count, rack, monotonic), penalty: 0})),
 		...(isLimitedToRack ? [] : [{found: findWithin(unit, count, options, monotonic), penalty: unit.step.prefersOneRack ? rackPreferenceCoreSeconds : 0}]),
--- a/packages/scheduling/schedule.ts
+++ b/packages/scheduling/schedule.ts
@@ -7,14 +7,15 @@
 	createRoomClaim, holdClaims, listHeldClaims, placeOnClaim, releaseClaims, type HeldRoomClaim,
 } from './room-claims.js';
 import {
-	claimMilliseconds, endingSoonMilliseconds, maximumPreemptionRetryMilliseconds, preemptionRetryMillisecondsPerWorker, reservationDelayMilliseconds,
+	claimMilliseconds, endingSoonMilliseconds, maximumPreemptionRetryMilliseconds, preemptionRetryMillisecondsPerWorker,
 } from './constants.js';
 import {
-	countByAgent, countPlaced, distributeTasks, hasRoomForTask, withFullCapacity, listCandidates, placeUnit, type Placement, type TaskCounts,
+	countByAgent, hasRoomForTask, placeUnit, type Placement, type TaskCounts,
 } from './place.js';
 import {isUtilizationLow} from './low-rank.js';
 import {findPreemption, type Preemption} from './preempt.js';
 import {rankJobs} from './rank.js';
+import {findReservation} from './reservation.js';
 import {
 	startRuns, stopRuns, storeJob, type SchedulerTransition,
 } from './runs.js';
@@ -22,9 +23,7 @@
 import {
 	findTask, listStepMembers, replaceJob, resourcesOf, withTask,
 } from './state.js';
-import type {
-	AgentName, RoomClaim, SchedulerEffect, SchedulerState,
-} from './types.js';
+import type {RoomClaim, SchedulerEffect, SchedulerState} from './types.js';
 import {extendRackWait, listSchedulingUnits, type SchedulingUnit} from './units.js';
 import {logWaiting} from './wait-logs.js';
 
@@ -187,30 +186,10 @@
 	}, state);
 }
 
-/** Reserves the workers that a gang needs after it waited long. Only one unit of each rank holds reservations, so that few workers stay idle. */
+/** Reserves workers for a gang that waits. Only one unit of each rank holds reservations, so that few workers stay idle. */
 function reserveForUnit(pass: Pass, unit: SchedulingUnit, monotonic: MonotonicTime): Pass {
-	const delay = unit.rank === 0 ? 0 : reservationDelayMilliseconds;
-	const mayReserve = unit.step.isGang && !unit.isLate && monotonic - unit.waitingSince >= delay && !pass.reservedRanks.has(unit.rank);
-	if (!mayReserve) {
-		return pass;
-	}
-
-	const candidates = listCandidates(unit, pass.pool).toSorted((first, second) => second.free.accelerators - first.free.accelerators);
-	const agents: AgentName[] = [];
-	let count = 0;
-	for (const candidate of candidates) {
-		if (count >= unit.tasks.length) {
-			break;
-		}
-
-		const fitting = countPlaced(distributeTasks(unit, [withFullCapacity(candidate)]));
-		if (fitting > 0) {
-			count += fitting;
-			agents.push(candidate.worker.agent);
-		}
-	}
-
-	return count < unit.tasks.length
+	const agents = pass.reservedRanks.has(unit.rank) ? undefined : findReservation(unit, pass.pool, monotonic);
+	return agents === undefined
 		? pass
 		: {...pass, pool: reserveWorkers(pass.pool, agents), reservedRanks: new Set([...pass.reservedRanks, unit.rank])};
 }
--- a/packages/scheduling/wait-logs.ts
+++ b/packages/scheduling/wait-logs.ts
@@ -1,9 +1,9 @@
 /** Periodically logs why work waits, so that a late job can be explained from the logs. */
 import {assertNever, type MonotonicTime} from '#core';
-import type {Pool, PoolWorker} from './pool.js';
+import {withReclaimableRoom, type Pool, type PoolWorker} from './pool.js';
 import {waitingLogMilliseconds, maximumWaitingLogs} from './constants.js';
 import {
-	countPlaced, withFullCapacity, distributeTasks, mayWaitForRack, listCandidates,
+	countPlaced, distributeTasks, mayWaitForRack, listCandidates,
 } from './place.js';
 import type {SchedulerTransition} from './runs.js';
 import {replaceJob} from './state.js';
@@ -15,11 +15,12 @@
 
 - `no-worker`: no usable worker provides the service and the label.
 - `larger-than-pool`: the unit would not fit on all workers that it may use, even if they were idle.
+- `beside-lasting-work`: the unit would fit if they were idle, but not beside their runs that last until their jobs are cancelled.
 - `wants-rack`: the unit fits elsewhere but still waits for a single rack or the rack of its data.
 - `wants-idle-worker`: a worker crashed at an earlier start, so that the unit waits for one without other work.
 - `no-room`: other runs occupy the workers that the unit could use.
 */
-type WaitReason = 'no-worker' | 'larger-than-pool' | 'wants-rack' | 'wants-idle-worker' | 'no-room';
+type WaitReason = 'no-worker' | 'larger-than-pool' | 'beside-lasting-work' | 'wants-rack' | 'wants-idle-worker' | 'no-room';
 
 function findWaitReason(unit: SchedulingUnit, candidates: readonly PoolWorker[], monotonic: MonotonicTime): WaitReason {
 	const needed = unit.step.isGang ? unit.tasks.length : 1;
@@ -31,10 +32,14 @@
 		return 'no-worker';
 	}
 
-	if (countPlaced(distributeTasks(unit, candidates.map(candidate => withFullCapacity(candidate)))) < needed) {
+	if (countPlaced(distributeTasks(unit, candidates.map(candidate => withReclaimableRoom({...candidate, runs: []})))) < needed) {
 		return 'larger-than-pool';
 	}
 
+	if (countPlaced(distributeTasks(unit, candidates.map(candidate => withReclaimableRoom(candidate)))) < needed) {
+		return 'beside-lasting-work';
+	}
+
 	const hasRackPreference = unit.step.prefersOneRack || unit.step.dataRack !== undefined;
 	return hasRackPreference && mayWaitForRack(unit, monotonic) && countPlaced(distributeTasks(unit, candidates)) >= needed ? 'wants-rack' : 'no-room';
 }
@@ -68,6 +73,7 @@
 		}
 
 		case 'larger-than-pool':
+		case 'beside-lasting-work':
 		case 'wants-rack':
 		case 'wants-idle-worker':
 		case 'no-room': {
