Let a task return to a worker that it avoided for a while

Callers saw a small job shown as running that never ran, after one start had not been answered, while the only worker with room for it was idle.

Cause: a task avoided a worker for good while any other candidate existed, whether or not that one ever had room. The same held after a failed or stuck run, and for gangs.

The four new cases of scheduling/expiry failed before. One case of scheduling/decisions reads the worker from the avoided entry, which has a time now; what it checks is the same.

--- a/packages/scheduling/ends.ts
+++ b/packages/scheduling/ends.ts
@@ -3,6 +3,7 @@
 import {
 	isSameIncarnation, parseJobOfTask, type EndedRun, type JobKey, type TaskName, type WorkerIncarnation,
 } from '#jobs';
+import {avoidWorker} from './avoidance.js';
 import {avoidanceMilliseconds, failuresBeforeAvoidance} from './constants.js';
 import {
 	chain, endJob, markChanged, stopRuns, storeJob, withoutEffects, type SchedulerTransition,
@@ -153,9 +154,7 @@
 function failTask(state: SchedulerState, {job, end, task, origin}: TaskEndWithOrigin, time: CurrentTime): SchedulerTransition {
 	const {job: key} = job.submission;
 	const failedRuns = task.failedRuns.includes(end.run) ? task.failedRuns : [...task.failedRuns, end.run];
-	const next = markChanged(withTask(state, end.task, {
-		...task, failedRuns, avoided: [...task.avoided, origin.worker],
-	}), end.task, time.monotonic);
+	const next = markChanged(withTask(state, end.task, avoidWorker({...task, failedRuns}, origin.worker, time.monotonic)), end.task, time.monotonic);
 	return chain(recordFailure(next, origin.agent, key, time.monotonic), [
 		after => hasAttemptsLeft(after, end.task) ? storeCurrent(after, key) : endJob(after, key, 'failed', time),
 		after => stopGang(after, end, time),
--- a/packages/scheduling/place.ts
+++ b/packages/scheduling/place.ts
@@ -1,5 +1,6 @@
 import type {MonotonicTime} from '#core';
 import {parseTaskName, type TaskName} from '#jobs';
+import {isAvoided} from './avoidance.js';
 import {
 	countFitting, isIdle, withReclaimableRoom, type Pool, type PoolWorker,
 } from './pool.js';
@@ -107,8 +108,7 @@
 
 function placeGang(unit: SchedulingUnit, candidates: readonly PoolWorker[], pool: Pool, monotonic: MonotonicTime): readonly Placement[] {
 	const {step, tasks} = unit;
-	const hasAvoidedWorkers = tasks.some(task => (unit.job.tasks.get(task)?.avoided.length ?? 0) > 0);
-	const preferredWorkers = hasAvoidedWorkers && isAvoidanceUseful(unit, candidates) ? candidates.filter(candidate => !isAvoided(unit, candidate)) : candidates;
+	const preferredWorkers = listPreferredWorkers(unit, candidates, monotonic);
 	const preferredRacks = groupByRack(preferredWorkers, candidate => candidate)
 		.filter(([first]) => step.dataRack === undefined || first?.worker.snapshot.rack === step.dataRack);
 	if (step.prefersOneRack || step.dataRack !== undefined) {
@@ -127,7 +127,7 @@
 	return countPlaced(taskCounts) >= tasks.length ? assign(tasks, taskCounts) : [];
 }
 
-/** Places tasks on the workers with the tightest fit by accelerators. A task leaves out the workers that it avoids if there are others. */
+/** Places tasks on the workers with the tightest fit by accelerators. A task leaves out the workers that it avoids if there are others, also full ones: it has few attempts. */
 function placeTasks(unit: SchedulingUnit, candidates: readonly PoolWorker[], monotonic: MonotonicTime): readonly Placement[] {
 	const need = resourcesOf(unit.step);
 	const slots = orderByFit(unit, candidates, monotonic).map(candidate => ({
@@ -143,10 +143,10 @@
 			firstOpen++;
 		}
 
-		const avoided = unit.job.tasks.get(task)?.avoided ?? [];
-		const hasOtherWorker = avoided.length > 0 && candidates.some(({worker}) => !avoided.includes(worker.snapshot.worker));
-		const slot = hasOtherWorker
-			? slots.find(({worker, remaining}) => remaining > 0 && !avoided.includes(worker))
+		const state = unit.job.tasks.get(task);
+		const mayAvoid = state !== undefined && state.avoided.length > 0 && candidates.some(({worker}) => !isAvoided(state, worker.snapshot.worker, monotonic));
+		const slot = mayAvoid
+			? slots.find(({worker, remaining}) => remaining > 0 && !isAvoided(state, worker, monotonic))
 			: slots[firstOpen];
 		if (slot !== undefined) {
 			slot.remaining--;
@@ -216,13 +216,13 @@
 	return [...taskCounts.keys()].reduce((total, agent) => total + (pool.get(agent)?.free.accelerators ?? 0), 0);
 }
 
-function isAvoided({job, tasks}: SchedulingUnit, {worker}: PoolWorker): boolean {
-	return tasks.some(task => job.tasks.get(task)?.avoided.includes(worker.snapshot.worker) === true);
-}
+/** Leaves out the workers that members of the gang avoid, but only if it would fit on the others once their runs have ended. */
+function listPreferredWorkers(unit: SchedulingUnit, candidates: readonly PoolWorker[], monotonic: MonotonicTime): readonly PoolWorker[] {
+	const members = unit.tasks.map(task => unit.job.tasks.get(task)).filter(task => task !== undefined && task.avoided.length > 0);
+	if (members.length === 0) {
+		return candidates;
+	}
 
-/** Whether to leave out the workers on which the gang failed: only if it would fit on the others when they are idle. */
-function isAvoidanceUseful(unit: SchedulingUnit, candidates: readonly PoolWorker[]): boolean {
-	const others = candidates.filter(candidate => !isAvoided(unit, candidate)).map(candidate => withReclaimableRoom(candidate));
-	return countPlaced(distributeTasks(unit, others)) >= unit.tasks.length;
+	const others = candidates.filter(({worker}) => !members.some(member => isAvoided(member, worker.snapshot.worker, monotonic)));
+	return countPlaced(distributeTasks(unit, others.map(candidate => withReclaimableRoom(candidate)))) >= unit.tasks.length ? others : candidates;
 }
-
--- a/packages/scheduling/tick.ts
+++ b/packages/scheduling/tick.ts
@@ -1,6 +1,7 @@
 /** Handles what depends on elapsed time: unanswered orders, stuck runs, lost workers and old records. */
 import type {MonotonicTime, CurrentTime} from '#core';
 import type {TaskName} from '#jobs';
+import {avoidWorker} from './avoidance.js';
 import {
 	negligibleLossMilliseconds, checkpointStoreMilliseconds, drainSlackMilliseconds, endedJobRetentionMilliseconds,
 	startConfirmationMilliseconds, stopRetryMilliseconds, stuckMilliseconds, stuckPercentFactor,
@@ -39,14 +40,13 @@
 	const names = runs
 		.filter(({run}) => run.stage === 'starting' && monotonic - run.orderedAt > startConfirmationMilliseconds)
 		.map(({name}) => name);
-	const updated = names.reduce((next, name) => avoidWorker(next, name), state);
+	const updated = names.reduce((next, name) => avoidWorkerOfRun(next, name, monotonic), state);
 	return stopRuns(updated, names, 'start was not confirmed', monotonic);
 }
 
-/** Excludes the worker of a task's current run from its next placements while there are others. */
-function avoidWorker(state: SchedulerState, name: TaskName): SchedulerState {
+function avoidWorkerOfRun(state: SchedulerState, name: TaskName, monotonic: MonotonicTime): SchedulerState {
 	const task = findTask(state, name);
-	return task?.run === undefined ? state : withTask(state, name, {...task, avoided: [...task.avoided, task.run.incarnation.worker]});
+	return task?.run === undefined ? state : withTask(state, name, avoidWorker(task, task.run.incarnation.worker, monotonic));
 }
 
 function retryStops(state: SchedulerState, runs: readonly ListedRun[], monotonic: MonotonicTime): SchedulerTransition {
@@ -78,7 +78,7 @@
 			return withoutEffects(next);
 		}
 
-		const recorded = recordFailure(avoidWorker(next, name), worker.agent, job.submission.job, monotonic);
+		const recorded = recordFailure(avoidWorkerOfRun(next, name, monotonic), worker.agent, job.submission.job, monotonic);
 		return stopRuns(recorded, [name], `no progress for ${Math.round(monotonic - run.progressedAt)} ms`, monotonic);
 	}));
 }
--- a/packages/scheduling/types.ts
+++ b/packages/scheduling/types.ts
@@ -33,6 +33,9 @@
 	paceBaseline: Readonly<{percent: number; at: MonotonicTime}>;
 }>;
 
+/** A worker that a task leaves out of its next placements while there are others, until the given time. */
+export type AvoidedWorker = Readonly<{worker: WorkerId; until: MonotonicTime}>;
+
 export type TaskState = Readonly<{
 	occurrence: number;
 	stepIndex: number;
@@ -45,7 +48,7 @@
 	checkpointPercent: number;
 	run: TaskRun | undefined;
 	/** Workers on which the task failed, got stuck or was not confirmed to have started. */
-	avoided: readonly WorkerId[];
+	avoided: readonly AvoidedWorker[];
 	/** Crashes of workers on which the task ran. */
 	crashes: readonly TaskCrash[];
 	/** How often the task was preempted in this epoch. */
--- a/test/scheduling/decisions.test.ts
+++ b/test/scheduling/decisions.test.ts
@@ -205,7 +205,7 @@
 			}
 
 			expect(stops).to.include(taskOf(1));
-			expect(driver.state().jobs.get(keyOf(1))?.tasks.get(taskOf(1))?.avoided).to.deep.equal([`w-${agent}`]);
+			expect(driver.state().jobs.get(keyOf(1))?.tasks.get(taskOf(1))?.avoided.map(({worker}) => worker)).to.deep.equal([`w-${agent}`]);
 		},
 	},
 	{
--- a/test/scheduling/expiry.test.ts
+++ b/test/scheduling/expiry.test.ts
@@ -2,10 +2,10 @@
 import {expect} from 'chai';
 import type {WorkerId} from '#core';
 import {
-	grantSlackMilliseconds, grantValidityMilliseconds, slowClockFactor, type SchedulerEffect,
+	grantSlackMilliseconds, grantValidityMilliseconds, slowClockFactor, startConfirmationMilliseconds, taskAvoidanceMilliseconds, type SchedulerEffect,
 } from '#scheduling';
 import {
-	configuration, createDriver, createReadyDriver, reportedRunOf, snapshotOf, startsOf, submissionOf, taskOf, type Driver,
+	configuration, createDriver, createReadyDriver, endedRunOf, reportedRunOf, snapshotOf, startsOf, submissionOf, taskOf, type Driver, type WorkerOptions,
 } from '#test/support/scheduling';
 
 /** Time after the last grant at which all runs that it kept alive have ended. */
@@ -108,3 +108,75 @@
 		expect(startsOf(elapse(driver, 3000, report))).to.deep.equal([]);
 	});
 });
+
+type AvoidedCase = Readonly<{
+	name: string;
+	step: Parameters<typeof submissionOf>[1][number];
+	/** What happens to the task's first run. */
+	fault: 'unanswered' | 'failed' | 'stuck';
+}>;
+
+const avoidedCases: readonly AvoidedCase[] = [
+	{name: 'one start was not answered (task that waits without end beside the only worker with room)', step: {}, fault: 'unanswered'},
+	{name: 'a run failed there (task that waits without end beside the only worker with room)', step: {}, fault: 'failed'},
+	{name: 'a run got stuck there (task that waits without end beside the only worker with room)', step: {}, fault: 'stuck'},
+	{
+		name: 'a run of its gang failed there, and the others seem to have room once their work ends (gang that waits without end)',
+		step: {count: 2, accelerators: 4, isGang: true}, fault: 'failed',
+	},
+];
+
+/** Reports the worker beside agent `a` twice a second and returns the starts. */
+function reportAvoided(driver: Driver, duration: number, running: (time: number) => WorkerOptions): ReturnType<typeof startsOf> {
+	const effects: SchedulerEffect[] = [];
+	for (let passed = 0; passed < duration; passed += checkMilliseconds) {
+		effects.push(
+			...driver.elapse(checkMilliseconds),
+			...driver.send({kind: 'renewed', agent: 'a', snapshot: snapshotOf('a', running(driver.time()))}),
+			...driver.send({kind: 'renewed', agent: 'b', snapshot: snapshotOf('b', {running: [reportedRunOf(taskOf(9), 1, Math.floor(driver.time() / 1000))]})}),
+		);
+	}
+
+	return startsOf(effects);
+}
+
+describe('what a scheduler believes of a worker that a task avoids', () => {
+	for (const {name, step, fault} of avoidedCases) {
+		it(`ends after a while: ${name}`, () => {
+			const driver = createReadyDriver([['b']]);
+			// Takes 100 s by its progress, and is of the same rank.
+			driver.send({kind: 'submitted', submission: submissionOf(9, [{accelerators: 8, estimatedMilliseconds: 100_000}])});
+			driver.send({kind: 'start-answered', agent: 'b', answers: [{task: taskOf(9), run: 1, result: 'started'}]});
+			driver.send({kind: 'renewed', agent: 'a', snapshot: snapshotOf('a')});
+			const starts = startsOf(driver.send({kind: 'submitted', submission: submissionOf(1, [step])}));
+			expect(new Set(starts.map(({agent}) => agent))).to.deep.equal(new Set(['a']));
+			const answers = starts.map(({task, run}) => ({task, run, result: fault === 'unanswered' ? 'unknown' as const : 'started' as const}));
+			driver.send({kind: 'start-answered', agent: 'a', answers});
+			const orders = starts.map(({task, run}) => ({task, run}));
+			const running = starts.map(({task, run}) => reportedRunOf(task, run, 20));
+			const ended = (ending: 'failed' | 'stopped') => starts.map(({task, run}, index) => endedRunOf(index + 1, task, run, ending));
+			switch (fault) {
+				case 'unanswered': {
+					driver.elapse(startConfirmationMilliseconds + checkMilliseconds);
+					driver.send({kind: 'stop-answered', agent: 'a', orders});
+					break;
+				}
+
+				case 'failed': {
+					driver.send({kind: 'renewed', agent: 'a', snapshot: snapshotOf('a', {ended: ended('failed')})});
+					break;
+				}
+
+				case 'stuck': {
+					reportAvoided(driver, 6000, () => ({running}));
+					driver.send({kind: 'stop-answered', agent: 'a', orders});
+					driver.send({kind: 'renewed', agent: 'a', snapshot: snapshotOf('a', {ended: ended('stopped')})});
+				}
+			}
+
+			const early = reportAvoided(driver, taskAvoidanceMilliseconds - 3000, () => ({}));
+			expect(early, 'starts while the worker is avoided').to.deep.equal([]);
+			expect(new Set(reportAvoided(driver, 3000 + checkMilliseconds, () => ({})).map(({agent}) => agent))).to.deep.equal(new Set(['a']));
+		});
+	}
+});
