Count the end of a grant on the worker's clock

An agent could extend leases beyond its grant if its machine was suspended and its wall clock set back meanwhile, so that a task ran there while the scheduler had started it elsewhere.

Cause: the agent's monotonic clock stands still during a suspension, which was noticed only by comparison with the wall clock.

Change: the agent notes the end of a grant on the worker's clock, estimated when the renewal was sent, and extends no lease beyond it. A grant applies to the incarnation that the renewal reported.

Evidence: both new cases of supervision/receive failed before.

--- a/packages/supervision/incarnations.ts
+++ b/packages/supervision/incarnations.ts
@@ -23,6 +23,7 @@
 		isResponsive: true,
 		// An earlier process of this agent may have extended the leases, and a late call for an earlier incarnation may still extend them.
 		leaseUntil: monotonic + maximumLeaseMilliseconds + (earlier === undefined ? 0 : lateCallMilliseconds),
+		grantDeadline: undefined,
 		notedEnd: 0,
 		acknowledgedEnd: 0,
 		unansweredAcknowledgements: [],
--- a/packages/supervision/receive.ts
+++ b/packages/supervision/receive.ts
@@ -8,6 +8,7 @@
 import {
 	forgetStart, handleRevokedStarts, recordStart,
 } from './unanswered-starts.js';
+import {extendGrant} from './deadlines.js';
 import {incrementRevision, type SupervisionOptions, type SupervisionStep} from './state.js';
 import type {SupervisionMessage, SupervisionState} from './types.js';
 
@@ -119,10 +120,12 @@
 
 	const {worker} = state;
 	const isAcknowledged = worker !== undefined && worker.announcement.incarnation === message.incarnation;
+	const isValid = message.sentAt > state.grantsVoidUntil;
+	const acknowledged = worker !== undefined && isAcknowledged ? {...worker, notedEnd: Math.max(worker.notedEnd, message.notedEnd)} : worker;
 	const granted: SupervisionState = {
 		...state,
-		grantUntil: message.sentAt > state.grantsVoidUntil ? Math.max(state.grantUntil, message.sentAt + message.validity) : state.grantUntil,
-		worker: worker !== undefined && isAcknowledged ? {...worker, notedEnd: Math.max(worker.notedEnd, message.notedEnd)} : worker,
+		grantUntil: isValid ? Math.max(state.grantUntil, message.sentAt + message.validity) : state.grantUntil,
+		worker: acknowledged !== undefined && isValid ? extendGrant(acknowledged, message) : acknowledged,
 	};
 	const raised = raiseEpoch(granted, message.epoch, monotonic, options);
 	const hasStoredEnds = worker !== undefined && isAcknowledged && message.notedEnd > worker.notedEnd && raised.effects.length === 0;
--- a/packages/supervision/types.ts
+++ b/packages/supervision/types.ts
@@ -45,6 +45,8 @@
 	isResponsive: boolean;
 	/** Latest lease expiry that was requested, on the agent's clock. */
 	leaseUntil: MonotonicTime;
+	/** Expiry of the grant on the worker's clock, which does not stand still with the agent's machine; undefined until a renewal that reported the worker was granted. */
+	grantDeadline: Milliseconds | undefined;
 	/** Number of the last ended run that is stored; the worker may discard ends up to it. */
 	notedEnd: number;
 	/** Highest number that an answered call has acknowledged. Calls repeat an acknowledgement only until then: one that the next incarnation carries out discards ends of its own. */
@@ -106,7 +108,11 @@
 	| Readonly<{kind: 'announced'; announcement: Announcement}>
 	| Readonly<{kind: 'departed'; worker: WorkerId}>
 	/** The scheduler's answer to a renewal; `sentAt` is taken before the renewal is sent. */
-	| Readonly<{kind: 'granted'; epoch: number; sentAt: MonotonicTime; validity: Milliseconds; incarnation: string | undefined; notedEnd: number}>
+	| Readonly<{
+		kind: 'granted'; epoch: number; sentAt: MonotonicTime; validity: Milliseconds; incarnation: string | undefined; notedEnd: number;
+		/** The worker that the renewal reported, with the estimate of its clock when it was sent. */
+		reported: Readonly<{incarnation: string; clock: Milliseconds | undefined}> | undefined;
+	}>
 	/** The scheduler has received the end of an incarnation. */
 	| Readonly<{kind: 'incarnation-end-reported'; incarnation: EndedIncarnation}>
 	/** An entry reported an epoch that may be higher. */
--- a/packages/supervisor/plugins/entries.ts
+++ b/packages/supervisor/plugins/entries.ts
@@ -1,7 +1,7 @@
 import type {EntryId, MonotonicTime} from '#core';
 import {createServiceKey} from '#kernel';
 import type {SchedulerReference} from '#protocol';
-import {chooseEntries, describeWorker} from '#supervision';
+import {chooseEntries, describeWorker, estimateWorkerClock} from '#supervision';
 import {connectToPeer, replacePort, type RpcPeer} from '#transport';
 import {
 	standbyRenewalIntervalMilliseconds, maximumDialFailures, redialDelayMilliseconds, renewalIntervalMilliseconds, renewalTimeoutMilliseconds,
@@ -76,6 +76,7 @@
 		const [ended, ...laterEnded] = connection.isScheduler ? state.endedIncarnations : [];
 		// The present incarnation follows all that ended: its report releases their runs.
 		const snapshot = connection.isScheduler && laterEnded.length === 0 ? describeWorker(state, sentAt) : undefined;
+		const reported = snapshot === undefined || state.worker === undefined ? undefined : {incarnation: snapshot.incarnation, clock: estimateWorkerClock(state.worker, sentAt)};
 		connection.sentRevision = state.revision;
 		const reply = await connection.peer.call('worker.renew', {
 			agent: settings.agent, epoch: state.epoch, ...(snapshot === undefined ? {} : {snapshot}), ...(ended === undefined ? {} : {left: ended}),
@@ -96,7 +97,7 @@
 				}
 
 				supervision.send({
-					kind: 'granted', epoch: result.epoch, sentAt, validity: result.validityMilliseconds, incarnation: result.incarnation, notedEnd: result.notedEnd,
+					kind: 'granted', epoch: result.epoch, sentAt, validity: result.validityMilliseconds, incarnation: result.incarnation, notedEnd: result.notedEnd, reported,
 				});
 				setScheduler(connection, result.epoch);
 				break;
--- a/test/supervision/receive.test.ts
+++ b/test/supervision/receive.test.ts
@@ -50,6 +50,34 @@
 			expect(computeLeaseDeadline(state, 5010, options).deadline).to.equal(undefined);
 		},
 	},
+	{
+		name: 'a suspension during which the wall clock is set back does not prolong the grant (lease extended after the task has started elsewhere)',
+		run() {
+			// The machine stands still for 4 s, and its wall clock is set back by as much.
+			const {state} = applyMessages([[0, {kind: 'announced', announcement: announcement()}], [0, granted], [0, extensionAnswered(50_000)], [1000, extensionAnswered(55_000)]]);
+			expect(computeLeaseDeadline(state, 1000, options).deadline).to.be.at.most(57_500);
+			expect(computeLeaseDeadline(state, 4000, options).deadline).to.equal(undefined);
+		},
+	},
+	{
+		name: 'a grant for an earlier incarnation extends no lease of the next one (lease of a run that the scheduler does not know)',
+		run() {
+			const {state} = applyMessages([
+				[0, {kind: 'announced', announcement: announcement()}],
+				[0, granted],
+				[10, {kind: 'announced', announcement: announcement({incarnation: '200', startedAt: 200, clock: 5})}],
+				[20, {
+					kind: 'extension-answered',
+					extension: buildExtension({incarnation: '200'}),
+					result: {
+						kind: 'answered', incarnation: '200', clock: 10, running: [], ended: [],
+					},
+				}],
+			]);
+			expect(state.worker?.announcement.incarnation).to.equal('200');
+			expect(computeLeaseDeadline(state, 30, options).deadline).to.equal(undefined);
+		},
+	},
 	{
 		name: 'a grant of an earlier scheduler is ignored (two schedulers)',
 		run() {
--- a/test/supervisor/start-tasks.test.ts
+++ b/test/supervisor/start-tasks.test.ts
@@ -64,7 +64,7 @@
 				},
 			});
 			supervision.send({
-				kind: 'granted', epoch: 3, sentAt: 0, validity: 7500, incarnation: '100', notedEnd: 0,
+				kind: 'granted', epoch: 3, sentAt: 0, validity: 7500, incarnation: '100', notedEnd: 0, reported: {incarnation: '100', clock: 50_000},
 			});
 			Object.assign(time, elapsed);
 			const reply = await supervisorPlugins.rpcMethods().find(method => method.name === 'worker.start')?.handle({
--- a/test/support/supervision.ts
+++ b/test/support/supervision.ts
@@ -28,7 +28,7 @@
 }
 
 export const granted = {
-	kind: 'granted', epoch: 3, sentAt: 0, validity: 7500, incarnation: '100', notedEnd: 0,
+	kind: 'granted', epoch: 3, sentAt: 0, validity: 7500, incarnation: '100', notedEnd: 0, reported: {incarnation: '100', clock: 50_000},
 } as const satisfies SupervisionMessage;
 
 export function buildExtension(change: Partial<LeaseExtension> = {}): LeaseExtension {
