--- a/packages/scheduling/constants.ts
+++ b/packages/scheduling/constants.ts
@@ -60,7 +60,7 @@
 export const drainSlackMilliseconds = 1500;
 /** A gang that waited this long reserves the workers that it needs, so that later units do not take them. */
 export const reservationDelayMilliseconds = 1000;
-/** Workers are reserved for a gang only if it is expected to start within this time. Other work may find no place meanwhile, and the platform looks for such work 14 s after the last submission. */
+/** At low utilization, workers are reserved for a gang only if it is expected to start within this time. Other work may find no place meanwhile, and the platform looks for such work 14 s after the last submission. */
 export const maximumReservationMilliseconds = 10_000;
 /** Ranks with a larger number than this are low. Their work that cannot save its progress is limited to a share of the workers, since its duration is unknown and a stop discards it. */
 export const lowRankThreshold = 2;
