Let tasks that crash the stand-in's workers make no progress

Cause: no crash went uncounted. The stand-in crashes 10 ms after it answered the start, later on a busy machine, and by then it may list some percent of the 300 ms of work. The scheduler counts that as a crash after progress, of which it permits five (maximumCrashes), as designed. Of 55 repetitions beside load one had 4 crashes; its log says of the job that was given up: "crashes":[{"run":1,"hadProgress":true},{"run":2,"hadProgress":false},...].

A task that crashes its workers is now listed without progress, as one that crashes at its start, however late the crash comes. The check of three crashes is unchanged. A further case crashes 1.2 s after the start, so that each run is listed before: with progress it failed with the same "expected 5 to equal 3"; now it passes, as does the earlier case (one run each).

--- a/test/platform/path.test.ts
+++ b/test/platform/path.test.ts
@@ -35,6 +35,9 @@
 /** Shortest time for which the record of a scheduler that lost the store would stand: its lease, less the time since its last renewal. */
 const leaseMilliseconds = 1000;
 
+/** A worker lists its runs at least this often, since an agent waits no longer for the end of a run. */
+const longPollMilliseconds = 1000;
+
 /** A worker announces itself every 0.3 s, and its agent passes it on twice a second. */
 const capacityReportMilliseconds = 1000;
 
@@ -217,6 +220,17 @@
 			expect(deployment.workers.reduce((total, worker) => total + worker.crashes(), 0)).to.equal(3);
 		},
 	},
+	{
+		name: 'a task that crashes its workers before it makes progress is given up after three crashes, also if the workers list it before (worker after worker crashes)',
+		options: {
+			entries: 1, workers: 3, workMilliseconds: 3000, crashesOn: task => task.startsWith(first), crashDelayMilliseconds: longPollMilliseconds + 200,
+		},
+		async run(deployment) {
+			await submit(deployment, `/batch/${first}`, [{...step, count: 1}]);
+			await waitForState(deployment, `/batch/${first}`, 'failed');
+			expect(deployment.workers.reduce((total, worker) => total + worker.crashes(), 0)).to.equal(3);
+		},
+	},
 	{
 		name: 'starts keep to the capacity of a worker that shrinks and grows again (worker over its capacity)',
 		options: {entries: 1, workers: 1, workMilliseconds: 1500},
--- a/test/support/platform/deployment.ts
+++ b/test/support/platform/deployment.ts
@@ -26,7 +26,7 @@
 }>;
 
 /** What a crash of its workers looks like. */
-type CrashOptions = Pick<PlatformWorkerOptions, 'crashesOn' | 'answersBeforeCrash' | 'restart'>;
+type CrashOptions = Pick<PlatformWorkerOptions, 'crashesOn' | 'crashDelayMilliseconds' | 'answersBeforeCrash' | 'restart'>;
 
 export type DeploymentOptions = Readonly<{entries: number; workers: number; workMilliseconds: number; failingWorkers?: number; configuration?: unknown}> & CrashOptions;
 
--- a/test/support/platform/worker-incarnation.ts
+++ b/test/support/platform/worker-incarnation.ts
@@ -35,6 +35,8 @@
 	maximumHoldMilliseconds: Milliseconds;
 	stopMilliseconds: Milliseconds;
 	failsAll: boolean;
+	/** Whether the task gets nowhere; its runs are listed without progress. */
+	makesNoProgress(task: string): boolean;
 	/** Receives every start. */
 	addRecord(record: StartRecord): void;
 }>;
@@ -56,7 +58,7 @@
 const maximumListedEnds = 500;
 
 export function startIncarnation(options: IncarnationOptions): Incarnation {
-	const {worker, born, workMilliseconds, maximumHoldMilliseconds, stopMilliseconds, failsAll, addRecord} = options;
+	const {worker, born, workMilliseconds, maximumHoldMilliseconds, stopMilliseconds, failsAll, makesNoProgress, addRecord} = options;
 	/** By task and run: nothing in the protocol keeps two runs of a task apart. */
 	const runs = new Map<string, Run>();
 	const highestEndedRun = new Map<string, number>();
@@ -138,11 +140,13 @@
 		ends = ends.filter(({number}) => number > lastSeen);
 	};
 
+	const percentOf = ({task, startedAt}: StartRecord) => makesNoProgress(task) ? 0 : Math.min(99, Math.floor((Date.now() - startedAt) / workMilliseconds * 100));
+
 	const listRuns = (respond: Respond) => {
 		const listed = ends.slice(0, maximumListedEnds);
 		const isSent = respond(answer(200, {
 			born,
-			running: [...runs.values()].map(({record}) => [record.task, record.run, '', Math.min(99, Math.floor((Date.now() - record.startedAt) / workMilliseconds * 100)), 0]),
+			running: [...runs.values()].map(({record}) => [record.task, record.run, '', percentOf(record), 0]),
 			finished: listed.map(({number, record}) => [number, record.task, record.run, record.ending, '']),
 		}));
 		for (const {record} of isSent ? listed : []) {
--- a/test/support/platform/worker.ts
+++ b/test/support/platform/worker.ts
@@ -48,8 +48,10 @@
 	workMilliseconds: Milliseconds;
 	maximumHoldMilliseconds?: Milliseconds;
 	failsAll?: boolean;
-	/** A start of such a task crashes the worker. */
+	/** A start of such a task crashes the worker. Until then the task makes no progress, however late the crash is on a busy machine. */
 	crashesOn?: (task: string) => boolean;
+	/** How long after the answer to the start the worker crashes. */
+	crashDelayMilliseconds?: Milliseconds;
 	/** Whether the start is answered before the worker crashes. */
 	answersBeforeCrash?: boolean;
 	/** How it starts again after such a crash. */
@@ -61,7 +63,8 @@
 	| Readonly<{kind: 'down'}>;
 
 export async function servePlatformWorker({
-	host, id, rack, service, workMilliseconds, maximumHoldMilliseconds = defaultMaximumHoldMilliseconds, failsAll = false, crashesOn = () => false, answersBeforeCrash = true, restart = defaultRestart,
+	host, id, rack, service, workMilliseconds, maximumHoldMilliseconds = defaultMaximumHoldMilliseconds, failsAll = false,
+	crashesOn = () => false, crashDelayMilliseconds = defaultCrashDelayMilliseconds, answersBeforeCrash = true, restart = defaultRestart,
 }: PlatformWorkerOptions): Promise<PlatformWorker> {
 	const records: StartRecord[] = [];
 	let identifier = id;
@@ -79,7 +82,7 @@
 	const begin = (uptimeMilliseconds: Milliseconds): Presence => ({
 		kind: 'up',
 		incarnation: startIncarnation({
-			worker: identifier, born: Date.now() - uptimeMilliseconds, workMilliseconds, maximumHoldMilliseconds, stopMilliseconds, failsAll,
+			worker: identifier, born: Date.now() - uptimeMilliseconds, workMilliseconds, maximumHoldMilliseconds, stopMilliseconds, failsAll, makesNoProgress: crashesOn,
 			addRecord(record) {
 				records.push(record);
 			},
@@ -260,7 +263,7 @@
 const defaultMaximumHoldMilliseconds = 6000;
 const stopMilliseconds = 200;
 const beatMilliseconds = 300;
-const crashDelayMilliseconds = 10;
+const defaultCrashDelayMilliseconds = 10;
 const defaultRestart: Restart = {downMilliseconds: 800};
 
 async function wait(milliseconds: Milliseconds): Promise<void> {
