Send no start whose run was released while it waited for the store

Callers could see two runs of one task: an order waits until the store lists its worker, as long as the store refuses that write. If the agent is lost for 8 s meanwhile, the scheduler releases the run and starts the task elsewhere; if the agent comes back with the same incarnation of its worker, the waiting order was then sent, with a run that no stop had told the worker to refuse. An order to a worker that was gone never ended, and wrote the record of workers again at once after every write, until the term ended.

Orders are sent only while the scheduler still waits for their start; the others are answered as not sent. The wait ends when the worker is gone.

--- a/packages/coordinator/orders.ts
+++ b/packages/coordinator/orders.ts
@@ -1,5 +1,7 @@
 /** Sends the scheduler's orders to agents. */
-import type {SchedulerEffect, StartAnswer} from '#scheduling';
+import {
+	findTask, type SchedulerEffect, type SchedulerState, type StartAnswer, type StartOrder,
+} from '#scheduling';
 import {orderTimeoutMilliseconds} from './constants.js';
 import {agentsService} from './plugins/agents.js';
 import {holdsLeadership, leadershipService} from './plugins/leadership.js';
@@ -9,10 +11,12 @@
 type StartEffect = Extract<SchedulerEffect, {kind: 'start'}>;
 type StopEffect = Extract<SchedulerEffect, {kind: 'stop'}>;
 
-export async function sendStarts({agent, incarnation, specification, orders}: StartEffect, term: Term, context: CoordinatorContext): Promise<void> {
+export async function sendStarts({agent, incarnation, specification, orders: effectOrders}: StartEffect, term: Term, context: CoordinatorContext): Promise<void> {
 	const {services, clock, counters} = context;
-	const answerAll = (result: StartAnswer['result']) => {
-		term.task.send({kind: 'start-answered', agent, answers: orders.map(({task, run}) => ({task, run, result}))});
+	const answerAll = (answered: readonly StartOrder[], result: StartAnswer['result']) => {
+		if (answered.length > 0) {
+			term.task.send({kind: 'start-answered', agent, answers: answered.map(({task, run}) => ({task, run, result}))});
+		}
 	};
 
 	const worker = term.task.read().workers.get(agent)?.snapshot.worker;
@@ -22,9 +26,16 @@
 		return;
 	}
 
-	if (!isRecorded || peer === undefined || !holdsLeadership(context)) {
+	// The record may be written seconds after the order, when the task may have started elsewhere.
+	const state = term.task.read();
+	const maySend = isRecorded && peer !== undefined && holdsLeadership(context);
+	const orders = maySend ? effectOrders.filter(order => isStillOrdered(state, order, {agent, incarnation})) : [];
+	if (orders.length < effectOrders.length) {
 		counters.countRetry('start-not-sent');
-		answerAll('too-late');
+		answerAll(effectOrders.filter(order => !orders.includes(order)), 'too-late');
+	}
+
+	if (peer === undefined || orders.length === 0) {
 		return;
 	}
 
@@ -49,11 +60,17 @@
 			context.log.withPrefix('orders').warn({
 				agent, tasks: orders, delivery: reply.delivery, reason: reply.message,
 			}, 'start order failed');
-			answerAll(reply.delivery === 'never-sent' ? 'too-late' : 'unknown');
+			answerAll(orders, reply.delivery === 'never-sent' ? 'too-late' : 'unknown');
 		}
 	}
 }
 
+/** Whether the scheduler still waits for the start: the run was neither released nor stopped since the order. */
+function isStillOrdered(state: SchedulerState, {task, run}: StartOrder, place: Pick<StartEffect, 'agent' | 'incarnation'>): boolean {
+	const current = findTask(state, task)?.run;
+	return current?.run === run && current.stage === 'starting' && current.agent === place.agent && current.incarnation.incarnation === place.incarnation;
+}
+
 export async function sendStops({agent, incarnation, orders}: StopEffect, term: Term, context: CoordinatorContext): Promise<void> {
 	const {services, counters} = context;
 	const peer = services.use(agentsService).find(agent);
--- a/packages/coordinator/workers-record.ts
+++ b/packages/coordinator/workers-record.ts
@@ -10,7 +10,7 @@
 export type WorkersRecord = Readonly<{
 	/** Adopts the workers that an earlier scheduler stored. */
 	restore(workers: readonly UsedWorker[], version: number): void;
-	/** Resolves to true once the store lists the worker, or to false if the term ends first. */
+	/** Resolves to true once the store lists the worker, or to false if the worker is gone or the term ends first. */
 	ensureStored(worker: UsedWorker): Promise<boolean>;
 	/** Removes workers that are gone, for which the next scheduler would wait in vain. */
 	prune(): void;
@@ -30,6 +30,9 @@
 		];
 	};
 
+	/** A worker that is gone is left out of every further write. */
+	const isKnown = ({agent, worker}: UsedWorker) => term.task.read().workers.get(agent)?.snapshot.worker === worker;
+
 	const writeOnce = async () => {
 		const next = listUsed();
 		const reply = await services.use(storePort).commit({
@@ -72,11 +75,11 @@
 			version = storedVersion;
 		},
 		async ensureStored(worker) {
-			while (!stored.has(keyOf(worker)) && !term.isOver()) {
+			while (!stored.has(keyOf(worker)) && isKnown(worker) && !term.isOver()) {
 				await write();
 			}
 
-			return !term.isOver();
+			return stored.has(keyOf(worker)) && !term.isOver();
 		},
 		prune() {
 			const used = new Set(listUsed().map(worker => keyOf(worker)));
--- a/packages/scheduling/index.ts
+++ b/packages/scheduling/index.ts
@@ -1,4 +1,6 @@
 export * from './types.js';
 export * from './constants.js';
 export * from './receive.js';
-export {countPending, createSchedulerState, describeProgress} from './state.js';
+export {
+	countPending, createSchedulerState, describeProgress, findTask,
+} from './state.js';
