Count a stop as confirmed only by the incarnation that was asked

Callers could see two runs of one task. When a worker starts again, the scheduler moves a start without an answer to the next incarnation and orders its stop there. The answer of the earlier incarnation may arrive after that: the agent asks for the run lists before it answers, which takes up to 0.7 s if the worker crashes meanwhile. It named no incarnation, so it counted as the next one's, and the task started elsewhere although the next incarnation could still carry the start out.

The message now names the incarnation that the order was for. The new case failed before: run 2 was ordered to another worker after the late answer. It passes, as do the other cases of test/scheduling with stops, whose messages gained the field.

--- a/packages/coordinator/orders.ts
+++ b/packages/coordinator/orders.ts
@@ -87,7 +87,9 @@
 	switch (reply.kind) {
 		case 'answered': {
 			services.use(leadershipService).send({kind: 'epoch-observed', epoch: reply.result.epoch});
-			term.task.send({kind: 'stop-answered', agent, orders: reply.result.confirmed});
+			term.task.send({
+				kind: 'stop-answered', agent, incarnation, orders: reply.result.confirmed,
+			});
 			break;
 		}
 
--- a/packages/scheduling/order-answers.ts
+++ b/packages/scheduling/order-answers.ts
@@ -8,7 +8,7 @@
 	isRunOn, findJob, findTask, listStepMembers, findStep, withTask, withWorker,
 } from './state.js';
 import type {
-	AgentName, SchedulerState, StartAnswer, StopOrder,
+	AgentName, SchedulerMessage, SchedulerState, StartAnswer,
 } from './types.js';
 
 export function handleStartAnswers(state: SchedulerState, agent: AgentName, answers: readonly StartAnswer[], time: CurrentTime): SchedulerTransition {
@@ -65,12 +65,13 @@
 	}
 }
 
-export function handleStopAnswers(state: SchedulerState, agent: AgentName, orders: readonly StopOrder[]): SchedulerTransition {
+/** Applies confirmed stops. One that the earlier incarnation confirmed may arrive after its run has moved to the next one, which knows nothing of it. */
+export function handleStopAnswers(state: SchedulerState, {agent, incarnation, orders}: Extract<SchedulerMessage, {kind: 'stop-answered'}>): SchedulerTransition {
 	let next = state;
 	for (const {task: name, run: number} of orders) {
 		const task = findTask(next, name);
 		const worker = next.workers.get(agent);
-		if (task !== undefined && worker !== undefined && isRunOn(task.run, worker) && task.run.run === number) {
+		if (task !== undefined && worker?.snapshot.incarnation === incarnation && isRunOn(task.run, worker) && task.run.run === number) {
 			next = withTask(next, name, {...task, run: {...task.run, isStopConfirmed: true}});
 		}
 	}
--- a/packages/scheduling/receive.ts
+++ b/packages/scheduling/receive.ts
@@ -78,7 +78,7 @@
 		}
 
 		case 'stop-answered': {
-			return handleStopAnswers(state, message.agent, message.orders);
+			return handleStopAnswers(state, message);
 		}
 
 		case 'stored': {
--- a/packages/scheduling/types.ts
+++ b/packages/scheduling/types.ts
@@ -180,8 +180,8 @@
 	| IncarnationEnd
 	| Readonly<{kind: 'detached'; agent: AgentName}>
 	| Readonly<{kind: 'start-answered'; agent: AgentName; answers: readonly StartAnswer[]}>
-	/** Stops that the worker confirmed; a run that it never had counts as stopped. */
-	| Readonly<{kind: 'stop-answered'; agent: AgentName; orders: readonly StopOrder[]}>
+	/** Stops that an incarnation of the worker confirmed; a run that it never had counts as stopped. */
+	| Readonly<{kind: 'stop-answered'; agent: AgentName; incarnation: string; orders: readonly StopOrder[]}>
 	| Readonly<{kind: 'stored'; job: JobKey; version: number; keyVersion: number}>
 	| Readonly<{kind: 'tick'}>
 	/** Carries out the scheduling pass that an effect requested. */
--- a/test/scheduling/capacity.test.ts
+++ b/test/scheduling/capacity.test.ts
@@ -31,7 +31,9 @@
 		run(driver) {
 			driver.send({kind: 'renewed', agent: 'a', snapshot: snapshotOf('a', {running, capacity: capacityOf(6)})});
 			driver.send({kind: 'cancelled', job: submissionOf(1, [{}]).job});
-			driver.send({kind: 'stop-answered', agent: 'a', orders: [{task: taskOf(1), run: 1}]});
+			driver.send({
+				kind: 'stop-answered', agent: 'a', incarnation: '1', orders: [{task: taskOf(1), run: 1}],
+			});
 			expect(startsOf([...driver.send(second), ...driver.elapse(500)])).to.deep.equal([]);
 		},
 	},
--- a/test/scheduling/decisions.test.ts
+++ b/test/scheduling/decisions.test.ts
@@ -188,7 +188,9 @@
 			const effects = driver.elapse(1500);
 			expect(stopsOf(effects)).to.deep.equal([taskOf(1)]);
 			expect(startsOf(effects)).to.deep.equal([]);
-			driver.send({kind: 'stop-answered', agent: 'a', orders: [{task: taskOf(1), run: 1}]});
+			driver.send({
+				kind: 'stop-answered', agent: 'a', incarnation: '1', orders: [{task: taskOf(1), run: 1}],
+			});
 			expect(startsOf(driver.send({kind: 'renewed', agent: 'a', snapshot: snapshotOf('a')})).map(({run}) => run)).to.deep.equal([2]);
 		},
 	},
--- a/test/scheduling/expiry.test.ts
+++ b/test/scheduling/expiry.test.ts
@@ -158,7 +158,9 @@
 			switch (fault) {
 				case 'unanswered': {
 					driver.elapse(startConfirmationMilliseconds + checkMilliseconds);
-					driver.send({kind: 'stop-answered', agent: 'a', orders});
+					driver.send({
+						kind: 'stop-answered', agent: 'a', incarnation: '1', orders,
+					});
 					break;
 				}
 
@@ -169,7 +171,9 @@
 
 				case 'stuck': {
 					reportAvoided(driver, 6000, () => ({running}));
-					driver.send({kind: 'stop-answered', agent: 'a', orders});
+					driver.send({
+						kind: 'stop-answered', agent: 'a', incarnation: '1', orders,
+					});
 					driver.send({kind: 'renewed', agent: 'a', snapshot: snapshotOf('a', {ended: ended('stopped')})});
 				}
 			}
--- a/test/scheduling/incarnations.test.ts
+++ b/test/scheduling/incarnations.test.ts
@@ -1,7 +1,7 @@
 import {expect} from 'chai';
 import type {WorkerId} from '#core';
 import type {EndedRun} from '#jobs';
-import type {SchedulerMessage, StartAnswer} from '#scheduling';
+import {startConfirmationMilliseconds, type SchedulerMessage, type StartAnswer} from '#scheduling';
 import {
 	configuration, createDriver, createReadyDriver, endedRunOf, keyOf, snapshotOf, startsOf, stopsOf, submissionOf, taskOf, type Driver,
 } from '#test/support/scheduling';
@@ -90,11 +90,35 @@
 			const effects = driver.send({kind: 'renewed', agent: 'a', snapshot: restarted});
 			expect(startsOf(effects)).to.deep.equal([]);
 			expect(stopsOf(effects)).to.deep.equal([taskOf(1)]);
-			driver.send({kind: 'stop-answered', agent: 'a', orders: [{task: taskOf(1), run: 1}]});
+			driver.send({
+				kind: 'stop-answered', agent: 'a', incarnation: '2', orders: [{task: taskOf(1), run: 1}],
+			});
 			expect(startsOf(driver.send({kind: 'renewed', agent: 'a', snapshot: restarted})).map(({run}) => run)).to.deep.equal([2]);
 			expect(driver.state().jobs.get(keyOf(1))?.tasks.get(taskOf(1))?.crashes).to.deep.equal([{run: 1, hadProgress: false}]);
 		},
 	},
+	{
+		name: 'a stop that the earlier incarnation confirmed is not confirmed by the next one (start carried out by the next incarnation)',
+		run() {
+			const driver = createReadyDriver([['a']]);
+			driver.send({kind: 'submitted', submission: submissionOf(1, [{}])});
+			driver.send({kind: 'renewed', agent: 'b', snapshot: snapshotOf('b')});
+			driver.send({kind: 'start-answered', agent: 'a', answers: [{task: taskOf(1), run: 1, result: 'unknown'}]});
+			driver.elapse(startConfirmationMilliseconds + 250);
+			const restarted = snapshotOf('a', {incarnation: '2'});
+			driver.send({kind: 'renewed', agent: 'a', snapshot: restarted});
+			const confirm = (incarnation: string): SchedulerMessage => ({
+				kind: 'stop-answered', agent: 'a', incarnation, orders: [{task: taskOf(1), run: 1}],
+			});
+			// The agent waited for the run lists after the earlier incarnation's answer.
+			driver.send(confirm('1'));
+			expect(startsOf(driver.send({kind: 'renewed', agent: 'a', snapshot: restarted}))).to.deep.equal([]);
+			expect(driver.state().jobs.get(keyOf(1))?.tasks.get(taskOf(1))?.run).to.include({run: 1, stage: 'stopping', isStopConfirmed: false});
+			driver.send(confirm('2'));
+			driver.send({kind: 'renewed', agent: 'a', snapshot: restarted});
+			expect(driver.state().jobs.get(keyOf(1))?.tasks.get(taskOf(1))?.run?.run).not.to.equal(1);
+		},
+	},
 	{
 		name: 'an end of an earlier scheduler\'s run counts although its worker left before this scheduler loaded the jobs (task started again after a takeover)',
 		run() {
--- a/test/scheduling/properties.test.ts
+++ b/test/scheduling/properties.test.ts
@@ -258,7 +258,9 @@
 				case 'stop': {
 					const target = this.findWorker(effect.agent, effect.incarnation);
 					const confirmed = target === undefined ? [] : effect.orders.filter(({task, run}) => target.stop(task, run, this.epoch));
-					this.send({kind: 'stop-answered', agent: effect.agent, orders: confirmed});
+					this.send({
+						kind: 'stop-answered', agent: effect.agent, incarnation: effect.incarnation, orders: confirmed,
+					});
 					break;
 				}
 
