Let a task wait until its unanswered start can no longer be carried out

Callers could see two runs of one task at a time: a worker did not answer a start, confirmed its stop, and started again or left and came back under its identifier. Within 12 s its next incarnation, which knows neither stop nor epoch, carried the start out beside the task's next run.

Cause: the scheduler took the confirmed stop for the end of the run. A confirmation binds one incarnation, while the order belongs to the identifier; only the agent knew of the start, and nobody asked it.

Change: a run that is released although its start was neither answered nor listed leaves an unanswered start, and its task waits until that can no longer be carried out. Agents report their unanswered starts, so that a new scheduler knows them as well, and the record of workers keeps those that may come back. Nothing waits if the start was refused or carried out, or if another worker took the place of the one that it was for.

Evidence: "stop confirmed by one incarnation only" failed on, run alone: run 1 on i-0 beside run 2 on i-1. The case of a takeover after the worker left comes from the review, which saw it fail without the record of workers: run 1 on i-0 beside run 1001 on i-1.

--- a/bench/scheduling/model.ts
+++ b/bench/scheduling/model.ts
@@ -113,7 +113,9 @@
 					workers.get(effect.agent)?.stop(order, time);
 				}
 
-				send({kind: 'stop-answered', agent: effect.agent, orders: effect.orders});
+				send({
+					kind: 'stop-answered', agent: effect.agent, incarnation: effect.incarnation, orders: effect.orders,
+				});
 				break;
 			}
 
--- a/packages/coordinator/workers-record.ts
+++ b/packages/coordinator/workers-record.ts
@@ -23,10 +23,13 @@
 	let pendingWrite: Promise<void> | undefined;
 
 	const listUsed = (): readonly UsedWorker[] => {
-		const {workers, unread} = term.task.read();
+		const {workers, unread, unansweredStarts} = term.task.read();
+		// A worker that left may come back under its identifier and carry out a start that it did not answer.
+		const awaited = new Map([...unansweredStarts.values()].flat().map(({agent, worker}) => [agent, worker]));
 		return [
 			...[...workers.values()].map(({agent, snapshot}) => ({agent, worker: snapshot.worker})),
 			...[...unread].map(([agent, {worker}]) => ({agent, worker})),
+			...[...awaited].filter(([agent]) => !workers.has(agent) && !unread.has(agent)).map(([agent, worker]) => ({agent, worker})),
 		];
 	};
 
--- a/packages/jobs/types.ts
+++ b/packages/jobs/types.ts
@@ -207,6 +207,22 @@
 export const lostRunSchema = valibot.pipe(valibot.object({task: taskNameSchema, run: countSchema}), valibot.readonly());
 export type LostRun = valibot.InferOutput<typeof lostRunSchema>;
 
+/** A start that a worker did not answer and has not been seen to carry out. */
+export const unansweredStartSchema = valibot.pipe(valibot.object({
+	task: taskNameSchema,
+	run: countSchema,
+	/** How long the worker's identifier may still carry it out. */
+	remainingMilliseconds: valibot.number(),
+}), valibot.readonly());
+
+/** What an agent knows of unanswered starts. */
+export const unansweredStartsSchema = valibot.pipe(valibot.object({
+	/** How far back the list goes; an agent that started again knows nothing of its earlier process. */
+	knownForMilliseconds: valibot.number(),
+	starts: valibot.pipe(valibot.array(unansweredStartSchema), valibot.readonly()),
+}), valibot.readonly());
+export type UnansweredStarts = valibot.InferOutput<typeof unansweredStartsSchema>;
+
 /** A worker as its agent reports it. */
 export const workerSnapshotSchema = valibot.pipe(valibot.object({
 	worker: workerIdSchema,
@@ -228,5 +244,7 @@
 	ended: valibot.pipe(valibot.array(endedRunSchema), valibot.readonly()),
 	/** Reported for some time, since a scheduler may be lost before it has stored them. Absent in reports of earlier versions. */
 	lost: valibot.optional(valibot.pipe(valibot.array(lostRunSchema), valibot.readonly()), []),
+	/** Absent in reports of earlier versions. */
+	unansweredStarts: valibot.optional(unansweredStartsSchema),
 }), valibot.readonly());
 export type WorkerSnapshot = valibot.InferOutput<typeof workerSnapshotSchema>;
--- a/packages/scheduling/ends.ts
+++ b/packages/scheduling/ends.ts
@@ -6,10 +6,10 @@
 import {avoidWorker} from './avoidance.js';
 import {avoidanceMilliseconds, failuresBeforeAvoidance} from './constants.js';
 import {
-	chain, endJob, markChanged, stopRuns, storeJob, withoutEffects, type SchedulerTransition,
+	chain, endJob, stopRuns, storeJob, withoutEffects, type SchedulerTransition,
 } from './runs.js';
 import {
-	countFailures, isOpen, findJob, findTask, resolveQueue, listStepMembers, findStep, withTask, withWorker,
+	countFailures, isOpen, findJob, findTask, resolveQueue, listStepMembers, findStep, markChanged, withTask, withWorker,
 } from './state.js';
 import type {
 	AgentName, SchedulerJob, SchedulerState, TaskState,
--- a/packages/scheduling/order-answers.ts
+++ b/packages/scheduling/order-answers.ts
@@ -2,7 +2,7 @@
 import type {CurrentTime} from '#core';
 import {avoidanceMilliseconds, refusalPauseMilliseconds} from './constants.js';
 import {
-	chain, releaseRun, stopRuns, withoutEffects, type SchedulerTransition,
+	chain, releaseRefusedRun, stopRuns, withoutEffects, type SchedulerTransition,
 } from './runs.js';
 import {
 	isRunOn, findJob, findTask, listStepMembers, findStep, withTask, withWorker,
@@ -26,13 +26,17 @@
 	const {run} = task;
 	switch (result) {
 		case 'started': {
-			return withoutEffects(run.stage === 'starting'
-				? withTask(state, name, {
-					...task, run: {
-						...run, stage: 'running', startedAt: time.monotonic, progressedAt: time.monotonic, paceBaseline: {percent: 0, at: time.monotonic},
-					},
-				})
-				: state);
+			return withoutEffects(withTask(state, name, {
+				...task, run: {
+					...run,
+					isStartConfirmed: true,
+					...(run.stage === 'starting'
+						? {
+							stage: 'running', startedAt: time.monotonic, progressedAt: time.monotonic, paceBaseline: {percent: 0, at: time.monotonic},
+						}
+						: {}),
+				},
+			}));
 		}
 
 		// The run may still start; it is stopped if the worker does not list it in time.
@@ -48,7 +52,7 @@
 		case 'invalid': {
 			const pause = result === 'unhealthy' ? avoidanceMilliseconds : refusalPauseMilliseconds;
 			const paused = withWorker(state, {...worker, health: {...worker.health, avoidedUntil: Math.max(worker.health.avoidedUntil, time.monotonic + pause)}});
-			const released = releaseRun(paused, name, time.monotonic);
+			const released = releaseRefusedRun(paused, name, time.monotonic);
 			const isGang = findStep(job, name)?.isGang === true;
 			return chain(released, [
 				next => ({
--- a/packages/scheduling/receive.ts
+++ b/packages/scheduling/receive.ts
@@ -14,6 +14,7 @@
 import {schedule} from './schedule.js';
 import {createJob, replaceWorker, withJob} from './state.js';
 import {handleTick} from './tick.js';
+import {logUnansweredStarts} from './unanswered-starts.js';
 import type {
 	AgentName, LoadedJob, SchedulerMessage, SchedulerState, UnreadWorker,
 } from './types.js';
@@ -33,9 +34,11 @@
 */
 export function receiveSchedulerMessage(state: SchedulerState, message: SchedulerMessage, time: CurrentTime): SchedulerTransition {
 	const handled = handleMessage(state, message, time);
-	return handled.state.isScheduleDue && (!state.isScheduleDue || message.kind === 'pass')
-		? {state: handled.state, effects: [...handled.effects, {kind: 'request-pass'}]}
-		: handled;
+	const effects = [...handled.effects, ...logUnansweredStarts(state, handled.state, time.monotonic)];
+	return {
+		state: handled.state,
+		effects: handled.state.isScheduleDue && (!state.isScheduleDue || message.kind === 'pass') ? [...effects, {kind: 'request-pass'}] : effects,
+	};
 }
 
 function handleMessage(state: SchedulerState, message: SchedulerMessage, time: CurrentTime): SchedulerTransition {
--- a/packages/scheduling/reports.ts
+++ b/packages/scheduling/reports.ts
@@ -15,6 +15,7 @@
 import {
 	isOpen, isRunOn, findJob, findTask, replaceJob, replaceTask, replaceWorker, findStep, withJob, withTask, withWorker,
 } from './state.js';
+import {applyReportedStarts} from './unanswered-starts.js';
 import type {
 	AgentName, SchedulerJob, SchedulerState, SchedulerWorker, StopOrder, TaskState,
 } from './types.js';
@@ -37,6 +38,8 @@
 		next => isReplaced ? replaceIncarnation(next, worker, snapshot, time) : withoutEffects(next),
 		next => withoutEffects(withSnapshot(next, agent, snapshot, time.monotonic)),
 		next => applySnapshot(next, agent, {snapshot, isKnown}, time),
+		// Runs that the report releases are compared with the starts that it lists.
+		next => withoutEffects(applyReportedStarts(next, agent, snapshot, time.monotonic)),
 	]);
 }
 
@@ -169,6 +172,7 @@
 					incarnation,
 					run: reported.run,
 					stage: 'running',
+					isStartConfirmed: true,
 					isStopConfirmed: false,
 					orderedAt: time.monotonic,
 					startedAt: time.monotonic - estimateElapsed(job, reported),
@@ -206,7 +210,7 @@
 function withProgress(state: SchedulerState, task: TaskState, reported: ReportedRun, monotonic: MonotonicTime): SchedulerState {
 	const {run} = task;
 	const hasCheckpoint = reported.checkpoint !== '' && reported.checkpoint !== task.checkpoint;
-	if (run === undefined || (run.stage !== 'starting' && reported.percent <= run.percent && !hasCheckpoint)) {
+	if (run === undefined || (run.isStartConfirmed && run.stage !== 'starting' && reported.percent <= run.percent && !hasCheckpoint)) {
 		return state;
 	}
 
@@ -218,6 +222,7 @@
 		run: {
 			...run,
 			stage: run.stage === 'starting' ? 'running' : run.stage,
+			isStartConfirmed: true,
 			percent: Math.max(run.percent, reported.percent),
 			progressedAt: hasProgress ? monotonic : run.progressedAt,
 			paceBaseline: isResumed ? {percent: reported.percent, at: monotonic} : run.paceBaseline,
--- a/packages/scheduling/runs.ts
+++ b/packages/scheduling/runs.ts
@@ -4,8 +4,9 @@
 import {measureLoss} from './loss.js';
 import type {Placement} from './place.js';
 import {
-	findWorkerOfRun, isOpen, findJob, findTask, listStepMembers, findStep, replaceJob, withJob, withTask,
+	findWorkerOfRun, isOpen, findJob, findTask, listStepMembers, findStep, markChanged, withJob, withTask,
 } from './state.js';
+import {recordUnansweredStart} from './unanswered-starts.js';
 import type {
 	AgentName, SchedulerEffect, SchedulerJob, SchedulerState, StartOrder, StopOrder, TaskRun, TaskState,
 } from './types.js';
@@ -61,6 +62,7 @@
 				incarnation: {worker: workerId, incarnation},
 				run,
 				stage: 'starting',
+				isStartConfirmed: false,
 				isStopConfirmed: false,
 				orderedAt: monotonic,
 				startedAt: monotonic,
@@ -130,16 +132,20 @@
 	};
 }
 
-/** Releases a run that has certainly ended, so that the task can start again. */
+/** Releases a run that has certainly ended, so that the task can start again, at once or when its start can no longer be carried out. */
 export function releaseRun(state: SchedulerState, name: TaskName, monotonic: MonotonicTime): SchedulerState {
-	const task = findTask(state, name);
-	return task === undefined ? state : markChanged(withTask(state, name, {...task, run: undefined}), name, monotonic);
+	const run = findTask(state, name)?.run;
+	return run === undefined ? state : removeRun(recordUnansweredStart(state, name, run), name, monotonic);
+}
+
+/** Releases a run whose start was refused, and so will not be carried out. */
+export function releaseRefusedRun(state: SchedulerState, name: TaskName, monotonic: MonotonicTime): SchedulerState {
+	return removeRun(state, name, monotonic);
 }
 
-/** Restarts the job's waiting time, which is measured from its last change. */
-export function markChanged(state: SchedulerState, name: TaskName, monotonic: MonotonicTime): SchedulerState {
-	const job = findJob(state, name);
-	return job === undefined ? state : replaceJob(state, {...job, changedAt: monotonic});
+function removeRun(state: SchedulerState, name: TaskName, monotonic: MonotonicTime): SchedulerState {
+	const task = findTask(state, name);
+	return task === undefined ? state : markChanged(withTask(state, name, {...task, run: undefined}), name, monotonic);
 }
 
 /** Increments the job's version and requests that its progress is stored. */
--- a/packages/scheduling/state.ts
+++ b/packages/scheduling/state.ts
@@ -18,6 +18,7 @@
 		workers: PersistentMap(),
 		runs: PersistentMap(),
 		unacknowledged: PersistentSet(),
+		unansweredStarts: PersistentMap(),
 		unread: PersistentMap(),
 		isLoaded: false,
 		deferredIncarnationEnds: [],
@@ -124,6 +125,12 @@
 	return findJob(state, task)?.tasks.get(task);
 }
 
+/** Restarts the job's waiting time, which is measured from its last change. */
+export function markChanged(state: SchedulerState, name: TaskName, monotonic: MonotonicTime): SchedulerState {
+	const job = findJob(state, name);
+	return job === undefined ? state : replaceJob(state, {...job, changedAt: monotonic});
+}
+
 /** The current queue of a job, or the queue as of its acceptance if that was removed since. */
 export function resolveQueue({configuration}: SchedulerState, {submission: {queue}}: SchedulerJob): Queue {
 	return configuration?.queues.find(({name}) => name === queue.name) ?? queue;
--- a/packages/scheduling/tick.ts
+++ b/packages/scheduling/tick.ts
@@ -16,6 +16,7 @@
 import {
 	findWorkerOfRun, isOpen, findJob, findTask, joinCheckpoints, findStep, mayRunOnUnreadWorker, withTask,
 } from './state.js';
+import {expireUnansweredStarts} from './unanswered-starts.js';
 import type {
 	SchedulerEffect, SchedulerJob, SchedulerState, TaskRun,
 } from './types.js';
@@ -29,6 +30,7 @@
 		next => stopRunsOnDrainingWorkers(next, runs, time.monotonic),
 		next => removeLostWorkers(next, time),
 		next => withoutEffects(expireUnreadWorkers(next, time.monotonic)),
+		next => withoutEffects(expireUnansweredStarts(next, time.monotonic)),
 		next => stopPartialGangs(next, time.monotonic),
 		next => storeCheckpoints(next, time.monotonic),
 		next => removeOldRecords(next, time.monotonic),
--- a/packages/scheduling/types.ts
+++ b/packages/scheduling/types.ts
@@ -21,6 +21,8 @@
 	incarnation: WorkerIncarnation;
 	run: number;
 	stage: 'starting' | 'running' | 'stopping';
+	/** Whether the worker answered the start or listed the run. Otherwise the start may still be carried out, also by a later incarnation. */
+	isStartConfirmed: boolean;
 	/** Whether the worker confirmed a stop; the run can no longer start there. */
 	isStopConfirmed: boolean;
 	/** When the last start or stop of the run was ordered. */
@@ -33,6 +35,9 @@
 	paceBaseline: Readonly<{percent: number; at: MonotonicTime}>;
 }>;
 
+/** The start of an ended run that was not answered. Until `until`, a worker with this identifier may carry it out, whatever an earlier incarnation has confirmed. */
+export type UnansweredStart = Readonly<{agent: AgentName; worker: WorkerId; run: number; orderedAt: MonotonicTime; until: MonotonicTime}>;
+
 /** A worker that a task leaves out of its next placements while there are others, until the given time. */
 export type AvoidedWorker = Readonly<{worker: WorkerId; until: MonotonicTime}>;
 
@@ -149,6 +154,8 @@
 	runs: PersistentMap<AgentName, PersistentSet<TaskName>>;
 	/** Agents whose workers listed ends that are not acknowledged yet. */
 	unacknowledged: PersistentSet<AgentName>;
+	/** Starts that may still be carried out, by task; tasks without any are left out. */
+	unansweredStarts: PersistentMap<TaskName, readonly UnansweredStart[]>;
 	/** Workers of an earlier scheduler that have not reported yet, by agent name, with the time until which their runs may last. */
 	unread: PersistentMap<AgentName, UnreadWorker>;
 	/** Whether the stored jobs have been loaded. */
--- /dev/null
+++ b/packages/scheduling/unanswered-starts.ts
@@ -0,0 +1,109 @@
+/**
+Keeps a task from starting again while an earlier start of it may still be carried out.
+
+A call without an answer may be carried out seconds later. The stop that a worker confirmed binds that incarnation only: a later one with the same identifier knows neither the stop nor the epoch, and would run the task beside its next run, or after its end.
+*/
+import type {MonotonicTime, WorkerId} from '#core';
+import {lateCallMilliseconds, type TaskName, type WorkerSnapshot} from '#jobs';
+import {avoidWorker, isAvoided} from './avoidance.js';
+import {orderDeliveryMilliseconds} from './constants.js';
+import {findTask, markChanged, withTask} from './state.js';
+import type {
+	AgentName, SchedulerEffect, SchedulerState, TaskRun, UnansweredStart,
+} from './types.js';
+
+/** Whether an earlier start of the task may still be carried out; not if another worker took the place of the one that it was for. */
+export function hasUnansweredStart({unansweredStarts, workers}: SchedulerState, task: TaskName, monotonic: MonotonicTime): boolean {
+	return unansweredStarts.get(task)?.some(({agent, worker, until}) => monotonic < until && (workers.get(agent)?.snapshot.worker ?? worker) === worker) === true;
+}
+
+/** Records the start of a run that is released, unless the worker has confirmed it: then it has been carried out. */
+export function recordUnansweredStart(state: SchedulerState, task: TaskName, {agent, incarnation: {worker}, run, isStartConfirmed, startedAt}: TaskRun): SchedulerState {
+	return isStartConfirmed
+		? state
+		: setStart(state, task, {
+			agent, worker, run, orderedAt: startedAt, until: startedAt + orderDeliveryMilliseconds + lateCallMilliseconds,
+		});
+}
+
+/**
+Takes over what an agent knows of the starts that its worker has not answered.
+
+Starts that it does not list were refused or carried out, or never reached it, if its list goes back to their orders. An agent that started again since does not know.
+*/
+export function applyReportedStarts(state: SchedulerState, agent: AgentName, {worker, unansweredStarts}: WorkerSnapshot, monotonic: MonotonicTime): SchedulerState {
+	if (unansweredStarts === undefined || (unansweredStarts.starts.length === 0 && state.unansweredStarts.size === 0)) {
+		return state;
+	}
+
+	const {knownForMilliseconds, starts} = unansweredStarts;
+	const isListed = (task: TaskName, {run}: UnansweredStart) => starts.some(listed => listed.task === task && listed.run === run);
+	const isSettled = (task: TaskName, start: UnansweredStart) => start.agent === agent && start.worker === worker && !isListed(task, start)
+		&& start.orderedAt >= monotonic - knownForMilliseconds
+		&& start.orderedAt <= monotonic - orderDeliveryMilliseconds;
+	let next = removeStarts(state, isSettled, monotonic);
+	for (const {task, run, remainingMilliseconds} of starts) {
+		// The call of a run that is starting may just be under way.
+		if (findTask(next, task)?.run?.run !== run) {
+			const until = monotonic + remainingMilliseconds;
+			next = setStart(next, task, {
+				agent, worker, run, orderedAt: until - lateCallMilliseconds, until,
+			});
+		}
+	}
+
+	return next;
+}
+
+/** Forgets starts that can no longer be carried out. */
+export function expireUnansweredStarts(state: SchedulerState, monotonic: MonotonicTime): SchedulerState {
+	return removeStarts(state, (_, {until}) => until <= monotonic, monotonic);
+}
+
+/** Logs the tasks that wait from now on, so that their delay can be explained. */
+export function logUnansweredStarts(earlier: SchedulerState, state: SchedulerState, monotonic: MonotonicTime): readonly SchedulerEffect[] {
+	if (earlier.unansweredStarts === state.unansweredStarts) {
+		return [];
+	}
+
+	return [...state.unansweredStarts]
+		.filter(([task]) => isWaiting(state, task, monotonic) && !isWaiting(earlier, task, monotonic))
+		.map(([task, starts]) => ({
+			kind: 'log', event: 'start-unanswered', fields: {task, starts: starts.map(({worker, run, until}) => ({worker, run, remainingMilliseconds: Math.round(until - monotonic)}))},
+		}));
+}
+
+function isWaiting(state: SchedulerState, name: TaskName, monotonic: MonotonicTime): boolean {
+	const task = findTask(state, name);
+	return task !== undefined && !task.isDone && task.run === undefined && hasUnansweredStart(state, name, monotonic);
+}
+
+/** Sets a start in place of what was known of it. */
+function setStart(state: SchedulerState, task: TaskName, start: UnansweredStart): SchedulerState {
+	const {agent, worker, run} = start;
+	const others = (state.unansweredStarts.get(task) ?? []).filter(known => known.agent !== agent || known.worker !== worker || known.run !== run);
+	return {...state, unansweredStarts: state.unansweredStarts.set(task, [...others, start])};
+}
+
+/** Removes starts. Their tasks wait for a worker, and avoid the earlier one, from now on: until now they could not start. */
+function removeStarts(state: SchedulerState, isObsolete: (task: TaskName, start: UnansweredStart) => boolean, monotonic: MonotonicTime): SchedulerState {
+	let next = state;
+	for (const [task, starts] of state.unansweredStarts) {
+		const remaining = starts.filter(start => !isObsolete(task, start));
+		if (remaining.length < starts.length) {
+			const unansweredStarts = remaining.length === 0 ? next.unansweredStarts.delete(task) : next.unansweredStarts.set(task, remaining);
+			next = starts.filter(start => !remaining.includes(start)).reduce((changed, {worker}) => beginWaiting(changed, task, worker, monotonic), {...next, unansweredStarts});
+		}
+	}
+
+	return next;
+}
+
+function beginWaiting(state: SchedulerState, name: TaskName, avoided: WorkerId, monotonic: MonotonicTime): SchedulerState {
+	const task = findTask(state, name);
+	if (task === undefined || task.isDone || task.run !== undefined) {
+		return state;
+	}
+
+	return markChanged(isAvoided(task, avoided, monotonic) ? state : withTask(state, name, avoidWorker(task, avoided, monotonic)), name, monotonic);
+}
--- a/packages/scheduling/units.ts
+++ b/packages/scheduling/units.ts
@@ -13,6 +13,7 @@
 	countFailures, isOpen, mayRunOnUnreadWorker, resolveQueue,
 } from './state.js';
 import type {SchedulerJob, SchedulerState} from './types.js';
+import {hasUnansweredStart} from './unanswered-starts.js';
 
 /** The waiting tasks of one step; those of a gang are placed only together. */
 export type SchedulingUnit = Readonly<{
@@ -39,6 +40,7 @@
 export function listSchedulingUnits(state: SchedulerState, ranks: ReadonlyMap<JobKey, Rank>, {now, monotonic}: CurrentTime): readonly SchedulingUnit[] {
 	const units: SchedulingUnit[] = [];
 	const medianDuration = findMedianDuration(state);
+	const mayStart = (task: TaskName) => !hasUnansweredStart(state, task, monotonic);
 	for (const job of state.jobs.values()) {
 		if (job.counts.waiting === 0 || !isOpen(job) || mayRunOnUnreadWorker(state, job)) {
 			continue;
@@ -54,7 +56,7 @@
 		const isAtRisk = age > (onTimeLimit - criticalPath) * atRiskSlackShare;
 		for (const occurrence of listDueOccurrences(job, now)) {
 			const waitingSince = Math.min(job.changedAt, monotonic);
-			units.push(...listReadySteps(job, queue, occurrence).map(unit => ({
+			units.push(...listReadySteps(job, queue, occurrence, mayStart).map(unit => ({
 				...unit,
 				rank,
 				isLate,
@@ -87,7 +89,7 @@
 
 type StepUnit = Pick<SchedulingUnit, 'job' | 'queue' | 'step' | 'occurrence' | 'stepIndex' | 'tasks'>;
 
-function listReadySteps(job: SchedulerJob, queue: Queue, occurrence: number): readonly StepUnit[] {
+function listReadySteps(job: SchedulerJob, queue: Queue, occurrence: number, mayStart: (task: TaskName) => boolean): readonly StepUnit[] {
 	const {steps} = job.submission.request;
 	const namesOf = (index: number) => job.taskNames[occurrence]?.[index] ?? [];
 	const isStepDone = (index: number) => namesOf(index).every(name => job.tasks.get(name)?.isDone === true);
@@ -98,7 +100,7 @@
 		}
 
 		const names = namesOf(stepIndex);
-		const waiting = selectStartable(job, names, listWaiting(job, names, step, queue), step.isGang);
+		const waiting = selectStartable(job, names, listWaiting(job, names, step, queue), step.isGang).filter(name => mayStart(name));
 		const isStartable = step.isGang ? waiting.length === names.length : waiting.length > 0;
 		return isStartable
 			? [{
--- a/packages/supervision/constants.ts
+++ b/packages/supervision/constants.ts
@@ -4,8 +4,6 @@
 export const maximumSequenceGap = 3000;
 /** How many ends of incarnations are kept while no scheduler can be reached; a worker that crashes again and again starts again every few seconds. */
 export const maximumEndedIncarnations = 20;
-/** How long a call without an answer may still be carried out, also by the worker's next incarnation. The platform's workers do so up to 12 s later. */
-export const lateCallMilliseconds = 13_000;
 /** How long lost runs are reported. A scheduler that is lost is replaced within seconds, and its successor waits up to 12 s for reports. */
 export const lostRunRetentionMilliseconds = 60_000;
 /** Long-poll timeout of a lease extension that waits for a run to end; the worker allows at most 2 s. Leases are extended once in this time, because each call extends them. */
--- a/packages/supervision/describe.ts
+++ b/packages/supervision/describe.ts
@@ -2,7 +2,7 @@
 import type {WorkerSnapshot} from '#jobs';
 import {leaseExpiryMarginMilliseconds, lostRunRetentionMilliseconds, maximumClockDriftRatio} from './constants.js';
 import type {SupervisionState} from './types.js';
-import {mayBeCarriedOut} from './unanswered-starts.js';
+import {describeUnansweredStarts, mayBeCarriedOut} from './unanswered-starts.js';
 
 /** Takes a snapshot of the worker for the scheduler; undefined until the worker has confirmed the scheduler's epoch and the stops of starts that were meant for its earlier incarnations. */
 export function describeWorker(state: SupervisionState, monotonic: MonotonicTime): WorkerSnapshot | undefined {
@@ -29,6 +29,7 @@
 		running,
 		ended,
 		lost: listRecentlyLost(state, monotonic).map(({task, run}) => ({task, run})),
+		unansweredStarts: describeUnansweredStarts(state, announcement.worker, monotonic),
 	};
 }
 
--- a/packages/supervision/incarnations.ts
+++ b/packages/supervision/incarnations.ts
@@ -1,9 +1,10 @@
 /** Changes from one incarnation of the worker to the next. */
 import type {MonotonicTime} from '#core';
-import {lateCallMilliseconds, maximumEndedIncarnations} from './constants.js';
+import {lateCallMilliseconds} from '#jobs';
+import {maximumEndedIncarnations} from './constants.js';
 import {listRecentlyLost} from './describe.js';
 import {incrementRevision, type SupervisionOptions, type SupervisionStep} from './state.js';
-import {listStartsToRevoke} from './unanswered-starts.js';
+import {listUnansweredStarts} from './unanswered-starts.js';
 import type {
 	Announcement, EndedIncarnation, SupervisedWorker, SupervisionState,
 } from './types.js';
@@ -28,7 +29,7 @@
 		acknowledgedEnd: 0,
 		unansweredAcknowledgements: [],
 		startsBarredUntil: earlier === undefined ? -Infinity : Math.max(earlier.startsBarredUntil, ...earlier.unansweredAcknowledgements.map(sentAt => sentAt + lateCallMilliseconds)),
-		startsToRevoke: listStartsToRevoke(state, announcement.worker, monotonic),
+		startsToRevoke: listUnansweredStarts(state, announcement.worker, monotonic),
 		fencedEpoch: 0,
 	};
 	const next: SupervisionState = {
--- a/packages/supervision/lease-extension.ts
+++ b/packages/supervision/lease-extension.ts
@@ -1,14 +1,15 @@
 /** Extends the leases of the worker's runs and applies the run lists in the answers. */
 import type {MonotonicTime} from '#core';
-import {isSameIncarnation} from '#jobs';
+import {isSameIncarnation, lateCallMilliseconds} from '#jobs';
 import {
-	departureCheckMilliseconds, extensionRetryMilliseconds, extensionWaitMilliseconds, lateCallMilliseconds, unacknowledgedEndPauseMilliseconds,
+	departureCheckMilliseconds, extensionRetryMilliseconds, extensionWaitMilliseconds, unacknowledgedEndPauseMilliseconds,
 } from './constants.js';
 import {computeLeaseDeadline, noDeadline, recordLease} from './deadlines.js';
 import {handleCandidateAnswer, handleLeavingAnswer} from './incarnation-checks.js';
 import {
 	incrementRevision, scheduleCheck, type SupervisionOptions, type SupervisionStep,
 } from './state.js';
+import {forgetCarriedOutStarts} from './unanswered-starts.js';
 import type {
 	LeaseExtension, SupervisedWorker, SupervisionMessage, SupervisionState,
 } from './types.js';
@@ -166,7 +167,7 @@
 		|| result.running.some(({task, run}) => worker.running.every(known => known.task !== task || known.run !== run));
 	const isFenced = extension.epoch > worker.fencedEpoch;
 	const next: SupervisionState = {
-		...state,
+		...forgetCarriedOutStarts(state, worker.announcement.worker, result),
 		worker: {
 			...worker,
 			clock: {worker: result.clock, monotonic},
--- a/packages/supervision/receive.ts
+++ b/packages/supervision/receive.ts
@@ -23,6 +23,7 @@
 	epoch: 0,
 	grantUntil: 0,
 	grantsVoidUntil: -Infinity,
+	receivingSince: undefined,
 	clockOffset: undefined,
 	revision: 0,
 	isExtending: false,
@@ -40,7 +41,7 @@
 A wall clock that is set forward looks the same and costs one renewal.
 */
 function updateClockOffset(state: SupervisionState, time: CurrentTime): SupervisionState {
-	const next = {...state, clockOffset: time.now - time.monotonic};
+	const next = {...state, receivingSince: state.receivingSince ?? time.monotonic, clockOffset: time.now - time.monotonic};
 	return wasSuspended(state, time) ? {...next, grantUntil: 0, grantsVoidUntil: time.monotonic} : next;
 }
 
--- a/packages/supervision/types.ts
+++ b/packages/supervision/types.ts
@@ -87,6 +87,8 @@
 	grantUntil: MonotonicTime;
 	/** Grants that were requested until this time are void, since the machine was suspended after it. */
 	grantsVoidUntil: MonotonicTime;
+	/** When the first message arrived; earlier starts are another process's. */
+	receivingSince: MonotonicTime | undefined;
 	/** Wall clock minus monotonic clock at the last message; it grows while the machine is suspended. */
 	clockOffset: Milliseconds | undefined;
 	/** Incremented by each change that must be reported to the scheduler at once. */
--- a/packages/supervision/unanswered-starts.ts
+++ b/packages/supervision/unanswered-starts.ts
@@ -1,11 +1,13 @@
 /**
-Stops starts that an earlier incarnation of the worker did not answer.
+Lists the starts that the worker did not answer, for the scheduler, and stops them on its next incarnation.
 
 A call without an answer may be carried out later, also by the next incarnation of the same identifier, which knows nothing of earlier stops. Its stop makes the worker refuse the run from then on.
 */
 import type {MonotonicTime, WorkerId} from '#core';
-import type {TaskName} from '#jobs';
-import {departureCheckMilliseconds, lateCallMilliseconds} from './constants.js';
+import {
+	lateCallMilliseconds, type EndedRun, type ReportedRun, type TaskName, type UnansweredStarts,
+} from '#jobs';
+import {departureCheckMilliseconds} from './constants.js';
 import {recordLease} from './deadlines.js';
 import {incrementRevision, scheduleCheck, type SupervisionStep} from './state.js';
 import type {SupervisionMessage, SupervisionState, UnansweredStart} from './types.js';
@@ -26,8 +28,8 @@
 	return {...state, unansweredStarts: state.unansweredStarts.filter(start => start.task !== task || start.run !== run)};
 }
 
-/** Lists the starts that the next incarnation of a worker may still carry out. */
-export function listStartsToRevoke({unansweredStarts}: SupervisionState, worker: WorkerId, monotonic: MonotonicTime): readonly UnansweredStart[] {
+/** Lists the starts that the identifier of a worker may still carry out, also those that an earlier incarnation did not answer. */
+export function listUnansweredStarts({unansweredStarts}: SupervisionState, worker: WorkerId, monotonic: MonotonicTime): readonly UnansweredStart[] {
 	return unansweredStarts.filter(start => start.worker === worker && mayBeCarriedOut(start, monotonic));
 }
 
@@ -35,6 +37,20 @@
 	return monotonic - sentAt < lateCallMilliseconds;
 }
 
+/** Describes the unanswered starts for the scheduler. */
+export function describeUnansweredStarts(state: SupervisionState, worker: WorkerId, monotonic: MonotonicTime): UnansweredStarts {
+	return {
+		knownForMilliseconds: state.receivingSince === undefined ? 0 : monotonic - state.receivingSince,
+		starts: listUnansweredStarts(state, worker, monotonic).map(({task, run, sentAt}) => ({task, run, remainingMilliseconds: sentAt + lateCallMilliseconds - monotonic})),
+	};
+}
+
+/** Forgets the starts that the worker has carried out, as its lists show. */
+export function forgetCarriedOutStarts(state: SupervisionState, worker: WorkerId, {running, ended}: Readonly<{running: readonly ReportedRun[]; ended: readonly EndedRun[]}>): SupervisionState {
+	const carriedOut = [...running, ...ended];
+	return {...state, unansweredStarts: state.unansweredStarts.filter(start => start.worker !== worker || carriedOut.every(({task, run}) => task !== start.task || run !== start.run))};
+}
+
 export function handleRevokedStarts(state: SupervisionState, {incarnation, starts}: Extract<SupervisionMessage, {kind: 'starts-revoked'}>): SupervisionStep {
 	const {worker} = state;
 	if (worker?.announcement.incarnation !== incarnation) {
--- a/test/scheduling/decisions.test.ts
+++ b/test/scheduling/decisions.test.ts
@@ -191,6 +191,7 @@
 			driver.send({
 				kind: 'stop-answered', agent: 'a', incarnation: '1', orders: [{task: taskOf(1), run: 1}],
 			});
+			expect(startsOf(driver.elapse(500))).to.deep.equal([]);
 			expect(startsOf(driver.send({kind: 'renewed', agent: 'a', snapshot: snapshotOf('a')})).map(({run}) => run)).to.deep.equal([2]);
 		},
 	},
--- /dev/null
+++ b/test/scheduling/unanswered-starts.test.ts
@@ -0,0 +1,182 @@
+/** A task whose start was not answered starts again only when that start can no longer be carried out. */
+import {expect} from 'chai';
+import type {WorkerId} from '#core';
+import {lateCallMilliseconds, type JobStep, type UnansweredStarts} from '#jobs';
+import {orderDeliveryMilliseconds, type SchedulerMessage} from '#scheduling';
+import {
+	configuration, createDriver, createReadyDriver, endedRunOf, reportedRunOf, snapshotOf, startsOf, submissionOf, taskOf, type Driver, type WorkerOptions,
+} from '#test/support/scheduling';
+
+/** Agents renew twice a second, and the scheduler checks four times a second. */
+const checkMilliseconds = 250;
+/** The start is stopped after 1.2 s. */
+const stoppedAt = 1500;
+const start = {task: taskOf(1), run: 1} as const;
+
+function knowing(remainingMilliseconds: number | undefined, knownForMilliseconds = 60_000): UnansweredStarts {
+	return {knownForMilliseconds, starts: remainingMilliseconds === undefined ? [] : [{...start, remainingMilliseconds}]};
+}
+
+const answer = (result: 'started' | 'no-room' | 'unknown'): SchedulerMessage => ({kind: 'start-answered', agent: 'a', answers: [{...start, result}]});
+const renewal = (agent: string, worker: WorkerOptions = {}): SchedulerMessage => ({kind: 'renewed', agent, snapshot: snapshotOf(agent, worker)});
+const confirmStop = (incarnation: string): SchedulerMessage => ({
+	kind: 'stop-answered', agent: 'a', incarnation, orders: [start],
+});
+const stopConfirmed = confirmStop('1');
+const left: SchedulerMessage = {
+	kind: 'incarnation-ended', agent: 'a', worker: 'w-a' as WorkerId, incarnation: '1', ending: 'left', ended: [],
+};
+
+/** What the agent beside the first worker reports; undefined if it reports no worker. */
+type Report = (time: number) => WorkerOptions | undefined;
+
+/** Lets time pass while agents report; returns when, and beside which agent, tasks start. */
+function observe(driver: Driver, duration: number, report: Report): ReadonlyArray<Readonly<{agent: string; run: number; at: number}>> {
+	const starts: Array<Readonly<{agent: string; run: number; at: number}>> = [];
+	for (let passed = 0; passed < duration; passed += checkMilliseconds) {
+		const snapshot = report(driver.time());
+		const effects = [
+			...driver.send(snapshot === undefined ? {kind: 'renewed', agent: 'a', snapshot: undefined} : renewal('a', snapshot)),
+			...driver.send(renewal('b')),
+			...driver.elapse(checkMilliseconds),
+		];
+		starts.push(...startsOf(effects).map(({agent, run}) => ({agent, run, at: driver.time()})));
+	}
+
+	return starts;
+}
+
+/** The agent lists the start as long as a late order may be carried out. */
+const listed = (change: WorkerOptions = {}): Report => time => ({unansweredStarts: knowing(time < lateCallMilliseconds ? lateCallMilliseconds - time : undefined), ...change});
+
+type Case = Readonly<{
+	name: string;
+	step?: Partial<JobStep>;
+	/** Answer of the worker to the start. */
+	answered?: 'started' | 'no-room' | 'unknown';
+	/** After the start was stopped. */
+	messages: readonly SchedulerMessage[];
+	report: Report;
+	/** When the task may start again at the earliest, and beside which agents. */
+	from: number;
+	agents?: readonly string[];
+}>;
+
+const cases: readonly Case[] = [
+	{
+		name: 'the worker confirmed its stop (start carried out by a later incarnation beside the next run)',
+		messages: [stopConfirmed], report: listed(), from: lateCallMilliseconds, agents: ['b'],
+	},
+	{
+		name: 'the worker confirmed its stop and left; it may come back under its identifier (start carried out after the return)',
+		messages: [stopConfirmed, renewal('a', {unansweredStarts: knowing(lateCallMilliseconds - stoppedAt)}), left],
+		report: () => undefined,
+		from: lateCallMilliseconds,
+		agents: ['b'],
+	},
+	{
+		name: 'the worker left before it confirmed a stop (start carried out after its return)',
+		messages: [left], report: () => undefined, from: orderDeliveryMilliseconds + lateCallMilliseconds, agents: ['b'],
+	},
+	{
+		name: 'the worker started again and confirmed the stop (start carried out by a third incarnation)',
+		messages: [renewal('a', {incarnation: '2', unansweredStarts: knowing(lateCallMilliseconds - stoppedAt)}), confirmStop('2')], report: listed({incarnation: '2'}), from: lateCallMilliseconds,
+	},
+	{
+		name: 'the agent started again and lost its list (start carried out although no agent knows of it)',
+		messages: [stopConfirmed], report: time => ({unansweredStarts: knowing(undefined, time - stoppedAt)}), from: orderDeliveryMilliseconds + lateCallMilliseconds,
+	},
+	{
+		name: 'the agent is of an earlier release (start carried out although no agent lists it)',
+		messages: [stopConfirmed], report: () => ({unansweredStarts: undefined}), from: orderDeliveryMilliseconds + lateCallMilliseconds,
+	},
+	{
+		name: 'all members of its gang wait with it (part of a gang beside a late start of another)',
+		step: {count: 2, accelerators: 5, isGang: true},
+		messages: [stopConfirmed, {
+			kind: 'stop-answered', agent: 'b', incarnation: '1', orders: [{task: taskOf(1, 1), run: 1}],
+		}],
+		report: listed(),
+		from: lateCallMilliseconds,
+	},
+	{
+		name: 'a stop is listed as its end, so that the start was carried out (task that waits without reason)',
+		messages: [], report: time => ({unansweredStarts: knowing(undefined, 0), ended: time < stoppedAt + 100 ? [endedRunOf(1, taskOf(1), 1, 'stopped')] : []}), from: stoppedAt,
+	},
+	{
+		name: 'another worker took its place, which refuses the start (task that waits although the start is void)',
+		messages: [stopConfirmed], report: () => ({worker: 'w-other' as WorkerId, unansweredStarts: knowing(undefined)}), from: stoppedAt,
+	},
+	{
+		name: 'the agent knows that the start was refused or never arrived (task that waits although the start is void)',
+		messages: [stopConfirmed], report: () => ({unansweredStarts: knowing(undefined)}), from: stoppedAt,
+	},
+	{
+		name: 'the answer came after the stop was ordered, so that the start was carried out (task that waits without reason)',
+		messages: [answer('started'), stopConfirmed], report: () => ({unansweredStarts: knowing(undefined, 0)}), from: stoppedAt,
+	},
+];
+
+describe('a task whose start was not answered starts again only when that start cannot be carried out any more', () => {
+	for (const {name, step = {}, messages, report, from, agents = ['a', 'b']} of cases) {
+		it(name, () => {
+			const driver = createReadyDriver([['a']]);
+			driver.send({kind: 'submitted', submission: submissionOf(1, [step])});
+			driver.send(renewal('b'));
+			driver.send(answer('unknown'));
+			driver.elapse(stoppedAt);
+			for (const message of messages) {
+				expect(startsOf(driver.send(message)), 'starts when the run is released').to.deep.equal([]);
+			}
+
+			const starts = observe(driver, (2 * lateCallMilliseconds) - stoppedAt, report);
+			expect(starts[0]?.run).to.equal(2);
+			expect(starts[0]?.at).to.be.within(from, from + (3 * checkMilliseconds));
+			expect(agents).to.include(starts[0]?.agent);
+		});
+	}
+
+	it('a refused start delays nothing (task that waits although the worker did nothing)', () => {
+		const driver = createReadyDriver([['a']]);
+		driver.send({kind: 'submitted', submission: submissionOf(1, [{}])});
+		driver.send(renewal('b'));
+		// The agent reports while the call is under way.
+		driver.send(renewal('a', {unansweredStarts: knowing(lateCallMilliseconds)}));
+		expect(startsOf(driver.send(answer('no-room'))).map(({run}) => run)).to.deep.equal([2]);
+	});
+
+	it('a new scheduler learns of the start from the agent (start of an earlier term carried out beside the next run)', () => {
+		const driver = createDriver({epoch: 2});
+		driver.send({kind: 'configured', configuration});
+		driver.send(renewal('b'));
+		driver.send(renewal('a', {unansweredStarts: knowing(5000)}));
+		driver.send({
+			kind: 'loaded', workers: [], jobs: [{
+				submission: submissionOf(1, [{}]), isCancelled: false, progress: {outcome: 'running', tasks: {}, agents: ['a', 'b']}, keyVersion: 1,
+			}],
+		});
+		const starts = observe(driver, 8000, time => ({unansweredStarts: knowing(time < 5000 ? 5000 - time : undefined)}));
+		expect(starts[0]?.at).to.be.within(5000, 5000 + (2 * checkMilliseconds));
+	});
+
+	it('the other tasks of a job wait with one whose start crashed its worker (worker after worker crashes)', () => {
+		const driver = createReadyDriver([['a']]);
+		driver.send({kind: 'submitted', submission: submissionOf(1, [{count: 3, accelerators: 8}])});
+		driver.send(answer('unknown'));
+		const restarted = renewal('a', {incarnation: '2', unansweredStarts: knowing(lateCallMilliseconds)});
+		expect([restarted, confirmStop('2'), restarted, renewal('b')].flatMap(message => startsOf(driver.send(message)))).to.deep.equal([]);
+		expect(driver.state().jobs.first()?.tasks.get(taskOf(1))?.crashes).to.deep.equal([{run: 1, hadProgress: false}]);
+		expect(startsOf(driver.elapse(1000))).to.deep.equal([]);
+	});
+
+	it('a start that is carried out late is the task\'s run (task that waits beside its own run)', () => {
+		const driver = createReadyDriver([['a']]);
+		driver.send({kind: 'submitted', submission: submissionOf(1, [{}])});
+		driver.send(answer('unknown'));
+		driver.elapse(stoppedAt);
+		driver.send(stopConfirmed);
+		driver.send(renewal('a', {unansweredStarts: knowing(lateCallMilliseconds - stoppedAt)}));
+		driver.send(renewal('a', {incarnation: '2', running: [reportedRunOf(taskOf(1), 1)], unansweredStarts: knowing(undefined)}));
+		expect(driver.state().jobs.first()?.tasks.get(taskOf(1))?.run).to.include({run: 1, stage: 'running', isStartConfirmed: true});
+	});
+});
