Report an ended incarnation's ends to the next scheduler as well

A task could start again after it was done: an agent forgot the last ends of a worker that left, or started again, once a scheduler had received them. A scheduler that loses its lease before it has stored them loses them with its term, and the next one starts the task again. Listed ends of a worker that stays are acknowledged only once they are stored; these were not.

One that knows them ignores them: an end of an incarnation that is not known counts only as done or failed, once by run.

The new case "an end that a scheduler received is reported to the next one" failed before ("expected [] to have a length of 1"), and passes.

--- a/packages/supervision/receive.ts
+++ b/packages/supervision/receive.ts
@@ -1,6 +1,6 @@
 import {assertNever, type MonotonicTime, type CurrentTime} from '#core';
 import {handleAnnouncement} from './announcements.js';
-import {suspensionThresholdMilliseconds} from './constants.js';
+import {lostRunRetentionMilliseconds, maximumEndedIncarnations, suspensionThresholdMilliseconds} from './constants.js';
 import {handleDepartureNotice, repeatChecks} from './incarnation-checks.js';
 import {
 	handleExtensionResult, extendLeasesNow, startExtending,
@@ -10,7 +10,7 @@
 } from './unanswered-starts.js';
 import {extendGrant} from './deadlines.js';
 import {incrementRevision, type SupervisionOptions, type SupervisionStep} from './state.js';
-import type {SupervisionMessage, SupervisionState} from './types.js';
+import type {EndedIncarnation, SupervisionMessage, SupervisionState} from './types.js';
 
 export const initialSupervisionState: SupervisionState = {
 	worker: undefined,
@@ -19,6 +19,7 @@
 	isCheckScheduled: false,
 	unansweredStarts: [],
 	endedIncarnations: [],
+	reportedIncarnations: [],
 	lostRuns: [],
 	epoch: 0,
 	grantUntil: 0,
@@ -66,10 +67,7 @@
 		}
 
 		case 'incarnation-end-reported': {
-			return {
-				state: incrementRevision({...state, endedIncarnations: state.endedIncarnations.filter(ended => ended !== message.incarnation)}),
-				effects: [],
-			};
+			return {state: noteReportedEnd(state, message.incarnation, monotonic), effects: []};
 		}
 
 		case 'epoch-raised': {
@@ -139,13 +137,29 @@
 		return {state, effects: []};
 	}
 
-	const extended = extendLeasesNow(incrementRevision({...state, epoch}), monotonic, options);
+	const extended = extendLeasesNow(incrementRevision({...reportEndsAgain(state, monotonic), epoch}), monotonic, options);
 	return {
 		state: extended.state,
 		effects: [{kind: 'log', event: 'epoch-raised', fields: {epoch, earlier: state.epoch}}, ...extended.effects],
 	};
 }
 
+/** Notes that a scheduler has received the end of an incarnation. Ends that the incarnation listed are kept, until they are certainly stored or too old to matter. */
+function noteReportedEnd(state: SupervisionState, ended: EndedIncarnation, at: MonotonicTime): SupervisionState {
+	const isNew = state.endedIncarnations.includes(ended) && ended.ended.length > 0;
+	return incrementRevision({
+		...state,
+		endedIncarnations: state.endedIncarnations.filter(other => other !== ended),
+		reportedIncarnations: isNew ? [...state.reportedIncarnations, {ended, at}].slice(-maximumEndedIncarnations) : state.reportedIncarnations,
+	});
+}
+
+/** Lists the ends that an earlier scheduler received for the next one. */
+function reportEndsAgain(state: SupervisionState, monotonic: MonotonicTime): SupervisionState {
+	const again = state.reportedIncarnations.filter(({at}) => monotonic - at < lostRunRetentionMilliseconds).map(({ended}) => ended);
+	return {...state, endedIncarnations: [...again, ...state.endedIncarnations].slice(-maximumEndedIncarnations), reportedIncarnations: []};
+}
+
 /** Adds a started run before the worker's next list arrives, so that no report omits it. */
 function handleStarted(state: SupervisionState, {incarnation, task, run, clock}: Extract<SupervisionMessage, {kind: 'started'}>, monotonic: MonotonicTime): SupervisionStep {
 	const {worker} = state;
--- a/packages/supervision/types.ts
+++ b/packages/supervision/types.ts
@@ -79,6 +79,8 @@
 	unansweredStarts: readonly UnansweredStart[];
 	/** Incarnations whose end no scheduler has confirmed yet, oldest first. */
 	endedIncarnations: readonly EndedIncarnation[];
+	/** Incarnations whose ends a scheduler has received, with the time. They are reported again to the next one, since the first may be lost before it has stored them. */
+	reportedIncarnations: ReadonlyArray<Readonly<{ended: EndedIncarnation; at: MonotonicTime}>>;
 	/** Runs that had made no progress when their incarnation crashed, with the time when the next one announced itself. */
 	lostRuns: ReadonlyArray<LostRun & Readonly<{at: MonotonicTime}>>;
 	/** Highest known epoch of a scheduler. */
--- a/test/supervision/incarnations.test.ts
+++ b/test/supervision/incarnations.test.ts
@@ -2,7 +2,7 @@
 import type {WorkerId} from '#core';
 import type {EndedRun} from '#jobs';
 import {
-	describeWorker, isAnswerOf, lateCallMilliseconds, receiveSupervisionMessage, type LeaseExtensionResult, type SupervisionEffect, type SupervisionMessage, type SupervisionState,
+	describeWorker, isAnswerOf, lateCallMilliseconds, lostRunRetentionMilliseconds, receiveSupervisionMessage, type LeaseExtensionResult, type SupervisionEffect, type SupervisionMessage, type SupervisionState,
 } from '#supervision';
 import {
 	announcement, applyMessages, buildExtension, extensionAnswered, granted, options, startedAt10, task,
@@ -156,6 +156,19 @@
 		expect(reported.state.endedIncarnations).to.deep.equal([]);
 	});
 
+	for (const {name, at, count} of [
+		{name: 'an end that a scheduler received is reported to the next one, as the first may not have stored it (done task started again after a takeover)', at: 1000, count: 1},
+		{name: 'an end that a scheduler received long ago is not reported again (reports that grow without end)', at: 30 + lostRunRetentionMilliseconds, count: 0},
+	]) {
+		it(name, () => {
+			const {state} = applyMessages([...startedAt10, [20, answered('100', {ended: [done]})], [22, departed], [25, unanswered('absent')]]);
+			const reported = receiveSupervisionMessage(state, {kind: 'incarnation-end-reported', incarnation: state.endedIncarnations[0]!}, {now: 30, monotonic: 30}, options).state;
+			expect(reported.endedIncarnations).to.deep.equal([]);
+			const {state: next} = receiveSupervisionMessage(reported, {kind: 'epoch-raised', epoch: 4}, {now: at, monotonic: at}, options);
+			expect(next.endedIncarnations.flatMap(({ended}) => ended)).to.have.length(count);
+		});
+	}
+
 	it('the leases that an earlier process of the agent extended count (running task released after a restart of the agent)', () => {
 		const {state} = applyMessages([
 			[0, {kind: 'announced', announcement: announcement()}],
