--- a/soak/check.ts
+++ b/soak/check.ts
@@ -94,7 +94,8 @@
 		}
 
 		case 'late-starts':
-		case 'late-orders': {
+		case 'late-orders':
+		case 'late-returns': {
 			return fault.duration + fault.delay;
 		}
 
@@ -168,7 +169,7 @@
 	}
 
 	// Delayed starts and faults can postpone the effect of orders sent before the cancellation.
-	const delays = plan.faults.map(fault => fault.kind === 'late-starts' || fault.kind === 'late-orders' ? fault.delay : 0);
+	const delays = plan.faults.map(fault => fault.kind === 'late-starts' || fault.kind === 'late-orders' || fault.kind === 'late-returns' ? fault.delay : 0);
 	const durations = plan.faults.map(fault => fault.kind === 'leave-worker' ? fault.departure.endsAfter : fault.duration);
 	const toleranceMilliseconds = cancelMilliseconds + Math.max(0, ...delays, ...durations);
 	const late = runs.filter(({startedAt}) => startedAt > cancelled + toleranceMilliseconds);
--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -49,6 +49,7 @@
 const workMillisecondsOf = {
 	programs: (index: number) => 300 + (index * 200),
 	'programs-and-workers': (index: number) => 600 + (index * 900),
+	'programs-workers-and-late-returns': (index: number) => 600 + (index * 900),
 } as const satisfies Readonly<Record<PlanScope, (index: number) => Milliseconds>>;
 
 export async function startFleet({seed, size: {entries, workers}, scope = 'programs'}: SoakPlan): Promise<Fleet> {
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -2,9 +2,10 @@
 import {
 	assertNever, createRandomSource, pickInteger, type RandomSource,
 } from '#core';
+import {planLateReturns} from './late-returns.js';
 import {pick} from './pick.js';
 import type {
-	LinkMode, PlanScope, ProgramFault, SoakPlan, SoakSize,
+	LinkMode, PlanScope, ProgramFault, SoakPlan, SoakSize, WorkerFault,
 } from './types.js';
 import {planWorkerFaults} from './worker-faults.js';
 
@@ -23,7 +24,7 @@
 const lateStartMilliseconds = 3000;
 
 /**
-Creates a plan; the same seed, size and scope give the same plan. Faults of workers come from a random source of their own, so that they leave those of the programs as they are.
+Creates a plan; the same seed, size and scope give the same plan. Faults of workers come from random sources of their own, so that they leave those of the programs as they are.
 
 @example
 ```
@@ -37,10 +38,31 @@
 	const times = Array.from({length: count}, () => Math.floor(random() * size.seconds * 1000)).toSorted((first, second) => first - second);
 	const faults = times.map((at, index) => planFault(at, index, size, random));
 	return {
-		seed, size, scope, faults: scope === 'programs' ? faults : [...faults, ...planWorkerFaults(seed, size)].toSorted((first, second) => first.at - second.at),
+		seed, size, scope, faults: [...faults, ...planFaultsOfWorkers(seed, size, scope)].toSorted((first, second) => first.at - second.at),
 	};
 }
 
+/** The faults that each scope adds come from a random source of their own. */
+function planFaultsOfWorkers(seed: number, size: SoakSize, scope: PlanScope): readonly WorkerFault[] {
+	switch (scope) {
+		case 'programs': {
+			return [];
+		}
+
+		case 'programs-and-workers': {
+			return planWorkerFaults(seed, size);
+		}
+
+		case 'programs-workers-and-late-returns': {
+			return [...planWorkerFaults(seed, size), ...planLateReturns(seed, size)];
+		}
+
+		default: {
+			return assertNever(scope);
+		}
+	}
+}
+
 function planFault(at: number, index: number, {entries, workers}: SoakSize, random: RandomSource): ProgramFault {
 	const duration = minimumDurationMilliseconds + Math.floor(random() * (maximumDurationMilliseconds - minimumDurationMilliseconds));
 	const kind = pick(programFaultKinds, random);
--- a/soak/regressions.ts
+++ b/soak/regressions.ts
@@ -25,4 +25,10 @@
 	{
 		seed: 1011, size: {entries: 3, workers: 5, seconds: 20}, scope: 'programs-and-workers', cause: 'a delayed departure released the runs of the worker\'s next incarnation',
 	},
+	{
+		seed: 320_211,
+		size: {entries: 3, workers: 5, seconds: 20},
+		scope: 'programs-and-workers',
+		cause: 'a worker that left after it had confirmed a stop came back under its identifier and carried the late start out',
+	},
 ];
--- a/soak/types.ts
+++ b/soak/types.ts
@@ -19,6 +19,16 @@
 	| Readonly<{kind: 'change-configuration'; version: number}>
 );
 
+/** How a worker ends and comes back under its identifier, after a pause. */
+export type WorkerReturn =
+	| Readonly<{kind: 'restart'; pause: Milliseconds; down: Milliseconds}>
+	/** The departure is confirmed. */
+	| Readonly<{kind: 'leave'; pause: Milliseconds; drain: Milliseconds; away: Milliseconds}>;
+
+/** For `interval`, starts get no answer and are carried out after `delay`; the worker then returns once or twice. */
+type LateReturnsPart = Readonly<{kind: 'late-returns'; index: number; interval: Milliseconds; delay: Milliseconds; returns: readonly WorkerReturn[]}>;
+export type LateReturns = FaultTime & LateReturnsPart;
+
 /** What happens to an incarnation of a worker, and to what was sent to it or by it. */
 export type WorkerFault = FaultTime & (
 	/** The worker crashes and starts again under its identifier; it takes orders for `silent` before it announces itself. */
@@ -29,6 +39,7 @@
 	| Readonly<{kind: 'leave-worker'; index: number; drain: Milliseconds; departure: Departure; away: Milliseconds; identifier: 'same' | 'new'; reportedAfter: Milliseconds}>
 	/** An announcement of the incarnation before arrives. */
 	| Readonly<{kind: 'late-announcement'; index: number}>
+	| LateReturnsPart
 );
 
 /** A fault injected from outside the programs; `at` is relative to the start of the callers. */
@@ -36,8 +47,8 @@
 
 export type SoakSize = Readonly<{entries: number; workers: number; seconds: number}>;
 
-/** Which faults a plan contains. Plans for `programs` stay as they were before there were faults of workers. */
-export const planScopes = ['programs', 'programs-and-workers'] as const;
+/** Which faults a plan contains. Each scope adds faults to those of the one before, whose plans stay as they were. */
+export const planScopes = ['programs', 'programs-and-workers', 'programs-workers-and-late-returns'] as const;
 export type PlanScope = typeof planScopes[number];
 
 /** Histories of earlier versions have no scope. */
--- a/soak/worker-faults.ts
+++ b/soak/worker-faults.ts
@@ -7,6 +7,7 @@
 import {pick} from './pick.js';
 import type {Fault, SoakSize, WorkerFault} from './types.js';
 
+/** Another kind would change the plans of known seeds. */
 const workerFaultKinds = ['restart-worker', 'late-orders', 'leave-worker', 'late-announcement'] as const satisfies ReadonlyArray<WorkerFault['kind']>;
 type DelayedOrders = readonly OrderKind[];
 const delayedOrders: readonly [DelayedOrders, ...DelayedOrders[]] = [['start'], ['stop'], ['hold'], ['start', 'stop'], ['start', 'stop', 'hold']];
@@ -30,7 +31,7 @@
 } as const satisfies Readonly<Record<string, readonly [Milliseconds, Milliseconds]>>;
 
 export function isWorkerFault(fault: Fault): fault is WorkerFault {
-	const kinds: ReadonlyArray<Fault['kind']> = workerFaultKinds;
+	const kinds: ReadonlyArray<Fault['kind']> = [...workerFaultKinds, 'late-returns'];
 	return kinds.includes(fault.kind);
 }
 
--- a/soak/worker-incidents.ts
+++ b/soak/worker-incidents.ts
@@ -1,8 +1,9 @@
 /** Applies the faults of workers to the stand-ins of a fleet. */
 import {assertNever} from '#core';
 import {sleep, systemClock} from '#kernel';
+import type {Departure} from '#test/support/platform/worker-announcements';
 import type {PlatformWorker} from '#test/support/platform/worker';
-import type {WorkerFault} from './types.js';
+import type {WorkerFault, WorkerReturn} from './types.js';
 
 /** Injects a fault and resolves when it is over. A worker is not restarted while it leaves, and does not leave twice at a time. */
 export type ApplyWorkerFault = (fault: WorkerFault) => Promise<void>;
@@ -28,6 +29,36 @@
 		await sleep(systemClock, downMilliseconds + silentMilliseconds + restartMarginMilliseconds);
 	});
 
+	const leave = async (index: number, {drain, departure, away, identifier}: Leave) => change(index, async worker => {
+		worker.drain(drain);
+		await sleep(systemClock, drain);
+		await worker.depart(departure);
+		await sleep(systemClock, away);
+		await worker.comeBack(identifier === 'new' ? `i-${index}-${++lives}` : undefined);
+	});
+
+	const carryOutReturn = async (index: number, planned: WorkerReturn) => {
+		await sleep(systemClock, planned.pause);
+		switch (planned.kind) {
+			case 'restart': {
+				await restart(index, planned.down, 0);
+				break;
+			}
+
+			case 'leave': {
+				const {drain, away} = planned;
+				await leave(index, {
+					drain, departure: {kind: 'confirmed', endsAfter: returnEndsAfterMilliseconds}, away, identifier: 'same',
+				});
+				break;
+			}
+
+			default: {
+				assertNever(planned);
+			}
+		}
+	};
+
 	return async fault => {
 		switch (fault.kind) {
 			case 'restart-worker': {
@@ -48,13 +79,7 @@
 			}
 
 			case 'leave-worker': {
-				await change(fault.index, async worker => {
-					worker.drain(fault.drain);
-					await sleep(systemClock, fault.drain);
-					await worker.depart(fault.departure);
-					await sleep(systemClock, fault.away);
-					await worker.comeBack(fault.identifier === 'new' ? `i-${fault.index}-${++lives}` : undefined);
-				});
+				await leave(fault.index, fault);
 				if (fault.departure.kind === 'report-delayed') {
 					await sleep(systemClock, fault.reportedAfter);
 					await workers[fault.index]?.deliverLate('departure');
@@ -68,6 +93,18 @@
 				break;
 			}
 
+			case 'late-returns': {
+				const worker = workers[fault.index];
+				worker?.delayOrders(['start'], fault.delay);
+				await sleep(systemClock, fault.interval);
+				worker?.answerOrders();
+				for (const planned of fault.returns) {
+					await carryOutReturn(fault.index, planned);
+				}
+
+				break;
+			}
+
 			default: {
 				assertNever(fault);
 			}
@@ -75,5 +112,9 @@
 	};
 }
 
+type Leave = Pick<Extract<WorkerFault, {kind: 'leave-worker'}>, 'drain' | 'away' | 'identifier'> & Readonly<{departure: Departure}>;
+
+/** A worker whose departure is not confirmed ends after this time. */
+const returnEndsAfterMilliseconds = 2000;
 /** Time to listen again after a restart. */
 const restartMarginMilliseconds = 50;
--- a/test/soak/run.test.ts
+++ b/test/soak/run.test.ts
@@ -3,6 +3,7 @@
 import {planSoak} from '#soak/plan';
 import {regressionSeeds, type RegressionSeed} from '#soak/regressions';
 import {runSoak} from '#soak/run';
+import {isWorkerFault} from '#soak/worker-faults';
 
 /** A short run of the whole system, and the seeds that once violated an invariant. */
 const seeds: readonly RegressionSeed[] = [{
@@ -29,6 +30,10 @@
 		const size = {entries: 3, workers: 5, seconds: 20};
 		const {faults} = planSoak(235, size);
 		expect(faults.slice(0, 6).map(({at, kind}) => `${at} ${kind}`)).to.deep.equal(['322 late-starts', '3635 compact-store', '4759 store', '6075 compact-store', '8523 store', '9549 kill-entry']);
-		expect(planSoak(235, size, 'programs-and-workers').faults).to.include.deep.members([...faults]);
+		const withWorkers = planSoak(235, size, 'programs-and-workers').faults;
+		expect(withWorkers).to.include.deep.members([...faults]);
+		const kinds = withWorkers.filter(fault => isWorkerFault(fault)).slice(0, 4).map(({at, kind}) => `${at} ${kind}`);
+		expect(kinds).to.deep.equal(['7116 restart-worker', '7553 restart-worker', '8642 restart-worker', '11036 restart-worker']);
+		expect(planSoak(235, size, 'programs-workers-and-late-returns').faults).to.include.deep.members([...withWorkers]);
 	});
 });
