--- a/test/coordinator/orders.test.ts
+++ b/test/coordinator/orders.test.ts
@@ -1,4 +1,5 @@
 import {expect} from 'chai';
+import type {WorkerId} from '#core';
 import {
 	agentsService, createWorkersRecord, sendStarts, storePort, type Term,
 } from '#coordinator';
@@ -63,6 +64,15 @@
 		unsent: [1],
 		maximumWrites: 6,
 	},
+	{
+		name: 'an order to a worker whose place another one took ends (record written again and again)',
+		meanwhile(driver) {
+			driver.send({kind: 'renewed', agent: 'a', snapshot: snapshotOf('a', {worker: 'w-2' as WorkerId, incarnation: '2'})});
+		},
+		sent: [],
+		unsent: [1],
+		maximumWrites: 6,
+	},
 ];
 
 /** Refuses writes until 1 s has passed; each write takes 10 ms. */
--- a/test/supervision/incarnations.test.ts
+++ b/test/supervision/incarnations.test.ts
@@ -2,7 +2,8 @@
 import type {WorkerId} from '#core';
 import type {EndedRun} from '#jobs';
 import {
-	describeWorker, isAnswerOf, lateCallMilliseconds, lostRunRetentionMilliseconds, receiveSupervisionMessage, type LeaseExtensionResult, type SupervisionEffect, type SupervisionMessage, type SupervisionState,
+	describeWorker, isAnswerOf, lateCallMilliseconds, lostRunRetentionMilliseconds, receiveSupervisionMessage,
+	type LeaseExtensionResult, type SupervisionEffect, type SupervisionMessage, type SupervisionState,
 } from '#supervision';
 import {
 	announcement, applyMessages, buildExtension, extensionAnswered, granted, options, startedAt10, task,
