--- a/test/platform/incarnations.test.ts
+++ b/test/platform/incarnations.test.ts
@@ -240,6 +240,33 @@
 			await waitForState(deployment, first, 'completed');
 		},
 	},
+	{
+		name: 'an unanswered acknowledgement of an earlier process of the agent does not acknowledge ends of the next incarnation (agent restarted together with its worker)',
+		options: {entries: 1, workers: 1, workMilliseconds: 2000},
+		async run(deployment) {
+			const [worker] = deployment.workers;
+			await submit(deployment, first);
+			const ended = await waitForStart(deployment, first);
+			while (ended.listedAt === undefined) {
+				await pause(1);
+			}
+
+			worker!.delayOrders(['hold'], 'until-told');
+			await waitFor('late acknowledgement', async () => worker!.lateOrders().some(({order}) => order.last_seen === 1) ? true : undefined);
+			worker!.answerOrders();
+			worker!.crash({downMilliseconds: 100});
+			await deployment.restartAgent(0);
+			await submit(deployment, second);
+			const record = await waitForStart(deployment, second);
+			// The answers that would list the end are lost.
+			await pause(500);
+			worker!.delayOrders(['hold'], 0);
+			await waitFor('end', async () => record.endedAt);
+			worker!.carryOutLateOrders();
+			worker!.answerOrders();
+			await waitForState(deployment, second, 'completed');
+		},
+	},
 	{
 		name: 'a start of a worker that left is no second run under the next scheduler (start carried out after the worker came back)',
 		options: {entries: 2, workers: 2, workMilliseconds: 6000},
