Count the lease of a run that a late start begins unseen

A task could start again while the late start of it still ran: on the next incarnation of a worker whose agent is away, a start that is carried out after 12 s runs until its lease ends, up to 10 s later, and nobody reports it. The wait ended 15 s after the order.

While no agent reports the worker, the wait lasts as long as that lease. A start that was ordered at the very time from which an agent's list goes back counts as unknown to it.

--- a/packages/scheduling/constants.ts
+++ b/packages/scheduling/constants.ts
@@ -10,6 +10,8 @@
 export const runsPerEpoch = 1000;
 /** Time after which an unanswered start that the worker does not list is stopped and retried. */
 export const startConfirmationMilliseconds = 1200;
+/** Longest lease that the platform's workers grant. */
+export const maximumLeaseMilliseconds = 10_000;
 /** Longest time until an order has reached its agent, with the report that answers it: a renewal that gets no answer fails earlier, with the connection. */
 export const orderDeliveryMilliseconds = 2000;
 /** Time after which a stop is ordered again if the end of the run is not listed. */
--- a/packages/scheduling/unanswered-starts.ts
+++ b/packages/scheduling/unanswered-starts.ts
@@ -6,15 +6,25 @@
 import type {MonotonicTime, WorkerId} from '#core';
 import {lateCallMilliseconds, type TaskName, type WorkerSnapshot} from '#jobs';
 import {avoidWorker, isAvoided} from './avoidance.js';
-import {orderDeliveryMilliseconds} from './constants.js';
+import {maximumLeaseMilliseconds, orderDeliveryMilliseconds} from './constants.js';
 import {findTask, markChanged, withTask} from './state.js';
 import type {
 	AgentName, SchedulerEffect, SchedulerState, TaskRun, UnansweredStart,
 } from './types.js';
 
-/** Whether an earlier start of the task may still be carried out; not if another worker took the place of the one that it was for. */
-export function hasUnansweredStart({unansweredStarts, workers}: SchedulerState, task: TaskName, monotonic: MonotonicTime): boolean {
-	return unansweredStarts.get(task)?.some(({agent, worker, until}) => monotonic < until && (workers.get(agent)?.snapshot.worker ?? worker) === worker) === true;
+/** Whether an earlier start of the task may still be carried out, or run unseen; not if another worker took the place of the one that it was for. */
+export function hasUnansweredStart(state: SchedulerState, task: TaskName, monotonic: MonotonicTime): boolean {
+	return state.unansweredStarts.get(task)?.some(start => mayRun(state, start, monotonic)) === true;
+}
+
+function mayRun({workers}: SchedulerState, {agent, worker, until}: UnansweredStart, monotonic: MonotonicTime): boolean {
+	const current = workers.get(agent);
+	if (current !== undefined && current.snapshot.worker !== worker) {
+		return false;
+	}
+
+	// A run that the start has begun is reported, or lasts as long as its lease.
+	return monotonic < until + (current?.contact === 'attached' ? 0 : maximumLeaseMilliseconds);
 }
 
 /** Records the start of a run that is released, unless the worker has confirmed it: then it has been carried out. */
@@ -39,7 +49,7 @@
 	const {knownForMilliseconds, starts} = unansweredStarts;
 	const isListed = (task: TaskName, {run}: UnansweredStart) => starts.some(listed => listed.task === task && listed.run === run);
 	const isSettled = (task: TaskName, start: UnansweredStart) => start.agent === agent && start.worker === worker && !isListed(task, start)
-		&& start.orderedAt >= monotonic - knownForMilliseconds
+		&& start.orderedAt > monotonic - knownForMilliseconds
 		&& start.orderedAt <= monotonic - orderDeliveryMilliseconds;
 	let next = removeStarts(state, isSettled, monotonic);
 	for (const {task, run, remainingMilliseconds} of starts) {
@@ -57,7 +67,7 @@
 
 /** Forgets starts that can no longer be carried out. */
 export function expireUnansweredStarts(state: SchedulerState, monotonic: MonotonicTime): SchedulerState {
-	return removeStarts(state, (_, {until}) => until <= monotonic, monotonic);
+	return removeStarts(state, (_, start) => !mayRun(state, start, monotonic) && start.until <= monotonic, monotonic);
 }
 
 /** Logs the tasks that wait from now on, so that their delay can be explained. */
