--- a/packages/scheduling/unanswered-starts.ts
+++ b/packages/scheduling/unanswered-starts.ts
@@ -3,11 +3,10 @@
 
 A call without an answer may be carried out seconds later. The stop that a worker confirmed binds that incarnation only: a later one with the same identifier knows neither the stop nor the epoch, and would run the task beside its next run, or after its end.
 */
-import type {MonotonicTime, WorkerId} from '#core';
+import type {MonotonicTime} from '#core';
 import {lateCallMilliseconds, type TaskName, type WorkerSnapshot} from '#jobs';
-import {avoidWorker, isAvoided} from './avoidance.js';
 import {maximumLeaseMilliseconds, orderDeliveryMilliseconds} from './constants.js';
-import {findTask, markChanged, withTask} from './state.js';
+import {findTask, markChanged} from './state.js';
 import type {
 	AgentName, SchedulerEffect, SchedulerState, TaskRun, UnansweredStart,
 } from './types.js';
@@ -95,25 +94,16 @@
 	return {...state, unansweredStarts: state.unansweredStarts.set(task, [...others, start])};
 }
 
-/** Removes starts. Their tasks wait for a worker, and avoid the earlier one, from now on: until now they could not start. */
+/** Removes starts; their tasks wait for a worker from now on, since until now they could not start. */
 function removeStarts(state: SchedulerState, isObsolete: (task: TaskName, start: UnansweredStart) => boolean, monotonic: MonotonicTime): SchedulerState {
 	let next = state;
 	for (const [task, starts] of state.unansweredStarts) {
 		const remaining = starts.filter(start => !isObsolete(task, start));
 		if (remaining.length < starts.length) {
 			const unansweredStarts = remaining.length === 0 ? next.unansweredStarts.delete(task) : next.unansweredStarts.set(task, remaining);
-			next = starts.filter(start => !remaining.includes(start)).reduce((changed, {worker}) => beginWaiting(changed, task, worker, monotonic), {...next, unansweredStarts});
+			next = markChanged({...next, unansweredStarts}, task, monotonic);
 		}
 	}
 
 	return next;
 }
-
-function beginWaiting(state: SchedulerState, name: TaskName, avoided: WorkerId, monotonic: MonotonicTime): SchedulerState {
-	const task = findTask(state, name);
-	if (task === undefined || task.isDone || task.run !== undefined) {
-		return state;
-	}
-
-	return markChanged(isAvoided(task, avoided, monotonic) ? state : withTask(state, name, avoidWorker(task, avoided, monotonic)), name, monotonic);
-}
