Prefer workers that a task has not avoided, also after the avoidance has ended

A job never ended while a worker with room answered each start too late: its task was placed there again after each wait of 15 s, although another worker was idle.

Cause: the wait for an unanswered start is longer than the avoidance of 7 s, and took out its renewal, since review/4 then waited 20 s beside the only worker with room. The tightest fit, with equal workers the first, was chosen anew.

While the avoidance lasts it waits for others as before; after it, it takes such a worker only if no other has room now, so that nothing waits for it. Gangs first try the workers that none of their members avoided.

--- a/packages/scheduling/constants.ts
+++ b/packages/scheduling/constants.ts
@@ -34,6 +34,8 @@
 export const avoidanceMilliseconds = 4000;
 /** How long a task avoids a worker on which it failed, got stuck or was not confirmed to have started. The platform's disturbances last 4 to 7 s; without an end, the task would wait for others although only this worker has room. */
 export const taskAvoidanceMilliseconds = 7000;
+/** How many workers a task prefers not to return to; bounds its state when starts stay unanswered for days. */
+export const rememberedAvoidances = 16;
 /** How long a worker that refused a start gets no other one, unless it reported that it is unhealthy. */
 export const refusalPauseMilliseconds = 400;
 /** How much longer gangs take in several racks, and tasks away from the rack of their data, according to the platform. */
--- a/packages/scheduling/place.ts
+++ b/packages/scheduling/place.ts
@@ -1,6 +1,6 @@
 import type {MonotonicTime} from '#core';
 import {parseTaskName, type TaskName} from '#jobs';
-import {isAvoided} from './avoidance.js';
+import {compareAvoidance, isAvoided} from './avoidance.js';
 import {
 	countFitting, isIdle, withReclaimableRoom, type Pool, type PoolWorker,
 } from './pool.js';
@@ -8,7 +8,7 @@
 	countRuns, isLowRankWithoutCheckpoints, isUtilizationLow, limitToShare, limitToProbeTasks,
 } from './low-rank.js';
 import {resourcesOf} from './state.js';
-import type {AgentName} from './types.js';
+import type {AgentName, TaskState} from './types.js';
 import type {SchedulingUnit} from './units.js';
 
 export type Placement = Readonly<{task: TaskName; agent: AgentName}>;
@@ -109,11 +109,10 @@
 function placeGang(unit: SchedulingUnit, candidates: readonly PoolWorker[], pool: Pool, monotonic: MonotonicTime): readonly Placement[] {
 	const {step, tasks} = unit;
 	const preferredWorkers = listPreferredWorkers(unit, candidates, monotonic);
-	const preferredRacks = groupByRack(preferredWorkers, candidate => candidate)
-		.filter(([first]) => step.dataRack === undefined || first?.worker.snapshot.rack === step.dataRack);
+	const neverAvoided = listNeverAvoided(unit, preferredWorkers);
+	const choices = neverAvoided === preferredWorkers ? [preferredWorkers] : [neverAvoided, preferredWorkers];
 	if (step.prefersOneRack || step.dataRack !== undefined) {
-		const fitting = preferredRacks.map(rack => distributeTasks(unit, rack)).filter(taskCounts => countPlaced(taskCounts) >= tasks.length);
-		const best = fitting.toSorted((first, second) => countFreeAccelerators(first, pool) - countFreeAccelerators(second, pool))[0];
+		const best = choices.map(workers => placeGangInRack(unit, workers, pool)).find(taskCounts => taskCounts !== undefined);
 		if (best !== undefined) {
 			return assign(tasks, best);
 		}
@@ -123,11 +122,21 @@
 		}
 	}
 
-	const taskCounts = distributeTasks(unit, preferredWorkers);
-	return countPlaced(taskCounts) >= tasks.length ? assign(tasks, taskCounts) : [];
+	const taskCounts = choices.map(workers => distributeTasks(unit, workers)).find(counts => countPlaced(counts) >= tasks.length);
+	return taskCounts === undefined ? [] : assign(tasks, taskCounts);
 }
 
-/** Places tasks on the workers with the tightest fit by accelerators. A task leaves out the workers that it avoids if there are others, also full ones: it has few attempts. */
+/** Places a gang in the rack with the tightest fit, or in that of its data. */
+function placeGangInRack(unit: SchedulingUnit, workers: readonly PoolWorker[], pool: Pool): TaskCounts | undefined {
+	const {step: {dataRack}, tasks} = unit;
+	return groupByRack(workers, worker => worker)
+		.filter(([first]) => dataRack === undefined || first?.worker.snapshot.rack === dataRack)
+		.map(rack => distributeTasks(unit, rack))
+		.filter(taskCounts => countPlaced(taskCounts) >= tasks.length)
+		.toSorted((first, second) => countFreeAccelerators(first, pool) - countFreeAccelerators(second, pool))[0];
+}
+
+/** Places tasks on the workers with the tightest fit by accelerators. A task leaves out the workers that it avoids if there are others, also full ones: it has few attempts. Then it takes a worker that it avoided before only if no other has room, since its orders may still get no answer. */
 function placeTasks(unit: SchedulingUnit, candidates: readonly PoolWorker[], monotonic: MonotonicTime): readonly Placement[] {
 	const need = resourcesOf(unit.step);
 	const slots = orderByFit(unit, candidates, monotonic).map(candidate => ({
@@ -145,9 +154,11 @@
 
 		const state = unit.job.tasks.get(task);
 		const mayAvoid = state !== undefined && state.avoided.length > 0 && candidates.some(({worker}) => !isAvoided(state, worker.snapshot.worker, monotonic));
-		const slot = mayAvoid
-			? slots.find(({worker, remaining}) => remaining > 0 && !isAvoided(state, worker, monotonic))
-			: slots[firstOpen];
+		const slot = state === undefined || state.avoided.length === 0
+			? slots[firstOpen]
+			: slots
+				.filter(({worker, remaining}) => remaining > 0 && !(mayAvoid && isAvoided(state, worker, monotonic)))
+				.toSorted((first, second) => compareAvoidance(state, first.worker, second.worker))[0];
 		if (slot !== undefined) {
 			slot.remaining--;
 			placements.push({task, agent: slot.agent});
@@ -218,7 +229,7 @@
 
 /** Leaves out the workers that members of the gang avoid, but only if it would fit on the others once their runs have ended. */
 function listPreferredWorkers(unit: SchedulingUnit, candidates: readonly PoolWorker[], monotonic: MonotonicTime): readonly PoolWorker[] {
-	const members = unit.tasks.map(task => unit.job.tasks.get(task)).filter(task => task !== undefined && task.avoided.length > 0);
+	const members = listAvoidingTasks(unit);
 	if (members.length === 0) {
 		return candidates;
 	}
@@ -226,3 +237,13 @@
 	const others = candidates.filter(({worker}) => !members.some(member => isAvoided(member, worker.snapshot.worker, monotonic)));
 	return countPlaced(distributeTasks(unit, others.map(candidate => withReclaimableRoom(candidate)))) >= unit.tasks.length ? others : candidates;
 }
+
+/** Leaves out the workers that members of the gang ever avoided. */
+function listNeverAvoided(unit: SchedulingUnit, candidates: readonly PoolWorker[]): readonly PoolWorker[] {
+	const avoided = new Set(listAvoidingTasks(unit).flatMap(member => member.avoided.map(({worker}) => worker)));
+	return avoided.size === 0 ? candidates : candidates.filter(({worker}) => !avoided.has(worker.snapshot.worker));
+}
+
+function listAvoidingTasks({job, tasks}: SchedulingUnit): readonly TaskState[] {
+	return tasks.map(task => job.tasks.get(task)).filter(task => task !== undefined).filter(({avoided}) => avoided.length > 0);
+}
--- a/packages/scheduling/types.ts
+++ b/packages/scheduling/types.ts
@@ -38,7 +38,7 @@
 /** The start of an ended run that was not answered. Until `until`, a worker with this identifier may carry it out, whatever an earlier incarnation has confirmed. */
 export type UnansweredStart = Readonly<{agent: AgentName; worker: WorkerId; run: number; orderedAt: MonotonicTime; until: MonotonicTime}>;
 
-/** A worker that a task leaves out of its next placements while there are others, until the given time. */
+/** A worker that a task leaves out of its next placements while there are others, until the given time; then it prefers others that have room. */
 export type AvoidedWorker = Readonly<{worker: WorkerId; until: MonotonicTime}>;
 
 export type TaskState = Readonly<{
@@ -52,7 +52,7 @@
 	/** Percentage at which the checkpoint was reported; selects the latest one of a gang. */
 	checkpointPercent: number;
 	run: TaskRun | undefined;
-	/** Workers on which the task failed, got stuck or was not confirmed to have started. */
+	/** Workers on which the task failed, got stuck or was not confirmed to have started, the latest one last. */
 	avoided: readonly AvoidedWorker[];
 	/** Crashes of workers on which the task ran. */
 	crashes: readonly TaskCrash[];
--- a/test/scheduling/unanswered-starts.test.ts
+++ b/test/scheduling/unanswered-starts.test.ts
@@ -31,13 +31,13 @@
 type Report = (time: number) => WorkerOptions | undefined;
 
 /** Lets time pass while agents report; returns when, and beside which agent, tasks start. */
-function observe(driver: Driver, duration: number, report: Report): ReadonlyArray<Readonly<{agent: string; run: number; at: number}>> {
+function observe(driver: Driver, duration: number, report: Report, other: WorkerOptions = {}): ReadonlyArray<Readonly<{agent: string; run: number; at: number}>> {
 	const starts: Array<Readonly<{agent: string; run: number; at: number}>> = [];
 	for (let passed = 0; passed < duration; passed += checkMilliseconds) {
 		const snapshot = report(driver.time());
 		const effects = [
 			...driver.send(snapshot === undefined ? {kind: 'renewed', agent: 'a', snapshot: undefined} : renewal('a', snapshot)),
-			...driver.send(renewal('b')),
+			...driver.send(renewal('b', other)),
 			...driver.elapse(checkMilliseconds),
 		];
 		starts.push(...startsOf(effects).map(({agent, run}) => ({agent, run, at: driver.time()})));
@@ -57,6 +57,8 @@
 	/** After the start was stopped. */
 	messages: readonly SchedulerMessage[];
 	report: Report;
+	/** What the agent beside the other worker reports. */
+	other?: WorkerOptions;
 	/** When the task may start again at the earliest, and beside which agents. */
 	from: number;
 	agents?: readonly string[];
@@ -64,7 +66,7 @@
 
 const cases: readonly Case[] = [
 	{
-		name: 'the worker confirmed its stop (start carried out by a later incarnation beside the next run)',
+		name: 'the worker confirmed its stop (start carried out by a later incarnation beside the next run; worker that never answers chosen without end)',
 		messages: [stopConfirmed], report: listed(), from: lateCallMilliseconds,
 	},
 	{
@@ -72,11 +74,10 @@
 		messages: [stopConfirmed, renewal('a', {unansweredStarts: knowing(lateCallMilliseconds - stoppedAt)}), left],
 		report: () => undefined,
 		from: lateCallMilliseconds + maximumLeaseMilliseconds,
-		agents: ['b'],
 	},
 	{
 		name: 'the worker left before it confirmed a stop (start carried out after its return)',
-		messages: [left], report: () => undefined, from: orderDeliveryMilliseconds + lateCallMilliseconds + maximumLeaseMilliseconds, agents: ['b'],
+		messages: [left], report: () => undefined, from: orderDeliveryMilliseconds + lateCallMilliseconds + maximumLeaseMilliseconds,
 	},
 	{
 		name: 'the worker started again and confirmed the stop (start carried out by a third incarnation)',
@@ -98,6 +99,20 @@
 		}],
 		report: listed(),
 		from: lateCallMilliseconds,
+		agents: ['a', 'b'],
+	},
+	{
+		name: 'its gang starts on another worker (worker that never answers chosen without end)',
+		step: {count: 2, accelerators: 4, isGang: true},
+		messages: [{
+			kind: 'stop-answered', agent: 'a', incarnation: '1', orders: [start, {task: taskOf(1, 1), run: 1}],
+		}],
+		report: listed(),
+		from: lateCallMilliseconds,
+	},
+	{
+		name: 'no other worker has room (task that waits beside the only worker with room)',
+		messages: [stopConfirmed], report: listed(), other: {capacity: {processorMillicores: 0, memoryMegabytes: 0, accelerators: 0}}, from: lateCallMilliseconds, agents: ['a'],
 	},
 	{
 		name: 'a stop is listed as its end, so that the start was carried out (task that waits without reason)',
@@ -105,7 +120,7 @@
 	},
 	{
 		name: 'another worker took its place, which refuses the start (task that waits although the start is void)',
-		messages: [stopConfirmed], report: () => ({worker: 'w-other' as WorkerId, unansweredStarts: knowing(undefined)}), from: stoppedAt,
+		messages: [stopConfirmed], report: () => ({worker: 'w-other' as WorkerId, unansweredStarts: knowing(undefined)}), from: stoppedAt, agents: ['a', 'b'],
 	},
 	{
 		name: 'the agent knows that the start was refused or never arrived (task that waits although the start is void)',
@@ -118,7 +133,9 @@
 ];
 
 describe('a task whose start was not answered starts again only when that start cannot be carried out any more', () => {
-	for (const {name, step = {}, messages, report, from, agents = ['a', 'b']} of cases) {
+	for (const {
+		name, step = {}, messages, report, other, from, agents = ['b'],
+	} of cases) {
 		it(name, () => {
 			const driver = createReadyDriver([['a']]);
 			driver.send({kind: 'submitted', submission: submissionOf(1, [step])});
@@ -129,7 +146,7 @@
 				expect(startsOf(driver.send(message)), 'starts when the run is released').to.deep.equal([]);
 			}
 
-			const starts = observe(driver, (2 * lateCallMilliseconds) + maximumLeaseMilliseconds - stoppedAt, report);
+			const starts = observe(driver, (2 * lateCallMilliseconds) + maximumLeaseMilliseconds - stoppedAt, report, other);
 			expect(starts[0]?.run).to.equal(2);
 			expect(starts[0]?.at).to.be.within(from, from + (3 * checkMilliseconds));
 			expect(agents).to.include(starts[0]?.agent);
