Leave out workers that a task avoided repeatedly before racks and shares are chosen

The time that a unit waits for its rack begins anew after each wait, and the candidates are cut to the rack, a share of the workers or idle ones before the avoidance is considered.

Workers that a task avoided more than once are now left out first, if the others have room for the unit at that moment.

--- a/packages/scheduling/place.ts
+++ b/packages/scheduling/place.ts
@@ -1,6 +1,6 @@
-import type {MonotonicTime} from '#core';
+import type {MonotonicTime, WorkerId} from '#core';
 import {parseTaskName, type TaskName} from '#jobs';
-import {compareAvoidance, isAvoided} from './avoidance.js';
+import {findAvoidance, isAvoided} from './avoidance.js';
 import {
 	countFitting, isIdle, withReclaimableRoom, type Pool, type PoolWorker,
 } from './pool.js';
@@ -17,14 +17,26 @@
 export type TaskCounts = ReadonlyMap<AgentName, number>;
 
 /** Lists usable workers with the service and label that the unit requires. */
-function listEligible({step, queue, isolation}: SchedulingUnit, pool: Pool): readonly PoolWorker[] {
-	return [...pool.values()].filter(candidate => {
+function listEligible(unit: SchedulingUnit, pool: Pool): readonly PoolWorker[] {
+	const {step, queue, isolation} = unit;
+	const eligible = [...pool.values()].filter(candidate => {
 		const {worker: {snapshot}, isUsable} = candidate;
 		return isUsable
 			&& snapshot.service === queue.service
 			&& (step.requiredLabel === undefined || snapshot.labels.includes(step.requiredLabel))
 			&& (isolation !== 'idle-worker' || isIdle(candidate));
 	});
+	return leaveOutRepeatedlyAvoided(unit, eligible);
+}
+
+/** Leaves out the workers that a task avoided repeatedly if others have room now. Otherwise the preference for a rack, a share of the workers or an idle one would lead it back to a worker that never answers. */
+function leaveOutRepeatedlyAvoided(unit: SchedulingUnit, eligible: readonly PoolWorker[]): readonly PoolWorker[] {
+	if (unit.repeatedlyAvoided.size === 0) {
+		return eligible;
+	}
+
+	const others = eligible.filter(({worker}) => !unit.repeatedlyAvoided.has(worker.snapshot.worker));
+	return countPlaced(distributeTasks(unit, others)) >= (unit.step.isGang ? unit.tasks.length : 1) ? others : eligible;
 }
 
 /** Lists the workers on which the unit may be placed; low-rank work that cannot save its progress is limited to a share of them. */
@@ -112,7 +124,7 @@
 	const neverAvoided = listNeverAvoided(unit, preferredWorkers);
 	const choices = neverAvoided === preferredWorkers ? [preferredWorkers] : [neverAvoided, preferredWorkers];
 	if (step.prefersOneRack || step.dataRack !== undefined) {
-		const best = choices.map(workers => placeGangInRack(unit, workers, pool)).find(taskCounts => taskCounts !== undefined);
+		const best = findFirst(choices, workers => placeGangInRack(unit, workers, pool));
 		if (best !== undefined) {
 			return assign(tasks, best);
 		}
@@ -122,10 +134,25 @@
 		}
 	}
 
-	const taskCounts = choices.map(workers => distributeTasks(unit, workers)).find(counts => countPlaced(counts) >= tasks.length);
+	const taskCounts = findFirst(choices, workers => {
+		const counts = distributeTasks(unit, workers);
+		return countPlaced(counts) >= tasks.length ? counts : undefined;
+	});
 	return taskCounts === undefined ? [] : assign(tasks, taskCounts);
 }
 
+/** Returns the first result that is not undefined; later items are not evaluated. */
+function findFirst<Item, Result>(items: readonly Item[], evaluate: (item: Item) => Result | undefined): Result | undefined {
+	for (const item of items) {
+		const result = evaluate(item);
+		if (result !== undefined) {
+			return result;
+		}
+	}
+
+	return undefined;
+}
+
 /** Places a gang in the rack with the tightest fit, or in that of its data. */
 function placeGangInRack(unit: SchedulingUnit, workers: readonly PoolWorker[], pool: Pool): TaskCounts | undefined {
 	const {step: {dataRack}, tasks} = unit;
@@ -153,12 +180,9 @@
 		}
 
 		const state = unit.job.tasks.get(task);
-		const mayAvoid = state !== undefined && state.avoided.length > 0 && candidates.some(({worker}) => !isAvoided(state, worker.snapshot.worker, monotonic));
 		const slot = state === undefined || state.avoided.length === 0
 			? slots[firstOpen]
-			: slots
-				.filter(({worker, remaining}) => remaining > 0 && !(mayAvoid && isAvoided(state, worker, monotonic)))
-				.toSorted((first, second) => compareAvoidance(state, first.worker, second.worker))[0];
+			: findSlot(slots, state, excludeAvoided(state, candidates, monotonic));
 		if (slot !== undefined) {
 			slot.remaining--;
 			placements.push({task, agent: slot.agent});
@@ -168,6 +192,35 @@
 	return placements;
 }
 
+/** Tells which workers the task leaves out for now: those that it avoids, if there are others, also full ones. */
+function excludeAvoided(task: TaskState, candidates: readonly PoolWorker[], monotonic: MonotonicTime): (slot: Slot) => boolean {
+	const mayAvoid = candidates.some(({worker}) => !isAvoided(task, worker.snapshot.worker, monotonic));
+	return ({worker}) => mayAvoid && isAvoided(task, worker, monotonic);
+}
+
+type Slot = Readonly<{worker: WorkerId; remaining: number}>;
+
+/** Finds a slot for a task that avoided workers: the first one of a worker that it never avoided, or else that of the one that it avoided longest ago. */
+function findSlot<Candidate extends Slot>(slots: readonly Candidate[], task: TaskState, isExcluded: (slot: Slot) => boolean): Candidate | undefined {
+	let best: Readonly<{slot: Candidate; position: number}> | undefined;
+	for (const slot of slots) {
+		if (slot.remaining <= 0 || isExcluded(slot)) {
+			continue;
+		}
+
+		const position = findAvoidance(task, slot.worker);
+		if (position === -1) {
+			return slot;
+		}
+
+		if (best === undefined || position < best.position) {
+			best = {slot, position};
+		}
+	}
+
+	return best?.slot;
+}
+
 /** Orders workers by free accelerators, those in the rack of the data first; other racks are left out while the unit may wait for that one. */
 function orderByFit(unit: SchedulingUnit, candidates: readonly PoolWorker[], monotonic: MonotonicTime): readonly PoolWorker[] {
 	const {dataRack} = unit.step;
--- a/packages/scheduling/types.ts
+++ b/packages/scheduling/types.ts
@@ -39,7 +39,7 @@
 export type UnansweredStart = Readonly<{agent: AgentName; worker: WorkerId; run: number; orderedAt: MonotonicTime; until: MonotonicTime}>;
 
 /** A worker that a task leaves out of its next placements while there are others, until the given time; then it prefers others that have room. */
-export type AvoidedWorker = Readonly<{worker: WorkerId; until: MonotonicTime}>;
+export type AvoidedWorker = Readonly<{worker: WorkerId; until: MonotonicTime; times: number}>;
 
 export type TaskState = Readonly<{
 	occurrence: number;
--- a/packages/scheduling/units.ts
+++ b/packages/scheduling/units.ts
@@ -1,5 +1,5 @@
 import type {
-	Milliseconds, MonotonicTime, CurrentTime, Timestamp,
+	Milliseconds, MonotonicTime, CurrentTime, Timestamp, WorkerId,
 } from '#core';
 import type {
 	JobStep, Queue, TaskName, JobKey,
@@ -7,6 +7,7 @@
 import {
 	atRiskSlackShare, earlyStartMilliseconds, guaranteedRackWaitMilliseconds, longTaskFactor, remoteRackFactor,
 } from './constants.js';
+import {listRepeatedlyAvoided} from './avoidance.js';
 import {chooseIsolation, selectStartable, type Isolation} from './crashes.js';
 import type {Rank} from './rank.js';
 import {
@@ -34,6 +35,8 @@
 	/** How long the tasks wait for one rack, or the rack of their data, before they run elsewhere. */
 	rackWaitLimit: Milliseconds;
 	isolation: Isolation;
+	/** Workers that a task of the unit avoided more than once. */
+	repeatedlyAvoided: ReadonlySet<WorkerId>;
 }>;
 
 /** Lists the units that may start now, in order of placement. */
@@ -64,6 +67,7 @@
 				isLong: unit.step.estimatedMilliseconds * (job.slowdown ?? 1) >= medianDuration * longTaskFactor,
 				waitingSince,
 				isolation: chooseIsolation(job, unit.tasks, waitingSince, monotonic),
+				repeatedlyAvoided: listRepeatedlyAvoided(job, unit.tasks),
 				rackWaitLimit: rank === 0 ? Math.min(unit.step.estimatedMilliseconds, guaranteedRackWaitMilliseconds) : unit.step.estimatedMilliseconds,
 			})));
 		}
