Leave out repeatedly avoided workers only where the unit can be placed without them

Placement is now tried without these workers first, and then with all. In steps that are no gangs, a worker is left out only if all waiting tasks avoided it repeatedly; a run that got stuck and then failed counts once.

--- a/packages/scheduling/place.ts
+++ b/packages/scheduling/place.ts
@@ -17,26 +17,14 @@
 export type TaskCounts = ReadonlyMap<AgentName, number>;
 
 /** Lists usable workers with the service and label that the unit requires. */
-function listEligible(unit: SchedulingUnit, pool: Pool): readonly PoolWorker[] {
-	const {step, queue, isolation} = unit;
-	const eligible = [...pool.values()].filter(candidate => {
+function listEligible({step, queue, isolation}: SchedulingUnit, pool: Pool): readonly PoolWorker[] {
+	return [...pool.values()].filter(candidate => {
 		const {worker: {snapshot}, isUsable} = candidate;
 		return isUsable
 			&& snapshot.service === queue.service
 			&& (step.requiredLabel === undefined || snapshot.labels.includes(step.requiredLabel))
 			&& (isolation !== 'idle-worker' || isIdle(candidate));
 	});
-	return leaveOutRepeatedlyAvoided(unit, eligible);
-}
-
-/** Leaves out the workers that a task avoided repeatedly if others have room now. Otherwise the preference for a rack, a share of the workers or an idle one would lead it back to a worker that never answers. */
-function leaveOutRepeatedlyAvoided(unit: SchedulingUnit, eligible: readonly PoolWorker[]): readonly PoolWorker[] {
-	if (unit.repeatedlyAvoided.size === 0) {
-		return eligible;
-	}
-
-	const others = eligible.filter(({worker}) => !unit.repeatedlyAvoided.has(worker.snapshot.worker));
-	return countPlaced(distributeTasks(unit, others)) >= (unit.step.isGang ? unit.tasks.length : 1) ? others : eligible;
 }
 
 /** Lists the workers on which the unit may be placed; low-rank work that cannot save its progress is limited to a share of them. */
@@ -51,8 +39,20 @@
 	return listEligible(unit, pool).some(({free}) => countFitting(free, need, 1) === 1);
 }
 
-/** Places as many of the unit's tasks as fit; a gang only as a whole. */
+/** Places as many of the unit's tasks as fit; a gang only as a whole. Workers that were avoided repeatedly are left out if others can take the unit now: a preference for a rack or a share of the workers would lead back to a worker that never answers. */
 export function placeUnit(unit: SchedulingUnit, pool: Pool, monotonic: MonotonicTime): readonly Placement[] {
+	if (unit.repeatedlyAvoided.size > 0) {
+		const others = pool.filter(({worker}) => !unit.repeatedlyAvoided.has(worker.snapshot.worker));
+		const placements = placeInPool(unit, others, monotonic);
+		if (placements.length > 0) {
+			return placements;
+		}
+	}
+
+	return placeInPool(unit, pool, monotonic);
+}
+
+function placeInPool(unit: SchedulingUnit, pool: Pool, monotonic: MonotonicTime): readonly Placement[] {
 	const placements = placeAmong(unit, listCandidates(unit, pool), pool, monotonic);
 	if (placements.length > 0 || !isLowRankWithoutCheckpoints(unit) || countRuns(unit) > 0 || !isUtilizationLow(pool)) {
 		return placements;
--- a/packages/scheduling/types.ts
+++ b/packages/scheduling/types.ts
@@ -38,7 +38,7 @@
 /** The start of an ended run that was not answered. Until `until`, a worker with this identifier may carry it out, whatever an earlier incarnation has confirmed. */
 export type UnansweredStart = Readonly<{agent: AgentName; worker: WorkerId; run: number; orderedAt: MonotonicTime; until: MonotonicTime}>;
 
-/** A worker that a task leaves out of its next placements while there are others, until the given time; then it prefers others that have room. */
+/** A worker that a task leaves out of its next placements while there are others, until the given time; then it prefers others that have room. `times` counts how often the task avoided it. */
 export type AvoidedWorker = Readonly<{worker: WorkerId; until: MonotonicTime; times: number}>;
 
 export type TaskState = Readonly<{
--- a/packages/scheduling/units.ts
+++ b/packages/scheduling/units.ts
@@ -35,7 +35,7 @@
 	/** How long the tasks wait for one rack, or the rack of their data, before they run elsewhere. */
 	rackWaitLimit: Milliseconds;
 	isolation: Isolation;
-	/** Workers that a task of the unit avoided more than once. */
+	/** Workers that all its tasks, or one task of a gang, avoided more than once. */
 	repeatedlyAvoided: ReadonlySet<WorkerId>;
 }>;
 
@@ -67,7 +67,7 @@
 				isLong: unit.step.estimatedMilliseconds * (job.slowdown ?? 1) >= medianDuration * longTaskFactor,
 				waitingSince,
 				isolation: chooseIsolation(job, unit.tasks, waitingSince, monotonic),
-				repeatedlyAvoided: listRepeatedlyAvoided(job, unit.tasks),
+				repeatedlyAvoided: listRepeatedlyAvoided(job, unit.tasks, unit.step.isGang),
 				rackWaitLimit: rank === 0 ? Math.min(unit.step.estimatedMilliseconds, guaranteedRackWaitMilliseconds) : unit.step.estimatedMilliseconds,
 			})));
 		}
--- a/test/scheduling/properties.test.ts
+++ b/test/scheduling/properties.test.ts
@@ -671,4 +671,20 @@
 			}), {numRuns: 150, seed});
 		});
 	}
+
+	it('a late start that its agent does not know of keeps to the capacity of the worker (worker over its capacity)', () => {
+		checkGuarantees([
+			{kind: 'delay-starts', starts: 1, delay: 2000},
+			{
+				kind: 'submit', count: 3, accelerators: 8, isGang: false, priority: 0, duration: 751, behaviour: 'works',
+			},
+			{kind: 'delay-starts', starts: 1, delay: 2000},
+			{kind: 'crash', worker: 0},
+			{
+				kind: 'submit', count: 2, accelerators: 1, isGang: false, priority: 0, duration: 300, behaviour: 'crashes',
+			},
+			{kind: 'restart-agent', worker: 0},
+			{kind: 'crash', worker: 0},
+		]);
+	});
 });
