Accept a gang that resumes its checkpoint in the comparison of the demonstration

Cause: the check was wrong. A non-idempotent gang of which every member saved a checkpoint is placed again (docs/design/gangs.md), as when the agent of its worker is stopped; the comparison counted each second start as a double run. Whether such a gang runs at that moment depends on the load.

The check is as strict as before for any other second start, and stricter in what it looks at: the workers' records now say whether a task resumes a checkpoint and whether it saved one. A second start counts as double unless the run before it was stopped, had saved a checkpoint and had ended, and the next run resumes one.

--- a/demo/compare.ts
+++ b/demo/compare.ts
@@ -33,26 +33,35 @@
 	return isMisreported(result, executions) ? 'misreported' : 'consistent';
 }
 
-/** A non-idempotent request or gang member may start once; an idempotent gang may start again, but not while an earlier attempt runs. */
+/** A non-idempotent request or gang member may start once, and again only from the checkpoint of its stopped run; an idempotent gang may start again, but not while an earlier attempt runs. */
 function isDoubled(result: CallerResult, executions: readonly Execution[]): boolean {
 	const byMember = groupBy(executions, ({member}) => member);
 	return [...byMember.values()].some(runs => {
 		if (!result.idempotent) {
-			return runs.length > 1;
+			return hasPair(runs, (run, next) => !isContinued(run, next));
 		}
 
-		return result.workClass === 'gang' && hasOverlap(runs);
+		return result.workClass === 'gang' && hasPair(runs, isOverlapping);
 	});
 }
 
-function hasOverlap(runs: readonly Execution[]): boolean {
+/** Whether any two successive runs fulfil the condition. */
+function hasPair(runs: readonly Execution[], condition: (run: Execution, next: Execution) => boolean): boolean {
 	const ordered = runs.toSorted((first, second) => first.startedAt - second.startedAt);
 	return ordered.some((run, index) => {
 		const next = ordered[index + 1];
-		return next !== undefined && (run.endedAt ?? Number.POSITIVE_INFINITY) > next.startedAt;
+		return next !== undefined && condition(run, next);
 	});
 }
 
+function isOverlapping(run: Execution, next: Execution): boolean {
+	return (run.endedAt ?? Number.POSITIVE_INFINITY) > next.startedAt;
+}
+
+function isContinued(run: Execution, next: Execution): boolean {
+	return run.state === 'stopped' && run.isCheckpointed && next.isResumed && !isOverlapping(run, next);
+}
+
 function isMisreported(result: CallerResult, executions: readonly Execution[]): boolean {
 	switch (result.outcome) {
 		case 'completed': {
--- a/demo/records.ts
+++ b/demo/records.ts
@@ -26,15 +26,17 @@
 export function pairRecords(worker: string, records: readonly ExecutionRecord[]): readonly Execution[] {
 	const executions = new Map<string, Execution>();
 	for (const {
-		taskId, event, at, state, accelerators = [],
+		taskId, event, at, state, accelerators = [], hasCheckpoint = false,
 	} of records) {
 		const started = executions.get(taskId);
 		if (event === 'started') {
 			executions.set(taskId, {
-				...parseTaskId(taskId), worker, accelerators, startedAt: at, endedAt: undefined, state: 'running',
+				...parseTaskId(taskId), worker, accelerators, startedAt: at, endedAt: undefined, state: 'running', isResumed: hasCheckpoint, isCheckpointed: false,
 			});
 		} else if (event === 'ended' && started !== undefined) {
-			executions.set(taskId, {...started, endedAt: at, state: state ?? 'stopped'});
+			executions.set(taskId, {
+				...started, endedAt: at, state: state ?? 'stopped', isCheckpointed: hasCheckpoint,
+			});
 		}
 	}
 
--- a/demo/types.ts
+++ b/demo/types.ts
@@ -31,6 +31,10 @@
 	startedAt: Timestamp;
 	endedAt: Timestamp | undefined;
 	state: 'running' | 'succeeded' | 'failed' | 'stopped';
+	/** Whether the task started from a checkpoint. */
+	isResumed: boolean;
+	/** Whether the task had saved a checkpoint when it ended. */
+	isCheckpointed: boolean;
 }>;
 
 /** Totals of the comparison of callers' results with workers' records. */
--- a/packages/stand-ins/worker/end-task.ts
+++ b/packages/stand-ins/worker/end-task.ts
@@ -27,7 +27,7 @@
 		tasks: new Map(state.tasks).set(task.taskId, ended),
 		waiting: state.waiting.filter(({taskId}) => taskId !== task.taskId),
 	}, {
-		taskId: task.taskId, event: 'ended', at: now, state: endState,
+		taskId: task.taskId, event: 'ended', at: now, state: endState, hasCheckpoint: task.checkpoint !== undefined,
 	});
 	const waiters = state.switches.hang ? [] : state.waiting.filter(({taskId}) => taskId === task.taskId);
 	return {state: recordUsage(next, now), effects: waiters.map(waiter => respond(waiter.respond, 200, ended))};
--- a/packages/stand-ins/worker/start-task.ts
+++ b/packages/stand-ins/worker/start-task.ts
@@ -43,7 +43,7 @@
 	const task = createTask(state, start, time);
 	const tasks = new Map(pruneEnded(state.tasks, time)).set(task.taskId, task);
 	const started = addRecord({...state, tasks}, {
-		taskId: task.taskId, event: 'started', at: time.now, accelerators: task.accelerators,
+		taskId: task.taskId, event: 'started', at: time.now, accelerators: task.accelerators, hasCheckpoint: valibot.is(checkpointSchema, start.checkpoint),
 	});
 	return {
 		state: recordUsage(started, time.now),
--- a/packages/stand-ins/worker/types.ts
+++ b/packages/stand-ins/worker/types.ts
@@ -85,6 +85,8 @@
 	/** Accelerators of a task that started. */
 	accelerators?: readonly number[];
 	state?: TaskEndState;
+	/** Whether a task that started resumes a checkpoint, or one that ended had saved one. */
+	hasCheckpoint?: boolean;
 }>;
 
 /** Linked list that grows without copying, since a long demonstration produces many records. */
