--- a/packages/coordinator/workers-record.ts
+++ b/packages/coordinator/workers-record.ts
@@ -37,7 +37,11 @@
 	const isKnown = ({agent, worker}: UsedWorker) => term.task.read().workers.get(agent)?.snapshot.worker === worker;
 
 	const writeOnce = async () => {
+		const log = context.log.withPrefix('scheduler');
 		const next = listUsed();
+		log.info({
+			workers: next.length, added: next.filter(used => !stored.has(keyOf(used))), removed: [...stored].filter(key => !next.some(used => keyOf(used) === key)), version,
+		}, 'storing the workers in use');
 		const reply = await services.use(storePort).commit({
 			conditions: [{key: leaderKey, expectedVersion: term.leaderVersion}, {key: workersKey, expectedVersion: version}],
 			puts: [{key: workersKey, value: {workers: next}}],
@@ -47,19 +51,21 @@
 			case 'committed': {
 				stored = new Set(next.map(used => keyOf(used)));
 				version = reply.version;
-				context.log.withPrefix('scheduler').info({workers: next.length}, 'stored the workers in use');
+				log.info({workers: next.length, version}, 'stored the workers in use');
 				return;
 			}
 
 			// An earlier write of this process may have been applied although its reply was lost.
 			case 'conflict': {
 				version = reply.current.find(({key}) => key === workersKey)?.version ?? 0;
+				log.warn({version}, 'the store holds another record of the workers in use');
 				break;
 			}
 
 			case 'lease-unknown':
 			case 'unavailable': {
 				context.counters.countRetry('workers-record');
+				log.warn({reply}, 'the workers in use were not confirmed to be stored; retrying');
 			}
 		}
 
