--- a/packages/coordinator/job-watch.ts
+++ b/packages/coordinator/job-watch.ts
@@ -10,11 +10,12 @@
 } from '#store';
 import {storeRetryMaximumMilliseconds, watchMilliseconds} from './constants.js';
 import {
-	jobsPrefix, parseJobStoreKey, progressPrefix, workersKey, workersRecordSchema,
+	jobsPrefix, parseJobStoreKey, progressPrefix, workersKey,
 } from './keys.js';
 import {storePort} from './ports.js';
 import type {Term} from './plugins/scheduler.js';
 import type {CoordinatorContext} from './types.js';
+import {parseWorkersRecord} from './workers-record.js';
 
 export function startJobWatch(term: Term, context: CoordinatorContext): Cancel {
 	const {services, clock, random, counters} = context;
@@ -62,7 +63,7 @@
 				return;
 			}
 
-			const usedWorkers = workers.kind === 'found' ? parseWorkers(workers.stored.value) : [];
+			const usedWorkers = workers.kind === 'found' ? parseWorkersRecord(workers.stored.value, context) : [];
 			const jobs = assembleJobs(bufferedObservations.flatMap(observation => extractValues(observation)), progress.values, context);
 			term.workersRecord.restore(usedWorkers, workers.kind === 'found' ? workers.stored.version : 0);
 			context.log.withPrefix('scheduler').info({
@@ -78,11 +79,6 @@
 	}
 }
 
-function parseWorkers(value: unknown) {
-	const checked = checkInput(workersRecordSchema, value, workersKey);
-	return checked.kind === 'valid' ? checked.value.workers : [];
-}
-
 function assembleJobs(jobValues: readonly StoredValue[], progressValues: readonly StoredValue[], context: CoordinatorContext): readonly LoadedJob[] {
 	const progressByJob = new Map<string, Readonly<{progress: JobProgress; version: number}>>();
 	for (const {key, value, version} of progressValues) {
