Let a scheduler that handed its term over campaign again if nobody took it

Callers would see no job start, without end: nobody schedules, although all entries reach the store.

A scheduler whose store calls fail ends its term and offers it to another entry. If the offer is lost, or the other entry's election is refused, lost or based on a view that is out of date, nobody replaces the leader record. The lease that holds it is renewed as soon as the store answers the first entry again, so that the record stands. Other entries wait for its end, and the entry that wrote it campaigns only when it observes a change of the cluster's keys or of its lease; neither follows.

The entry now checks again after the delay that follows an election without a winner. Its view then shows the successor, and nothing happens; or it shows its own record, and the election replaces that on the condition that it is unchanged, so that of two elections one wins.

Evidence: coordinator/leadership, 'an entry whose offer nobody takes campaigns again without a further observation', failed before. The effects expected by two other cases change: the first lists the later check as well; in the second that check takes the place of the election that the observation scheduled, and the term is still not resumed.

--- a/packages/coordinator/leadership.ts
+++ b/packages/coordinator/leadership.ts
@@ -200,7 +200,7 @@
 	};
 }
 
-/** Ends the term before another entry is asked to begin the next one, so that only one of them sends orders. */
+/** Ends the term before another entry is asked to begin the next one, so that only one of them sends orders. Campaigns later, since the offer or that entry's election may be lost while this entry's lease keeps the record. */
 function handOver(state: LeadershipState, reason: string): LeadershipStep {
 	const {term} = state;
 	if (term === undefined) {
@@ -209,7 +209,8 @@
 
 	const {epoch, leaderVersion} = term;
 	const steppedDown = stepDown(state, reason);
-	return {state: steppedDown.state, effects: [...steppedDown.effects, {kind: 'offer-term', epoch, leaderVersion}]};
+	const next = retryElection(steppedDown.state);
+	return {state: next.state, effects: [...steppedDown.effects, {kind: 'offer-term', epoch, leaderVersion}, ...next.effects]};
 }
 
 function endElection(state: LeadershipState, {outcome, lease, epoch, version}: Extract<LeadershipMessage, {kind: 'election-ended'}>): LeadershipStep {
--- a/test/coordinator/leadership.test.ts
+++ b/test/coordinator/leadership.test.ts
@@ -101,7 +101,7 @@
 	{
 		name: 'a term that is handed over ends before another entry is asked to begin one (both send orders)',
 		messages: [lease, noLeader, {kind: 'election-due'}, won, {kind: 'hand-over', reason: 'the store does not answer'}],
-		kinds: ['schedule-election', 'elect', 'lead', 'step-down', 'offer-term'],
+		kinds: ['schedule-election', 'elect', 'lead', 'step-down', 'offer-term', 'retry-later'],
 	},
 	{
 		name: 'an entry that handed its term over does not resume it while its record still stands (run numbers of one epoch used twice)',
@@ -113,7 +113,7 @@
 			{kind: 'hand-over', reason: 'the store does not answer'},
 			{kind: 'observed', leader: createLeader(self, 5, 12), epoch: {value: 5, version: 12}},
 		],
-		kinds: ['schedule-election', 'elect', 'lead', 'step-down', 'offer-term', 'schedule-election'],
+		kinds: ['schedule-election', 'elect', 'lead', 'step-down', 'offer-term', 'retry-later'],
 	},
 	{
 		name: 'a term that a higher epoch ended is not resumed (run numbers of one epoch used twice)',
@@ -135,6 +135,25 @@
 		messages: [lease, noLeader, {kind: 'election-due'}, {kind: 'epoch-observed', epoch: 6}, ownRecord],
 		kinds: ['schedule-election', 'elect', 'schedule-election'],
 	},
+	{
+		name: 'an entry whose offer nobody takes campaigns again without a further observation (nobody schedules while its lease is renewed)',
+		messages: [lease, noLeader, {kind: 'election-due'}, won, ownRecord, {kind: 'hand-over', reason: 'the store does not answer'}, {kind: 'election-due'}],
+		kinds: ['schedule-election', 'elect', 'lead', 'step-down', 'offer-term', 'retry-later', 'elect'],
+	},
+	{
+		name: 'an entry whose offer was taken does not campaign (two schedulers)',
+		messages: [
+			lease,
+			noLeader,
+			{kind: 'election-due'},
+			won,
+			ownRecord,
+			{kind: 'hand-over', reason: 'the store does not answer'},
+			{kind: 'observed', leader: createLeader(other, 6, 13), epoch: {value: 6, version: 13}},
+			{kind: 'election-due'},
+		],
+		kinds: ['schedule-election', 'elect', 'lead', 'step-down', 'offer-term', 'retry-later'],
+	},
 	{
 		name: 'an entry without a term has none to hand over (term of another entry replaced)',
 		messages: [lease, {kind: 'observed', leader: createLeader(other, 5, 11), epoch: {value: 5, version: 11}}, {kind: 'hand-over', reason: 'the store does not answer'}],
