Register an entry also if its lease lapsed by the local clock meanwhile

Operators would see an entry that runs, holds a lease and takes callers, and that the other entries and the agents do not know, until its lease changes: it is not offered a term, not asked while another entry loses the store, and agents do not turn to it.

An entry registers once for each lease. If the write was refused or lost, it is due again after a delay; if the lease had lapsed by the local clock at that moment, the attempt ended for good. The store may keep the lease all the same, as it does while it is down, or if a renewal arrived whose answer was lost; the next renewal then confirms the lease that the entry has, so that no change of it starts another attempt.

The registration is now repeated under the latest granted lease, whether it is confirmed or not. Whether it exists is for the store to say: it refuses a write under an ended one, and the next lease starts the next registration.

--- a/packages/coordinator/plugins/directory.ts
+++ b/packages/coordinator/plugins/directory.ts
@@ -121,14 +121,14 @@
 	}
 }
 
-/** Registers this entry under each new lease, replacing the record that an earlier process of the same name left. */
+/** Registers this entry under each new lease, replacing the record that an earlier process of the same name left. Whether the lease still exists is for the store to say: one that lapsed by the local clock may be renewed. */
 function startRegistration(context: CoordinatorContext): () => void {
 	const {services, clock, random, settings, log} = context;
 	const key = registeredEntriesPrefix + settings.entry;
 	const record: RegisteredEntry = {entry: settings.entry, address: peerAddressOf(settings), zone: settings.zone};
 	let isStopped = false;
 	const register = async (failures: number) => {
-		const held = services.use(leaseService).getValid();
+		const held = services.use(leaseService).getLatest();
 		if (isStopped || held === undefined) {
 			return;
 		}
--- a/packages/entry/plugins/register-entry.ts
+++ b/packages/entry/plugins/register-entry.ts
@@ -16,7 +16,8 @@
 		let isStopped = false;
 		let record: EntryRecord | undefined;
 		const renewRegistration = (failures: number) => {
-			const current = context.services.use(entryLeaseService).getValid();
+			// Whether the lease still exists is for the store to say: one that lapsed by the local clock may be renewed.
+			const current = context.services.use(entryLeaseService).getLatest();
 			if (isStopped || record === undefined || current === undefined) {
 				return;
 			}
--- a/test/support/unreliable-store.ts
+++ b/test/support/unreliable-store.ts
@@ -76,8 +76,27 @@
 		return {kind: 'unavailable', effect: 'perhaps-applied', message: 'timeout'};
 	};
 
+	const write: TransactionalStore['write'] = async (key, value, {expectedVersion}) => {
+		const reply = await commit({conditions: [{key, expectedVersion}], puts: [{key, value}], removals: []});
+		switch (reply.kind) {
+			case 'committed': {
+				return {kind: 'written', version: reply.version};
+			}
+
+			case 'conflict': {
+				return {kind: 'conflict', current: reply.current[0]};
+			}
+
+			case 'lease-unknown':
+			case 'unavailable': {
+				return reply;
+			}
+		}
+	};
+
 	const store: Partial<TransactionalStore> = {
 		commit,
+		write,
 		async read(key) {
 			const stored = items.get(key);
 			return stored === undefined ? {kind: 'absent'} : {kind: 'found', stored};
