Receive each submission once, also when the store has dropped its history

Callers could see a job that had completed run again, 150 s after its end.

The scheduler forgets an ended job after its retention and has its records removed, which takes as long as the store refuses or loses the write. If the watch of the jobs loses its history in that time, it lists all keys again, and the record that is still there passes for a new submission: the job is queued and its tasks start, although their ends are on record and acknowledged. A list that began before the removal does the same.

The watch now keeps the version of each key that it has observed, and a submission that it has observed before is not passed on. A record that was removed and stored again has another version.

--- a/packages/coordinator/index.ts
+++ b/packages/coordinator/index.ts
@@ -24,3 +24,4 @@
 export {agentsService} from './plugins/agents.js';
 export {sendStarts} from './orders.js';
 export {createWorkersRecord} from './workers-record.js';
+export {startJobWatch} from './job-watch.js';
--- a/packages/coordinator/job-watch.ts
+++ b/packages/coordinator/job-watch.ts
@@ -12,6 +12,7 @@
 import {
 	jobsPrefix, parseJobStoreKey, progressPrefix, workersKey,
 } from './keys.js';
+import {addObservation, noObservedVersions, type ObservedVersions} from './observed-versions.js';
 import {storePort} from './ports.js';
 import type {Term} from './plugins/scheduler.js';
 import type {CoordinatorContext} from './types.js';
@@ -21,7 +22,9 @@
 	const {services, clock, random, counters} = context;
 	const log = context.log.withPrefix('jobs');
 	let isLoaded = false;
-	const bufferedObservations: Observation[] = [];
+	let isLoading = false;
+	let versions = noObservedVersions;
+	const bufferedValues: StoredValue[] = [];
 	const watch = startWatchTask({
 		store: services.use(storePort),
 		clock,
@@ -30,14 +33,17 @@
 		wait: watchMilliseconds,
 		maximumBackoff: storeRetryMaximumMilliseconds,
 		onObserved(observation) {
+			const values = extractChanges(observation, versions);
+			versions = addObservation(versions, observation);
 			if (isLoaded) {
-				forwardChanges(observation, term, context);
+				forwardChanges(values, term, context);
 				return;
 			}
 
-			bufferedObservations.push(observation);
-			if (bufferedObservations.length === 1) {
-				void loadStoredState(bufferedObservations, term, context, () => {
+			bufferedValues.push(...values);
+			if (!isLoading) {
+				isLoading = true;
+				void loadStoredState(bufferedValues, term, context, () => {
 					isLoaded = true;
 				});
 			}
@@ -52,8 +58,13 @@
 	};
 }
 
-/** Reads the jobs' progress and the workers in use from the store. The jobs come from the watch's observations, which are buffered until then. */
-async function loadStoredState(bufferedObservations: readonly Observation[], term: Term, context: CoordinatorContext, onLoaded: () => void): Promise<void> {
+/** Leaves out submissions that were observed before: the scheduler may have forgotten a job whose records are just being removed. A cancellation may be observed before its submission, and counts each time. */
+function extractChanges(observation: Observation, versions: ObservedVersions): readonly StoredValue[] {
+	return extractValues(observation).filter(({key, version}) => parseJobStoreKey(key).isCancellation || versions.get(key) !== version);
+}
+
+/** Reads the jobs' progress and the workers in use from the store. The jobs come from the watch's observations, whose values are buffered until then. */
+async function loadStoredState(bufferedValues: readonly StoredValue[], term: Term, context: CoordinatorContext, onLoaded: () => void): Promise<void> {
 	const {services, clock, random} = context;
 	const store = services.use(storePort);
 	for (let failures = 0; !term.isOver(); failures++) {
@@ -64,7 +75,7 @@
 			}
 
 			const usedWorkers = workers.kind === 'found' ? parseWorkersRecord(workers.stored.value, context) : [];
-			const jobs = assembleJobs(bufferedObservations.flatMap(observation => extractValues(observation)), progress.values, context);
+			const jobs = assembleJobs(bufferedValues, progress.values, context);
 			term.workersRecord.restore(usedWorkers, workers.kind === 'found' ? workers.stored.version : 0);
 			context.log.withPrefix('scheduler').info({
 				epoch: term.epoch, jobs: jobs.length, workers: usedWorkers.length, unreadMilliseconds: Math.round(unreadMilliseconds),
@@ -121,8 +132,8 @@
 	return checked.value.kind === 'accepted' ? checked.value.submission : undefined;
 }
 
-function forwardChanges(observation: Observation, {task, epoch}: Term, context: CoordinatorContext): void {
-	for (const stored of extractValues(observation)) {
+function forwardChanges(values: readonly StoredValue[], {task, epoch}: Term, context: CoordinatorContext): void {
+	for (const stored of values) {
 		const {job, isCancellation} = parseJobStoreKey(stored.key);
 		const submission = parseSubmission(stored, context);
 		if (isCancellation) {
