Have a worker's next incarnation refuse a start that its restarted agent does not know of

A worker that does not guard its capacity was brought over it: 9 of 8 in the random model, in five shrunk sequences. A start got no answer, its agent and its worker started again, and the next incarnation carried it out beside work that the scheduler had placed there. The agent's new process does not know of the start, so that nobody stopped it on that incarnation, and the scheduler, which knew of it, held no room.

The scheduler now keeps which incarnation refuses an unanswered start: the one that confirmed the stop of its run, or one that an agent reports together with the start. A start whose run a worker lists was carried out and is forgotten, so that an adopted run is not stopped. How long the task waits is unchanged otherwise. There is no stop and no room held where the incarnation refuses the start already, or where the worker has another identifier.

--- a/packages/scheduling/order-answers.ts
+++ b/packages/scheduling/order-answers.ts
@@ -1,6 +1,7 @@
 /** Handles the answers of workers to start and stop orders. */
 import type {CurrentTime} from '#core';
 import {avoidanceMilliseconds, refusalPauseMilliseconds} from './constants.js';
+import {noteAnsweredRefusals} from './late-starts.js';
 import {
 	chain, releaseRefusedRun, stopRuns, withoutEffects, type SchedulerTransition,
 } from './runs.js';
@@ -70,8 +71,9 @@
 }
 
 /** Applies confirmed stops. One that the earlier incarnation confirmed may arrive after its run has moved to the next one, which knows nothing of it. */
-export function handleStopAnswers(state: SchedulerState, {agent, incarnation, orders}: Extract<SchedulerMessage, {kind: 'stop-answered'}>): SchedulerTransition {
-	let next = state;
+export function handleStopAnswers(state: SchedulerState, message: Extract<SchedulerMessage, {kind: 'stop-answered'}>): SchedulerTransition {
+	const {agent, incarnation, orders} = message;
+	let next = noteAnsweredRefusals(state, message);
 	for (const {task: name, run: number} of orders) {
 		const task = findTask(next, name);
 		const worker = next.workers.get(agent);
--- a/packages/scheduling/pool.ts
+++ b/packages/scheduling/pool.ts
@@ -8,6 +8,7 @@
 	isOpen, isRunOn, findJob, resourcesOf, resolveQueue,
 } from './state.js';
 import {isOnProbation} from './crashes.js';
+import {listLateStarts} from './late-starts.js';
 import type {Rank} from './rank.js';
 import {estimateRemaining} from './remaining.js';
 import {listRunsOf, type ListedRun} from './runs.js';
@@ -40,14 +41,15 @@
 
 export type Pool = PersistentMap<AgentName, PoolWorker>;
 
-/** Collects the runs and free resources of every worker. A run uses its resources until its end is listed, also while it is being stopped. */
+/** Collects the runs and free resources of every worker. A run uses its resources until its end is listed, also while it is being stopped; a start that may still be carried out holds them. */
 export function createPool(state: SchedulerState, ranks: ReadonlyMap<JobKey, Rank>, monotonic: MonotonicTime): Pool {
+	const lateStarts = listLateStarts(state, monotonic);
 	return state.workers.map((worker, agent) => {
 		const runs = listRunsOf(state, agent).flatMap(listed => isRunOn(listed.run, worker) ? placeRun(state, listed, ranks) : []);
 		return {
 			worker,
 			runs,
-			free: runs.reduce((free, {need}) => subtract(free, need), worker.snapshot.capacity),
+			free: [...runs.map(({need}) => need), ...lateStarts.get(agent) ?? []].reduce((free, need) => subtract(free, need), worker.snapshot.capacity),
 			isUsable: isUsable(worker, monotonic) && !hasOrphanedRun(state, worker) && !runs.some(run => run.isOnProbation),
 		};
 	});
--- a/packages/scheduling/reports.ts
+++ b/packages/scheduling/reports.ts
@@ -8,6 +8,7 @@
 } from './constants.js';
 import {handleEnd} from './ends.js';
 import {handleLostRun, releaseIncarnation} from './incarnations.js';
+import {refuseLateStarts} from './late-starts.js';
 import {estimateSlowdown} from './remaining.js';
 import {
 	chain, listRunsOf, releaseRun, stopRuns, withoutEffects, type SchedulerTransition,
@@ -40,6 +41,7 @@
 		next => applySnapshot(next, agent, {snapshot, isKnown}, time),
 		// Runs that the report releases are compared with the starts that it lists.
 		next => withoutEffects(applyReportedStarts(next, agent, snapshot, time.monotonic)),
+		next => refuseLateStarts(next, agent, snapshot, time.monotonic),
 	]);
 }
 
--- a/packages/scheduling/types.ts
+++ b/packages/scheduling/types.ts
@@ -35,8 +35,20 @@
 	paceBaseline: Readonly<{percent: number; at: MonotonicTime}>;
 }>;
 
+/**
+Which incarnation of a worker refuses an unanswered start, since it has stopped the run.
+
+- `ordered`: the stop was ordered and is not answered.
+- `answered`: the incarnation has answered, and its next report shows whether the run was already there.
+*/
+export type StartRefusal =
+	| Readonly<{kind: 'none'}>
+	| Readonly<{kind: 'ordered'; incarnation: string; orderedAt: MonotonicTime}>
+	| Readonly<{kind: 'answered'; incarnation: string}>
+	| Readonly<{kind: 'confirmed'; incarnation: string}>;
+
 /** The start of an ended run that was not answered. Until `until`, a worker with this identifier may carry it out, whatever an earlier incarnation has confirmed. */
-export type UnansweredStart = Readonly<{agent: AgentName; worker: WorkerId; run: number; orderedAt: MonotonicTime; until: MonotonicTime}>;
+export type UnansweredStart = Readonly<{agent: AgentName; worker: WorkerId; run: number; orderedAt: MonotonicTime; until: MonotonicTime; refusal: StartRefusal}>;
 
 /** A worker that a task leaves out of its next placements while there are others, until the given time; then it prefers others that have room. `times` counts how often the task avoided it. */
 export type AvoidedWorker = Readonly<{worker: WorkerId; until: MonotonicTime; times: number}>;
--- a/packages/scheduling/unanswered-starts.ts
+++ b/packages/scheduling/unanswered-starts.ts
@@ -27,11 +27,16 @@
 }
 
 /** Records the start of a run that is released, unless the worker has confirmed it: then it has been carried out. */
-export function recordUnansweredStart(state: SchedulerState, task: TaskName, {agent, incarnation: {worker}, run, isStartConfirmed, startedAt}: TaskRun): SchedulerState {
+export function recordUnansweredStart(state: SchedulerState, task: TaskName, {agent, incarnation: {worker, incarnation}, run, isStartConfirmed, isStopConfirmed, startedAt}: TaskRun): SchedulerState {
 	return isStartConfirmed
 		? state
 		: setStart(state, task, {
-			agent, worker, run, orderedAt: startedAt, until: startedAt + orderDeliveryMilliseconds + lateCallMilliseconds,
+			agent,
+			worker,
+			run,
+			orderedAt: startedAt,
+			until: startedAt + orderDeliveryMilliseconds + lateCallMilliseconds,
+			refusal: isStopConfirmed ? {kind: 'confirmed', incarnation} : {kind: 'none'},
 		});
 }
 
@@ -40,7 +45,9 @@
 
 Starts that it does not list were refused or carried out, or never reached it, if its list goes back to their orders. An agent that started again since does not know.
 */
-export function applyReportedStarts(state: SchedulerState, agent: AgentName, {worker, unansweredStarts}: WorkerSnapshot, monotonic: MonotonicTime): SchedulerState {
+export function applyReportedStarts(earlier: SchedulerState, agent: AgentName, snapshot: WorkerSnapshot, monotonic: MonotonicTime): SchedulerState {
+	const {worker, incarnation, unansweredStarts} = snapshot;
+	const state = removeCarriedOutStarts(earlier, agent, snapshot, monotonic);
 	if (unansweredStarts === undefined || (unansweredStarts.starts.length === 0 && state.unansweredStarts.size === 0)) {
 		return state;
 	}
@@ -56,7 +63,13 @@
 		if (findTask(next, task)?.run?.run !== run) {
 			const until = monotonic + remainingMilliseconds;
 			next = setStart(next, task, {
-				agent, worker, run, orderedAt: until - lateCallMilliseconds, until,
+				agent,
+				worker,
+				run,
+				orderedAt: until - lateCallMilliseconds,
+				until,
+				// The agent reports an incarnation once that has confirmed the stops of the starts that it lists.
+				refusal: {kind: 'confirmed', incarnation},
 			});
 		}
 	}
@@ -64,6 +77,13 @@
 	return next;
 }
 
+/** Forgets the starts whose runs the worker lists. */
+function removeCarriedOutStarts(state: SchedulerState, agent: AgentName, {worker, running, ended}: WorkerSnapshot, monotonic: MonotonicTime): SchedulerState {
+	const isCarriedOut = (task: TaskName, start: UnansweredStart) => start.agent === agent && start.worker === worker
+		&& [...running, ...ended].some(listed => listed.task === task && listed.run === start.run);
+	return state.unansweredStarts.size === 0 ? state : removeStarts(state, isCarriedOut, monotonic);
+}
+
 /** Forgets starts that can no longer be carried out. */
 export function expireUnansweredStarts(state: SchedulerState, monotonic: MonotonicTime): SchedulerState {
 	return removeStarts(state, (_, start) => !mayRun(state, start, monotonic) && start.until <= monotonic, monotonic);
@@ -94,6 +114,19 @@
 	return {...state, unansweredStarts: state.unansweredStarts.set(task, [...others, start])};
 }
 
+/** Replaces starts and requests a scheduling pass if there is a change. */
+export function mapStarts(state: SchedulerState, change: (start: UnansweredStart, task: TaskName) => UnansweredStart): SchedulerState {
+	let {unansweredStarts} = state;
+	for (const [task, starts] of state.unansweredStarts) {
+		const changed = starts.map(start => change(start, task));
+		if (changed.some((start, index) => start !== starts[index])) {
+			unansweredStarts = unansweredStarts.set(task, changed);
+		}
+	}
+
+	return unansweredStarts === state.unansweredStarts ? state : {...state, unansweredStarts, isScheduleDue: true};
+}
+
 /** Removes starts; their tasks wait for a worker from now on, since until now they could not start. */
 function removeStarts(state: SchedulerState, isObsolete: (task: TaskName, start: UnansweredStart) => boolean, monotonic: MonotonicTime): SchedulerState {
 	let next = state;
--- a/test/scheduling/unanswered-starts.test.ts
+++ b/test/scheduling/unanswered-starts.test.ts
@@ -2,7 +2,9 @@
 import {expect} from 'chai';
 import type {WorkerId} from '#core';
 import {lateCallMilliseconds, type JobStep, type UnansweredStarts} from '#jobs';
-import {maximumLeaseMilliseconds, orderDeliveryMilliseconds, type SchedulerMessage} from '#scheduling';
+import {
+	maximumLeaseMilliseconds, orderDeliveryMilliseconds, stopRetryMilliseconds, type SchedulerEffect, type SchedulerMessage,
+} from '#scheduling';
 import {
 	configuration, createDriver, createReadyDriver, endedRunOf, reportedRunOf, snapshotOf, startsOf, submissionOf, taskOf, type Driver, type WorkerOptions,
 } from '#test/support/scheduling';
@@ -27,6 +29,12 @@
 	kind: 'incarnation-ended', agent: 'a', worker: 'w-a' as WorkerId, incarnation: '1', ending: 'left', ended: [],
 };
 
+/** A further incarnation beside an agent that has started again and knows of no start. */
+const returned = (change: WorkerOptions = {}): SchedulerMessage => renewal('a', {incarnation: '2', unansweredStarts: knowing(undefined, 0), ...change});
+/** Room for the first task beside the second one. */
+const withBoth: WorkerOptions = {capacity: {processorMillicores: 128_000, memoryMegabytes: 262_144, accelerators: 9}};
+const isStopOfStart = (effect: SchedulerEffect) => effect.kind === 'stop' && effect.incarnation === '2' && effect.orders.some(({task, run}) => task === start.task && run === start.run);
+
 /** What the agent beside the first worker reports; undefined if it reports no worker. */
 type Report = (time: number) => WorkerOptions | undefined;
 
@@ -197,3 +205,67 @@
 		expect(driver.state().jobs.first()?.tasks.get(taskOf(1))?.run).to.include({run: 1, stage: 'running', isStartConfirmed: true});
 	});
 });
+
+type RoomCase = Readonly<{
+	name: string;
+	/** After the stop was confirmed by the first incarnation, and its agent has started again. */
+	messages: readonly SchedulerMessage[];
+	/** Time that passes before the worker reports once more. */
+	pause?: number;
+	stops: number;
+	/** Whether a task that needs the whole worker starts there. */
+	hasRoom: boolean;
+}>;
+
+const roomCases: readonly RoomCase[] = [
+	{
+		name: 'the next incarnation has not confirmed the stop (worker over its capacity)', messages: [returned()], stops: 1, hasRoom: false,
+	},
+	{
+		name: 'the stop is not answered and ordered again (worker that never gets its room back)', messages: [returned()], pause: stopRetryMilliseconds + checkMilliseconds, stops: 2, hasRoom: false,
+	},
+	{
+		name: 'the next incarnation confirmed the stop, as its next report shows (room that is held without reason)', messages: [returned(), confirmStop('2')], stops: 1, hasRoom: true,
+	},
+	{
+		name: 'another incarnation confirmed the stop (worker over its capacity)', messages: [returned(), confirmStop('3')], stops: 1, hasRoom: false,
+	},
+	{
+		name: 'the incarnation after the next one has not confirmed it (worker over its capacity)',
+		messages: [returned(), confirmStop('2'), returned(), returned({incarnation: '3'})], stops: 1, hasRoom: false,
+	},
+	{
+		name: 'the start was carried out, and its run is listed (stop of a run that its task adopted; room held twice)',
+		messages: [returned({...withBoth, running: [reportedRunOf(start.task, 1)]})], stops: 0, hasRoom: true,
+	},
+	{
+		name: 'the agent lists the start, so that the incarnation has confirmed its stop (message without need)', messages: [returned({unansweredStarts: knowing(5000)})], stops: 0, hasRoom: true,
+	},
+	{
+		name: 'the incarnation that confirmed the stop is still there (message without need)', messages: [returned({incarnation: '1'})], stops: 0, hasRoom: true,
+	},
+	{
+		name: 'a worker with another identifier refuses the start (message without need)', messages: [returned({...withBoth, worker: 'w-other' as WorkerId})], stops: 0, hasRoom: true,
+	},
+];
+
+describe('room for a start that the present incarnation of a worker may still carry out', () => {
+	for (const {
+		name, messages, pause = 0, stops, hasRoom,
+	} of roomCases) {
+		it(name, () => {
+			const driver = createReadyDriver([['a']]);
+			driver.send({kind: 'submitted', submission: submissionOf(1, [{}])});
+			driver.send(answer('unknown'));
+			driver.elapse(stoppedAt);
+			driver.send(stopConfirmed);
+			driver.send(renewal('a', {unansweredStarts: knowing(undefined, 0)}));
+			const effects = messages.flatMap(message => driver.send(message));
+			driver.elapse(pause);
+			const last = messages.findLast(({kind}) => kind === 'renewed') ?? returned();
+			effects.push(...driver.send(last), ...driver.send({kind: 'submitted', submission: submissionOf(2, [{accelerators: 8}])}), ...driver.elapse(checkMilliseconds));
+			expect(effects.filter(effect => isStopOfStart(effect)).length, 'stops of the start').to.equal(stops);
+			expect(startsOf(effects).some(({task}) => task === taskOf(2)), 'start of the second job').to.equal(hasRoom);
+		});
+	}
+});
