Count a start without an answer as a crash only if its worker fell silent at once

Cause: a start without an answer counted as a crash of its task if its worker then started again, whether it was carried out or not, and three of these end the job. Workers that leave starts unanswered and start again for other reasons do the same.

Change: the scheduler counts a crash itself only if the start was answered or listed. For a start without an answer the agent judges, which sees when the worker falls silent: it reports the run as lost, in the list that it already sends, if the worker fell silent within 0.9 s of the start, answered no call made 0.25 s after it or later, and another incarnation then took its place. It asks for the worker's runs 0.25 s after each start without an answer, so that only a crash with another cause within about that time is mistaken for one by the start, or within 0.9 s if the worker answers no calls at all; three of these are needed.

A task that crashes each worker before it answers is still given up after three crashes. One whose start is carried out late, and crashes the worker before it lists the run, is no longer counted for that start, and waits 13 s for its next; a crash is not counted either if the agent ends within the same time.

Evidence: "workers that start again for another reason after a start that they did not answer are no crashes of its task" in scheduling/crashes failed before (no fourth start; the job had ended) and passes. The cases "crashes that an agent ascribes to a start without an answer" in supervision/unanswered-starts are new. "endless crashes" in platform/incarnations, both cases "a task that crashes its workers…" in platform/path and the random model of scheduling/properties pass.

--- a/packages/scheduling/crashes.ts
+++ b/packages/scheduling/crashes.ts
@@ -39,10 +39,10 @@
 	return crashes.length >= maximumCrashes || crashes.filter(({hadProgress}) => !hadProgress).length >= maximumCrashesAtStart;
 }
 
-/** Records that the worker of a run crashed. A run whose stop was confirmed had ended before. */
-export function recordCrash(state: SchedulerState, name: TaskName, {run, percent, startedAt, isStopConfirmed}: TaskRun, monotonic: MonotonicTime): SchedulerState {
+/** Records that the worker of a run crashed. A run whose stop was confirmed had ended before; a start without an answer may not have been carried out, and its agent reports whether it probably was. */
+export function recordCrash(state: SchedulerState, name: TaskName, {run, percent, startedAt, isStartConfirmed, isStopConfirmed}: TaskRun, monotonic: MonotonicTime): SchedulerState {
 	const hadProgress = percent > 0;
-	if (isStopConfirmed) {
+	if (isStopConfirmed || !isStartConfirmed) {
 		return state;
 	}
 
--- a/packages/scheduling/incarnations.ts
+++ b/packages/scheduling/incarnations.ts
@@ -103,7 +103,7 @@
 	]);
 }
 
-/** Handles a run that an agent lost at its start with an earlier incarnation of its worker, perhaps under another scheduler. */
+/** Handles a run that an agent lost at its start with an earlier incarnation of its worker, perhaps under another scheduler. The agent vouches for runs whose start was not answered. */
 export function handleLostRun(state: SchedulerState, {task: name, run}: LostRun, time: CurrentTime): SchedulerTransition {
 	const recorded = addCrash(state, name, {run, hadProgress: false});
 	return recorded === state ? withoutEffects(state) : handleCrashes(recorded, parseJobOfTask(name), [name], time);
--- a/packages/scheduling/reports.ts
+++ b/packages/scheduling/reports.ts
@@ -90,7 +90,7 @@
 				},
 			});
 			orders.push({task: name, run: run.run});
-			if (earlier.snapshot.state === 'ready' && run.percent === 0 && !run.isStopConfirmed) {
+			if (earlier.snapshot.state === 'ready' && run.percent === 0 && run.isStartConfirmed && !run.isStopConfirmed) {
 				lost.push({task: name, run: run.run});
 			}
 		}
--- a/packages/supervision/constants.ts
+++ b/packages/supervision/constants.ts
@@ -6,6 +6,10 @@
 export const maximumEndedIncarnations = 20;
 /** How long lost runs are reported. A scheduler that is lost is replaced within seconds, and its successor waits up to 12 s for reports. */
 export const lostRunRetentionMilliseconds = 60_000;
+/** A worker that answers a call made this long after a start was not crashed by it, unless the start is carried out late. Calls may overtake each other by some milliseconds, and by more on a busy machine. */
+export const startProbeMilliseconds = 250;
+/** A start that crashes its worker at once silences it within this time, after which the call of the start counts as unanswered. */
+export const immediateCrashMilliseconds = 900;
 /** Long-poll timeout of a lease extension that waits for a run to end; the worker allows at most 2 s. Leases are extended once in this time, because each call extends them. */
 export const extensionWaitMilliseconds = 1000;
 /** Interval at which a worker that announced its departure is asked whether it is still there; it closes its port some milliseconds after the confirmation. */
--- a/packages/supervision/incarnation-checks.ts
+++ b/packages/supervision/incarnation-checks.ts
@@ -5,13 +5,14 @@
 */
 import type {MonotonicTime} from '#core';
 import {isSameIncarnation, type WorkerIncarnation} from '#jobs';
-import {departureCheckMilliseconds, extensionRetryMilliseconds} from './constants.js';
+import {departureCheckMilliseconds, extensionRetryMilliseconds, startProbeMilliseconds} from './constants.js';
 import {noDeadline} from './deadlines.js';
 import {isLeaseOver} from './describe.js';
 import {adoptIncarnation, completeDeparture} from './incarnations.js';
 import {
 	incrementRevision, scheduleCheck, type SupervisionOptions, type SupervisionStep,
 } from './state.js';
+import {listCrashingStarts} from './unanswered-starts.js';
 import type {
 	Announcement, LeaseExtension, LeaseExtensionResult, SupervisedWorker, SupervisionEffect, SupervisionState,
 } from './types.js';
@@ -42,6 +43,14 @@
 	return {state: {...state, isCheckScheduled: false}, effects: listChecks(state)};
 }
 
+/** Asks the worker for its runs if it may have been crashed by a start that it has not answered: an answer shows that it was not. */
+export function probeAfterStart(state: SupervisionState, monotonic: MonotonicTime): readonly SupervisionEffect[] {
+	const {worker} = state;
+	return worker === undefined || listCrashingStarts(state, worker, monotonic).every(({sentAt}) => monotonic - sentAt < startProbeMilliseconds)
+		? []
+		: [{kind: 'probe', extension: {...createCheck(state, worker.announcement), sentAt: monotonic}}];
+}
+
 type CandidateAnswer = Readonly<{result: LeaseExtensionResult; monotonic: MonotonicTime; options: SupervisionOptions}>;
 
 /** Applies the answer to a check of the incarnation that announced itself. */
--- a/packages/supervision/incarnations.ts
+++ b/packages/supervision/incarnations.ts
@@ -4,7 +4,7 @@
 import {maximumEndedIncarnations} from './constants.js';
 import {listRecentlyLost} from './describe.js';
 import {incrementRevision, type SupervisionOptions, type SupervisionStep} from './state.js';
-import {listUnansweredStarts} from './unanswered-starts.js';
+import {listCrashingStarts, listUnansweredStarts} from './unanswered-starts.js';
 import type {
 	Announcement, EndedIncarnation, SupervisedWorker, SupervisionState,
 } from './types.js';
@@ -22,6 +22,9 @@
 		running: [],
 		ended: [],
 		isResponsive: true,
+		adoptedAt: monotonic,
+		answeredAt: -Infinity,
+		silentSince: undefined,
 		// An earlier process of this agent may have extended the leases, and a late call for an earlier incarnation may still extend them.
 		leaseUntil: monotonic + maximumLeaseMilliseconds + (earlier === undefined ? 0 : lateCallMilliseconds),
 		grantDeadline: undefined,
@@ -34,7 +37,7 @@
 	};
 	const next: SupervisionState = {
 		...(worker === undefined ? state : addEndedIncarnation(state, worker, worker.isLeaving ? 'left' : 'replaced')),
-		lostRuns: [...listRecentlyLost(state, monotonic), ...listLostRuns(worker, monotonic)],
+		lostRuns: [...listRecentlyLost(state, monotonic), ...listLostRuns(state, worker, monotonic)],
 		candidate: undefined,
 		worker: adopted,
 	};
@@ -85,9 +88,11 @@
 	};
 }
 
-/** Lists the runs without progress of an incarnation that another one replaced without a word. One that drains ends as announced. */
-function listLostRuns(replaced: SupervisedWorker | undefined, at: MonotonicTime): SupervisionState['lostRuns'] {
-	return replaced?.announcement.state === 'ready' && !replaced.isLeaving
-		? replaced.running.filter(({percent}) => percent === 0).map(({task, run}) => ({task, run, at}))
-		: [];
+/** Lists the runs without progress of an incarnation that another one replaced without a word, and the starts that probably crashed it. One that drains ends as announced. */
+function listLostRuns(state: SupervisionState, replaced: SupervisedWorker | undefined, at: MonotonicTime): SupervisionState['lostRuns'] {
+	if (replaced?.announcement.state !== 'ready' || replaced.isLeaving) {
+		return [];
+	}
+
+	return [...replaced.running.filter(({percent}) => percent === 0), ...listCrashingStarts(state, replaced, at)].map(({task, run}) => ({task, run, at}));
 }
--- a/packages/supervision/lease-extension.ts
+++ b/packages/supervision/lease-extension.ts
@@ -132,22 +132,22 @@
 		case 'failed':
 		case 'absent':
 		case 'refused': {
-			return markUnresponsive(state, worker, result.message);
+			return markUnresponsive(state, worker, result.message, monotonic);
 		}
 
 		case 'answered': {
 			// The worker's next announcement names the other incarnation; until then its leases are not extended.
 			return result.incarnation !== undefined && result.incarnation !== extension.incarnation
-				? markUnresponsive(state, worker, `another incarnation answers: ${result.incarnation}, expected ${extension.incarnation}`)
+				? markUnresponsive(state, worker, `another incarnation answers: ${result.incarnation}, expected ${extension.incarnation}`, monotonic)
 				: applyRunLists(state, worker, {extension, result}, monotonic);
 		}
 	}
 }
 
-function markUnresponsive(state: SupervisionState, worker: SupervisedWorker, reason: string): SupervisionStep {
+function markUnresponsive(state: SupervisionState, worker: SupervisedWorker, reason: string, monotonic: MonotonicTime): SupervisionStep {
 	return worker.isResponsive
 		? {
-			state: incrementRevision({...state, worker: {...worker, isResponsive: false}}),
+			state: incrementRevision({...state, worker: {...worker, isResponsive: false, silentSince: monotonic}}),
 			effects: [{kind: 'renew'}, {kind: 'log', event: 'worker-lost', fields: {worker: worker.announcement.worker, reason}}],
 		}
 		: {state, effects: []};
@@ -174,6 +174,8 @@
 			running: result.running,
 			ended,
 			isResponsive: true,
+			answeredAt: Math.max(worker.answeredAt, extension.sentAt ?? -Infinity),
+			silentSince: undefined,
 			fencedEpoch: Math.max(worker.fencedEpoch, extension.epoch),
 		},
 	};
--- a/packages/supervision/receive.ts
+++ b/packages/supervision/receive.ts
@@ -1,7 +1,9 @@
 import {assertNever, type MonotonicTime, type CurrentTime} from '#core';
 import {handleAnnouncement} from './announcements.js';
-import {lostRunRetentionMilliseconds, maximumEndedIncarnations, suspensionThresholdMilliseconds} from './constants.js';
-import {handleDepartureNotice, repeatChecks} from './incarnation-checks.js';
+import {
+	lostRunRetentionMilliseconds, maximumEndedIncarnations, startProbeMilliseconds, suspensionThresholdMilliseconds,
+} from './constants.js';
+import {handleDepartureNotice, probeAfterStart, repeatChecks} from './incarnation-checks.js';
 import {
 	handleExtensionResult, extendLeasesNow, startExtending,
 } from './lease-extension.js';
@@ -87,7 +89,11 @@
 		}
 
 		case 'start-requested': {
-			return {state: recordStart(state, message, monotonic), effects: []};
+			return {state: recordStart(state, message, monotonic), effects: [{kind: 'schedule-probe', delay: startProbeMilliseconds}]};
+		}
+
+		case 'probe-due': {
+			return {state, effects: probeAfterStart(state, monotonic)};
 		}
 
 		case 'start-refused': {
--- a/packages/supervision/types.ts
+++ b/packages/supervision/types.ts
@@ -43,6 +43,12 @@
 	running: readonly ReportedRun[];
 	ended: readonly EndedRun[];
 	isResponsive: boolean;
+	/** When the agent learned of this incarnation. */
+	adoptedAt: MonotonicTime;
+	/** When the latest call was made that it answered with its runs. */
+	answeredAt: MonotonicTime;
+	/** Since when it answers no calls; undefined while it does. */
+	silentSince: MonotonicTime | undefined;
 	/** Latest lease expiry that was requested, on the agent's clock. */
 	leaseUntil: MonotonicTime;
 	/** Expiry of the grant on the worker's clock, which does not stand still with the agent's machine; undefined until a renewal that reported the worker was granted. */
@@ -81,7 +87,7 @@
 	endedIncarnations: readonly EndedIncarnation[];
 	/** Incarnations whose ends a scheduler has received, with the time. They are reported again to the next one, since the first may be lost before it has stored them. */
 	reportedIncarnations: ReadonlyArray<Readonly<{ended: EndedIncarnation; at: MonotonicTime}>>;
-	/** Runs that had made no progress when their incarnation crashed, with the time when the next one announced itself. */
+	/** Runs that had made no progress when their incarnation crashed, and starts without an answer that probably crashed it, with the time when the next one announced itself. */
 	lostRuns: ReadonlyArray<LostRun & Readonly<{at: MonotonicTime}>>;
 	/** Highest known epoch of a scheduler. */
 	epoch: number;
@@ -127,6 +133,7 @@
 	/** Precedes a start; the start may extend the lease even if it is not answered. */
 	| Readonly<{kind: 'start-requested'; incarnation: string; task: TaskName; run: number; leaseUntil: MonotonicTime}>
 	| Readonly<{kind: 'start-refused'; task: TaskName; run: number}>
+	| Readonly<{kind: 'probe-due'}>
 	/** The worker has confirmed these stops. */
 	| Readonly<{kind: 'starts-revoked'; incarnation: string; starts: readonly UnansweredStart[]}>
 	| Readonly<{kind: 'started'; incarnation: string; task: TaskName; run: number; clock: Milliseconds | undefined}>
@@ -141,7 +148,7 @@
 	deadline: Milliseconds | undefined;
 	leaseUntil: MonotonicTime;
 	notedEnd: number;
-	/** When the call was made, on the agent's clock; left out by calls that only ask. */
+	/** When the call was made, on the agent's clock; left out by calls whose answers need no order. */
 	sentAt?: MonotonicTime;
 	wait: Milliseconds;
 	/** Whether the answer triggers the next call. */
@@ -153,6 +160,9 @@
 	| Readonly<{kind: 'schedule-extension'; delay: Milliseconds}>
 	| Readonly<{kind: 'revoke-starts'; epoch: number; worker: SupervisedWorker}>
 	| Readonly<{kind: 'schedule-check'; delay: Milliseconds}>
+	| Readonly<{kind: 'schedule-probe'; delay: Milliseconds}>
+	/** Asks for the worker's runs; only an answer says something. */
+	| Readonly<{kind: 'probe'; extension: LeaseExtension}>
 	/** Reports a change to the scheduler at once. */
 	| Readonly<{kind: 'renew'}>
 	| Readonly<{kind: 'log'; event: string; fields: Readonly<Record<string, unknown>>}>;
--- a/packages/supervision/unanswered-starts.ts
+++ b/packages/supervision/unanswered-starts.ts
@@ -7,10 +7,12 @@
 import {
 	lateCallMilliseconds, type EndedRun, type ReportedRun, type TaskName, type UnansweredStarts,
 } from '#jobs';
-import {departureCheckMilliseconds} from './constants.js';
+import {departureCheckMilliseconds, immediateCrashMilliseconds, startProbeMilliseconds} from './constants.js';
 import {recordLease} from './deadlines.js';
 import {incrementRevision, scheduleCheck, type SupervisionStep} from './state.js';
-import type {SupervisionMessage, SupervisionState, UnansweredStart} from './types.js';
+import type {
+	SupervisedWorker, SupervisionMessage, SupervisionState, UnansweredStart,
+} from './types.js';
 
 export function recordStart(state: SupervisionState, {incarnation, task, run, leaseUntil}: Extract<SupervisionMessage, {kind: 'start-requested'}>, sentAt: MonotonicTime): SupervisionState {
 	const {worker, unansweredStarts} = state;
@@ -37,6 +39,19 @@
 	return monotonic - sentAt < lateCallMilliseconds;
 }
 
+/**
+Lists the starts without an answer that probably crashed the worker, if it has ended by now: it fell silent at once, and answered no call that was made after the start.
+
+A start that is carried out late leaves the worker time to answer such a call, and a crash with another cause seldom comes within that time.
+*/
+export function listCrashingStarts({unansweredStarts}: SupervisionState, {announcement, adoptedAt, answeredAt, silentSince}: SupervisedWorker, now: MonotonicTime): readonly UnansweredStart[] {
+	const crashedAt = silentSince ?? now;
+	return unansweredStarts.filter(({worker, sentAt}) => worker === announcement.worker
+		&& sentAt >= adoptedAt
+		&& answeredAt - sentAt < startProbeMilliseconds
+		&& crashedAt >= sentAt && crashedAt - sentAt <= immediateCrashMilliseconds);
+}
+
 /** Describes the unanswered starts for the scheduler. */
 export function describeUnansweredStarts(state: SupervisionState, worker: WorkerId, monotonic: MonotonicTime): UnansweredStarts {
 	return {
--- a/packages/supervisor/plugins/supervision.ts
+++ b/packages/supervisor/plugins/supervision.ts
@@ -79,6 +79,25 @@
 			break;
 		}
 
+		case 'schedule-probe': {
+			clock.schedule(effect.delay, () => {
+				send({kind: 'probe-due'});
+			});
+			break;
+		}
+
+		case 'probe': {
+			const {extension} = effect;
+			void (async () => {
+				const result = await services.use(workerPort).extendLeases(extension);
+				if (result.kind === 'answered') {
+					send({kind: 'extension-answered', extension, result});
+				}
+			})();
+
+			break;
+		}
+
 		case 'renew': {
 			services.use(entriesService).renewNow();
 			break;
--- a/test/scheduling/crashes.test.ts
+++ b/test/scheduling/crashes.test.ts
@@ -39,6 +39,19 @@
 	return count;
 }
 
+/** Lets time pass while both agents report their workers, until a task starts. */
+function listStartsWithin(driver: Driver, milliseconds: number): ReturnType<typeof startsOf> {
+	for (let passed = 0; passed < milliseconds; passed += 250) {
+		const effects = [...driver.state().workers.values()].flatMap(({agent, snapshot}) => driver.send({kind: 'renewed', agent, snapshot}));
+		const starts = startsOf([...effects, ...driver.elapse(250)]);
+		if (starts.length > 0) {
+			return starts;
+		}
+	}
+
+	return [];
+}
+
 type Case = Readonly<{name: string; run(): void}>;
 
 const cases: readonly Case[] = [
@@ -132,6 +145,26 @@
 			expect(driver.state().jobs.get(keyOf(1))?.tasks.get(taskOf(1))?.crashes).to.deep.equal([{run: 1, hadProgress: false}]);
 		},
 	},
+	{
+		name: 'workers that start again for another reason after a start that they did not answer are no crashes of its task (sound job shown as failed)',
+		run() {
+			const driver = createReadyDriver([['a'], ['b']]);
+			let starts = startsOf(driver.send({kind: 'submitted', submission: submissionOf(1, [{}])}));
+			for (let incarnation = 2; incarnation < 6; incarnation++) {
+				const {agent = '', task = taskOf(1), run = 0} = starts[0] ?? {};
+				expect(run).to.equal(incarnation - 1);
+				driver.send({kind: 'start-answered', agent, answers: [{task, run, result: 'unknown'}]});
+				driver.elapse(1000);
+				driver.send({kind: 'renewed', agent, snapshot: snapshotOf(agent, {incarnation: String(incarnation)})});
+				driver.send({
+					kind: 'stop-answered', agent, incarnation: String(incarnation), orders: [{task, run}],
+				});
+				starts = listStartsWithin(driver, 20_000);
+			}
+
+			expect(driver.state().jobs.get(keyOf(1))?.outcome).to.equal('running');
+		},
+	},
 	{
 		name: 'jobs that lost the same worker at their start go on apart, and no other work joins them before they make progress (sound job given up with the one that crashes workers)',
 		run() {
--- a/test/supervision/unanswered-starts.test.ts
+++ b/test/supervision/unanswered-starts.test.ts
@@ -38,6 +38,17 @@
 	];
 }
 
+const broken: SupervisionMessage = {kind: 'extension-answered', extension: buildExtension(), result: {kind: 'failed', message: 'other side closed'}};
+
+/** The answer to a call that was made at a time. */
+function answeredCall(sentAt: number): SupervisionMessage {
+	return {
+		kind: 'extension-answered', extension: buildExtension({sentAt}), result: {
+			kind: 'answered', incarnation: '100', clock: 50_000 + sentAt, running: [], ended: [],
+		},
+	};
+}
+
 type Case = Readonly<{name: string; messages: ReadonlyArray<readonly [number, SupervisionMessage]>; at?: number; isReported: boolean}>;
 
 const cases: readonly Case[] = [
@@ -75,3 +86,48 @@
 		});
 	}
 });
+
+/** When the worker, which was told to start a run at 20 ms, fell silent, and what it answered before. */
+type CrashCase = Readonly<{name: string; messages: ReadonlyArray<readonly [number, SupervisionMessage]>; lost: readonly number[]}>;
+
+const crashCases: readonly CrashCase[] = [
+	{name: 'a worker that falls silent at once was crashed by the start (worker after worker crashes)', messages: [[30, broken]], lost: [1]},
+	{
+		name: 'a call that the start overtook says nothing (worker after worker crashes)', messages: [[40, answeredCall(25)], [60, broken]], lost: [1],
+	},
+	{
+		name: 'a worker that answers a later call was not (sound job shown as failed)', messages: [[280, answeredCall(275)], [300, broken]], lost: [],
+	},
+	{name: 'a worker that falls silent long after the start was not (sound job shown as failed)', messages: [[1500, broken]], lost: []},
+	{name: 'a worker that was silent before was not (sound job shown as failed)', messages: [[10, broken], [200, broken]], lost: []},
+	{name: 'a start that was refused crashed nothing (sound job shown as failed)', messages: [[25, {kind: 'start-refused', task, run: 1}], [30, broken]], lost: []},
+];
+
+describe('crashes that an agent ascribes to a start without an answer', () => {
+	for (const {name, messages, lost} of crashCases) {
+		it(name, () => {
+			const restarted = replacedBy('w', '200').map(([time, message]) => [time + 5000, message] as const);
+			const {state} = applyMessages([
+				[0, {kind: 'announced', announcement: announcement()}],
+				[0, granted],
+				[0, extensionAnswered(50_000)],
+				...[[20, requested] as const, ...messages].toSorted(([first], [second]) => first - second),
+				...restarted,
+			]);
+			expect(state.worker?.announcement.incarnation).to.equal('200');
+			expect(state.lostRuns.map(({run}) => run)).to.deep.equal(lost);
+		});
+	}
+
+	it('a worker is asked for its runs soon after a start without an answer, and not after an answered one (crash with another cause ascribed to the start)', () => {
+		const begin = [[0, {kind: 'announced', announcement: announcement()}], [0, granted], [0, extensionAnswered(50_000)], [20, requested]] as const;
+		const probesAt = (time: number, messages: ReadonlyArray<readonly [number, SupervisionMessage]>) => {
+			const {effects} = applyMessages([...begin, ...messages, [time, {kind: 'probe-due'}]]);
+			return effects.filter(({kind}) => kind === 'probe').length;
+		};
+
+		expect(probesAt(270, [])).to.equal(1);
+		expect(probesAt(100, [])).to.equal(0);
+		expect(probesAt(270, [[25, {kind: 'start-refused', task, run: 1}]])).to.equal(0);
+	});
+});
