Check repeats in the soak by the worker's leases, as the rule does

Soak once reported "a task that was done starts again" for run 2001 on i-4 after run 1001 on i-3, whose agent was away for 9.4 s. By the rule an end is taken note of "when `last_seen` reaches it, unless the worker's lease lapsed between the two; that stands for good", and with no disturbance near it counts as taken note of 100 ms after a worker has listed it. Workers of the soak grant leases of 6 s at most, and list ends to their agent only: the lease had lapsed 3 s before the end was listed, so that it counts for nothing, and the scheduler has to start the task again.

Cause: checkRepeats counted an end that was listed with no fault near whether the lease had lapsed or not. The check of acknowledged ends did look at leases.

Change: workers record when the lease lapses after an end that was not acknowledged, and a listing counts only if that happens later than 100 ms after it. Nothing else is passed over: ends that are acknowledged, and ends that are listed calmly under a lease that lasts, count as before, also if the lease lapses later.

Evidence: two of the three new cases in test/soak/check failed before, "listed only after the lease had lapsed" and "listed just before the lease lapsed"; the third holds that a violation is reported if the lease lapses after the 100 ms.

--- a/soak/check.ts
+++ b/soak/check.ts
@@ -66,17 +66,17 @@
 	return violations;
 }
 
-/** A task does not start again after a run of it ended as done and that end was acknowledged, even later; or was listed with no fault near. */
+/** A task does not start again after a run of it ended as done and that end was acknowledged, even later; or was listed with no fault near. An end before whose acknowledgement the worker's lease lapsed does not count. */
 function checkRepeats({job}: JobDescription, runs: readonly RunRecord[], history: History): readonly Violation[] {
-	const done = runs.filter(run => run.ending === 'done' && (run.notedAt !== undefined || (run.listedAt !== undefined && isCalm(run.listedAt, history))));
+	const done = runs.filter(run => run.ending === 'done' && (run.notedAt !== undefined || isCalmlyListed(run, history)));
 	return done.flatMap(first => runs
 		.filter(({task, startedAt}) => task === first.task && startedAt >= (first.endedAt ?? Infinity))
 		.map(({task, run, worker}) => ({invariant: 'a task that was done does not start again', job, detail: `${task} run ${run} on ${worker} after run ${first.run} on ${first.worker}`})));
 }
 
-/** Whether no fault is near the listing of an end; it then counts as acknowledged within 100 ms. */
-function isCalm(listedAt: number, {plan, startedAt}: History): boolean {
-	return plan.faults.every(fault => {
+/** Whether an end was listed with no fault near; it then counts as acknowledged within 100 ms, unless the worker's lease lapses before. */
+function isCalmlyListed({listedAt, lapsedAt = Infinity}: RunRecord, {plan, startedAt}: History): boolean {
+	return listedAt !== undefined && listedAt + acknowledgementMilliseconds < lapsedAt && plan.faults.every(fault => {
 		const from = startedAt + fault.at;
 		return measureDisturbance(fault) === 0 || from > listedAt + acknowledgementMilliseconds || from + measureDisturbance(fault) + contactMilliseconds < listedAt;
 	});
--- a/soak/types.ts
+++ b/soak/types.ts
@@ -80,6 +80,8 @@
 	listedAt?: number | undefined;
 	/** When the end was acknowledged before the worker's lease lapsed. */
 	notedAt?: number | undefined;
+	/** When the worker's lease lapsed after the end, unless it was acknowledged before. */
+	lapsedAt?: number | undefined;
 }>;
 
 /** Everything that callers and workers recorded, for checks after the run. */
--- a/test/soak/check.test.ts
+++ b/test/soak/check.test.ts
@@ -48,6 +48,21 @@
 		history: {plan: calmPlan, calls: [accepted, callOf('show', 9000, {state: 'completed'})], runs: [runOf({listedAt: 2010}), runOf({run: 2, startedAt: 2500, endedAt: 3500})]},
 		violated: ['a task that was done does not start again'],
 	},
+	{
+		name: 'reports a start after a run that was done, when its end was listed with no fault near and the lease lapsed later (done task started again)',
+		history: {plan: calmPlan, calls: [accepted, callOf('show', 9000, {state: 'completed'})], runs: [runOf({listedAt: 2010, lapsedAt: 2400}), runOf({run: 2, startedAt: 2500, endedAt: 3500})]},
+		violated: ['a task that was done does not start again'],
+	},
+	{
+		name: 'accepts a start after a run whose end was listed only after the lease had lapsed (check stricter than the rule)',
+		history: {plan: calmPlan, calls: [accepted, callOf('show', 9000, {state: 'completed'})], runs: [runOf({listedAt: 6000, lapsedAt: 4000}), runOf({run: 2, startedAt: 5000, endedAt: 5500})]},
+		violated: [],
+	},
+	{
+		name: 'accepts a start after a run whose end was listed just before the lease lapsed, so that it could not be acknowledged (check stricter than the rule)',
+		history: {plan: calmPlan, calls: [accepted, callOf('show', 9000, {state: 'completed'})], runs: [runOf({listedAt: 3950, lapsedAt: 4000}), runOf({run: 2, startedAt: 5000, endedAt: 5500})]},
+		violated: [],
+	},
 	{
 		name: 'accepts a start after a run whose end was listed under a fault and never acknowledged',
 		history: {
--- a/test/support/platform/worker-incarnation.ts
+++ b/test/support/platform/worker-incarnation.ts
@@ -21,11 +21,13 @@
 	listedAt: number | undefined;
 	/** When `last_seen` reached the end, unless the worker's lease lapsed before. */
 	notedAt: number | undefined;
+	/** When the worker's lease lapsed after the end, unless `last_seen` reached it before. */
+	lapsedAt: number | undefined;
 }>;
 
 type MutableRecord = {-readonly [Key in keyof StartRecord]: StartRecord[Key]};
 type Run = {readonly record: MutableRecord; isStopping: boolean; timer: NodeJS.Timeout};
-type End = {readonly number: number; readonly record: MutableRecord; hasLeaseLapsed: boolean};
+type End = Readonly<{number: number; record: MutableRecord}>;
 
 export type IncarnationOptions = Readonly<{
 	worker: string;
@@ -86,15 +88,15 @@
 	const endRun = (run: Run, ending: string) => {
 		closeRun(run, ending);
 		raiseEndedRun(run.record.task, run.record.run);
-		ends = [...ends, {number: ++endCount, record: run.record, hasLeaseLapsed: false}];
+		ends = [...ends, {number: ++endCount, record: run.record}];
 		for (const wake of waiting.keys()) {
 			wake();
 		}
 	};
 
 	const lapse = () => {
-		for (const end of ends) {
-			end.hasLeaseLapsed = true;
+		for (const {record} of ends) {
+			record.lapsedAt ??= Date.now();
 		}
 
 		for (const run of runs.values()) {
@@ -117,7 +119,7 @@
 
 	const begin = (task: string, run: number) => {
 		const record: MutableRecord = {
-			worker, born, task, run, startedAt: Date.now(), endedAt: undefined, ending: undefined, listedAt: undefined, notedAt: undefined,
+			worker, born, task, run, startedAt: Date.now(), endedAt: undefined, ending: undefined, listedAt: undefined, notedAt: undefined, lapsedAt: undefined,
 		};
 		const started: Run = {
 			record,
@@ -131,8 +133,8 @@
 	};
 
 	const noteEnds = (lastSeen: number) => {
-		for (const {number, record, hasLeaseLapsed} of ends) {
-			if (number <= lastSeen && !hasLeaseLapsed) {
+		for (const {number, record} of ends) {
+			if (number <= lastSeen && record.lapsedAt === undefined) {
 				record.notedAt ??= Date.now();
 			}
 		}
