Forget undecided submissions once their writes can no longer be late

Operators would see the exchange between entries grow with every submission that ever had no known outcome, and callers of such a path would get no refusal any more, but an answer that leaves the outcome open, as long as two entries run.

An entry passes on what it heard from others, since some entries it alone may reach, and each one kept it for 30 s from when it heard it first. Two entries heard it at different moments, so that one of them always still listed what the other had just forgotten. A second attempt without an outcome did not count from its own time either, which the first fault hid.

Entries now tell each other how long ago the last attempt was, and all count from it. Entries of earlier versions ignore the ages and send none; what they list counts as attempted just now, as before.

Evidence: coordinator/undecided, the first two of three cases failed before; the third keeps that an entry hears of a submission through another one.

--- a/packages/coordinator/index.ts
+++ b/packages/coordinator/index.ts
@@ -25,3 +25,5 @@
 export {sendStarts} from './orders.js';
 export {createWorkersRecord} from './workers-record.js';
 export {startJobWatch} from './job-watch.js';
+export {undecidedService} from './plugins/undecided.js';
+export {configurationService} from './plugins/configuration.js';
--- a/packages/coordinator/plugins/callers.ts
+++ b/packages/coordinator/plugins/callers.ts
@@ -110,7 +110,7 @@
 function withholdUncertainRefusal(answer: CallerAnswer, path: string, {services}: CoordinatorContext): CallerAnswer {
 	const undecided = services.use(undecidedService);
 	if (answer.kind === 'undecided') {
-		undecided.add(path);
+		undecided.add({path, age: 0});
 		return answer;
 	}
 
--- a/packages/coordinator/plugins/entry-peers.ts
+++ b/packages/coordinator/plugins/entry-peers.ts
@@ -1,4 +1,4 @@
-import type {EntryId} from '#core';
+import type {EntryId, Milliseconds} from '#core';
 import {createServiceKey} from '#kernel';
 import {connectToPeer, type RpcPeer} from '#transport';
 import {entryExchangeParametersSchema} from '#protocol';
@@ -21,7 +21,7 @@
 
 export const entryPeersService = createServiceKey<EntryPeers>('entry-peers');
 
-type SharedState = Readonly<{configurationVersion: number; epoch: number; undecided: readonly string[]}>;
+type SharedState = Readonly<{configurationVersion: number; epoch: number; undecided: readonly string[]; undecidedAges: readonly Milliseconds[]}>;
 
 coordinatorPlugins.register({
 	kind: 'task',
@@ -126,9 +126,9 @@
 	}
 }
 
-function applySharedState({epoch, undecided}: SharedState, {services}: CoordinatorContext): void {
-	for (const path of undecided) {
-		services.use(undecidedService).add(path);
+function applySharedState({epoch, undecided, undecidedAges}: SharedState, {services}: CoordinatorContext): void {
+	for (const [index, path] of undecided.entries()) {
+		services.use(undecidedService).add({path, age: undecidedAges[index] ?? 0});
 	}
 
 	services.use(leadershipService).send({kind: 'epoch-observed', epoch});
@@ -136,9 +136,11 @@
 
 function describeSharedState({services}: CoordinatorContext): SharedState {
 	const {highestEpoch} = services.use(leadershipService).read();
+	const undecided = services.use(undecidedService).list();
 	return {
 		configurationVersion: services.use(configurationService).read().current?.version ?? 0,
 		epoch: highestEpoch,
-		undecided: services.use(undecidedService).list(),
+		undecided: undecided.map(({path}) => path),
+		undecidedAges: undecided.map(({age}) => age),
 	};
 }
--- a/packages/protocol/scheduling.ts
+++ b/packages/protocol/scheduling.ts
@@ -84,6 +84,9 @@
 	epoch: countSchema,
 });
 
+/** Milliseconds since the last attempt of each submission in `undecided`; entries of earlier versions send none. */
+const undecidedAgesSchema = valibot.optional(valibot.pipe(valibot.array(valibot.number()), valibot.readonly()), []);
+
 export const entryExchangeParametersSchema = valibot.object({
 	entry: entryIdSchema,
 	/** Version of the sender's configuration; 0 if none. */
@@ -92,11 +95,13 @@
 	epoch: countSchema,
 	/** Paths of submissions with an unknown outcome. */
 	undecided: valibot.pipe(valibot.array(valibot.string()), valibot.readonly()),
+	undecidedAges: undecidedAgesSchema,
 });
 export const entryExchangeResultSchema = valibot.object({
 	configurationVersion: valibot.number(),
 	epoch: countSchema,
 	undecided: valibot.pipe(valibot.array(valibot.string()), valibot.readonly()),
+	undecidedAges: undecidedAgesSchema,
 });
 
 /** The configuration of the entry that is asked, compressed and in base64; absent if it has none. */
--- /dev/null
+++ b/test/coordinator/undecided.test.ts
@@ -0,0 +1,91 @@
+import {expect} from 'chai';
+import {
+	configurationService, coordinatorPlugins, leadershipService, undecidedService, type CoordinatorContext,
+} from '#coordinator';
+import {createServices, createVirtualClock, type VirtualClock} from '#kernel';
+import type {RpcPeer} from '#transport';
+import {callMethod} from '#test/support/scheduling-entry';
+
+const path = '/batch/00000000000000a1';
+
+/** Longer than a write without a reply can be late. */
+const lateMilliseconds = 13_000;
+
+/** Entries exchange this often. */
+const intervalMilliseconds = 700;
+
+function startEntry(clock: VirtualClock): CoordinatorContext {
+	const services = createServices();
+	const configuration: unknown = {read: () => ({}), send: () => undefined};
+	const leadership: unknown = {read: () => ({highestEpoch: 1}), send: () => undefined};
+	services.provide(configurationService, configuration as never);
+	services.provide(leadershipService, leadership as never);
+	const context = {services, clock} as unknown as CoordinatorContext;
+	coordinatorPlugins.tasks().find(({name}) => name === 'undecided')?.start(context);
+	return context;
+}
+
+type Case = Readonly<{
+	name: string;
+	/** When the submission stays undecided at the first entry. */
+	undecidedAt: readonly number[];
+	/** Which entries exchange with each other. */
+	links: ReadonlyArray<readonly [number, number]>;
+	/** When all entries take it for undecided, and when none does any more. */
+	knownFrom: number;
+	knownUntil: number;
+	forgottenAt: number;
+}>;
+
+const allLinks = [[0, 1], [0, 2], [1, 0], [1, 2], [2, 0], [2, 1]] as const;
+
+const cases: readonly Case[] = [
+	{
+		name: 'is known to all entries while a write of it may be late, and forgotten after it (list that grows without end)',
+		undecidedAt: [0], links: allLinks, knownFrom: 1000, knownUntil: lateMilliseconds, forgottenAt: 90_000,
+	},
+	{
+		name: 'counts from its last attempt (refused submission that is stored late)',
+		undecidedAt: [0, 25_000], links: allLinks, knownFrom: 1000, knownUntil: 25_000 + lateMilliseconds, forgottenAt: 115_000,
+	},
+	{
+		name: 'is known to an entry that only another one reaches (refused submission that is stored late)',
+		undecidedAt: [0], links: [[0, 1], [2, 1]], knownFrom: 2000, knownUntil: lateMilliseconds, forgottenAt: 90_000,
+	},
+];
+
+describe('undecided submissions', () => {
+	for (const {name, undecidedAt, links, knownFrom, knownUntil, forgottenAt} of cases) {
+		it(`a submission without an outcome ${name}`, async () => {
+			const clock = createVirtualClock();
+			const startedAt = clock.monotonic();
+			const entries = [startEntry(clock), startEntry(clock), startEntry(clock)];
+			const [first] = entries;
+			const remaining = [...undecidedAt];
+			for (let elapsed = 0; elapsed <= forgottenAt; elapsed = clock.monotonic() - startedAt) {
+				if (elapsed >= (remaining[0] ?? Infinity)) {
+					remaining.shift();
+					first?.services.use(undecidedService).add({path, age: 0});
+					clock.advance(intervalMilliseconds / 2);
+				}
+
+				for (const [caller, called] of links.map(link => link.map(index => entries[index]!))) {
+					const undecided = caller!.services.use(undecidedService).list();
+					const shared = {
+						entry: 'e', configurationVersion: 0, epoch: 1, undecided: undecided.map(submission => submission.path), undecidedAges: undecided.map(({age}) => age),
+					};
+					const reply = await callMethod('entry.exchange', shared, called!, {} as RpcPeer);
+					await callMethod('entry.exchange', reply, caller!, {} as RpcPeer);
+					clock.advance(intervalMilliseconds / links.length);
+				}
+
+				if (elapsed >= knownFrom && elapsed <= knownUntil) {
+					expect(entries.map(({services}) => services.use(undecidedService).has(path)), `${elapsed} ms`).to.deep.equal([true, true, true]);
+				}
+			}
+
+			expect(entries.map(({services}) => services.use(undecidedService).has(path))).to.deep.equal([false, false, false]);
+			expect(entries.flatMap(({services}) => services.use(undecidedService).list())).to.deep.equal([]);
+		});
+	}
+});
