--- a/packages/supervisor/plugins/entries.ts
+++ b/packages/supervisor/plugins/entries.ts
@@ -2,7 +2,7 @@
 import {createServiceKey} from '#kernel';
 import type {SchedulerReference} from '#protocol';
 import {chooseEntries, describeWorker, estimateWorkerClock} from '#supervision';
-import {connectToPeer, replacePort, type RpcPeer} from '#transport';
+import {replacePort, type RpcPeer} from '#transport';
 import {
 	standbyRenewalIntervalMilliseconds, maximumDialFailures, redialDelayMilliseconds, renewalIntervalMilliseconds, renewalTimeoutMilliseconds,
 } from '../constants.js';
@@ -140,7 +140,7 @@
 
 	const dial = async (address: string) => {
 		dialling.add(address);
-		const peer = await connectToPeer(address, {
+		const peer = await context.connect(address, {
 			registry: supervisorPlugins, context, clock, log,
 		});
 		const reply = await peer?.call('worker.attach', {agent: settings.agent, process: context.process}, renewalTimeoutMilliseconds);
--- a/packages/supervisor/start.ts
+++ b/packages/supervisor/start.ts
@@ -4,7 +4,7 @@
 import {
 	containUnexpectedErrors, createCounters, createProgramLog, createServices, startTasks, systemClock, type RunningDaemon,
 } from '#kernel';
-import {listenForHttp} from '#transport';
+import {connectToPeer, listenForHttp} from '#transport';
 import {supervisorPlugins} from './plugins.js';
 import './plugins/index.js';
 import {announcementsPort} from './ports.js';
@@ -21,6 +21,7 @@
 		log,
 		counters: createCounters(),
 		services: createServices(),
+		connect: connectToPeer,
 		process: randomUUID(),
 	};
 	const stopTasks = startTasks(supervisorPlugins, context);
