Test that a term whose successor begins none is taken up again

A random sequence of the hand-over test found it on: a scheduler offered its term, the other entry's election was refused, and no job had started 120 s later.

--- a/test/coordinator/hand-over.test.ts
+++ b/test/coordinator/hand-over.test.ts
@@ -73,6 +73,21 @@
 			},
 		],
 	},
+	{
+		name: 'a term is offered to an entry whose election fails (nobody schedules)',
+		steps: [
+			{
+				action: {
+					kind: 'disturb-writes', key: '', writes: 4, fate: {kind: 'refused'},
+				}, pause: 250,
+			},
+			{
+				action: {
+					kind: 'submit', count: 1, accelerators: 1, maximumPerWorker: 0, duration: 400,
+				}, pause: 250,
+			},
+		],
+	},
 ];
 
 describe('hand-over from scheduler to scheduler', function () {
