Take runs for over by time only while the scheduler's lease is confirmed

Callers could see two runs of one task, or a task start again whose end had been noted, around a takeover.

A scheduler that cannot reach the store goes on for 4 s after its lease, so that running work is kept alive. Another one may have begun meanwhile. An agent that was cut off from the first one and went over to the second has its leases extended by that, and ends of its worker noted; to the first one it is a lost worker whose grant is over, and it starts the tasks elsewhere, on a worker whose agent has not heard of the takeover. That needs no write if the job was ordered to that worker before, since the store is known to name it. The same holds for the wait for a worker that has not reported since the takeover, and for the time in which an unanswered start may be carried out.

The scheduler now counts these times only up to the confirmed end of its lease: until then nobody else can have extended anything. They go on counting with the next renewal. Grants, stops and starts of tasks that ran nowhere go on as before, because the next scheduler waits for the agents that the job's record names.

Evidence: scheduling/expiry, the three cases of 'a scheduler whose lease is not confirmed', failed before. The price is that tasks of workers that are lost while the store is away wait until it is back.

--- a/packages/coordinator/plugins/leadership.ts
+++ b/packages/coordinator/plugins/leadership.ts
@@ -1,4 +1,4 @@
-import type {Milliseconds} from '#core';
+import type {Milliseconds, MonotonicTime} from '#core';
 import {
 	createServiceKey, startTask, type Cancel, type TaskHandle,
 } from '#kernel';
@@ -35,6 +35,12 @@
 		&& clock.monotonic() < held.validUntil + unconfirmedLeadershipMilliseconds;
 }
 
+/** Until when no other entry can have won an election since this one did, as far as the store has confirmed. */
+export function findConfirmedLeaseEnd({services}: CoordinatorContext): MonotonicTime {
+	const held = services.use(leaseService).getLatest();
+	return held !== undefined && services.use(suspensionService).isConfirmed(held) ? held.validUntil : -Infinity;
+}
+
 type Send = (message: LeadershipMessage) => void;
 
 coordinatorPlugins.register({
--- a/packages/coordinator/plugins/scheduler.ts
+++ b/packages/coordinator/plugins/scheduler.ts
@@ -16,6 +16,7 @@
 import {createWorkersRecord, type WorkersRecord} from '../workers-record.js';
 import {agentsService} from './agents.js';
 import {configurationService} from './configuration.js';
+import {findConfirmedLeaseEnd} from './leadership.js';
 
 /** Scheduler of this entry; its state exists only during the entry's terms. */
 export type Scheduler = Readonly<{
@@ -109,6 +110,7 @@
 	const tick = (dueAt: MonotonicTime) => {
 		if (!isOver) {
 			reportDelay(clock.monotonic() - dueAt, task.read(), context);
+			task.send({kind: 'lease-confirmed', until: findConfirmedLeaseEnd(context)});
 			task.send({kind: 'tick'});
 			// A pass that failed with an unexpected error has not requested the next one.
 			if (task.read().isScheduleDue) {
--- a/packages/scheduling/receive.ts
+++ b/packages/scheduling/receive.ts
@@ -92,6 +92,10 @@
 			return handleTick(state, time);
 		}
 
+		case 'lease-confirmed': {
+			return withoutEffects({...state, leaseUntil: message.until});
+		}
+
 		case 'pass': {
 			return schedule(state, time);
 		}
--- a/packages/scheduling/state.ts
+++ b/packages/scheduling/state.ts
@@ -20,12 +20,18 @@
 		unacknowledged: PersistentSet(),
 		unansweredStarts: PersistentMap(),
 		unread: PersistentMap(),
+		leaseUntil: Infinity,
 		isLoaded: false,
 		deferredIncarnationEnds: [],
 		isScheduleDue: false,
 	};
 }
 
+/** Latest time at which no other scheduler can have extended the leases of workers that do not report to this one. */
+export function latestSoleTime({leaseUntil}: SchedulerState, monotonic: MonotonicTime): MonotonicTime {
+	return Math.min(monotonic, leaseUntil);
+}
+
 /** Replaces a job without requesting a scheduling pass; its tasks are replaced by `replaceTask` only. */
 export function replaceJob(state: SchedulerState, job: SchedulerJob): SchedulerState {
 	return {...state, jobs: state.jobs.set(job.submission.job, job)};
--- a/packages/scheduling/tick.ts
+++ b/packages/scheduling/tick.ts
@@ -14,7 +14,7 @@
 	chain, listRuns, stopRuns, storeJob, withoutEffects, type ListedRun, type SchedulerTransition,
 } from './runs.js';
 import {
-	findWorkerOfRun, isOpen, findJob, findTask, joinCheckpoints, findStep, mayRunOnUnreadWorker, withTask,
+	findWorkerOfRun, isOpen, findJob, findTask, joinCheckpoints, findStep, latestSoleTime, mayRunOnUnreadWorker, withTask,
 } from './state.js';
 import {expireUnansweredStarts} from './unanswered-starts.js';
 import type {
@@ -108,12 +108,14 @@
 
 /** Removes workers whose last grant is over, also those whose agents are still connected: their leases were not extended since. */
 function removeLostWorkers(state: SchedulerState, time: CurrentTime): SchedulerTransition {
-	const lost = [...state.workers.values()].filter(({grantedAt}) => latestEndOfRuns(grantedAt) <= time.monotonic);
+	const latest = latestSoleTime(state, time.monotonic);
+	const lost = [...state.workers.values()].filter(({grantedAt}) => latestEndOfRuns(grantedAt) <= latest);
 	return chain(state, lost.map(worker => next => removeWorker(next, worker, 'agent-lost', time)));
 }
 
 function expireUnreadWorkers(state: SchedulerState, monotonic: MonotonicTime): SchedulerState {
-	const unread = state.unread.filter(({until}) => until > monotonic);
+	const latest = latestSoleTime(state, monotonic);
+	const unread = state.unread.filter(({until}) => until > latest);
 	return unread.size === state.unread.size ? state : {...state, unread};
 }
 
--- a/packages/scheduling/types.ts
+++ b/packages/scheduling/types.ts
@@ -170,6 +170,8 @@
 	unansweredStarts: PersistentMap<TaskName, readonly UnansweredStart[]>;
 	/** Workers of an earlier scheduler that have not reported yet, by agent name, with the time until which their runs may last. */
 	unread: PersistentMap<AgentName, UnreadWorker>;
+	/** Until then no other scheduler can have begun, which might extend leases that this one takes to be over. */
+	leaseUntil: MonotonicTime;
 	/** Whether the stored jobs have been loaded. */
 	isLoaded: boolean;
 	/** Ends of incarnations that were reported before the stored jobs were loaded. */
@@ -203,6 +205,8 @@
 	| Readonly<{kind: 'stop-answered'; agent: AgentName; incarnation: string; orders: readonly StopOrder[]}>
 	| Readonly<{kind: 'stored'; job: JobKey; version: number; keyVersion: number}>
 	| Readonly<{kind: 'tick'}>
+	/** Until then no other scheduler can have begun. Sent before each tick. */
+	| Readonly<{kind: 'lease-confirmed'; until: MonotonicTime}>
 	/** Carries out the scheduling pass that an effect requested. */
 	| Readonly<{kind: 'pass'}>;
 
--- a/packages/scheduling/unanswered-starts.ts
+++ b/packages/scheduling/unanswered-starts.ts
@@ -6,7 +6,7 @@
 import type {MonotonicTime} from '#core';
 import {lateCallMilliseconds, type TaskName, type WorkerSnapshot} from '#jobs';
 import {maximumLeaseMilliseconds, orderDeliveryMilliseconds} from './constants.js';
-import {findTask, markChanged} from './state.js';
+import {findTask, latestSoleTime, markChanged} from './state.js';
 import type {
 	AgentName, SchedulerEffect, SchedulerState, TaskRun, UnansweredStart,
 } from './types.js';
@@ -16,14 +16,14 @@
 	return state.unansweredStarts.get(task)?.some(start => mayRun(state, start, monotonic)) === true;
 }
 
-function mayRun({workers}: SchedulerState, {agent, worker, until}: UnansweredStart, monotonic: MonotonicTime): boolean {
-	const current = workers.get(agent);
+function mayRun(state: SchedulerState, {agent, worker, until}: UnansweredStart, monotonic: MonotonicTime): boolean {
+	const current = state.workers.get(agent);
 	if (current !== undefined && current.snapshot.worker !== worker) {
 		return false;
 	}
 
 	// A run that the start has begun is reported, or lasts as long as its lease.
-	return monotonic < until + (current?.contact === 'attached' ? 0 : maximumLeaseMilliseconds);
+	return current?.contact === 'attached' ? monotonic < until : latestSoleTime(state, monotonic) < until + maximumLeaseMilliseconds;
 }
 
 /** Records the start of a run that is released, unless the worker has confirmed it: then it has been carried out. */
--- a/test/scheduling/expiry.test.ts
+++ b/test/scheduling/expiry.test.ts
@@ -1,8 +1,10 @@
 /** Asks of each belief that the scheduler holds about workers and runs when it ends at the latest. */
 import {expect} from 'chai';
 import type {WorkerId} from '#core';
+import {lateCallMilliseconds} from '#jobs';
 import {
-	grantSlackMilliseconds, grantValidityMilliseconds, slowClockFactor, startConfirmationMilliseconds, taskAvoidanceMilliseconds, type SchedulerEffect,
+	grantSlackMilliseconds, grantValidityMilliseconds, maximumLeaseMilliseconds, orderDeliveryMilliseconds, slowClockFactor, startConfirmationMilliseconds, taskAvoidanceMilliseconds,
+	unreadMilliseconds, type SchedulerEffect,
 } from '#scheduling';
 import {
 	configuration, createDriver, createReadyDriver, endedRunOf, reportedRunOf, snapshotOf, startsOf, submissionOf, taskOf, type Driver, type WorkerOptions,
@@ -48,6 +50,67 @@
 	};
 }
 
+type UnconfirmedCase = Readonly<{
+	name: string;
+	/** When the scheduler takes the run to be over, at the latest, if no other scheduler can have extended it. */
+	isOverAfter: number;
+	/** Prepares a task that may run on the worker beside agent `a`, of which the scheduler learns nothing more. */
+	prepare(driver: Driver): void;
+}>;
+
+const unconfirmedCases: readonly UnconfirmedCase[] = [
+	{
+		name: 'the run of a worker whose agent went over to it',
+		prepare(driver) {
+			driver.send({kind: 'loaded', jobs: [], workers: []});
+			driver.send({kind: 'renewed', agent: 'a', snapshot: snapshotOf('a')});
+			driver.send({kind: 'submitted', submission: submissionOf(1, [{}])});
+			driver.send({kind: 'start-answered', agent: 'a', answers: [{task: taskOf(1), run: 1001, result: 'started'}]});
+			driver.send({kind: 'detached', agent: 'a'});
+		},
+		isOverAfter: grantOverMilliseconds,
+	},
+	{
+		name: 'the run of a worker that has not reported yet',
+		prepare(driver) {
+			const progress = {outcome: 'running', tasks: {}, agents: ['a', 'b']} as const;
+			driver.send({
+				kind: 'loaded',
+				jobs: [{
+					submission: submissionOf(1, [{}]), isCancelled: false, progress, keyVersion: 1,
+				}],
+				workers: [{agent: 'a', worker: 'w-a' as WorkerId}],
+			});
+		},
+		isOverAfter: unreadMilliseconds,
+	},
+	{
+		name: 'a start that was carried out late',
+		prepare(driver) {
+			driver.send({kind: 'loaded', jobs: [], workers: []});
+			driver.send({kind: 'renewed', agent: 'a', snapshot: snapshotOf('a')});
+			driver.send({kind: 'submitted', submission: submissionOf(1, [{}])});
+			driver.send({kind: 'start-answered', agent: 'a', answers: [{task: taskOf(1), run: 1001, result: 'unknown'}]});
+			driver.send({kind: 'detached', agent: 'a'});
+		},
+		isOverAfter: orderDeliveryMilliseconds + lateCallMilliseconds + maximumLeaseMilliseconds,
+	},
+];
+
+describe('a scheduler whose lease is not confirmed', () => {
+	for (const {name, prepare, isOverAfter} of unconfirmedCases) {
+		it(`does not take for over what the next one may have extended: ${name} (two runs of one task)`, () => {
+			const driver = createDriver({epoch: 2});
+			driver.send({kind: 'configured', configuration});
+			prepare(driver);
+			driver.send({kind: 'lease-confirmed', until: driver.time() + isOverAfter - checkMilliseconds});
+			expect(startsOf(elapse(driver, isOverAfter + 4000, () => undefined))).to.deep.equal([]);
+			driver.send({kind: 'lease-confirmed', until: driver.time() + 1000});
+			expect(startsOf(elapse(driver, 2 * checkMilliseconds, () => undefined))).to.have.length(1);
+		});
+	}
+});
+
 describe('what a scheduler believes of a lost worker', () => {
 	for (const {name, isDetached, renewals} of lostWorkerCases) {
 		it(`ends with the last grant: ${name}`, () => {
