Keep starts from a worker whose ends an earlier agent's late acknowledgement may discard

A task that was done started again: run 2 after run 1 was done. A call that acknowledged ends got no answer, the worker started again under its identifier and its agent as well, and the call was carried out by the next incarnation, whose ends have the same numbers: it discarded a `done` that nobody had read. The process of the agent that sent such a call bars starts for 13 s, the next one does not know of it.

Agents now report the highest number that an answered call has acknowledged, whether calls acknowledge a higher one, and how long calls without an answer may still be carried out. The scheduler keeps from the last report of an incarnation what may still be carried out; what it granted beyond the reported number counts as sent until the next process of the agent began. If another process reports another incarnation of the same identifier, that worker gets no starts until then, at most 13 s from the beginning of that process. This outlasts the removal of the worker from the scheduler's state, further incarnations and further processes. Processes are told apart by the connection that they opened, since messages may be delayed by more than a restart takes.

It costs no further message: the report is part of the renewals, and has 38 bytes more once an end is stored.

--- a/packages/coordinator/plugins/agents.ts
+++ b/packages/coordinator/plugins/agents.ts
@@ -9,8 +9,10 @@
 
 /** Connections of the agents that are attached to this entry. */
 export type AttachedAgents = Readonly<{
-	/** Returns whether the agent is served over this connection; it is not if the connection has closed, or a newer one has replaced it. */
-	attach(agent: AgentName, peer: RpcPeer): boolean;
+	/** Returns whether the agent is served over this connection; it is not if the connection has closed, or a newer one has replaced it. Renewals name no process. */
+	attach(agent: AgentName, peer: RpcPeer, process?: string): boolean;
+	/** The process of the agent that opened a connection. */
+	findProcess(peer: RpcPeer): string | undefined;
 	find(agent: AgentName): RpcPeer | undefined;
 	/** Notifies every attached agent of the current scheduler. */
 	announceScheduler(scheduler: SchedulerReference): void;
@@ -32,12 +34,17 @@
 		const peers = new Map<AgentName, RpcPeer>();
 		/** Their messages may arrive after those of a newer connection, and describe an earlier time. */
 		const replacedPeers = new WeakSet<RpcPeer>();
+		const processes = new WeakMap<RpcPeer, string>();
 		services.provide(agentsService, {
-			attach(agent, peer) {
+			attach(agent, peer, process) {
 				if (!peer.isOpen() || replacedPeers.has(peer)) {
 					return false;
 				}
 
+				if (process !== undefined) {
+					processes.set(peer, process);
+				}
+
 				const current = peers.get(agent);
 				if (current === peer) {
 					return true;
@@ -62,6 +69,7 @@
 				return true;
 			},
 			find: agent => peers.get(agent),
+			findProcess: peer => processes.get(peer),
 			announceScheduler(scheduler) {
 				for (const peer of peers.values()) {
 					void peer.call('worker.lead', scheduler, orderTimeoutMilliseconds);
--- a/packages/coordinator/plugins/attach-agent.ts
+++ b/packages/coordinator/plugins/attach-agent.ts
@@ -9,8 +9,8 @@
 	name: 'worker.attach',
 	parametersSchema: attachParametersSchema,
 	async handle(parameters, context, peer) {
-		const {agent} = parameters as Readonly<{agent: string}>;
-		if (!context.services.use(agentsService).attach(agent, peer)) {
+		const {agent, process} = parameters as Readonly<{agent: string; process: string}>;
+		if (!context.services.use(agentsService).attach(agent, peer, process)) {
 			throw createReplacedConnectionError();
 		}
 
--- a/packages/coordinator/plugins/renew-worker.ts
+++ b/packages/coordinator/plugins/renew-worker.ts
@@ -17,7 +17,8 @@
 		const {agent, snapshot, left, epoch} = parameters as Renewal;
 		const leadership = context.services.use(leadershipService);
 		const scheduler = context.services.use(schedulerService);
-		if (!context.services.use(agentsService).attach(agent, peer)) {
+		const agents = context.services.use(agentsService);
+		if (!agents.attach(agent, peer)) {
 			throw createReplacedConnectionError();
 		}
 
@@ -34,7 +35,10 @@
 		}
 
 		// A snapshot taken under an earlier epoch may miss runs that an earlier scheduler has started since.
-		scheduler.send({kind: 'renewed', agent, snapshot: epoch === term.epoch ? snapshot : undefined});
+		const process = agents.findProcess(peer);
+		scheduler.send({
+			kind: 'renewed', agent, ...(process === undefined ? {} : {process}), snapshot: epoch === term.epoch ? snapshot : undefined,
+		});
 		const worker = scheduler.read()?.workers.get(agent);
 		return {
 			kind: 'granted',
--- a/packages/jobs/types.ts
+++ b/packages/jobs/types.ts
@@ -223,6 +223,17 @@
 }), valibot.readonly());
 export type UnansweredStarts = valibot.InferOutput<typeof unansweredStartsSchema>;
 
+/** What an agent knows of the calls by which it acknowledges ends to its worker. */
+export const acknowledgementsSchema = valibot.pipe(valibot.object({
+	/** Highest number that an answered call has acknowledged. */
+	answeredEnd: countSchema,
+	/** Whether calls acknowledge a higher number. */
+	isPending: valibot.optional(valibot.boolean()),
+	/** How long the worker's identifier may still carry out a call that was not answered; absent if there is none. */
+	remainingMilliseconds: valibot.optional(valibot.number()),
+}), valibot.readonly());
+export type Acknowledgements = valibot.InferOutput<typeof acknowledgementsSchema>;
+
 /** A worker as its agent reports it. */
 export const workerSnapshotSchema = valibot.pipe(valibot.object({
 	worker: workerIdSchema,
@@ -246,5 +257,7 @@
 	lost: valibot.optional(valibot.pipe(valibot.array(lostRunSchema), valibot.readonly()), []),
 	/** Absent in reports of earlier versions. */
 	unansweredStarts: valibot.optional(unansweredStartsSchema),
+	/** Absent until an end was acknowledged, and in reports of earlier versions. */
+	acknowledgements: valibot.optional(acknowledgementsSchema),
 }), valibot.readonly());
 export type WorkerSnapshot = valibot.InferOutput<typeof workerSnapshotSchema>;
--- a/packages/scheduling/incarnations.ts
+++ b/packages/scheduling/incarnations.ts
@@ -5,6 +5,7 @@
 } from '#jobs';
 import {addCrash, hasExhaustedCrashes, recordCrash} from './crashes.js';
 import {handleLastEnd} from './ends.js';
+import {recordLateAcknowledgements} from './late-acknowledgements.js';
 import {measureLoss} from './loss.js';
 import {
 	chain, endJob, listRunsOf, releaseRun, stopRuns, storeJob, withoutEffects, type SchedulerTransition,
@@ -132,7 +133,7 @@
 
 /** Removes a worker whose incarnation has certainly ended. */
 export function removeWorker(state: SchedulerState, worker: SchedulerWorker, cause: ReleaseCause, time: CurrentTime): SchedulerTransition {
-	const {state: released, effects} = releaseIncarnation(state, worker, cause, time);
+	const {state: released, effects} = releaseIncarnation(recordLateAcknowledgements(state, worker, time.monotonic), worker, cause, time);
 	return {
 		state: {...released, workers: released.workers.delete(worker.agent), unacknowledged: released.unacknowledged.delete(worker.agent)}, effects,
 	};
--- a/packages/scheduling/pool.ts
+++ b/packages/scheduling/pool.ts
@@ -8,6 +8,7 @@
 	isOpen, isRunOn, findJob, resourcesOf, resolveQueue,
 } from './state.js';
 import {isOnProbation} from './crashes.js';
+import {findAcknowledgementEnd} from './late-acknowledgements.js';
 import {listLateStarts} from './late-starts.js';
 import type {Rank} from './rank.js';
 import {estimateRemaining} from './remaining.js';
@@ -50,7 +51,7 @@
 			worker,
 			runs,
 			free: [...runs.map(({need}) => need), ...lateStarts.get(agent) ?? []].reduce((free, need) => subtract(free, need), worker.snapshot.capacity),
-			isUsable: isUsable(worker, monotonic) && !hasOrphanedRun(state, worker) && !runs.some(run => run.isOnProbation),
+			isUsable: isUsable(worker, monotonic) && findAcknowledgementEnd(state, worker, monotonic) === undefined && !hasOrphanedRun(state, worker) && !runs.some(run => run.isOnProbation),
 		};
 	});
 }
--- a/packages/scheduling/receive.ts
+++ b/packages/scheduling/receive.ts
@@ -65,7 +65,7 @@
 		}
 
 		case 'renewed': {
-			return handleRenewal(state, message.agent, message.snapshot, time);
+			return handleRenewal(state, message, time);
 		}
 
 		case 'incarnation-ended': {
--- a/packages/scheduling/reports.ts
+++ b/packages/scheduling/reports.ts
@@ -8,6 +8,7 @@
 } from './constants.js';
 import {handleEnd} from './ends.js';
 import {handleLostRun, releaseIncarnation} from './incarnations.js';
+import {limitLateAcknowledgements, logBarredWorker, recordLateAcknowledgements} from './late-acknowledgements.js';
 import {refuseLateStarts} from './late-starts.js';
 import {estimateSlowdown} from './remaining.js';
 import {
@@ -18,7 +19,7 @@
 } from './state.js';
 import {applyReportedStarts} from './unanswered-starts.js';
 import type {
-	AgentName, SchedulerJob, SchedulerState, SchedulerWorker, StopOrder, TaskState,
+	AgentName, AgentReport, SchedulerJob, SchedulerMessage, SchedulerState, SchedulerWorker, StopOrder, TaskState,
 } from './types.js';
 
 /** Latest time at which runs that an agent kept alive can end, counted from its last grant. */
@@ -26,7 +27,7 @@
 	return grantedAt + (grantValidityMilliseconds * slowClockFactor) + grantSlackMilliseconds;
 }
 
-export function handleRenewal(state: SchedulerState, agent: AgentName, snapshot: WorkerSnapshot | undefined, time: CurrentTime): SchedulerTransition {
+export function handleRenewal(state: SchedulerState, {agent, process, snapshot}: Extract<SchedulerMessage, {kind: 'renewed'}>, time: CurrentTime): SchedulerTransition {
 	// An agent that has started again knows no worker until that announces itself, which a lost one never does.
 	if (snapshot === undefined) {
 		return handleDetached(state, agent);
@@ -37,7 +38,8 @@
 	const isReplaced = worker !== undefined && !isKnown;
 	return chain(state, [
 		next => isReplaced ? replaceIncarnation(next, worker, snapshot, time) : withoutEffects(next),
-		next => withoutEffects(withSnapshot(next, agent, snapshot, time.monotonic)),
+		next => withoutEffects(withSnapshot(next, agent, {snapshot, process}, time.monotonic)),
+		next => isKnown && worker.process === process ? withoutEffects(next) : {state: next, effects: logBarredWorker(next, agent, time.monotonic)},
 		next => applySnapshot(next, agent, {snapshot, isKnown}, time),
 		// Runs that the report releases are compared with the starts that it lists.
 		next => withoutEffects(applyReportedStarts(next, agent, snapshot, time.monotonic)),
@@ -110,12 +112,15 @@
 	]);
 }
 
-function withSnapshot(state: SchedulerState, agent: AgentName, snapshot: WorkerSnapshot, monotonic: MonotonicTime): SchedulerState {
+function withSnapshot(state: SchedulerState, agent: AgentName, reported: AgentReport, monotonic: MonotonicTime): SchedulerState {
+	const {process, snapshot} = reported;
 	const worker = state.workers.get(agent);
-	const withoutUnread = {...state, unread: state.unread.delete(agent)};
-	if (worker !== undefined && isSameIncarnation(worker.snapshot, snapshot)) {
+	const isSame = worker !== undefined && isSameIncarnation(worker.snapshot, snapshot);
+	const recorded = worker === undefined || (isSame && worker.process === process) ? state : recordLateAcknowledgements(state, worker, monotonic);
+	const withoutUnread = {...limitLateAcknowledgements(recorded, agent, reported, monotonic), unread: state.unread.delete(agent)};
+	if (isSame) {
 		const next: SchedulerWorker = {
-			...worker, snapshot, contact: 'attached', grantedAt: monotonic,
+			...worker, snapshot, process, contact: 'attached', grantedAt: monotonic,
 		};
 		// Agents report twice a second, mostly without changes, which need no scheduling pass.
 		return hasCapacityChanged(worker, snapshot) ? withWorker(withoutUnread, next) : replaceWorker(withoutUnread, next);
@@ -124,6 +129,7 @@
 	return withWorker(withoutUnread, {
 		agent,
 		snapshot,
+		process,
 		contact: 'attached',
 		grantedAt: monotonic,
 		health: worker?.snapshot.worker === snapshot.worker ? worker.health : {failedJobs: [], avoidedUntil: 0},
--- a/packages/scheduling/state.ts
+++ b/packages/scheduling/state.ts
@@ -19,6 +19,7 @@
 		runs: PersistentMap(),
 		unacknowledged: PersistentSet(),
 		unansweredStarts: PersistentMap(),
+		lateAcknowledgements: PersistentMap(),
 		unread: PersistentMap(),
 		leaseUntil: Infinity,
 		isLoaded: false,
--- a/packages/scheduling/tick.ts
+++ b/packages/scheduling/tick.ts
@@ -8,6 +8,7 @@
 } from './constants.js';
 import {recordFailure} from './ends.js';
 import {removeWorker} from './incarnations.js';
+import {expireLateAcknowledgements} from './late-acknowledgements.js';
 import {latestEndOfRuns} from './reports.js';
 import {estimateRemaining} from './remaining.js';
 import {
@@ -31,6 +32,7 @@
 		next => removeLostWorkers(next, time),
 		next => withoutEffects(expireUnreadWorkers(next, time.monotonic)),
 		next => withoutEffects(expireUnansweredStarts(next, time.monotonic)),
+		next => withoutEffects(expireLateAcknowledgements(next, time.monotonic)),
 		next => stopPartialGangs(next, time.monotonic),
 		next => storeCheckpoints(next, time.monotonic),
 		next => removeOldRecords(next, time.monotonic),
--- a/packages/scheduling/types.ts
+++ b/packages/scheduling/types.ts
@@ -50,6 +50,14 @@
 /** The start of an ended run that was not answered. Until `until`, a worker with this identifier may carry it out, whatever an earlier incarnation has confirmed. */
 export type UnansweredStart = Readonly<{agent: AgentName; worker: WorkerId; run: number; orderedAt: MonotonicTime; until: MonotonicTime; refusal: StartRefusal}>;
 
+/** An acknowledgement of ends for an incarnation that is gone, or of an earlier process of its agent. Until it expires, the next incarnation of the identifier may carry it out and discard ends of its own. */
+export type LateAcknowledgement = WorkerIncarnation & Readonly<{
+	/** The process of the agent that sent it. */
+	process: string | undefined;
+	/** `with-process`: that process may have gone on to send it until it ended itself. */
+	expiry: Readonly<{kind: 'with-process'}> | Readonly<{kind: 'at'; at: MonotonicTime}>;
+}>;
+
 /** A worker that a task leaves out of its next placements while there are others, until the given time; then it prefers others that have room. `times` counts how often the task avoided it. */
 export type AvoidedWorker = Readonly<{worker: WorkerId; until: MonotonicTime; times: number}>;
 
@@ -138,6 +146,8 @@
 export type SchedulerWorker = Readonly<{
 	agent: AgentName;
 	snapshot: WorkerSnapshot;
+	/** The process of the agent that reported the worker last; undefined if it is not known. */
+	process: string | undefined;
 	/** `attached`: the agent's last renewal reported the worker. A `lost` worker gets no orders, and keeps its runs until its last grant is over. */
 	contact: 'attached' | 'lost';
 	/** When the agent last reported the worker and received a grant for it. */
@@ -150,6 +160,9 @@
 	pendingEnds: readonly PendingEnd[];
 }>;
 
+/** A report of a worker by a process of its agent. */
+export type AgentReport = Readonly<{process: string | undefined; snapshot: WorkerSnapshot}>;
+
 /** A worker that may still run tasks of an earlier scheduler. It is gone if another worker reports beside the same agent. */
 export type UnreadWorker = Readonly<{worker: WorkerId; until: MonotonicTime}>;
 
@@ -168,6 +181,8 @@
 	unacknowledged: PersistentSet<AgentName>;
 	/** Starts that may still be carried out, by task; tasks without any are left out. */
 	unansweredStarts: PersistentMap<TaskName, readonly UnansweredStart[]>;
+	/** Acknowledgements that later incarnations may carry out, by agent; agents without any are left out. */
+	lateAcknowledgements: PersistentMap<AgentName, readonly LateAcknowledgement[]>;
 	/** Workers of an earlier scheduler that have not reported yet, by agent name, with the time until which their runs may last. */
 	unread: PersistentMap<AgentName, UnreadWorker>;
 	/** Until then no other scheduler can have begun, which might extend leases that this one takes to be over. */
@@ -197,7 +212,7 @@
 	| Readonly<{kind: 'submitted'; submission: JobSubmission}>
 	| Readonly<{kind: 'cancelled'; job: JobKey}>
 	/** A renewal of an agent. Without a snapshot it shows that the agent is alive, and nothing about its worker. */
-	| Readonly<{kind: 'renewed'; agent: AgentName; snapshot: WorkerSnapshot | undefined}>
+	| Readonly<{kind: 'renewed'; agent: AgentName; process?: string; snapshot: WorkerSnapshot | undefined}>
 	| IncarnationEnd
 	| Readonly<{kind: 'detached'; agent: AgentName}>
 	| Readonly<{kind: 'start-answered'; agent: AgentName; answers: readonly StartAnswer[]}>
--- a/packages/supervision/describe.ts
+++ b/packages/supervision/describe.ts
@@ -1,7 +1,7 @@
 import type {MonotonicTime} from '#core';
-import type {WorkerSnapshot} from '#jobs';
+import {lateCallMilliseconds, type Acknowledgements, type WorkerSnapshot} from '#jobs';
 import {leaseExpiryMarginMilliseconds, lostRunRetentionMilliseconds, maximumClockDriftRatio} from './constants.js';
-import type {SupervisionState} from './types.js';
+import type {SupervisedWorker, SupervisionState} from './types.js';
 import {describeUnansweredStarts, mayBeCarriedOut} from './unanswered-starts.js';
 
 /** Takes a snapshot of the worker for the scheduler; undefined until the worker has confirmed the scheduler's epoch and the stops of starts that were meant for its earlier incarnations. */
@@ -30,9 +30,18 @@
 		ended,
 		lost: listRecentlyLost(state, monotonic).map(({task, run}) => ({task, run})),
 		unansweredStarts: describeUnansweredStarts(state, announcement.worker, monotonic),
+		...describeAcknowledgements(worker, monotonic),
 	};
 }
 
+/** Describes the acknowledgements, for a later process of this agent. */
+function describeAcknowledgements({notedEnd, acknowledgedEnd, unansweredAcknowledgements}: SupervisedWorker, monotonic: MonotonicTime): Readonly<{acknowledgements?: Acknowledgements}> {
+	const remaining = Math.max(0, ...unansweredAcknowledgements.map(sentAt => sentAt + lateCallMilliseconds - monotonic));
+	return notedEnd === 0
+		? {}
+		: {acknowledgements: {answeredEnd: acknowledgedEnd, ...(notedEnd > acknowledgedEnd ? {isPending: true} : {}), ...(remaining > 0 ? {remainingMilliseconds: remaining} : {})}};
+}
+
 export function listRecentlyLost({lostRuns}: SupervisionState, monotonic: MonotonicTime): SupervisionState['lostRuns'] {
 	return lostRuns.filter(({at}) => monotonic - at < lostRunRetentionMilliseconds);
 }
--- a/test/coordinator/agents.test.ts
+++ b/test/coordinator/agents.test.ts
@@ -96,4 +96,21 @@
 			expect((['first', 'second'] as const).filter(connection => peers[connection].isOpen())).to.deep.equal(open);
 		});
 	}
+
+	it('renewals name the process that opened their connection (acknowledgements of an earlier process forgotten)', async () => {
+		const processes: Array<string | undefined> = [];
+		const context = startSchedulingEntry({
+			send(message: SchedulerMessage) {
+				processes.push(message.kind === 'renewed' ? message.process : undefined);
+			},
+			read: () => undefined,
+		});
+		for (const process of ['p-1', 'p-2']) {
+			const peer = createFakePeer(`h:${process}`);
+			await callMethod('worker.attach', {agent: 'agent-a', process}, context, peer);
+			await callMethod('worker.renew', {agent: 'agent-a', epoch: 1, snapshot: snapshotOf('a')}, context, peer);
+		}
+
+		expect(processes).to.deep.equal(['p-1', 'p-2']);
+	});
 });
--- a/test/supervision/incarnations.test.ts
+++ b/test/supervision/incarnations.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import type {WorkerId} from '#core';
-import type {EndedRun} from '#jobs';
+import type {Acknowledgements, EndedRun} from '#jobs';
 import {
 	describeWorker, isAnswerOf, lateCallMilliseconds, lostRunRetentionMilliseconds, receiveSupervisionMessage,
 	type LeaseExtensionResult, type SupervisionEffect, type SupervisionMessage, type SupervisionState,
@@ -49,6 +49,9 @@
 	};
 }
 
+/** The first end is stored. */
+const stored: SupervisionMessage = {...granted, notedEnd: 1};
+
 type Case = Readonly<{
 	name: string;
 	/** Messages after a run was started on incarnation 100, with their times. */
@@ -238,6 +241,22 @@
 		expect(back.state.worker?.startsBarredUntil).to.equal(30 + lateCallMilliseconds);
 	});
 
+	for (const {name, messages, acknowledgements} of [
+		{name: 'none before an end is stored', messages: [], acknowledgements: undefined},
+		{name: 'a call is under way', messages: [[30, stored]], acknowledgements: {answeredEnd: 0, isPending: true, remainingMilliseconds: lateCallMilliseconds - 970}},
+		{name: 'the call was answered', messages: [[30, stored], [50, ackAnswer(30, 'answered')]], acknowledgements: {answeredEnd: 1}},
+		{
+			name: 'an earlier call was not answered, a later one was',
+			messages: [[30, stored], [730, ackAnswer(30, 'failed')], [800, {kind: 'extension-due'}], [900, ackAnswer(800, 'answered')]],
+			acknowledgements: {answeredEnd: 1, remainingMilliseconds: lateCallMilliseconds - 970},
+		},
+	] satisfies ReadonlyArray<Readonly<{name: string; messages: ReadonlyArray<readonly [number, SupervisionMessage]>; acknowledgements: Acknowledgements | undefined}>>) {
+		it(`acknowledgements that the scheduler has to know after a restart of the agent: ${name} (end of the next incarnation discarded)`, () => {
+			const {state} = applyMessages([...startedAt10, [20, answered('100', {ended: [done]})], ...messages]);
+			expect(describeWorker(state, 1000)?.acknowledgements).to.deep.equal(acknowledgements);
+		});
+	}
+
 	it('an answer by a clock that began anew comes from a later incarnation (stop of one incarnation confirmed by the next)', () => {
 		const {state} = applyMessages(startedAt10);
 		expect([51_000, 50_980, 50_100, undefined].map(clock => isAnswerOf(state.worker!, clock, 1000))).to.deep.equal([true, true, false, false]);
