Start a task as soon as its unanswered start can no longer be carried out

A task whose start was not answered started up to 0.25 s later than it could.

Cause: the end of the wait was noticed only by the scheduler's ticks, every 0.25 s, and a report that settled the start earlier requested no pass either.

Change: the next tick comes when the earliest wait ends, and a settled start requests a pass. The wait itself is as long as before.

--- a/packages/coordinator/index.ts
+++ b/packages/coordinator/index.ts
@@ -13,6 +13,7 @@
 export {leadershipService} from './plugins/leadership.js';
 export {computeElectionDelay} from './election-delay.js';
 export {choosePassDelay, createPassTimer, type LastPass} from './pass-timer.js';
+export {chooseTickDelay} from './tick-delay.js';
 export {computeProcessingTime} from './callers/processing-time.js';
 export {interpretReply, type ForwardOutcome} from './callers/forward.js';
 export {submitJob} from './callers/submit.js';
--- a/packages/coordinator/plugins/scheduler.ts
+++ b/packages/coordinator/plugins/scheduler.ts
@@ -5,13 +5,14 @@
 import {
 	countPending, createSchedulerState, receiveSchedulerMessage, type SchedulerEffect, type SchedulerMessage, type SchedulerState,
 } from '#scheduling';
-import {overloadDelayMilliseconds, schedulerTickMilliseconds} from '../constants.js';
+import {overloadDelayMilliseconds} from '../constants.js';
 import {startJobWatch} from '../job-watch.js';
 import {sendStarts, sendStops} from '../orders.js';
 import {peerAddressOf} from '../peer-address.js';
 import {createPassTimer} from '../pass-timer.js';
 import {coordinatorPlugins} from '../plugins.js';
 import {startProgressWriter, type ProgressWriter} from '../progress-writer.js';
+import {chooseTickDelay} from '../tick-delay.js';
 import type {CoordinatorContext} from '../types.js';
 import {createWorkersRecord, type WorkersRecord} from '../workers-record.js';
 import {agentsService} from './agents.js';
@@ -119,8 +120,9 @@
 
 			term.workersRecord.prune();
 			updateGauges(task.read(), context);
-			const nextAt = clock.monotonic() + schedulerTickMilliseconds;
-			clock.schedule(schedulerTickMilliseconds, () => {
+			const delay = chooseTickDelay(task.read(), clock.monotonic());
+			const nextAt = clock.monotonic() + delay;
+			clock.schedule(delay, () => {
 				tick(nextAt);
 			});
 		}
--- a/packages/scheduling/index.ts
+++ b/packages/scheduling/index.ts
@@ -4,3 +4,4 @@
 export {
 	countPending, createSchedulerState, describeProgress, findTask,
 } from './state.js';
+export {measureWaitForStarts} from './unanswered-starts.js';
--- a/packages/scheduling/unanswered-starts.ts
+++ b/packages/scheduling/unanswered-starts.ts
@@ -3,10 +3,10 @@
 
 A call without an answer may be carried out seconds later. The stop that a worker confirmed binds that incarnation only: a later one with the same identifier knows neither the stop nor the epoch, and would run the task beside its next run, or after its end.
 */
-import type {MonotonicTime} from '#core';
+import type {Milliseconds, MonotonicTime} from '#core';
 import {lateCallMilliseconds, type TaskName, type WorkerSnapshot} from '#jobs';
 import {maximumLeaseMilliseconds, orderDeliveryMilliseconds} from './constants.js';
-import {findTask, latestSoleTime, markChanged} from './state.js';
+import {findTask, markChanged} from './state.js';
 import type {
 	AgentName, SchedulerEffect, SchedulerState, TaskRun, UnansweredStart,
 } from './types.js';
@@ -16,14 +16,29 @@
 	return state.unansweredStarts.get(task)?.some(start => mayRun(state, start, monotonic)) === true;
 }
 
-function mayRun(state: SchedulerState, {agent, worker, until}: UnansweredStart, monotonic: MonotonicTime): boolean {
-	const current = state.workers.get(agent);
+function mayRun(state: SchedulerState, start: UnansweredStart, monotonic: MonotonicTime): boolean {
+	return monotonic < findEndOfWait(state, start);
+}
+
+function findEndOfWait({workers, leaseUntil}: SchedulerState, {agent, worker, until}: UnansweredStart): MonotonicTime {
+	const current = workers.get(agent);
 	if (current !== undefined && current.snapshot.worker !== worker) {
-		return false;
+		return -Infinity;
+	}
+
+	// A run that the start has begun is reported, or lasts as long as its lease, which only another scheduler could extend.
+	if (current?.contact === 'attached') {
+		return until;
 	}
 
-	// A run that the start has begun is reported, or lasts as long as its lease.
-	return current?.contact === 'attached' ? monotonic < until : latestSoleTime(state, monotonic) < until + maximumLeaseMilliseconds;
+	const end = until + maximumLeaseMilliseconds;
+	return leaseUntil < end ? Infinity : end;
+}
+
+/** Measures how long it takes until the next task need no longer wait for a start; infinite if none waits. */
+export function measureWaitForStarts(state: SchedulerState, monotonic: MonotonicTime): Milliseconds {
+	const ends = [...state.unansweredStarts.values()].flatMap(starts => starts.map(start => findEndOfWait(state, start)));
+	return Math.min(...ends.filter(end => end > monotonic)) - monotonic;
 }
 
 /** Records the start of a run that is released, unless the worker has confirmed it: then it has been carried out. */
@@ -134,7 +149,7 @@
 		const remaining = starts.filter(start => !isObsolete(task, start));
 		if (remaining.length < starts.length) {
 			const unansweredStarts = remaining.length === 0 ? next.unansweredStarts.delete(task) : next.unansweredStarts.set(task, remaining);
-			next = markChanged({...next, unansweredStarts}, task, monotonic);
+			next = {...markChanged({...next, unansweredStarts}, task, monotonic), isScheduleDue: true};
 		}
 	}
 
--- a/test/scheduling/unanswered-starts.test.ts
+++ b/test/scheduling/unanswered-starts.test.ts
@@ -1,5 +1,6 @@
 /** A task whose start was not answered starts again only when that start can no longer be carried out. */
 import {expect} from 'chai';
+import {chooseTickDelay} from '#coordinator';
 import type {WorkerId} from '#core';
 import {lateCallMilliseconds, type JobStep, type UnansweredStarts} from '#jobs';
 import {
@@ -170,6 +171,38 @@
 		expect(startsOf(driver.send(answer('no-room'))).map(({run}) => run)).to.deep.equal([2]);
 	});
 
+	it('the next check comes when the start can no longer be carried out (task that starts up to a tick later)', () => {
+		const driver = createReadyDriver([['a']]);
+		driver.send({kind: 'submitted', submission: submissionOf(1, [{}])});
+		driver.send(answer('unknown'));
+		driver.elapse(stoppedAt);
+		driver.send(stopConfirmed);
+		// The agent sent the start some milliseconds after the order.
+		const listedAt = (time: number) => renewal('a', {unansweredStarts: knowing(lateCallMilliseconds + 20 - time)});
+		driver.send(listedAt(driver.time()));
+		let startedAt: number | undefined;
+		while (startedAt === undefined && driver.time() < 2 * lateCallMilliseconds) {
+			const delay = chooseTickDelay(driver.state(), driver.time());
+			expect(delay).to.be.within(1, checkMilliseconds);
+			startedAt = startsOf(driver.elapse(delay)).length > 0 ? driver.time() : undefined;
+			driver.send(driver.time() < lateCallMilliseconds + 20 ? listedAt(driver.time()) : renewal('a'));
+		}
+
+		expect(startedAt).to.equal(lateCallMilliseconds + 20);
+	});
+
+	it('a report that the start is void lets the task start at once (task that waits for the next tick)', () => {
+		const driver = createReadyDriver([['a']]);
+		driver.send({kind: 'submitted', submission: submissionOf(1, [{}])});
+		driver.send(renewal('b'));
+		driver.send(answer('unknown'));
+		driver.elapse(orderDeliveryMilliseconds);
+		driver.send(stopConfirmed);
+		driver.send(renewal('a', {unansweredStarts: knowing(5000)}));
+		driver.elapse(1000);
+		expect(startsOf(driver.send(renewal('a', {unansweredStarts: knowing(undefined)}))).map(({run}) => run)).to.deep.equal([2]);
+	});
+
 	it('a new scheduler learns of the start from the agent (start of an earlier term carried out beside the next run)', () => {
 		const driver = createDriver({epoch: 2});
 		driver.send({kind: 'configured', configuration});
