Grant the registrations' lease in the store, and test other causes of crashes with programs

The store of the hand-over test refuses writes under a lease that it did not grant, as the platform does. platform/incarnations: a job whose starts are not answered was shown as failed 27 s after its submission on, where each worker then crashed for another reason; now it completes.

--- a/test/coordinator/directory.test.ts
+++ b/test/coordinator/directory.test.ts
@@ -100,9 +100,13 @@
 		for (const program of programs) {
 			it(`${program.name} is registered although ${testCase.name} (entry that the others and the agents do not know)`, async () => {
 				const clock = createVirtualClock();
-				const startedAt = clock.monotonic();
 				const remaining = [...fates];
 				const unreliable = createUnreliableStore(clock, () => remaining.shift() ?? {kind: 'answered', appliedAfter: 1, answeredAfter: 1});
+				const granted = unreliable.store.grantLease(60_000);
+				await elapse(clock, 50, 5);
+				const grant = await granted;
+				expect(grant).to.deep.equal({kind: 'granted', lease: '1'});
+				const startedAt = clock.monotonic();
 				const held = {lease: '1', requestedAt: 0, validUntil: 0};
 				let announceLease: (lease: string) => void = () => undefined;
 				const lease: Partial<LeaseHandle> = {
--- a/test/platform/incarnations.test.ts
+++ b/test/platform/incarnations.test.ts
@@ -20,6 +20,9 @@
 
 const workMilliseconds = 2000;
 
+/** Its agent has asked the worker for its runs by then. */
+const crashPauseMilliseconds = 500;
+
 async function pause(milliseconds: number): Promise<undefined> {
 	await new Promise(resolve => {
 		setTimeout(resolve, milliseconds);
@@ -229,6 +232,29 @@
 			expect(countCrashes()).to.equal(3);
 		},
 	},
+	{
+		name: 'a job whose starts are not answered ends as completed although each worker then crashes for another reason (sound job shown as failed)',
+		options: {entries: 1, workers: 2, workMilliseconds: 500},
+		async run(deployment) {
+			for (const worker of deployment.workers) {
+				worker.delayOrders(['start'], 'until-told');
+			}
+
+			await submit(deployment, first);
+			for (let run = 1; run <= 3; run++) {
+				const isLate = (worker: PlatformWorker) => worker.lateOrders().some(({order}) => order['run_id'] === run);
+				const worker = await waitFor(`late start ${run}`, async () => deployment.workers.find(each => isLate(each)), giveUpMilliseconds);
+				await pause(crashPauseMilliseconds);
+				worker.crash({downMilliseconds: 100});
+			}
+
+			for (const worker of deployment.workers) {
+				worker.answerOrders();
+			}
+
+			await waitForState(deployment, first, 'completed', {timeout: giveUpMilliseconds});
+		},
+	},
 	{
 		name: 'a start that a later incarnation carries out after the one before confirmed its stop is no second run (stop confirmed by one incarnation only)',
 		options: {entries: 1, workers: 2, workMilliseconds: 4000},
