Remove the records of an ended job only while its progress is unchanged

Callers could lose an accepted job: its identifier was in use before, and the records of the job that ended long ago were just being removed.

The removal depended on the term only. One whose answer was lost is repeated, and one that got no answer may be carried out seconds later; by then the records may be gone, the same identifier submitted again and its new records stored, which were removed then.

A removal now also depends on the version of the progress of each of its jobs, which the scheduler knows, as it forgets a job only once its end is stored. After a conflict under the same term, jobs whose progress is gone or has another version are left alone, and the others are removed. A transaction of 32 operations holds 7 jobs instead of 10.

Evidence: coordinator/progress-writer; the cases of a lost reply and of a batch in which one job is gone fail without the change, which knew no such conflict, as do the others for the size of their batches. The cases that were there now name the jobs and conditions of each transaction, in place of the number of removals.

--- a/packages/coordinator/constants.ts
+++ b/packages/coordinator/constants.ts
@@ -36,8 +36,8 @@
 export const progressRetryMilliseconds = 150;
 /** Jobs in one transaction: the store accepts 32 operations, two for each job and one for the leader record. */
 export const maximumJobsPerTransaction = 15;
-/** Ended jobs, with three records each, that one transaction removes within the same limit of 32. */
-export const maximumRemovalsPerTransaction = 10;
+/** Ended jobs, with three records and one condition each, that one transaction removes within the same limit of 32. */
+export const maximumRemovalsPerTransaction = 7;
 /** Delay before an entry campaigns: a multiple of the store's latency, so that an entry near the store wins, plus jitter. */
 export const electionLatencyFactor = 2;
 export const electionJitterMilliseconds = 60;
--- a/packages/coordinator/plugins/scheduler.ts
+++ b/packages/coordinator/plugins/scheduler.ts
@@ -180,7 +180,7 @@
 		}
 
 		case 'remove-records': {
-			term.progressWriter.remove(effect.job);
+			term.progressWriter.remove(effect.job, effect.keyVersion);
 			break;
 		}
 
--- a/packages/coordinator/progress-writer.ts
+++ b/packages/coordinator/progress-writer.ts
@@ -3,7 +3,7 @@
 import {isDeepStrictEqual} from 'node:util';
 import type {JobKey, JobProgress} from '#jobs';
 import {describeProgress} from '#scheduling';
-import type {CommitReply} from '#store';
+import type {CommitReply, StoredValue} from '#store';
 import {maximumJobsPerTransaction, maximumRemovalsPerTransaction, progressRetryMilliseconds} from './constants.js';
 import {
 	cancellationStoreKey, jobStoreKey, leaderKey, progressStoreKey,
@@ -16,8 +16,8 @@
 export type ProgressWriter = Readonly<{
 	/** Stores the latest progress of the job in one of the next transactions. */
 	store(job: JobKey): void;
-	/** Removes all records of a job that ended long ago. */
-	remove(job: JobKey): void;
+	/** Removes all records of a job that ended long ago, if its progress still has the given version: the same job may be submitted again once they are gone. */
+	remove(job: JobKey, keyVersion: number): void;
 }>;
 
 type ProgressUpdate = Readonly<{job: JobKey; version: number; keyVersion: number; progress: JobProgress}>;
@@ -25,7 +25,7 @@
 export function startProgressWriter(term: Pick<Term, 'leaderVersion' | 'isOver' | 'task' | 'epoch'>, context: CoordinatorContext): ProgressWriter {
 	const {services, clock, counters} = context;
 	const dirty = new Set<JobKey>();
-	const obsolete = new Set<JobKey>();
+	const obsolete = new Map<JobKey, number>();
 	let isWriting = false;
 
 	const collectUpdates = (): readonly ProgressUpdate[] => [...dirty].slice(0, maximumJobsPerTransaction).flatMap(key => {
@@ -87,7 +87,7 @@
 	};
 
 	/** An earlier write may have been applied although its reply was lost; the store then already holds the progress. */
-	const resolveConflict = (updates: readonly ProgressUpdate[], current: Extract<CommitReply, {kind: 'conflict'}>['current']): boolean => {
+	const resolveConflict = (updates: readonly ProgressUpdate[], current: readonly StoredValue[]): boolean => {
 		const leader = current.find(({key}) => key === leaderKey);
 		if (leader?.version !== term.leaderVersion) {
 			context.log.withPrefix('progress').warn({epoch: term.epoch, leader: leader?.value}, 'progress was not stored because another entry is the scheduler');
@@ -110,11 +110,33 @@
 		return true;
 	};
 
+	/** An earlier removal may have been applied although its reply was lost. */
+	const resolveRemovalConflict = (removals: ReadonlyArray<readonly [JobKey, number]>, current: readonly StoredValue[]): boolean => {
+		const log = context.log.withPrefix('progress');
+		if (current.find(({key}) => key === leaderKey)?.version !== term.leaderVersion) {
+			log.warn({jobs: removals.map(([job]) => job), epoch: term.epoch}, 'records were not removed because another entry is the scheduler');
+			services.use(leadershipService).send({kind: 'deposed'});
+			return false;
+		}
+
+		const gone = removals.filter(([job, keyVersion]) => current.find(({key}) => key === progressStoreKey(job))?.version !== keyVersion).map(([job]) => job);
+		for (const job of gone) {
+			obsolete.delete(job);
+		}
+
+		log.info({jobs: gone, epoch: term.epoch}, 'the records of ended jobs were already removed');
+		return gone.length > 0;
+	};
+
 	/** Removes the records of a batch of jobs. Returns whether the next write may follow at once. */
 	const removeRecords = async (): Promise<boolean> => {
-		const jobs = [...obsolete].slice(0, maximumRemovalsPerTransaction);
+		const removals = [...obsolete].slice(0, maximumRemovalsPerTransaction);
+		const jobs = removals.map(([job]) => job);
 		const reply = await services.use(storePort).commit({
-			conditions: [{key: leaderKey, expectedVersion: term.leaderVersion}],
+			conditions: [
+				{key: leaderKey, expectedVersion: term.leaderVersion},
+				...removals.map(([job, keyVersion]) => ({key: progressStoreKey(job), expectedVersion: keyVersion})),
+			],
 			puts: [],
 			removals: jobs.flatMap(job => [jobStoreKey(job), cancellationStoreKey(job), progressStoreKey(job)]),
 		});
@@ -129,9 +151,7 @@
 			}
 
 			case 'conflict': {
-				context.log.withPrefix('progress').warn({jobs, epoch: term.epoch}, 'records were not removed because another entry is the scheduler');
-				services.use(leadershipService).send({kind: 'deposed'});
-				return false;
+				return resolveRemovalConflict(removals, reply.current);
 			}
 
 			case 'lease-unknown':
@@ -171,8 +191,8 @@
 			dirty.add(job);
 			scheduleWrite();
 		},
-		remove(job) {
-			obsolete.add(job);
+		remove(job, keyVersion) {
+			obsolete.set(job, keyVersion);
 			scheduleWrite();
 		},
 	};
--- a/packages/scheduling/tick.ts
+++ b/packages/scheduling/tick.ts
@@ -163,6 +163,6 @@
 
 	return {
 		state: {...state, jobs: state.jobs.deleteAll(expired.map(({submission: {job}}) => job))},
-		effects: expired.map(({submission: {job}}) => ({kind: 'remove-records', job})),
+		effects: expired.map(({submission: {job}, keyVersion}) => ({kind: 'remove-records', job, keyVersion})),
 	};
 }
--- a/packages/scheduling/types.ts
+++ b/packages/scheduling/types.ts
@@ -238,7 +238,8 @@
 	| Readonly<{kind: 'store-progress'; job: JobKey}>
 	/** More ends are stored; the agent should receive the acknowledgement soon. */
 	| Readonly<{kind: 'acknowledge'; agent: AgentName}>
-	| Readonly<{kind: 'remove-records'; job: JobKey}>
+	/** Removes the records of a job if its progress still has the given version. */
+	| Readonly<{kind: 'remove-records'; job: JobKey; keyVersion: number}>
 	| Readonly<{kind: 'log'; event: string; fields: Readonly<Record<string, unknown>>}>;
 
 /** Number of jobs without a started task, by queue. */
--- a/test/coordinator/progress-writer.test.ts
+++ b/test/coordinator/progress-writer.test.ts
@@ -13,23 +13,47 @@
 type Case = Readonly<{
 	name: string;
 	replies: readonly CommitReply[];
-	/** Number of removals in each transaction that is sent. */
-	removalCounts: readonly number[];
+	/** Numbers of the jobs whose records each transaction removes. */
+	removed: ReadonlyArray<readonly number[]>;
 	isDeposed: boolean;
 }>;
 
+/** Limit of the store for one transaction. */
+const maximumOperations = 32;
+
 const unavailable: CommitReply = {kind: 'unavailable', effect: 'not-applied', message: 'status 503'};
+const lost: CommitReply = {kind: 'unavailable', effect: 'perhaps-applied', message: 'timeout'};
 const committed: CommitReply = {kind: 'committed', version: 9};
 
+const leader = {key: 'cluster/leader', value: {}, version: 4};
+const progressOf = (number: number, version = number) => ({key: `progress/${keyOf(number)}`, value: {}, version});
+const firstBatch = [1, 2, 3, 4, 5, 6, 7];
+const secondBatch = [8, 9, 10, 11, 12];
+
 const cases: readonly Case[] = [
 	{
-		name: 'records of ended jobs are removed in batches (one write for each job)', replies: [committed, committed], removalCounts: [30, 6], isDeposed: false,
+		name: 'records of ended jobs are removed in batches (one write for each job)', replies: [committed, committed], removed: [firstBatch, secondBatch], isDeposed: false,
+	},
+	{
+		name: 'a removal that the store did not apply is retried (records that are never removed)',
+		replies: [unavailable, committed, committed],
+		removed: [firstBatch, firstBatch, secondBatch],
+		isDeposed: false,
+	},
+	{
+		name: 'a replaced scheduler stops removing records (records removed under the next scheduler)', replies: [{kind: 'conflict', current: []}], removed: [firstBatch], isDeposed: true,
 	},
 	{
-		name: 'a removal that the store did not apply is retried (records that are never removed)', replies: [unavailable, committed, committed], removalCounts: [30, 30, 6], isDeposed: false,
+		name: 'a removal whose reply was lost is not repeated for jobs that were submitted again (records of an accepted job removed)',
+		replies: [lost, {kind: 'conflict', current: [leader, progressOf(2, 20)]}],
+		removed: [firstBatch, firstBatch, secondBatch],
+		isDeposed: false,
 	},
 	{
-		name: 'a replaced scheduler stops removing records (records removed under the next scheduler)', replies: [{kind: 'conflict', current: []}], removalCounts: [30], isDeposed: true,
+		name: 'records are removed although those of another job in the batch are gone (records that are never removed)',
+		replies: [{kind: 'conflict', current: [leader, ...firstBatch.slice(1).map(number => progressOf(number))]}],
+		removed: [firstBatch, [2, 3, 4, 5, 6, 7, 8], [9, 10, 11, 12]],
+		isDeposed: false,
 	},
 ];
 
@@ -44,7 +68,7 @@
 };
 
 describe('progress writer', () => {
-	for (const {name, replies, removalCounts, isDeposed} of cases) {
+	for (const {name, replies, removed, isDeposed} of cases) {
 		it(name, async () => {
 			const transactions: Transaction[] = [];
 			const messages: unknown[] = [];
@@ -69,7 +93,7 @@
 				leaderVersion: 4, epoch: 2, isOver: () => messages.length > 0, task,
 			}, context);
 			for (let number = 1; number <= 12; number++) {
-				writer.remove(keyOf(number));
+				writer.remove(keyOf(number), number);
 			}
 
 			for (let turn = 0; turn < 20; turn++) {
@@ -78,8 +102,14 @@
 				});
 			}
 
-			expect(transactions.map(({removals}) => removals.length)).to.deep.equal(removalCounts);
+			expect(transactions.map(({removals}) => removals)).to.deep.equal(removed.map(numbers => numbers.flatMap(number => [
+				`jobs/${keyOf(number)}`, `jobs/${keyOf(number)}/cancellation`, `progress/${keyOf(number)}`,
+			])));
 			expect(transactions.every(({conditions}) => conditions[0]?.expectedVersion === 4)).to.equal(true);
+			expect(transactions.map(({conditions}) => conditions.slice(1))).to.deep.equal(removed.map(numbers => numbers.map(number => (
+				{key: `progress/${keyOf(number)}`, expectedVersion: number}
+			))));
+			expect(transactions.every(({conditions, removals}) => conditions.length + removals.length <= maximumOperations)).to.equal(true);
 			expect(messages).to.deep.equal(isDeposed ? [{kind: 'deposed'}] : []);
 		});
 	}
