Let the hand-over test bring up the orders that a forgotten record needs

Among all actions, the order that makes the record of workers forget one came up once in 2,187 sequences. Two further cases keep to one agent, absences longer than its grant, and writes of one kind of record: the workers in use, or progress.

--- a/test/support/hand-over/actions.ts
+++ b/test/support/hand-over/actions.ts
@@ -58,6 +58,44 @@
 	{arbitrary: disturbWrites, weight: 3},
 );
 
+/** One agent that is away for longer than its grant, and writes of one kind of record: the order that a forgotten record needs seldom comes up among all actions. */
+function createRecordStep(key: string, workMilliseconds: readonly number[]): fastCheck.Arbitrary<Step> {
+	return fastCheck.record({
+		action: fastCheck.oneof(
+			{
+				arbitrary: fastCheck.record({
+					kind: fastCheck.constant('submit' as const),
+					count: fastCheck.constantFrom(2, 3),
+					accelerators: fastCheck.constant(1),
+					maximumPerWorker: fastCheck.constant(1),
+					duration: fastCheck.constantFrom(...workMilliseconds),
+				}), weight: 2,
+			},
+			{
+				arbitrary: fastCheck.record({
+					kind: fastCheck.constantFrom('cut-agents' as const, 'cut-agents' as const, 'freeze-agents' as const, 'restart-agents' as const),
+					agents: fastCheck.constant([0]),
+					duration: fastCheck.constantFrom(300, 9500, 9500),
+					from: fastCheck.constant('all' as const),
+				}), weight: 3,
+			},
+			{arbitrary: fastCheck.record({kind: fastCheck.constantFrom('restart-scheduler' as const, 'cut-store' as const), duration: fastCheck.constantFrom(300, 4000)}), weight: 1},
+			{
+				arbitrary: fastCheck.record({
+					kind: fastCheck.constant('disturb-writes' as const), key: fastCheck.constant(key), writes: fastCheck.constantFrom(1, 2), fate,
+				}), weight: 2,
+			},
+		),
+		pause: fastCheck.constantFrom(50, 250, 1000, 9500),
+	});
+}
+
+/** Faults that the record of workers has to outlast. */
+export const workersRecordStep = createRecordStep('workers', [400, 15_000]);
+
+/** Faults that the progress of jobs has to outlast. */
+export const progressStep = createRecordStep('progress/', [400, 3000]);
+
 /** Faults of entries, agents and the store. */
 export const handOverStep: fastCheck.Arbitrary<Step> = fastCheck.record({action: handOver, pause});
 
