Let workers of the hand-over test come back under another identifier

Two workers beside one agent, one after the other, share the scheduler's maps that are keyed by agent; the test now brings this up. The incarnation of a worker has its own file.

--- a/test/support/hand-over/guarantees.ts
+++ b/test/support/hand-over/guarantees.ts
@@ -1,6 +1,6 @@
 /** Records what the workers do, and which promise it breaks. */
 import type {TaskName} from '#jobs';
-import type {RunEvent} from './worker.js';
+import type {RunEvent} from './incarnation.js';
 
 export type Guarantees = Readonly<{
 	observe(event: RunEvent): void;
--- a/test/support/hand-over/programs.ts
+++ b/test/support/hand-over/programs.ts
@@ -18,7 +18,8 @@
 import '../../../packages/supervisor/plugins/index.js';
 import {createParty, type Network} from './network.js';
 import {createProcess, type SimulatedProcess} from './process.js';
-import {maximumHoldMilliseconds, type SimulatedWorker} from './worker.js';
+import {maximumHoldMilliseconds} from './incarnation.js';
+import type {SimulatedWorker} from './worker.js';
 
 export type Environment = Readonly<{
 	clock: Clock;
