List a late start that a worker carries out as it comes back while its agent is cut off

Callers could see a task start again after its end was noted: the wait for an unanswered start ends at its time for an agent whose connection still counts as open, although its last report is older. Shown in virtual time, each time, with a worker that keeps its identifier and starts again in the same millisecond as the late start; not when it starts again 20 ms or more before. The test is red.

--- a/test/coordinator/hand-over.test.ts
+++ b/test/coordinator/hand-over.test.ts
@@ -92,6 +92,27 @@
 			},
 		],
 	},
+	{
+		name: 'a worker comes back and carries a late start out at the same moment, while its agent is cut off (start of a task that is done)',
+		steps: [
+			{
+				action: {
+					kind: 'delay-starts', agents: [0], starts: 1, delay: 9000,
+				}, pause: 0,
+			},
+			{
+				action: {
+					kind: 'submit', count: 3, accelerators: 1, maximumPerWorker: 1, duration: 400,
+				}, pause: 8000,
+			},
+			{
+				action: {
+					kind: 'cut-agents', agents: [0], from: 'all', duration: 5500,
+				}, pause: 1000,
+			},
+			{action: {kind: 'restart-workers', agents: [0], identity: 'same'}, pause: 7000},
+		],
+	},
 ];
 
 describe('hand-over from scheduler to scheduler', function () {
