Report a start that silenced its worker for good as lost

The agent now reports such starts also once the worker's lease is over, as the scheduler then releases the runs there.

Evidence: 'a start is reported as lost also if its worker stays silent beyond its lease' in supervision/unanswered-starts failed before.

--- a/packages/supervision/describe.ts
+++ b/packages/supervision/describe.ts
@@ -2,7 +2,7 @@
 import {lateCallMilliseconds, type Acknowledgements, type WorkerSnapshot} from '#jobs';
 import {leaseExpiryMarginMilliseconds, lostRunRetentionMilliseconds, maximumClockDriftRatio} from './constants.js';
 import type {SupervisedWorker, SupervisionState} from './types.js';
-import {describeUnansweredStarts, mayBeCarriedOut} from './unanswered-starts.js';
+import {describeUnansweredStarts, listCrashingStarts, mayBeCarriedOut} from './unanswered-starts.js';
 
 /** Takes a snapshot of the worker for the scheduler; undefined until the worker has confirmed the scheduler's epoch and the stops of starts that were meant for its earlier incarnations. */
 export function describeWorker(state: SupervisionState, monotonic: MonotonicTime): WorkerSnapshot | undefined {
@@ -14,6 +14,7 @@
 	const {announcement, isLeaving, leavesAt, running, ended, leaseUntil, startsBarredUntil} = worker;
 	// A worker that may have left gets no starts. Its runs are not stopped, since the departure may be an earlier incarnation's.
 	const isResponsive = worker.isResponsive && !isLeaving && monotonic >= startsBarredUntil;
+	const isOver = !worker.isResponsive && !isLeaving && isLeaseOver(leaseUntil, monotonic);
 	return {
 		worker: announcement.worker,
 		incarnation: announcement.incarnation,
@@ -25,10 +26,10 @@
 		state: announcement.state,
 		...(leavesAt === undefined ? {} : {leavesInMilliseconds: Math.max(0, Math.round(leavesAt - monotonic))}),
 		isResponsive,
-		isLeaseOver: !worker.isResponsive && !isLeaving && isLeaseOver(leaseUntil, monotonic),
+		isLeaseOver: isOver,
 		running,
 		ended,
-		lost: listRecentlyLost(state, monotonic).map(({task, run}) => ({task, run})),
+		lost: [...listRecentlyLost(state, monotonic), ...(isOver ? listCrashingStarts(state, worker, monotonic) : [])].map(({task, run}) => ({task, run})),
 		unansweredStarts: describeUnansweredStarts(state, announcement.worker, monotonic),
 		...describeAcknowledgements(worker, monotonic),
 	};
--- a/test/supervision/unanswered-starts.test.ts
+++ b/test/supervision/unanswered-starts.test.ts
@@ -119,6 +119,11 @@
 		});
 	}
 
+	it('a start is reported as lost also if its worker stays silent beyond its lease (worker after worker falls silent)', () => {
+		const {state} = applyMessages([[0, {kind: 'announced', announcement: announcement()}], [0, granted], [0, extensionAnswered(50_000)], [20, requested], [30, broken]]);
+		expect([5000, 30_000].map(time => describeWorker(state, time)?.lost)).to.deep.equal([[], [{task, run: 1}]]);
+	});
+
 	it('a worker is asked for its runs soon after a start without an answer, and not after an answered one (crash with another cause ascribed to the start)', () => {
 		const begin = [[0, {kind: 'announced', announcement: announcement()}], [0, granted], [0, extensionAnswered(50_000)], [20, requested]] as const;
 		const probesAt = (time: number, messages: ReadonlyArray<readonly [number, SupervisionMessage]>) => {
