End the term if the record of workers shows another scheduler

A replaced scheduler whose write of the workers in use conflicts with the next one's leader record retried until its watch reported that one, and could order for up to 4 s.

--- a/packages/coordinator/stored-workers.ts
+++ b/packages/coordinator/stored-workers.ts
@@ -19,8 +19,8 @@
 /** What became of the write that was under way. */
 export type RecordWriteResult =
 	| Readonly<{kind: 'written'; version: number}>
-	/** The store refused it, and holds this record. */
-	| Readonly<{kind: 'conflict'; version: number; workers: readonly UsedWorker[]}>
+	/** The store refused it, and holds this record; `isLeader` tells whether this entry still is the scheduler. */
+	| Readonly<{kind: 'conflict'; version: number; workers: readonly UsedWorker[]; isLeader: boolean}>
 	| Readonly<{kind: 'not-applied'}>
 	| Readonly<{kind: 'perhaps-applied'}>;
 
--- a/packages/coordinator/workers-record.ts
+++ b/packages/coordinator/workers-record.ts
@@ -5,6 +5,7 @@
 import type {CommitReply} from '#store';
 import {progressRetryMilliseconds} from './constants.js';
 import {leaderKey, workersKey, workersRecordSchema} from './keys.js';
+import {leadershipService} from './plugins/leadership.js';
 import {storePort} from './ports.js';
 import type {Term} from './plugins/scheduler.js';
 import {
@@ -59,7 +60,12 @@
 
 			case 'conflict': {
 				const current = reply.current.find(({key}) => key === workersKey);
-				return {kind: 'conflict', version: current?.version ?? 0, workers: current === undefined ? [] : parseWorkersRecord(current.value, context)};
+				return {
+					kind: 'conflict',
+					version: current?.version ?? 0,
+					workers: current === undefined ? [] : parseWorkersRecord(current.value, context),
+					isLeader: reply.current.find(({key}) => key === leaderKey)?.version === term.leaderVersion,
+				};
 			}
 
 			case 'lease-unknown': {
@@ -90,14 +96,17 @@
 				return;
 			}
 
-			// An earlier write of this process was carried out although its reply was lost.
 			case 'conflict': {
-				log.warn({expected: version, version: result.version, workers: result.workers.length}, 'the store holds another record of the workers in use');
-				if (result.version !== version) {
-					return;
+				log.warn({
+					expected: version, version: result.version, workers: result.workers.length, isLeader: result.isLeader,
+				}, 'the store holds another record of the workers in use');
+				if (!result.isLeader) {
+					services.use(leadershipService).send({kind: 'deposed'});
+					break;
 				}
 
-				break;
+				// An earlier write of this process was carried out although its reply was lost.
+				return;
 			}
 
 			case 'not-applied':
