--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -5,7 +5,9 @@
 import {describeStep} from '../stand-ins-2/jobs.mjs';
 import {findRepeatedTasks} from '../stand-ins-2/repeated.mjs';
 
-const racks = ['r1', 'r2'];
+const racks = ['r1', 'r2', 'r2'];
+/** The label of one worker, which alone may run the jobs. */
+const requiredLabel = 'r1';
 const jobCount = 36;
 const silentMilliseconds = 5000;
 const settleMilliseconds = 30_000;
@@ -14,13 +16,13 @@
 const begunMilliseconds = 1200;
 const startMilliseconds = 20_000;
 
-/** One task on each worker, then as many small tasks as the widest jobs of the site have. */
+/** One task, then small ones; together as many as the widest jobs of the site have. */
 const steps = [
 	describeStep({
-		count: racks.length, millicores: 500, memoryMegabytes: 100, estimatedMilliseconds: firstStepMilliseconds, maximumPerWorker: 1,
+		millicores: 300, memoryMegabytes: 100, estimatedMilliseconds: firstStepMilliseconds, requiredLabel,
 	}),
 	describeStep({
-		count: 53, millicores: 500, memoryMegabytes: 256, estimatedMilliseconds: 900, workMilliseconds: 500, after: [0],
+		count: 54, millicores: 300, memoryMegabytes: 100, estimatedMilliseconds: 900, workMilliseconds: 700, requiredLabel, after: [0],
 	}),
 ];
 
@@ -28,7 +30,7 @@
 	const paths = Array.from({length: jobCount}, (_, index) => `/usual/a0000000000001${10 + index}`);
 	await Promise.all(paths.map(async (path, index) => submit(index % 3, path, steps)));
 	const until = Date.now() + startMilliseconds;
-	while (records().length < jobCount * racks.length && Date.now() < until) {
+	while (records().length < jobCount && Date.now() < until) {
 		await sleep(20);
 	}
 
--- a/review/stand-ins-2/jobs.mjs
+++ b/review/stand-ins-2/jobs.mjs
@@ -7,7 +7,7 @@
 
 /** Describes a step; fields whose value is 0, false or empty are left out on the wire. */
 export function describeStep({
-	count = 1, millicores, memoryMegabytes, accelerators = 0, estimatedMilliseconds, workMilliseconds = estimatedMilliseconds, isLasting = false, dataRack, maximumPerWorker = 0, after = [],
+	count = 1, millicores, memoryMegabytes, accelerators = 0, estimatedMilliseconds, workMilliseconds = estimatedMilliseconds, isLasting = false, dataRack, requiredLabel, after = [],
 }) {
 	return {
 		count,
@@ -22,7 +22,7 @@
 			mem_mb: memoryMegabytes,
 			...(accelerators === 0 ? {} : {gpus: accelerators}),
 			estimate_ms: estimatedMilliseconds,
-			...(maximumPerWorker === 0 ? {} : {anti_affinity: maximumPerWorker}),
+			...(requiredLabel === undefined ? {} : {requirements: requiredLabel}),
 			...(after.length === 0 ? {} : {after}),
 			...(isLasting ? {long_running: true} : {}),
 			...(dataRack === undefined ? {} : {affinity: dataRack}),
