--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -8,16 +8,18 @@
 const racks = ['r1', 'r2', 'r2'];
 /** The label of one worker, which alone may run the jobs. */
 const requiredLabel = 'r1';
-const jobCount = 36;
+const jobCount = 20;
+/** The usual 0.55 jobs a second of the site. */
+const jobIntervalMilliseconds = 1800;
 const silentMilliseconds = 5000;
 const settleMilliseconds = 30_000;
-const firstStepMilliseconds = 2000;
-/** Time from the last start of a first step until the store is silent: all jobs are then stored as begun, and no first step has ended. */
-const begunMilliseconds = 1200;
-const startMilliseconds = 20_000;
+/** How long the first step of the last job takes; those of earlier jobs take longer, so that all end while the store is silent. */
+const lastFirstStepMilliseconds = 2000;
+/** The store falls silent this long before the first steps are to end; all jobs are stored as begun by then. */
+const leadMilliseconds = 300;
 
 /** One task, then small ones; together as many as the widest jobs of the site have. */
-const steps = [
+const createSteps = firstStepMilliseconds => [
 	describeStep({
 		millicores: 300, memoryMegabytes: 100, estimatedMilliseconds: firstStepMilliseconds, requiredLabel,
 	}),
@@ -28,13 +30,13 @@
 
 process.exit(await runCase(new URL('./', import.meta.url), {entries: 3, racks}, async ({submit, call, records, entries, agents, note}) => {
 	const paths = Array.from({length: jobCount}, (_, index) => `/usual/a0000000000001${10 + index}`);
-	await Promise.all(paths.map(async (path, index) => submit(index % 3, path, steps)));
-	const until = Date.now() + startMilliseconds;
-	while (records().length < jobCount && Date.now() < until) {
-		await sleep(20);
+	const firstStepsEndAt = Date.now() + ((jobCount - 1) * jobIntervalMilliseconds) + lastFirstStepMilliseconds;
+	for (const [index, path] of paths.entries()) {
+		await sleep(firstStepsEndAt - lastFirstStepMilliseconds - ((jobCount - 1 - index) * jobIntervalMilliseconds) - Date.now());
+		await submit(index % 3, path, createSteps(firstStepsEndAt - Date.now()));
 	}
 
-	await sleep(begunMilliseconds);
+	await sleep(firstStepsEndAt - leadMilliseconds - Date.now());
 	const setSilent = isSilent => {
 		for (const {storeListener} of [...entries, ...agents]) {
 			storeListener.isSilent = isSilent;
