Store a withdrawal when a job is cancelled before it was accepted

Cause: the entry that cancels found no record of the job and answered without leaving one. A copy of the submission that was still under way, in a forwarded call, in the socket of a paused entry or in a late write, was stored after it. Where the entry knew of an undecided submission it wrote a refusal, which any later submission replaces.

Writes of submissions are conditional on the version of that key, so the order in which copies arrive does not matter. A withdrawal is a type of its own beside the refusal, which a caller's retry may replace. The scheduler removes both after 150 s, and an entry withdraws at most 5 jobs a second. An entry forwards a call with the time that is left, and not after its answer.

--- a/packages/coordinator/callers/cancel.ts
+++ b/packages/coordinator/callers/cancel.ts
@@ -1,30 +1,28 @@
-import {sleep, type Clock} from '#kernel';
+import {sleep} from '#kernel';
 import {checkInput, type MonotonicTime} from '#core';
 import {jobRecordSchema, type JobKey, type JobRecord} from '#jobs';
 import type {CallerAnswer} from '#protocol';
-import type {StoredValue, TransactionalStore} from '#store';
+import type {StoredValue} from '#store';
 import {cancellationStoreKey, jobStoreKey} from '../keys.js';
 import {storePort} from '../ports.js';
 import {schedulerService} from '../plugins/scheduler.js';
+import {withdrawalsService} from '../plugins/withdrawals.js';
 import type {CoordinatorContext} from '../types.js';
 
 /** Delay before storing a cancellation is retried. */
 const cancellationRetryMilliseconds = 120;
 
-export type CancellationOptions = Readonly<{
-	deadline: MonotonicTime;
-	/** Whether a submission of the job may still be stored although its caller was not told so. */
-	isUndecided: boolean;
-	context: CoordinatorContext;
-}>;
+/**
+Stores the cancellation of a job; the scheduler receives it through its watch.
 
-/** Stores the cancellation of a job; the scheduler receives it through its watch. */
-export async function cancelJob(job: JobKey, {deadline, isUndecided, context}: CancellationOptions): Promise<CallerAnswer> {
+A job that is not accepted is withdrawn: a submission of it may still be processed by a paused entry, or be written late, and would run although its caller was told that the job does not exist.
+*/
+export async function cancelJob(job: JobKey, deadline: MonotonicTime, context: CoordinatorContext): Promise<CallerAnswer> {
 	const {services, clock} = context;
 	const store = services.use(storePort);
 	do {
 		const records = await store.list(jobStoreKey(job));
-		const answer = records.kind === 'listed' ? await cancelStored(job, records.values, isUndecided, context) : undefined;
+		const answer = records.kind === 'listed' ? await cancelStored(job, records.values, context) : undefined;
 		if (answer !== undefined) {
 			return answer;
 		}
@@ -35,23 +33,34 @@
 	return {kind: 'undecided', reason: 'the store did not answer in time'};
 }
 
-async function cancelStored(job: JobKey, values: readonly StoredValue[], isUndecided: boolean, {services, clock, log}: CoordinatorContext): Promise<CallerAnswer | undefined> {
-	const store = services.use(storePort);
+async function cancelStored(job: JobKey, values: readonly StoredValue[], context: CoordinatorContext): Promise<CallerAnswer | undefined> {
 	const record = values.find(({key}) => key === jobStoreKey(job));
-	const checked = record === undefined ? undefined : checkInput(jobRecordSchema, record.value, record.key);
-	if (checked?.kind === 'invalid') {
-		return {kind: 'absent'};
+	if (record === undefined) {
+		return withdraw(job, 0, context);
 	}
 
-	if (checked?.value.kind !== 'accepted') {
-		return !isUndecided || await preventSubmission(job, record?.version ?? 0, {store, clock}) ? {kind: 'absent'} : undefined;
+	const checked = checkInput(jobRecordSchema, record.value, record.key);
+	if (checked.kind === 'invalid') {
+		return {kind: 'absent'};
 	}
 
-	if (values.some(({key}) => key === cancellationStoreKey(job))) {
-		return {kind: 'cancelled'};
+	switch (checked.value.kind) {
+		case 'withdrawn': {
+			return {kind: 'absent'};
+		}
+
+		case 'refused': {
+			return withdraw(job, record.version, context);
+		}
+
+		case 'accepted': {
+			return values.some(({key}) => key === cancellationStoreKey(job)) ? {kind: 'cancelled'} : cancelAccepted(job, context);
+		}
 	}
+}
 
-	const reply = await store.write(cancellationStoreKey(job), {cancelledAt: clock.now()}, {expectedVersion: 0});
+async function cancelAccepted(job: JobKey, {services, clock, log}: CoordinatorContext): Promise<CallerAnswer | undefined> {
+	const reply = await services.use(storePort).write(cancellationStoreKey(job), {cancelledAt: clock.now()}, {expectedVersion: 0});
 	if (reply.kind !== 'written' && reply.kind !== 'conflict') {
 		return undefined;
 	}
@@ -61,8 +70,18 @@
 	return {kind: 'cancelled'};
 }
 
-/** Replaces the record of the given version, which an unanswered submission expects, by a refusal. */
-async function preventSubmission(job: JobKey, expectedVersion: number, {store, clock}: Readonly<{store: TransactionalStore; clock: Clock}>): Promise<boolean> {
-	const reply = await store.write(jobStoreKey(job), {kind: 'refused', refusedAt: clock.now()} satisfies JobRecord, {expectedVersion});
-	return reply.kind === 'written';
+/** Stores a record that every submission sent so far runs into, in place of the record of the given version. */
+async function withdraw(job: JobKey, expectedVersion: number, {services, clock, log}: CoordinatorContext): Promise<CallerAnswer | undefined> {
+	const permit = services.use(withdrawalsService).request();
+	if (permit.kind === 'refused') {
+		return {kind: 'refused', reason: 'too-many-withdrawals', retryAfterMilliseconds: permit.retryAfterMilliseconds};
+	}
+
+	const reply = await services.use(storePort).write(jobStoreKey(job), {kind: 'withdrawn', withdrawnAt: clock.now()} satisfies JobRecord, {expectedVersion});
+	if (reply.kind !== 'written') {
+		return undefined;
+	}
+
+	log.withPrefix('callers').info({job}, 'withdrew a job that is not accepted');
+	return {kind: 'absent'};
 }
--- a/packages/coordinator/callers/forward.ts
+++ b/packages/coordinator/callers/forward.ts
@@ -1,4 +1,5 @@
 import type {CallerAnswer, CallerRequest, ForwardedAnswer} from '#protocol';
+import type {MonotonicTime} from '#core';
 import type {CallReply, RpcPeer} from '#transport';
 import {findShownVersion} from '../configuration-state.js';
 import {entryCallTimeoutMilliseconds} from '../constants.js';
@@ -17,15 +18,24 @@
 	/** The other entry did nothing, because it has an older configuration than callers have seen. */
 	| Readonly<{kind: 'older'}>;
 
-/** Asks other entries in turn, up to a maximum that does not count those with an older configuration; undefined if none of them could serve the call and it certainly had no effect. */
-export async function forwardCall(call: CallerRequest, {peers, maximum}: Readonly<{peers: readonly RpcPeer[]; maximum: number}>, context: CoordinatorContext): Promise<CallerAnswer | undefined> {
+export type ForwardOptions = Readonly<{
+	peers: readonly RpcPeer[];
+	/** Maximum number of entries that are asked, without those that have an older configuration. */
+	maximum: number;
+	/** When the caller is answered; no entry is asked after it. */
+	deadline: MonotonicTime;
+}>;
+
+/** Asks other entries in turn; undefined if none of them could serve the call in time and it certainly had no effect. */
+export async function forwardCall(call: CallerRequest, {peers, maximum, deadline}: ForwardOptions, context: CoordinatorContext): Promise<CallerAnswer | undefined> {
 	let attempts = 0;
 	for (const peer of peers) {
-		if (attempts >= maximum) {
+		const timeoutMilliseconds = deadline - context.clock.monotonic();
+		if (attempts >= maximum || timeoutMilliseconds <= 0) {
 			return undefined;
 		}
 
-		const outcome = await callEntry(call, peer, context);
+		const outcome = await callEntry({...call, timeoutMilliseconds}, peer, context);
 		context.counters.countRetry(outcome.kind === 'served' ? 'forwarded' : 'forward-failed');
 		switch (outcome.kind) {
 			case 'served':
@@ -95,6 +105,7 @@
 		case 'pending':
 		case 'cancelled':
 		case 'absent':
+		case 'withdrawn':
 		case 'unknown-queue':
 		case 'unauthorized':
 		case 'invalid': {
--- a/packages/coordinator/callers/show.ts
+++ b/packages/coordinator/callers/show.ts
@@ -26,7 +26,7 @@
 
 	const record = records.values.find(({key}) => key === jobStoreKey(job));
 	const checkedRecord = record === undefined ? undefined : checkInput(jobRecordSchema, record.value, record.key);
-	if (checkedRecord === undefined || (checkedRecord.kind === 'valid' && checkedRecord.value.kind === 'refused')) {
+	if (checkedRecord === undefined || (checkedRecord.kind === 'valid' && checkedRecord.value.kind !== 'accepted')) {
 		return {kind: 'absent'};
 	}
 
--- a/packages/coordinator/callers/submit.ts
+++ b/packages/coordinator/callers/submit.ts
@@ -16,7 +16,7 @@
 /**
 Stores a job at most once, however often it is submitted.
 
-A write without a reply may still be applied later. Before such a job is refused, a refusal record is stored under its key, so that the late write fails. A refusal record that this write was to replace does not prevent it.
+A write without a reply may still be applied later. Before such a job is refused, a refusal record is stored under its key, so that the late write fails. A refusal record that this write was to replace does not prevent it. A withdrawn job is never replaced: a copy of a submission that was sent before the cancellation cannot be told from a new one.
 */
 export async function submitJob(submission: JobSubmission, deadline: MonotonicTime, context: CoordinatorContext): Promise<CallerAnswer> {
 	const {services, clock} = context;
@@ -30,7 +30,7 @@
 	const record: JobRecord = {kind: 'accepted', submission};
 	let expectedVersion = 0;
 	let reply = await store.write(key, record, {expectedVersion});
-	if (reply.kind === 'conflict' && isRefusal(reply.current)) {
+	if (reply.kind === 'conflict' && readKind(reply.current) === 'refused' && clock.monotonic() < deadline) {
 		expectedVersion = reply.current?.version ?? 0;
 		reply = await store.write(key, record, {expectedVersion});
 	}
@@ -52,8 +52,27 @@
 	return {kind: 'undecided', reason: 'the store did not answer in time'};
 }
 
-function isRefusal(current: StoredValue | undefined): boolean {
-	return (current?.value as JobRecord | undefined)?.kind === 'refused';
+function readKind(current: StoredValue | undefined): JobRecord['kind'] | undefined {
+	return (current?.value as JobRecord | undefined)?.kind;
+}
+
+/** Answer that the record of a job determines; undefined without a record, and for a refusal, which an earlier submission may have left. */
+function answerByRecord(current: StoredValue | undefined): CallerAnswer | undefined {
+	switch (readKind(current)) {
+		case 'withdrawn': {
+			return {kind: 'withdrawn'};
+		}
+
+		case 'refused': {
+			return undefined;
+		}
+
+		// A record that cannot be read is of an accepted job: it is not removed, and an acceptance may have been answered for it.
+		case 'accepted':
+		case undefined: {
+			return current === undefined ? undefined : {kind: 'accepted'};
+		}
+	}
 }
 
 function interpretReply(reply: WriteReply, submission: JobSubmission, context: CoordinatorContext): CallerAnswer | undefined {
@@ -64,7 +83,7 @@
 		}
 
 		case 'conflict': {
-			return reply.current !== undefined && !isRefusal(reply.current) ? {kind: 'accepted'} : undefined;
+			return answerByRecord(reply.current);
 		}
 
 		case 'lease-unknown': {
@@ -91,9 +110,13 @@
 	}
 
 	const stored = current.kind === 'found' ? current.stored : undefined;
-	if (stored !== undefined && !isRefusal(stored)) {
-		services.use(schedulerService).send({kind: 'submitted', submission});
-		return {kind: 'accepted'};
+	const answer = answerByRecord(stored);
+	if (answer !== undefined) {
+		if (answer.kind === 'accepted') {
+			services.use(schedulerService).send({kind: 'submitted', submission});
+		}
+
+		return answer;
 	}
 
 	const version = stored?.version ?? 0;
--- a/packages/coordinator/constants.ts
+++ b/packages/coordinator/constants.ts
@@ -52,3 +52,9 @@
 /** Part of a caller's timeout that is reserved for sending the answer, up to a limit; a last attempt often leaves 0.2 s, in which the store still answers. */
 export const callerReplyMarginShare = 0.3;
 export const maximumCallerReplyMarginMilliseconds = 300;
+/** Jobs that an entry withdraws in a second, and at once. With 12 entries, 9,000 records are retained at most, which a new scheduler reads in 18 pages. */
+export const withdrawalLimit = {perSecond: 5, burst: 60} as const;
+/** How long records of refused and withdrawn jobs are retained, as long as those of ended jobs. A copy of a submission that is processed later than that is taken for a new one. */
+export const refusalRetentionMilliseconds = 150_000;
+/** Refusal and withdrawal records that one transaction removes: one condition and one removal for each, and the leader record, of 32. */
+export const maximumRefusalRemovals = 15;
--- a/packages/coordinator/job-watch.ts
+++ b/packages/coordinator/job-watch.ts
@@ -35,6 +35,7 @@
 		onObserved(observation) {
 			const values = extractChanges(observation, versions);
 			versions = addObservation(versions, observation);
+			term.refusalRecords.observe(values);
 			if (isLoaded) {
 				forwardChanges(values, term, context);
 				return;
--- a/packages/coordinator/plugins/callers.ts
+++ b/packages/coordinator/plugins/callers.ts
@@ -1,3 +1,4 @@
+import type {MonotonicTime} from '#core';
 import {
 	findQueue, findTenant, parseJobKey, type JobSubmission, type Queue, type SchedulingConfiguration, type Tenant,
 } from '#jobs';
@@ -54,7 +55,7 @@
 async function answerForwardedCall({configurationVersion, ...call}: ForwardedCall, context: CoordinatorContext): Promise<ForwardedAnswer> {
 	const {current} = context.services.use(configurationService).read();
 	return configurationVersion === undefined || current === undefined || current.version === configurationVersion
-		? answerLocally(call, context)
+		? answerLocally(call, context.clock.monotonic() + computeProcessingTime(call.timeoutMilliseconds), context)
 		: {kind: 'other-configuration', version: current.version};
 }
 
@@ -76,6 +77,7 @@
 		}
 
 		case 'absent':
+		case 'withdrawn':
 		case 'unknown-queue':
 		case 'unauthorized':
 		case 'invalid': {
@@ -92,16 +94,17 @@
 	}
 }
 
-/** Answers before the caller's timeout. Processing continues after that, and a repeated request sees its outcome. */
+/** Answers before the caller's timeout. What was begun continues after that, and a repeated request sees its outcome; nothing further is begun. */
 async function answerInTime(call: CallerRequest, context: CoordinatorContext): Promise<CallerAnswer> {
 	const timeout = computeProcessingTime(call.timeoutMilliseconds);
+	const deadline = context.clock.monotonic() + timeout;
 	let cancelTimeout = () => undefined as void;
 	const timedOut = new Promise<CallerAnswer>(resolve => {
 		cancelTimeout = context.clock.schedule(timeout, () => {
 			resolve({kind: 'undecided', reason: 'no answer in time'});
 		});
 	});
-	const answer = await Promise.race([answerOrForward(call, context), timedOut]);
+	const answer = await Promise.race([answerOrForward(call, deadline, context), timedOut]);
 	cancelTimeout();
 	return call.action.kind === 'submit' ? withholdUncertainRefusal(answer, call.path, context) : answer;
 }
@@ -118,18 +121,20 @@
 }
 
 /** Forwards the call to other entries if this one cannot reach the store, or is too far behind with its configuration. */
-async function answerOrForward(call: CallerRequest, context: CoordinatorContext): Promise<CallerAnswer> {
+async function answerOrForward(call: CallerRequest, deadline: MonotonicTime, context: CoordinatorContext): Promise<CallerAnswer> {
 	const {services, clock} = context;
 	const peers = services.use(entryPeersService);
 	const upToDate = findUpToDateEntry(services.use(configurationService).read(), clock.monotonic());
 	const upToDatePeer = upToDate === undefined ? undefined : peers.findByAddress(upToDate);
-	const answerOfPeer = upToDatePeer === undefined ? undefined : await forwardCall(call, {peers: [upToDatePeer], maximum: 1}, context);
+	const answerOfPeer = upToDatePeer === undefined ? undefined : await forwardCall(call, {peers: [upToDatePeer], maximum: 1, deadline}, context);
 	if (answerOfPeer !== undefined) {
 		return answerOfPeer;
 	}
 
-	const answer = services.use(storeMonitorService).isFailing() && peers.list().length > 0 ? storeUnavailableAnswer : await answerLocally(call, context);
-	const others = {peers: peers.list().filter(peer => peer !== upToDatePeer), maximum: upToDatePeer === undefined ? maximumForwards : maximumForwards - 1};
+	const answer = services.use(storeMonitorService).isFailing() && peers.list().length > 0 ? storeUnavailableAnswer : await answerLocally(call, deadline, context);
+	const others = {
+		peers: peers.list().filter(peer => peer !== upToDatePeer), maximum: upToDatePeer === undefined ? maximumForwards : maximumForwards - 1, deadline,
+	};
 	const forwarded = mayBeServedElsewhere(answer) ? await forwardCall(call, others, context) : undefined;
 	return forwarded ?? answer;
 }
@@ -142,7 +147,7 @@
 	return answer.kind === 'undecided' || (answer.kind === 'refused' && answer !== noConfigurationAnswer);
 }
 
-async function answerLocally(call: CallerRequest, context: CoordinatorContext): Promise<CallerAnswer> {
+async function answerLocally(call: CallerRequest, deadline: MonotonicTime, context: CoordinatorContext): Promise<CallerAnswer> {
 	const basis = findAnswerBasis(context.services.use(configurationService).read());
 	switch (basis.kind) {
 		case 'no-configuration': {
@@ -154,12 +159,12 @@
 		}
 
 		case 'current': {
-			return answerBy(basis.configuration, call, context);
+			return answerBy(basis.configuration, call, deadline, context);
 		}
 	}
 }
 
-async function answerBy(configuration: SchedulingConfiguration, call: CallerRequest, context: CoordinatorContext): Promise<CallerAnswer> {
+async function answerBy(configuration: SchedulingConfiguration, call: CallerRequest, deadline: MonotonicTime, context: CoordinatorContext): Promise<CallerAnswer> {
 	const queue = findQueue(configuration, call.host, call.path);
 	if (queue === undefined) {
 		return {kind: 'unknown-queue'};
@@ -170,10 +175,13 @@
 		return {kind: 'unauthorized'};
 	}
 
-	return perform(call, {queue, tenant}, context);
+	return perform(call, {queue, tenant, deadline}, context);
 }
 
-async function perform(call: CallerRequest, {queue, tenant}: Readonly<{queue: Queue; tenant: Tenant | undefined}>, context: CoordinatorContext): Promise<CallerAnswer> {
+/** What the configuration says of a call, and until when it is processed. */
+type CallBasis = Readonly<{queue: Queue; tenant: Tenant | undefined; deadline: MonotonicTime}>;
+
+async function perform(call: CallerRequest, {queue, tenant, deadline}: CallBasis, context: CoordinatorContext): Promise<CallerAnswer> {
 	if (call.action.kind === 'show' && call.path.length <= queue.pathPrefix.length) {
 		return showPending(queue.name, context);
 	}
@@ -183,7 +191,6 @@
 		return call.action.kind === 'submit' ? job : {kind: 'absent'};
 	}
 
-	const deadline = context.clock.monotonic() + computeProcessingTime(call.timeoutMilliseconds);
 	switch (call.action.kind) {
 		case 'submit': {
 			const submission: JobSubmission = {
@@ -197,7 +204,7 @@
 		}
 
 		case 'cancel': {
-			return cancelJob(job.value, {deadline, isUndecided: context.services.use(undecidedService).has(call.path), context});
+			return cancelJob(job.value, deadline, context);
 		}
 	}
 }
--- a/packages/coordinator/plugins/index.ts
+++ b/packages/coordinator/plugins/index.ts
@@ -3,6 +3,7 @@
 import './front-ends.js';
 import './operations.js';
 import './undecided.js';
+import './withdrawals.js';
 import './agents.js';
 import './lease.js';
 import './leadership.js';
--- a/packages/coordinator/plugins/scheduler.ts
+++ b/packages/coordinator/plugins/scheduler.ts
@@ -14,6 +14,7 @@
 import {startProgressWriter, type ProgressWriter} from '../progress-writer.js';
 import {chooseTickDelay} from '../tick-delay.js';
 import type {CoordinatorContext} from '../types.js';
+import {createRefusalRecords, type RefusalRecords} from '../refusal-records.js';
 import {createWorkersRecord, type WorkersRecord} from '../workers-record.js';
 import {agentsService} from './agents.js';
 import {configurationService} from './configuration.js';
@@ -37,6 +38,7 @@
 	task: TaskHandle<SchedulerState, SchedulerMessage>;
 	progressWriter: ProgressWriter;
 	workersRecord: WorkersRecord;
+	refusalRecords: RefusalRecords;
 	isOver(): boolean;
 }>;
 
@@ -94,7 +96,12 @@
 	const termBase = {
 		epoch, leaderVersion, task, isOver: isTermOver,
 	};
-	const term: Term = {...termBase, progressWriter: startProgressWriter(termBase, context), workersRecord: createWorkersRecord(termBase, context)};
+	const term: Term = {
+		...termBase,
+		progressWriter: startProgressWriter(termBase, context),
+		workersRecord: createWorkersRecord(termBase, context),
+		refusalRecords: createRefusalRecords(termBase, context),
+	};
 
 	const configuration = services.use(configurationService);
 	const sendConfiguration = () => {
@@ -119,6 +126,7 @@
 			}
 
 			term.workersRecord.prune();
+			term.refusalRecords.prune();
 			updateGauges(task.read(), context);
 			const delay = chooseTickDelay(task.read(), clock.monotonic());
 			const nextAt = clock.monotonic() + delay;
--- a/packages/jobs/types.ts
+++ b/packages/jobs/types.ts
@@ -125,10 +125,17 @@
 }), valibot.readonly());
 export type JobSubmission = valibot.InferOutput<typeof jobSubmissionSchema>;
 
-/** Stored value of a job's key: an accepted job, or a refusal that prevents a delayed write from creating the job. */
+/**
+Stored value of a job's key.
+
+- `accepted`: the job.
+- `refused`: one submission was refused; prevents its delayed write, and may be replaced by a retry of the caller.
+- `withdrawn`: the job was cancelled before it was accepted; no submission replaces it.
+*/
 export const jobRecordSchema = valibot.variant('kind', [
 	valibot.pipe(valibot.object({kind: valibot.literal('accepted'), submission: jobSubmissionSchema}), valibot.readonly()),
 	valibot.pipe(valibot.object({kind: valibot.literal('refused'), refusedAt: valibot.number()}), valibot.readonly()),
+	valibot.pipe(valibot.object({kind: valibot.literal('withdrawn'), withdrawnAt: valibot.number()}), valibot.readonly()),
 ]);
 export type JobRecord = valibot.InferOutput<typeof jobRecordSchema>;
 
--- a/packages/limits/index.ts
+++ b/packages/limits/index.ts
@@ -5,3 +5,4 @@
 export * from './deadlines.js';
 export * from './admission.js';
 export * from './retry-budget.js';
+export * from './rate-limit.js';
--- a/packages/protocol/scheduling.ts
+++ b/packages/protocol/scheduling.ts
@@ -139,6 +139,8 @@
 	valibot.object({kind: valibot.literal('cancelled')}),
 	/** The job does not exist. */
 	valibot.object({kind: valibot.literal('absent')}),
+	/** The job was cancelled before this submission of it was processed, and never runs. */
+	valibot.object({kind: valibot.literal('withdrawn')}),
 	valibot.object({kind: valibot.literal('unknown-queue')}),
 	valibot.object({kind: valibot.literal('unauthorized')}),
 	valibot.object({kind: valibot.literal('invalid'), findings: valibot.pipe(valibot.array(valibot.object({place: valibot.string(), message: valibot.string()})), valibot.readonly())}),
--- a/test/coordinator/job-watch.test.ts
+++ b/test/coordinator/job-watch.test.ts
@@ -136,7 +136,7 @@
 			} as unknown as CoordinatorContext;
 			const isOver = () => false;
 			startJobWatch({
-				epoch: 2, leaderVersion: 1, task, isOver, workersRecord: {restore: () => undefined}, progressWriter: {},
+				epoch: 2, leaderVersion: 1, task, isOver, workersRecord: {restore: () => undefined}, refusalRecords: {observe: () => undefined}, progressWriter: {},
 			} as never, context);
 			const pass = async (duration: number) => {
 				for (let left = duration; left > 0; left -= 1000) {
--- a/test/coordinator/submit.test.ts
+++ b/test/coordinator/submit.test.ts
@@ -19,7 +19,7 @@
 	stored: JobRecord['kind'] | undefined;
 	/** Fates of the writes in their order; further writes are answered. */
 	fates: readonly Fate[];
-	answer: 'accepted' | 'refused' | 'undecided';
+	answer: 'accepted' | 'refused' | 'undecided' | 'withdrawn';
 	storedAtEnd: JobRecord['kind'];
 }>;
 
@@ -30,6 +30,9 @@
 	{
 		name: 'a submission replaces the refusal of an earlier attempt (job that can never be submitted again)', stored: 'refused', fates: [], answer: 'accepted', storedAtEnd: 'accepted',
 	},
+	{
+		name: 'a submission does not replace a withdrawal (cancelled job runs)', stored: 'withdrawn', fates: [], answer: 'withdrawn', storedAtEnd: 'withdrawn',
+	},
 	{
 		name: 'a submission whose reply is lost is read back (refused job that runs)', stored: undefined, fates: ['reply-lost'], answer: 'accepted', storedAtEnd: 'accepted',
 	},
@@ -133,7 +136,10 @@
 	for (const {name, stored, fates, answer, storedAtEnd} of cases) {
 		it(name, async () => {
 			const submission = submissionOf(1, [{}]);
-			const record: JobRecord | undefined = stored === undefined ? undefined : (stored === 'accepted' ? {kind: stored, submission} : {kind: stored, refusedAt: 0});
+			const records: Readonly<Record<JobRecord['kind'], JobRecord>> = {
+				accepted: {kind: 'accepted', submission}, refused: {kind: 'refused', refusedAt: 0}, withdrawn: {kind: 'withdrawn', withdrawnAt: 0},
+			};
+			const record = stored === undefined ? undefined : records[stored];
 			const {store, finish} = createFakeStore(record, fates);
 			const services = createServices();
 			services.provide(storePort, store as TransactionalStore);
