Store a cancellation only while the job's record is unchanged

A cancellation that was written while the scheduler removed the records of the ended job stayed behind without a job. The next job under the identifier was accepted and cancelled at once.

Cause: the write was conditional on the absence of a cancellation only. Change: it is also conditional on the version of the job's record, and is decided again after a conflict.

Result: the new case of coordinator/cancel failed before (answer "cancelled", then a submission accepted beside the old cancellation) and passes.

--- a/packages/coordinator/callers/cancel.ts
+++ b/packages/coordinator/callers/cancel.ts
@@ -54,19 +54,24 @@
 		}
 
 		case 'accepted': {
-			return values.some(({key}) => key === cancellationStoreKey(job)) ? {kind: 'cancelled'} : cancelAccepted(job, context);
+			return values.some(({key}) => key === cancellationStoreKey(job)) ? {kind: 'cancelled'} : cancelAccepted(job, record.version, context);
 		}
 	}
 }
 
-async function cancelAccepted(job: JobKey, {services, clock, log}: CoordinatorContext): Promise<CallerAnswer | undefined> {
-	const reply = await services.use(storePort).write(cancellationStoreKey(job), {cancelledAt: clock.now()}, {expectedVersion: 0});
-	if (reply.kind !== 'written' && reply.kind !== 'conflict') {
+/** Stores a cancellation beside the accepted job; if the job's records are removed at that moment, it would be left over. */
+async function cancelAccepted(job: JobKey, version: number, {services, clock, log}: CoordinatorContext): Promise<CallerAnswer | undefined> {
+	const reply = await services.use(storePort).commit({
+		conditions: [{key: jobStoreKey(job), expectedVersion: version}, {key: cancellationStoreKey(job), expectedVersion: 0}],
+		puts: [{key: cancellationStoreKey(job), value: {cancelledAt: clock.now()}}],
+		removals: [],
+	});
+	if (reply.kind !== 'committed') {
 		return undefined;
 	}
 
 	services.use(schedulerService).send({kind: 'cancelled', job});
-	log.withPrefix('callers').info({job, outcome: reply.kind}, 'stored the cancellation');
+	log.withPrefix('callers').info({job}, 'stored the cancellation');
 	return {kind: 'cancelled'};
 }
 
--- a/test/coordinator/cancel.test.ts
+++ b/test/coordinator/cancel.test.ts
@@ -19,7 +19,12 @@
 /** Longer than any call is processed, with the writes that are carried out after it. */
 const settledMilliseconds = 20_000;
 
-type Action = Readonly<{at: number; entry: number}> & (Readonly<{kind: 'submit' | 'cancel'}> | Readonly<{kind: 'pause'; duration: number}>);
+type Action = Readonly<{at: number; entry: number}> & (
+	| Readonly<{kind: 'submit' | 'cancel'}>
+	| Readonly<{kind: 'pause'; duration: number}>
+	/** The scheduler removes the records of the ended job. */
+	| Readonly<{kind: 'remove-records'}>
+);
 type Answer = Readonly<{kind: 'submit' | 'cancel'; answer: CallerAnswer['kind']; at: number}>;
 
 type Case = Readonly<{
@@ -28,7 +33,7 @@
 	/** What becomes of the writes, in the order in which they are sent; later ones are answered at once. */
 	fates?: readonly WriteFate[];
 	actions: readonly Action[];
-	/** Answers in the order of the actions without pauses. */
+	/** Answers in the order of the submissions and cancellations. */
 	answers: ReadonlyArray<CallerAnswer['kind']>;
 	/** Kind of the job's record at the end, and whether its cancellation is stored. */
 	record: JobRecord['kind'] | undefined;
@@ -75,6 +80,13 @@
 		actions: [{kind: 'submit', at: 0, entry: 0}, {kind: 'cancel', at: 20, entry: 1}],
 		fates: [{kind: 'unanswered', appliedAfter: 23}], answers: ['accepted', 'cancelled'], record: 'accepted', isCancellationStored: true,
 	},
+	{
+		name: 'a cancellation leaves nothing behind if the records of the job are removed meanwhile (next job under the identifier is cancelled)',
+		stored: accepted,
+		actions: [{kind: 'cancel', at: 0, entry: 0}, {kind: 'remove-records', at: 8, entry: 0}, {kind: 'submit', at: 500, entry: 1}],
+		answers: ['absent', 'withdrawn'],
+		record: 'withdrawn',
+	},
 	{
 		name: 'a withdrawal whose answer is lost counts once it is read back (caller that waits in vain)',
 		actions: [{kind: 'cancel', at: 0, entry: 0}], fates: [{kind: 'unanswered', appliedAfter: 1}], answers: ['absent'], record: 'withdrawn',
@@ -108,6 +120,11 @@
 				return [];
 			}
 
+			case 'remove-records': {
+				await unreliable.store.commit({conditions: [], puts: [], removals: [jobKey, cancellationKey]});
+				return [];
+			}
+
 			case 'submit':
 			case 'cancel': {
 				const answer = await (action.kind === 'submit' ? entry.submit(submission) : entry.cancel(submission));
