Hold the tasks of a job only while they are due and not done

Cause: the scheduler built the state of all tasks of all occurrences when it received or loaded a job, 0.85 KB each, and nothing bounded the sum over jobs. A few jobs of 20,000 tasks fill the heap of 96 MB in the same way.

Change: a job's occurrences are opened when they are due, and their tasks are dropped when they are done, or when the job has ended and its end is stored. All jobs together hold at most 47,000 tasks. What the store lists beyond that waits unopened, by rank and due time, and the log names it (jobs-wait-for-memory). A pass opens 5,000 tasks at most, so that leases are renewed between the passes. Runs that workers report are adopted whether their occurrence is open or not. Jobs of more than 1,000 tasks store what is done as ranges, since a record of 20,000 listed tasks comes near the 1 MB that the store takes; the records of smaller jobs are as before. Requests of more than 262,144 characters are refused.

--- a/packages/jobs/types.ts
+++ b/packages/jobs/types.ts
@@ -61,9 +61,12 @@
 }), valibot.readonly());
 export type Schedule = valibot.InferOutput<typeof scheduleSchema>;
 
-/** Number of tasks over all steps and occurrences of a job. The scheduler holds all of them in memory, at 0.85 KB each. */
+/** Number of tasks over all steps and occurrences of a job. The scheduler holds those of open occurrences in memory, at 0.85 KB each. */
 export const maximumTasksPerJob = 20_000;
 
+/** Length of a job's request as JSON text; the store takes values of up to 1 MB. */
+export const maximumRequestCharacters = 262_144;
+
 /** Job as requested by the caller. */
 export const jobRequestSchema = valibot.pipe(
 	valibot.object({
@@ -75,6 +78,7 @@
 		({steps, schedule}) => steps.reduce((total, {count}) => total + count, 0) * (schedule?.occurrences ?? 1) <= maximumTasksPerJob,
 		`must have at most ${maximumTasksPerJob} tasks over all steps and occurrences`,
 	),
+	valibot.check(request => JSON.stringify(request).length <= maximumRequestCharacters, `must take at most ${maximumRequestCharacters} characters`),
 	valibot.readonly(),
 );
 export type JobRequest = valibot.InferOutput<typeof jobRequestSchema>;
@@ -161,11 +165,21 @@
 }), valibot.readonly());
 export type TaskProgress = valibot.InferOutput<typeof taskProgressSchema>;
 
+/** Indexes in ascending ranges, such as `0-2,5`. */
+const rangesSchema = valibot.pipe(valibot.string(), valibot.regex(/^(?:\d+(?:-\d+)?(?:,\d+(?:-\d+)?)*)?$/, 'must be ranges of indexes'));
+
 /** Stored progress of a job that has started; written only by the scheduler. */
 export const jobProgressSchema = valibot.pipe(valibot.object({
 	outcome: jobOutcomeSchema,
-	/** By task name without the job. Tasks without progress are omitted. */
+	/** By task name without the job. Tasks without progress are omitted, and those that are done if `done` lists them. */
 	tasks: valibot.pipe(valibot.record(valibot.string(), taskProgressSchema), valibot.readonly()),
+	/** Indexes of the tasks that are done, as ranges, by occurrence and step (`3.0`). Only jobs of many tasks have it. */
+	done: valibot.optional(valibot.pipe(valibot.record(valibot.string(), rangesSchema), valibot.readonly())),
+	/** Occurrences that have begun: those below `next`, of which all but the open ones are done. Absent if the tasks show it. */
+	occurrences: valibot.optional(valibot.pipe(valibot.object({
+		next: countSchema,
+		open: valibot.pipe(valibot.array(countSchema), valibot.readonly()),
+	}), valibot.readonly())),
 	/** When the job ended. */
 	endedAt: valibot.optional(valibot.number()),
 	/** Agents to whose workers runs of the job were or are about to be ordered. Absent in records of earlier versions, whose runs may be anywhere. */
--- a/packages/scheduling/constants.ts
+++ b/packages/scheduling/constants.ts
@@ -1,3 +1,5 @@
+import {bytesPerTask, memoryBudgetBytes} from '#jobs';
+
 /** How long an agent keeps the runs on its worker alive after the scheduler's last grant. Longer than the network interruptions of single machines that the platform announces (5.5 s). */
 export const grantValidityMilliseconds = 7500;
 /** Factor by which a worker's clock may be slower than the scheduler's, according to the platform's description of its workers. */
@@ -96,6 +98,12 @@
 export const checkpointStoreMilliseconds = 2000;
 /** How long the records of an ended job are retained. The platform requires 120 s. */
 export const endedJobRetentionMilliseconds = 150_000;
+/** Tasks that the scheduler holds in memory over all jobs: 40 MB of the 96 MB that an entry's heap may take, and twice as many as the largest job has. */
+export const maximumOpenTasks = Math.floor(memoryBudgetBytes / bytesPerTask);
+/** Tasks that one pass adds to them, unless a single occurrence has more. Each takes 15 us, and the entry renews its lease of 1.5 s between the passes. */
+export const maximumOpenedPerPass = 5000;
+/** Jobs of more tasks store those that are done as ranges: the store takes values of up to 1 MB, and each listed task takes 30 bytes. */
+export const maximumListedTasks = 1000;
 /** How long before its due time an occurrence may start. */
 export const earlyStartMilliseconds = 50;
 /** Interval at which the reason why a job waits is logged. */
--- a/packages/scheduling/ends.ts
+++ b/packages/scheduling/ends.ts
@@ -5,6 +5,7 @@
 } from '#jobs';
 import {avoidWorker} from './avoidance.js';
 import {avoidanceMilliseconds, failuresBeforeAvoidance} from './constants.js';
+import {isComplete, openForReport} from './occurrences.js';
 import {
 	chain, endJob, stopRuns, storeJob, withoutEffects, type SchedulerTransition,
 } from './runs.js';
@@ -74,7 +75,7 @@
 type EndOrigin = WorkerIncarnation & Readonly<{agent: AgentName}>;
 
 function applyEnd(state: SchedulerState, origin: EndOrigin, end: EndedRun, time: CurrentTime): SchedulerTransition {
-	const {state: next, effects} = applyEndToTask(state, origin, end, time);
+	const {state: next, effects} = applyEndToTask(openForReport(state, end.task), origin, end, time);
 	const log = {
 		kind: 'log', event: 'run-ended', fields: {
 			task: end.task, run: end.run, ending: end.ending, worker: origin.worker,
@@ -142,10 +143,15 @@
 	return chain(clearFailures(markChanged(next, end.task, time.monotonic), origin.agent), [
 		// Stops another run of the same task, which is no longer needed.
 		after => end.run === job.tasks.get(end.task)?.run?.run ? withoutEffects(after) : stopRuns(after, [end.task], 'task completed on another worker', time.monotonic),
-		after => after.jobs.get(key)?.counts.unfinished === 0 ? endJob(after, key, 'completed', time) : storeCurrent(after, key),
+		after => isJobComplete(after, key) ? endJob(after, key, 'completed', time) : storeCurrent(after, key),
 	]);
 }
 
+function isJobComplete({jobs}: SchedulerState, key: JobKey): boolean {
+	const job = jobs.get(key);
+	return job !== undefined && isComplete(job);
+}
+
 function storeCurrent(state: SchedulerState, key: JobKey): SchedulerTransition {
 	const job = state.jobs.get(key);
 	return job === undefined ? withoutEffects(state) : storeJob(state, job);
--- a/packages/scheduling/incarnations.ts
+++ b/packages/scheduling/incarnations.ts
@@ -7,6 +7,7 @@
 import {handleLastEnd} from './ends.js';
 import {recordLateAcknowledgements} from './late-acknowledgements.js';
 import {measureLoss} from './loss.js';
+import {openForReport} from './occurrences.js';
 import {
 	chain, endJob, listRunsOf, releaseRun, stopRuns, storeJob, withoutEffects, type SchedulerTransition,
 } from './runs.js';
@@ -106,8 +107,9 @@
 
 /** Handles a run that an agent lost at its start with an earlier incarnation of its worker, perhaps under another scheduler. The agent vouches for runs whose start was not answered. */
 export function handleLostRun(state: SchedulerState, {task: name, run}: LostRun, time: CurrentTime): SchedulerTransition {
-	const recorded = addCrash(state, name, {run, hadProgress: false});
-	return recorded === state ? withoutEffects(state) : handleCrashes(recorded, parseJobOfTask(name), [name], time);
+	const opened = openForReport(state, name);
+	const recorded = addCrash(opened, name, {run, hadProgress: false});
+	return recorded === opened ? withoutEffects(opened) : handleCrashes(recorded, parseJobOfTask(name), [name], time);
 }
 
 /** Stores the crashes of a job's tasks, and gives the job up once a task has exhausted them. */
--- a/packages/scheduling/index.ts
+++ b/packages/scheduling/index.ts
@@ -2,6 +2,8 @@
 export * from './constants.js';
 export * from './receive.js';
 export {
-	countPending, createSchedulerState, describeProgress, findTask,
+	countPending, createSchedulerState, findTask,
 } from './state.js';
+export {countOpenTasks} from './occurrences.js';
+export {describeProgress} from './progress.js';
 export {measureWaitForStarts} from './unanswered-starts.js';
--- a/packages/scheduling/receive.ts
+++ b/packages/scheduling/receive.ts
@@ -12,7 +12,8 @@
 	chain, endJob, withoutEffects, type SchedulerTransition,
 } from './runs.js';
 import {schedule} from './schedule.js';
-import {createJob, replaceWorker, withJob} from './state.js';
+import {createJob} from './occurrences.js';
+import {replaceWorker, withJob} from './state.js';
 import {handleTick} from './tick.js';
 import {logUnansweredStarts} from './unanswered-starts.js';
 import type {
@@ -57,7 +58,7 @@
 			const {job} = message.submission;
 			return withoutEffects(state.jobs.has(job)
 				? state
-				: withJob(state, createJob(message.submission, {progress: undefined, keyVersion: 0}, {epoch: state.epoch, monotonic: time.monotonic, isInherited: false})));
+				: withJob(state, createJob(message.submission, {progress: undefined, keyVersion: 0}, {monotonic: time.monotonic, isInherited: false})));
 		}
 
 		case 'cancelled': {
@@ -110,7 +111,7 @@
 function load(state: SchedulerState, {jobs, workers}: Extract<SchedulerMessage, {kind: 'loaded'}>, time: CurrentTime): SchedulerTransition {
 	let next: SchedulerState = {...state, isLoaded: true, isScheduleDue: true};
 	for (const loaded of jobs) {
-		next = withJob(next, restore(loaded, state.epoch, time));
+		next = withJob(next, restore(loaded, time));
 	}
 
 	const unread = workers
@@ -127,8 +128,8 @@
 	]);
 }
 
-function restore({submission, progress, keyVersion}: LoadedJob, epoch: number, {monotonic}: CurrentTime) {
-	return createJob(submission, {progress, keyVersion}, {epoch, monotonic, isInherited: true});
+function restore({submission, progress, keyVersion}: LoadedJob, {monotonic}: CurrentTime) {
+	return createJob(submission, {progress, keyVersion}, {monotonic, isInherited: true});
 }
 
 function handleStored(state: SchedulerState, {job: key, version, keyVersion}: Extract<SchedulerMessage, {kind: 'stored'}>): SchedulerTransition {
--- a/packages/scheduling/reports.ts
+++ b/packages/scheduling/reports.ts
@@ -10,6 +10,7 @@
 import {handleLostRun, releaseIncarnation} from './incarnations.js';
 import {limitLateAcknowledgements, logBarredWorker, recordLateAcknowledgements} from './late-acknowledgements.js';
 import {refuseLateStarts} from './late-starts.js';
+import {openForReport} from './occurrences.js';
 import {estimateSlowdown} from './remaining.js';
 import {
 	chain, listRunsOf, releaseRun, stopRuns, withoutEffects, type SchedulerTransition,
@@ -146,7 +147,7 @@
 	}
 
 	return chain(state, [
-		...snapshot.running.map(reported => (next: SchedulerState) => reconcileRun(next, agent, reported, time)),
+		...snapshot.running.map(reported => (next: SchedulerState) => reconcileRun(openForReport(next, reported.task), agent, reported, time)),
 		next => withoutEffects(updateSlowdowns(next, snapshot.running)),
 		next => handleMissingRuns(next, agent, snapshot.running, time),
 	]);
--- a/packages/scheduling/schedule.ts
+++ b/packages/scheduling/schedule.ts
@@ -13,6 +13,7 @@
 	countByAgent, hasRoomForTask, placeUnit, type Placement, type TaskCounts,
 } from './place.js';
 import {isUtilizationLow} from './low-rank.js';
+import {openDueOccurrences} from './occurrences.js';
 import {findPreemption, type Preemption} from './preempt.js';
 import {rankJobs} from './rank.js';
 import {findReservation} from './reservation.js';
@@ -51,23 +52,24 @@
 	}
 
 	const ranks = rankJobs(state);
-	const waiting = listSchedulingUnits(state, ranks, time);
+	const opened = openDueOccurrences(next, ranks, time);
+	const waiting = listSchedulingUnits(opened.state, ranks, time);
 	if (waiting.length === 0) {
-		return {state: next, effects: []};
+		return opened;
 	}
 
-	const pool = createPool(state, ranks, time.monotonic);
+	const pool = createPool(opened.state, ranks, time.monotonic);
 	const units = isUtilizationLow(pool) ? waiting : waiting.map(unit => extendRackWait(unit));
-	const claims = listHeldClaims(state, units, pool, time.monotonic);
+	const claims = listHeldClaims(opened.state, units, pool, time.monotonic);
 	let pass: Pass = {
-		state: next, pool: holdClaims(pool, claims), effects: [], reservedRanks: new Set(), exhausted: [], claims, waiting: [],
+		state: opened.state, pool: holdClaims(pool, claims), effects: opened.effects, reservedRanks: new Set(), exhausted: [], claims, waiting: [],
 	};
 	for (const unit of units) {
 		pass = scheduleUnit(pass, unit, time.monotonic);
 	}
 
 	const logged = logWaiting(pass.state, pass.waiting, pass.pool, time.monotonic);
-	return {state: {...logged.state, isScheduleDue: false}, effects: [...pass.effects, ...logged.effects]};
+	return {state: {...logged.state, isScheduleDue: opened.state.isScheduleDue}, effects: [...pass.effects, ...logged.effects]};
 }
 
 function scheduleUnit(pass: Pass, unit: SchedulingUnit, monotonic: MonotonicTime): Pass {
--- a/packages/scheduling/state.ts
+++ b/packages/scheduling/state.ts
@@ -2,8 +2,7 @@
 import {Map as PersistentMap, Set as PersistentSet} from 'immutable';
 import type {MonotonicTime} from '#core';
 import {
-	isSameIncarnation, listStepTasks, formatLocalTaskName, parseJobOfTask, type JobProgress, type JobStep, type JobSubmission, type Queue, type Resources,
-	type TaskName, type TaskProgress,
+	isSameIncarnation, parseJobOfTask, parseTaskName, type JobStep, type Queue, type Resources, type TaskName,
 } from '#jobs';
 import {runsPerEpoch} from './constants.js';
 import type {
@@ -24,6 +23,7 @@
 		leaseUntil: Infinity,
 		isLoaded: false,
 		deferredIncarnationEnds: [],
+		unopenedLoggedAt: -Infinity,
 		isScheduleDue: false,
 	};
 }
@@ -120,7 +120,7 @@
 	return run === undefined ? runs : runs.set(run.agent, (runs.get(run.agent) ?? PersistentSet<TaskName>()).add(name));
 }
 
-function hasStarted({isDone, run, lastRun}: TaskState): boolean {
+export function hasStarted({isDone, run, lastRun}: TaskState): boolean {
 	return isDone || run !== undefined || lastRun % runsPerEpoch > 0;
 }
 
@@ -143,9 +143,9 @@
 	return configuration?.queues.find(({name}) => name === queue.name) ?? queue;
 }
 
+/** Finds the step of a task, also if its occurrence is not open. */
 export function findStep({submission, tasks}: SchedulerJob, task: TaskName): JobStep | undefined {
-	const stepIndex = tasks.get(task)?.stepIndex;
-	return stepIndex === undefined ? undefined : submission.request.steps[stepIndex];
+	return submission.request.steps[tasks.get(task)?.stepIndex ?? parseTaskName(task).step];
 }
 
 /** Resources that a task uses on its worker. Filling tasks use only processor time that others leave unused. */
@@ -156,7 +156,7 @@
 /** Lists all tasks of the step and occurrence that the task belongs to, itself included. */
 export function listStepMembers(job: SchedulerJob, name: TaskName): readonly TaskName[] {
 	const task = job.tasks.get(name);
-	return task === undefined ? [] : job.taskNames[task.occurrence]?.[task.stepIndex] ?? [];
+	return task === undefined ? [] : job.taskNames.get(task.occurrence)?.[task.stepIndex] ?? [];
 }
 
 /** Finds the worker of a run; undefined if its incarnation is no longer there. */
@@ -175,86 +175,11 @@
 	return new Set(names.flatMap(name => job.tasks.get(name)?.failedRuns ?? [])).size;
 }
 
-/** Creates the state of a job from its stored progress. */
-export function createJob(
-	submission: JobSubmission,
-	stored: Readonly<{progress: JobProgress | undefined; keyVersion: number}>,
-	context: Readonly<{epoch: number; monotonic: MonotonicTime; isInherited: boolean}>,
-): SchedulerJob {
-	const {job, request: {steps, schedule}} = submission;
-	const taskNames = Array.from({length: schedule?.occurrences ?? 1}, (_, occurrence) => steps.map((step, index) => listStepTasks(job, occurrence, index, step)));
-	const tasks = PersistentMap(taskNames.flatMap((namesByStep, occurrence) => namesByStep.flatMap((names, stepIndex) => names.map((name): [TaskName, TaskState] => [
-		name, createTask({occurrence, stepIndex}, stored.progress?.tasks[formatLocalTaskName(name)], context.epoch),
-	]))));
-	const doneCount = tasks.count(({isDone}) => isDone);
-
-	return {
-		submission,
-		tasks,
-		taskNames,
-		counts: {waiting: tasks.size - doneCount, running: 0, unfinished: tasks.size - doneCount},
-		hasStarted: tasks.some(task => hasStarted(task)),
-		hasCrashes: tasks.some(({crashes}) => crashes.length > 0),
-		outcome: stored.progress?.outcome ?? 'queued',
-		version: stored.progress === undefined ? 0 : 1,
-		storedVersion: stored.progress === undefined ? 0 : 1,
-		keyVersion: stored.keyVersion,
-		waitLoggedAt: context.monotonic,
-		slowdown: undefined,
-		storedCheckpoints: {joined: joinCheckpoints(tasks), at: context.monotonic},
-		changedAt: context.monotonic,
-		agents: stored.progress === undefined ? PersistentSet() : stored.progress.agents && PersistentSet(stored.progress.agents),
-		agentsVersion: 0,
-		claim: undefined,
-		preemptionFailedAt: -Infinity,
-		isInherited: context.isInherited,
-		endedAt: stored.progress?.endedAt,
-		endedAtMonotonic: stored.progress?.endedAt === undefined ? undefined : context.monotonic,
-	};
-}
-
 /** Joins the checkpoints of unfinished tasks, for comparison with those stored last. */
 export function joinCheckpoints(tasks: SchedulerJob['tasks']): string {
 	return [...tasks.values()].map(({isDone, checkpoint}) => isDone ? '' : checkpoint).join(' ');
 }
 
-function createTask(place: Pick<TaskState, 'occurrence' | 'stepIndex'>, progress: TaskProgress | undefined, epoch: number): TaskState {
-	return {
-		...place,
-		isDone: progress?.isDone ?? false,
-		failedRuns: progress?.failedRuns ?? [],
-		lastRun: Math.max((epoch - 1) * runsPerEpoch, ...(progress?.failedRuns ?? [])),
-		checkpoint: progress?.checkpoint ?? '',
-		checkpointPercent: 0,
-		run: undefined,
-		avoided: [],
-		crashes: progress?.crashes ?? [],
-		preemptions: 0,
-	};
-}
-
-/** Progress of a job as it is stored; tasks without progress are left out. */
-export function describeProgress({outcome, tasks, endedAt, agents}: SchedulerJob): JobProgress {
-	const stored: Record<string, TaskProgress> = {};
-	for (const [name, {isDone, failedRuns, checkpoint, crashes}] of tasks) {
-		if (isDone) {
-			stored[formatLocalTaskName(name)] = {isDone: true};
-		} else if (failedRuns.length > 0 || checkpoint !== '' || crashes.length > 0) {
-			stored[formatLocalTaskName(name)] = {
-				...(failedRuns.length === 0 ? {} : {failedRuns}), ...(checkpoint === '' ? {} : {checkpoint}), ...(crashes.length === 0 ? {} : {crashes}),
-			};
-		}
-	}
-
-	return {
-		outcome: outcome === 'queued' ? 'running' : outcome,
-		tasks: stored,
-		...(endedAt === undefined ? {} : {endedAt}),
-		// The runs of an ended job are only stopped, so that nobody has to look for them before a start.
-		...(agents === undefined || endedAt !== undefined ? {} : {agents: [...agents]}),
-	};
-}
-
 /** Whether a run is on the current incarnation of a worker. */
 export function isRunOn(run: TaskRun | undefined, {snapshot}: SchedulerWorker): run is TaskRun {
 	return run !== undefined && isSameIncarnation(run.incarnation, snapshot);
--- a/packages/scheduling/tick.ts
+++ b/packages/scheduling/tick.ts
@@ -9,13 +9,15 @@
 import {recordFailure} from './ends.js';
 import {removeWorker} from './incarnations.js';
 import {expireLateAcknowledgements} from './late-acknowledgements.js';
+import {closeOccurrences} from './occurrences.js';
+import {joinCheckpoints} from './progress.js';
 import {latestEndOfRuns} from './reports.js';
 import {estimateRemaining} from './remaining.js';
 import {
 	chain, listRuns, stopRuns, storeJob, withoutEffects, type ListedRun, type SchedulerTransition,
 } from './runs.js';
 import {
-	findWorkerOfRun, isOpen, findJob, findTask, joinCheckpoints, findStep, latestSoleTime, mayRunOnUnreadWorker, withTask,
+	findWorkerOfRun, isOpen, findJob, findTask, findStep, latestSoleTime, mayRunOnUnreadWorker, withTask,
 } from './state.js';
 import {expireUnansweredStarts} from './unanswered-starts.js';
 import type {
@@ -36,6 +38,7 @@
 		next => stopPartialGangs(next, time.monotonic),
 		next => storeCheckpoints(next, time.monotonic),
 		next => removeOldRecords(next, time.monotonic),
+		next => withoutEffects(closeOccurrences(next)),
 	]);
 }
 
@@ -130,7 +133,7 @@
 	const partial: TaskName[] = [];
 	for (const job of state.jobs.values()) {
 		if (job.counts.running > 0 && isOpen(job) && !mayRunOnUnreadWorker(state, job)) {
-			partial.push(...job.submission.request.steps.flatMap(({isGang}, index) => isGang ? job.taskNames.flatMap(namesByStep => listPartialGang(job, namesByStep[index] ?? [])) : []));
+			partial.push(...job.submission.request.steps.flatMap(({isGang}, index) => isGang ? [...job.taskNames.values()].flatMap(namesByStep => listPartialGang(job, namesByStep[index] ?? [])) : []));
 		}
 	}
 
--- a/packages/scheduling/types.ts
+++ b/packages/scheduling/types.ts
@@ -2,7 +2,7 @@
 import type {Map as PersistentMap, Set as PersistentSet} from 'immutable';
 import type {MonotonicTime, Unit, WorkerId} from '#core';
 import type {
-	EndedRun, JobKey, JobOutcome, JobProgress, JobSubmission, QueueName, SchedulingConfiguration, TaskCrash, TaskName, WorkerIncarnation, WorkerSnapshot,
+	EndedRun, JobKey, JobOutcome, JobProgress, JobSubmission, QueueName, SchedulingConfiguration, TaskCrash, TaskName, TaskProgress, WorkerIncarnation, WorkerSnapshot,
 } from '#jobs';
 
 /** Name of the agent that runs beside a worker. */
@@ -92,11 +92,31 @@
 	until: MonotonicTime;
 }>;
 
+/** Stored progress of tasks, by name without the job. */
+export type StoredTasks = Readonly<Record<string, TaskProgress>>;
+
+/**
+Which occurrences of a job have begun. The tasks of an occurrence are held in memory only while it is open.
+
+A job without a schedule has one occurrence, which is due at once.
+*/
+export type Occurrences = Readonly<{
+	total: number;
+	/** The first that has not begun. Earlier ones are open, not opened yet, or done. */
+	next: number;
+	/** Those that have begun and are not opened yet in this term, with their stored progress. */
+	unopened: PersistentMap<number, StoredTasks>;
+}>;
+
 export type SchedulerJob = Readonly<{
 	submission: JobSubmission;
+	/** Estimated memory of the job without its tasks, and of the tasks that are open at the same time. */
+	memory: Readonly<{recordBytes: number; taskBytes: number}>;
+	/** Tasks of the open occurrences. */
 	tasks: PersistentMap<TaskName, TaskState>;
-	/** Names of the tasks, by occurrence and step. */
-	taskNames: ReadonlyArray<ReadonlyArray<readonly TaskName[]>>;
+	/** Names of the tasks of the open occurrences, by occurrence and step. */
+	taskNames: PersistentMap<number, ReadonlyArray<readonly TaskName[]>>;
+	occurrences: Occurrences;
 	/** Numbers of tasks, kept up to date so that no message has to iterate over all of them. */
 	counts: TaskCounts;
 	/** Whether a task has started in this epoch or is done. */
@@ -191,6 +211,8 @@
 	isLoaded: boolean;
 	/** Ends of incarnations that were reported before the stored jobs were loaded. */
 	deferredIncarnationEnds: readonly IncarnationEnd[];
+	/** When it was last logged that occurrences wait until others are done. */
+	unopenedLoggedAt: MonotonicTime;
 	/** Whether a change may allow a task to start; a pass was requested and has not been carried out yet. */
 	isScheduleDue: boolean;
 }>;
--- a/packages/scheduling/units.ts
+++ b/packages/scheduling/units.ts
@@ -1,14 +1,15 @@
 import type {
-	Milliseconds, MonotonicTime, CurrentTime, Timestamp, WorkerId,
+	Milliseconds, MonotonicTime, CurrentTime, WorkerId,
 } from '#core';
 import type {
 	JobStep, Queue, TaskName, JobKey,
 } from '#jobs';
 import {
-	atRiskSlackShare, earlyStartMilliseconds, guaranteedRackWaitMilliseconds, longTaskFactor, remoteRackFactor,
+	atRiskSlackShare, guaranteedRackWaitMilliseconds, longTaskFactor, remoteRackFactor,
 } from './constants.js';
 import {listRepeatedlyAvoided} from './avoidance.js';
 import {chooseIsolation, selectStartable, type Isolation} from './crashes.js';
+import {listDueOccurrences} from './occurrences.js';
 import type {Rank} from './rank.js';
 import {
 	countFailures, isOpen, mayRunOnUnreadWorker, resolveQueue,
@@ -81,21 +82,11 @@
 	return unit.rank === 0 ? unit : {...unit, rackWaitLimit: unit.rackWaitLimit * remoteRackFactor};
 }
 
-function listDueOccurrences({submission: {request: {schedule}}}: SchedulerJob, now: Timestamp): readonly number[] {
-	if (schedule === undefined) {
-		return [0];
-	}
-
-	const elapsed = now + earlyStartMilliseconds - schedule.firstRunAt;
-	const due = elapsed < 0 ? 0 : Math.floor(elapsed / Math.max(1, schedule.intervalMilliseconds)) + 1;
-	return Array.from({length: Math.min(schedule.occurrences, due)}, (_, occurrence) => occurrence);
-}
-
 type StepUnit = Pick<SchedulingUnit, 'job' | 'queue' | 'step' | 'occurrence' | 'stepIndex' | 'tasks'>;
 
 function listReadySteps(job: SchedulerJob, queue: Queue, occurrence: number, mayStart: (task: TaskName) => boolean): readonly StepUnit[] {
 	const {steps} = job.submission.request;
-	const namesOf = (index: number) => job.taskNames[occurrence]?.[index] ?? [];
+	const namesOf = (index: number) => job.taskNames.get(occurrence)?.[index] ?? [];
 	const isStepDone = (index: number) => namesOf(index).every(name => job.tasks.get(name)?.isDone === true);
 
 	return [...steps.entries()].flatMap(([stepIndex, step]) => {
--- a/test/platform/odd-requests.test.ts
+++ b/test/platform/odd-requests.test.ts
@@ -25,6 +25,9 @@
 	{
 		name: 'more occurrences than can be kept', path: '/batch/00000000000000c3', body: '{"steps":[{"count":1}],"repeat_count":5000}', status: 400,
 	},
+	{
+		name: 'a label that the store cannot keep', path: '/batch/00000000000000c5', body: `{"steps":[{"count":1,"requirements":"${'a'.repeat(300_000)}"}]}`, status: 400,
+	},
 	{
 		name: 'more tasks than a scheduler can hold', path: '/batch/00000000000000c4', body: `{"steps":[${wideSteps}],"repeat_count":1000}`, status: 400,
 	},
