Accept jobs only as far as the scheduler has memory for them

Callers could hand in any number of jobs, each within the bounds of a single one.

Cause: entries accepted without a look at what the scheduler has to hold.

Change: the scheduler measures, by estimate, the memory of its jobs: records until they are removed, tasks of the occurrences that overlap until the job has ended. Entries learn it with each exchange and count what they accepted since. A tenant gets at most half of what the others leave of 40 MB, so that one cannot lock the others out. What exceeds that is refused at once with 503 and a Retry-After by the rate at which jobs end, at one entry only, since the others would refuse it too; a job that would fit beside no other one is refused for good with 400. A retry of an accepted job is answered as accepted. What entries accept before they hear of each other waits unopened in the scheduler.

--- /dev/null
+++ b/packages/coordinator/callers/submit-within-budget.ts
@@ -0,0 +1,49 @@
+import {assertNever, checkInput, type MonotonicTime} from '#core';
+import {jobRecordSchema, type JobSubmission} from '#jobs';
+import type {CallerAnswer} from '#protocol';
+import {jobStoreKey} from '../keys.js';
+import {storePort} from '../ports.js';
+import {admissionService} from '../plugins/admission.js';
+import type {CoordinatorContext} from '../types.js';
+import {submitJob} from './submit.js';
+import {storeUnavailableAnswer} from './unavailable.js';
+
+/** Stores a job if the scheduler has memory for it. */
+export async function submitWithinBudget(submission: JobSubmission, deadline: MonotonicTime, context: CoordinatorContext): Promise<CallerAnswer> {
+	const admission = context.services.use(admissionService);
+	const decision = admission.decide(submission);
+	switch (decision.kind) {
+		case 'admitted': {
+			const answer = await submitJob(submission, deadline, context);
+			if (answer.kind === 'accepted') {
+				admission.accept(submission);
+			}
+
+			return answer;
+		}
+
+		case 'refused': {
+			const refusal: CallerAnswer = {kind: 'refused', reason: 'too-many-tasks', retryAfterMilliseconds: decision.retryAfterMilliseconds};
+			return await findEarlierAnswer(submission, context) ?? refusal;
+		}
+
+		case 'too-large': {
+			return {kind: 'invalid', findings: [{place: 'steps', message: `must have at most about ${decision.maximumTasks} tasks that are due at the same time`}]};
+		}
+
+		default: {
+			return assertNever(decision);
+		}
+	}
+}
+
+/** A retry of a job that was accepted is not refused, whatever the others need meanwhile. */
+async function findEarlierAnswer({job}: JobSubmission, {services}: CoordinatorContext): Promise<CallerAnswer | undefined> {
+	const current = await services.use(storePort).read(jobStoreKey(job));
+	if (current.kind === 'unavailable') {
+		return storeUnavailableAnswer;
+	}
+
+	const checked = current.kind === 'found' ? checkInput(jobRecordSchema, current.stored.value, current.stored.key) : undefined;
+	return checked?.kind === 'valid' && checked.value.kind !== 'refused' ? {kind: checked.value.kind} : undefined;
+}
--- a/packages/coordinator/constants.ts
+++ b/packages/coordinator/constants.ts
@@ -58,3 +58,9 @@
 export const refusalRetentionMilliseconds = 150_000;
 /** Refusal and withdrawal records that one transaction removes: one condition and one removal for each, and the leader record, of 32. */
 export const maximumRefusalRemovals = 15;
+/** How old the measured memory of the own scheduler may be when a job is accepted; measuring visits all jobs. */
+export const memoryUseValidityMilliseconds = 250;
+/** Time after which the scheduler's report includes a job that another entry accepted. */
+export const acceptanceVisibleMilliseconds = 2000;
+/** Tenants that the scheduler reports to the other entries, those that need most memory. */
+export const maximumSharedTenants = 50;
--- a/packages/coordinator/plugins/callers.ts
+++ b/packages/coordinator/plugins/callers.ts
@@ -15,7 +15,7 @@
 import {showJob} from '../callers/show.js';
 import {cancelJob} from '../callers/cancel.js';
 import {configurationOutdatedAnswer, noConfigurationAnswer, storeUnavailableAnswer} from '../callers/unavailable.js';
-import {submitJob} from '../callers/submit.js';
+import {submitWithinBudget} from '../callers/submit-within-budget.js';
 import type {CoordinatorContext} from '../types.js';
 import {configurationService} from './configuration.js';
 import {entryPeersService} from './entry-peers.js';
@@ -142,11 +142,14 @@
 /** Maximum number of entries that are tried in turn; each takes up to a third of a caller's usual timeout. */
 const maximumForwards = 2;
 
-/** Whether another entry may serve a call that this one answered so; an entry without any configuration leaves its callers to the load balancer. */
+/** Whether another entry may serve a call that this one answered so. An entry without any configuration leaves its callers to the load balancer, and what exceeds a limit does so at all entries. */
 function mayBeServedElsewhere(answer: CallerAnswer): boolean {
-	return answer.kind === 'undecided' || (answer.kind === 'refused' && answer !== noConfigurationAnswer);
+	return answer.kind === 'undecided' || (answer.kind === 'refused' && reasonsOfOneEntry.has(answer.reason));
 }
 
+/** Refusals that concern this entry only. */
+const reasonsOfOneEntry: ReadonlySet<string> = new Set(['store-unavailable', 'configuration-outdated']);
+
 async function answerLocally(call: CallerRequest, deadline: MonotonicTime, context: CoordinatorContext): Promise<CallerAnswer> {
 	const basis = findAnswerBasis(context.services.use(configurationService).read());
 	switch (basis.kind) {
@@ -196,7 +199,7 @@
 			const submission: JobSubmission = {
 				job: job.value, queue, ...(tenant === undefined ? {} : {tenant: tenant.name}), submittedAt: context.clock.now(), request: call.action.request,
 			};
-			return submitJob(submission, deadline, context);
+			return submitWithinBudget(submission, deadline, context);
 		}
 
 		case 'show': {
--- a/packages/coordinator/plugins/entry-peers.ts
+++ b/packages/coordinator/plugins/entry-peers.ts
@@ -1,12 +1,13 @@
 import type {EntryId, Milliseconds} from '#core';
 import {createServiceKey} from '#kernel';
 import {connectToPeer, type RpcPeer} from '#transport';
-import {entryExchangeParametersSchema} from '#protocol';
+import {entryExchangeParametersSchema, type SharedMemoryUse} from '#protocol';
 import {entryCallTimeoutMilliseconds, exchangeIntervalMilliseconds} from '../constants.js';
 import {listEntryAddresses} from '../addresses.js';
 import {peerAddressOf} from '../peer-address.js';
 import {coordinatorPlugins} from '../plugins.js';
 import type {CoordinatorContext} from '../types.js';
+import {admissionService} from './admission.js';
 import {configurationService} from './configuration.js';
 import {directoryService, listEntries} from './directory.js';
 import {leadershipService} from './leadership.js';
@@ -21,7 +22,13 @@
 
 export const entryPeersService = createServiceKey<EntryPeers>('entry-peers');
 
-type SharedState = Readonly<{configurationVersion: number; epoch: number; undecided: readonly string[]; undecidedAges: readonly Milliseconds[]}>;
+type SharedState = Readonly<{
+	configurationVersion: number;
+	epoch: number;
+	undecided: readonly string[];
+	undecidedAges: readonly Milliseconds[];
+	memoryUse?: SharedMemoryUse | undefined;
+}>;
 
 coordinatorPlugins.register({
 	kind: 'task',
@@ -126,21 +133,27 @@
 	}
 }
 
-function applySharedState({epoch, undecided, undecidedAges}: SharedState, {services}: CoordinatorContext): void {
+function applySharedState({epoch, undecided, undecidedAges, memoryUse}: SharedState, {services}: CoordinatorContext): void {
 	for (const [index, path] of undecided.entries()) {
 		services.use(undecidedService).add({path, age: undecidedAges[index] ?? 0});
 	}
 
+	if (memoryUse !== undefined) {
+		services.use(admissionService).observe(memoryUse);
+	}
+
 	services.use(leadershipService).send({kind: 'epoch-observed', epoch});
 }
 
 function describeSharedState({services}: CoordinatorContext): SharedState {
 	const {highestEpoch} = services.use(leadershipService).read();
 	const undecided = services.use(undecidedService).list();
+	const memoryUse = services.use(admissionService).describe();
 	return {
 		configurationVersion: services.use(configurationService).read().current?.version ?? 0,
 		epoch: highestEpoch,
 		undecided: undecided.map(({path}) => path),
 		undecidedAges: undecided.map(({age}) => age),
+		...(memoryUse === undefined ? {} : {memoryUse}),
 	};
 }
--- a/packages/protocol/scheduling.ts
+++ b/packages/protocol/scheduling.ts
@@ -87,6 +87,15 @@
 /** Milliseconds since the last attempt of each submission in `undecided`; entries of earlier versions send none. */
 const undecidedAgesSchema = valibot.optional(valibot.pipe(valibot.array(valibot.number()), valibot.readonly()), []);
 
+/** Memory that the sender's scheduler needs for its jobs. */
+const sharedMemoryUseSchema = valibot.pipe(valibot.object({
+	total: valibot.number(),
+	freedPerSecond: valibot.number(),
+	/** The tenants that need most. */
+	tenants: valibot.pipe(valibot.array(valibot.pipe(valibot.object({name: valibot.string(), bytes: valibot.number()}), valibot.readonly())), valibot.readonly()),
+}), valibot.readonly());
+export type SharedMemoryUse = valibot.InferOutput<typeof sharedMemoryUseSchema>;
+
 export const entryExchangeParametersSchema = valibot.object({
 	entry: entryIdSchema,
 	/** Version of the sender's configuration; 0 if none. */
@@ -96,12 +105,15 @@
 	/** Paths of submissions with an unknown outcome. */
 	undecided: valibot.pipe(valibot.array(valibot.string()), valibot.readonly()),
 	undecidedAges: undecidedAgesSchema,
+	/** Absent if the sender does not schedule, and in exchanges of earlier versions. */
+	memoryUse: valibot.optional(sharedMemoryUseSchema),
 });
 export const entryExchangeResultSchema = valibot.object({
 	configurationVersion: valibot.number(),
 	epoch: countSchema,
 	undecided: valibot.pipe(valibot.array(valibot.string()), valibot.readonly()),
 	undecidedAges: undecidedAgesSchema,
+	memoryUse: valibot.optional(sharedMemoryUseSchema),
 });
 
 /** The configuration of the entry that is asked, compressed and in base64; absent if it has none. */
--- a/test/coordinator/undecided.test.ts
+++ b/test/coordinator/undecided.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import {
-	configurationService, coordinatorPlugins, leadershipService, undecidedService, type CoordinatorContext,
+	admissionService, configurationService, coordinatorPlugins, leadershipService, undecidedService, type CoordinatorContext,
 } from '#coordinator';
 import {createServices, createVirtualClock, type VirtualClock} from '#kernel';
 import type {RpcPeer} from '#transport';
@@ -20,6 +20,9 @@
 	const leadership: unknown = {read: () => ({highestEpoch: 1}), send: () => undefined};
 	services.provide(configurationService, configuration as never);
 	services.provide(leadershipService, leadership as never);
+	services.provide(admissionService, {
+		decide: () => ({kind: 'admitted'}), accept: () => undefined, describe: () => undefined, observe: () => undefined,
+	});
 	const context = {services, clock} as unknown as CoordinatorContext;
 	coordinatorPlugins.tasks().find(({name}) => name === 'undecided')?.start(context);
 	return context;
