Bound the list of undecided submissions

Each submission without an outcome stayed in a list for 30 s that entries keep and send with each exchange, whatever its length. While a store was silent, a flood of submissions grew it without a bound.

Cause: nothing limited the list, and a reader took absence from it to mean that the submission is decided.

A list that left some out says so, with the time since, and any submission may then be undecided for 30 s: its refusal is withheld, as for those that are listed.

Result: the new case of coordinator/undecided, 10,000 submissions at once.

--- a/packages/coordinator/plugins/entry-peers.ts
+++ b/packages/coordinator/plugins/entry-peers.ts
@@ -27,6 +27,7 @@
 	epoch: number;
 	undecided: readonly string[];
 	undecidedAges: readonly Milliseconds[];
+	undecidedCutAge?: Milliseconds | undefined;
 	memoryUse?: SharedMemoryUse | undefined;
 }>;
 
@@ -133,10 +134,9 @@
 	}
 }
 
-function applySharedState({epoch, undecided, undecidedAges, memoryUse}: SharedState, {services}: CoordinatorContext): void {
-	for (const [index, path] of undecided.entries()) {
-		services.use(undecidedService).add({path, age: undecidedAges[index] ?? 0});
-	}
+function applySharedState({epoch, undecided, undecidedAges, undecidedCutAge, memoryUse}: SharedState, {services}: CoordinatorContext): void {
+	const submissions = undecided.map((path, index) => ({path, age: undecidedAges[index] ?? 0}));
+	services.use(undecidedService).addAll(undecidedCutAge === undefined ? {kind: 'whole', submissions} : {kind: 'cut', submissions, age: undecidedCutAge});
 
 	if (memoryUse !== undefined) {
 		services.use(admissionService).observe(memoryUse);
@@ -152,8 +152,9 @@
 	return {
 		configurationVersion: services.use(configurationService).read().current?.version ?? 0,
 		epoch: highestEpoch,
-		undecided: undecided.map(({path}) => path),
-		undecidedAges: undecided.map(({age}) => age),
+		undecided: undecided.submissions.map(({path}) => path),
+		undecidedAges: undecided.submissions.map(({age}) => age),
+		...(undecided.kind === 'cut' ? {undecidedCutAge: undecided.age} : {}),
 		...(memoryUse === undefined ? {} : {memoryUse}),
 	};
 }
--- a/packages/protocol/scheduling.ts
+++ b/packages/protocol/scheduling.ts
@@ -87,6 +87,9 @@
 /** Milliseconds since the last attempt of each submission in `undecided`; entries of earlier versions send none. */
 const undecidedAgesSchema = valibot.optional(valibot.pipe(valibot.array(valibot.number()), valibot.readonly()), []);
 
+/** Time since a submission was last left out of the list; absent if it is whole. */
+const undecidedCutAgeSchema = valibot.optional(valibot.number());
+
 /** Memory that the sender's scheduler needs for its jobs. */
 const sharedMemoryUseSchema = valibot.pipe(valibot.object({
 	total: valibot.number(),
@@ -105,6 +108,7 @@
 	/** Paths of submissions with an unknown outcome. */
 	undecided: valibot.pipe(valibot.array(valibot.string()), valibot.readonly()),
 	undecidedAges: undecidedAgesSchema,
+	undecidedCutAge: undecidedCutAgeSchema,
 	/** Absent if the sender does not schedule, and in exchanges of earlier versions. */
 	memoryUse: valibot.optional(sharedMemoryUseSchema),
 });
@@ -113,6 +117,7 @@
 	epoch: countSchema,
 	undecided: valibot.pipe(valibot.array(valibot.string()), valibot.readonly()),
 	undecidedAges: undecidedAgesSchema,
+	undecidedCutAge: undecidedCutAgeSchema,
 	memoryUse: valibot.optional(sharedMemoryUseSchema),
 });
 
--- a/test/coordinator/undecided.test.ts
+++ b/test/coordinator/undecided.test.ts
@@ -73,7 +73,7 @@
 				}
 
 				for (const [caller, called] of links.map(link => link.map(index => entries[index]!))) {
-					const undecided = caller!.services.use(undecidedService).list();
+					const undecided = caller!.services.use(undecidedService).list().submissions;
 					const shared = {
 						entry: 'e', configurationVersion: 0, epoch: 1, undecided: undecided.map(submission => submission.path), undecidedAges: undecided.map(({age}) => age),
 					};
@@ -88,7 +88,40 @@
 			}
 
 			expect(entries.map(({services}) => services.use(undecidedService).has(path))).to.deep.equal([false, false, false]);
-			expect(entries.flatMap(({services}) => services.use(undecidedService).list())).to.deep.equal([]);
+			expect(entries.flatMap(({services}) => services.use(undecidedService).list().submissions)).to.deep.equal([]);
 		});
 	}
+
+	it('a flood of them is bounded, and any submission may then be one of them until it is over (memory exhausted, or refused submission that is stored late)', async () => {
+		const clock = createVirtualClock();
+		const [first, second] = [startEntry(clock), startEntry(clock)];
+		for (let number = 0; number < 10_000; number++) {
+			first.services.use(undecidedService).add({path: `/batch/${number.toString(16).padStart(16, '0')}`, age: 0});
+		}
+
+		const exchange = async (from: CoordinatorContext, to: CoordinatorContext) => {
+			const state = await callMethod('entry.exchange', {
+				entry: 'e', configurationVersion: 0, epoch: 1, undecided: [], undecidedAges: [],
+			}, from, {} as RpcPeer);
+			await callMethod('entry.exchange', {entry: 'e', ...state as object}, to, {} as RpcPeer);
+		};
+
+		expect(first.services.use(undecidedService).list().submissions.length).to.be.below(10_000);
+		const last = `/batch/${(9999).toString(16).padStart(16, '0')}`;
+		for (let elapsed = 0; elapsed <= lateMilliseconds; elapsed += intervalMilliseconds) {
+			await exchange(first, second);
+			await exchange(second, first);
+			expect([first, second].map(({services}) => services.use(undecidedService).has(last)), `${elapsed} ms`).to.deep.equal([true, true]);
+			clock.advance(intervalMilliseconds);
+		}
+
+		for (let elapsed = 0; elapsed <= 90_000; elapsed += intervalMilliseconds) {
+			await exchange(first, second);
+			await exchange(second, first);
+			clock.advance(intervalMilliseconds);
+		}
+
+		expect([first, second].map(({services}) => services.use(undecidedService).has(last))).to.deep.equal([false, false]);
+		expect([first, second].map(({services}) => services.use(undecidedService).list())).to.deep.equal([{kind: 'whole', submissions: []}, {kind: 'whole', submissions: []}]);
+	});
 });
