Release the stored values once the jobs are loaded

The watch of jobs kept the raw values of all stored jobs for the whole term, next to the scheduler's own state of them.

Cause: the buffer that is filled until the progress is read was never emptied. Change: loading takes the values out of the buffer. Result: not measured by itself; coordinator/job-watch passes.

--- a/packages/coordinator/job-watch.ts
+++ b/packages/coordinator/job-watch.ts
@@ -24,7 +24,7 @@
 	let isLoaded = false;
 	let isLoading = false;
 	let versions = noObservedVersions;
-	const bufferedValues: StoredValue[] = [];
+	let bufferedValues: readonly StoredValue[] = [];
 	const watch = startWatchTask({
 		store: services.use(storePort),
 		clock,
@@ -41,11 +41,14 @@
 				return;
 			}
 
-			bufferedValues.push(...values);
+			bufferedValues = [...bufferedValues, ...values];
 			if (!isLoading) {
 				isLoading = true;
-				void loadStoredState(bufferedValues, term, context, () => {
+				void loadStoredState(term, context, () => {
 					isLoaded = true;
+					const values = bufferedValues;
+					bufferedValues = [];
+					return values;
 				});
 			}
 		},
@@ -64,8 +67,8 @@
 	return extractValues(observation).filter(({key, version}) => parseJobStoreKey(key).isCancellation || versions.get(key) !== version);
 }
 
-/** Reads the jobs' progress and the workers in use from the store. The jobs come from the watch's observations, whose values are buffered until then. */
-async function loadStoredState(bufferedValues: readonly StoredValue[], term: Term, context: CoordinatorContext, onLoaded: () => void): Promise<void> {
+/** Reads the jobs' progress and the workers in use from the store. The jobs come from the watch's observations, whose values are buffered until `takeBuffered` releases them. */
+async function loadStoredState(term: Term, context: CoordinatorContext, takeBuffered: () => readonly StoredValue[]): Promise<void> {
 	const {services, clock, random} = context;
 	const store = services.use(storePort);
 	for (let failures = 0; !term.isOver(); failures++) {
@@ -76,12 +79,11 @@
 			}
 
 			const usedWorkers = workers.kind === 'found' ? parseWorkersRecord(workers.stored.value, context) : [];
-			const jobs = assembleJobs(bufferedValues, progress.values, context);
+			const jobs = assembleJobs(takeBuffered(), progress.values, context);
 			term.workersRecord.restore(usedWorkers, workers.kind === 'found' ? workers.stored.version : 0);
 			context.log.withPrefix('scheduler').info({
 				epoch: term.epoch, jobs: jobs.length, workers: usedWorkers.length, unreadMilliseconds: Math.round(unreadMilliseconds),
 			}, 'loaded the stored jobs');
-			onLoaded();
 			term.task.send({kind: 'loaded', jobs, workers: usedWorkers});
 			return;
 		}
