--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -1,7 +1,11 @@
+import {once} from 'node:events';
+import {createServer} from 'node:http';
+import type {AddressInfo} from 'node:net';
 import {expect} from 'chai';
 import {silentLog} from '#kernel';
 import {createPlatformStore} from '#platform/store.js';
 import type {TransactionalStore} from '#store';
+import {loopbackHost} from '#test/support/loopback';
 import {servePlatformStore, type PlatformStore} from '#test/support/platform/store';
 
 type Case = Readonly<{name: string; run(client: TransactionalStore, service: PlatformStore): Promise<void>}>;
@@ -118,4 +122,18 @@
 			}
 		});
 	}
+
+	it('a page without items that announces another one is no end of the list (missing jobs after a takeover)', async () => {
+		const server = createServer((_request, response) => {
+			response.writeHead(200, {'content-type': 'application/json'}).end(JSON.stringify({items: [], has_more: true, at: 7}));
+		});
+		server.listen(0, loopbackHost(0));
+		await once(server, 'listening');
+		const {port} = server.address() as AddressInfo;
+		const client = createPlatformStore(`${loopbackHost(0)}:${port}`, silentLog.withPrefix('store'));
+		const reply = await client.list('p/');
+		await client.close();
+		server.close();
+		expect(reply).to.include({kind: 'unavailable', effect: 'not-applied'});
+	});
 });
