Conclude nothing from absence from a cut list of ends

Cause: a worker lists 500 ends at a time, and the newer ones once these are acknowledged. A run that was in neither list counted as lost: the scheduler stopped it, took the confirmed stop for its end, and started its task again. A new scheduler would have taken such a task for one that never started.

A look-up says running, ended, absent or unknown, and what acts on absence switches over these: the comparison with ordered runs, confirmed stops, stuck runs, the first report to a new scheduler, and starts without an answer. The doubt ends with the next whole list, or with the worker's last grant.

--- a/packages/jobs/index.ts
+++ b/packages/jobs/index.ts
@@ -4,5 +4,6 @@
 export * from './queues.js';
 export * from './tasks.js';
 export * from './admission.js';
+export * from './listed-ends.js';
 export * from './memory.js';
 export * from './ranges.js';
--- a/packages/jobs/types.ts
+++ b/packages/jobs/types.ts
@@ -274,6 +274,8 @@
 	isLeaseOver: valibot.boolean(),
 	running: valibot.pipe(valibot.array(reportedRunSchema), valibot.readonly()),
 	ended: valibot.pipe(valibot.array(endedRunSchema), valibot.readonly()),
+	/** Whether the worker may have ended further runs that it does not list yet. Agents of earlier versions do not tell. */
+	areEndsCut: valibot.optional(valibot.boolean()),
 	/** Reported for some time, since a scheduler may be lost before it has stored them. Absent in reports of earlier versions. */
 	lost: valibot.optional(valibot.pipe(valibot.array(lostRunSchema), valibot.readonly()), []),
 	/** Absent in reports of earlier versions. */
--- a/packages/scheduling/constants.ts
+++ b/packages/scheduling/constants.ts
@@ -8,6 +8,8 @@
 export const grantSlackMilliseconds = 400;
 /** How long a scheduler that cannot reach the store still issues grants. Together with the validity of a grant this outlasts the usual outages of the store. */
 export const unconfirmedLeadershipMilliseconds = 4000;
+/** How long a worker that has not listed all its runs to this scheduler may continue those of an earlier one. */
+export const unreadMilliseconds = unconfirmedLeadershipMilliseconds + (grantValidityMilliseconds * slowClockFactor) + grantSlackMilliseconds;
 /** Range of run numbers per epoch: those of epoch n start above n - 1 times this number, so that they increase although a new scheduler does not know the last one. */
 export const runsPerEpoch = 1000;
 /** Time after which an unanswered start that the worker does not list is stopped and retried. */
--- a/packages/scheduling/receive.ts
+++ b/packages/scheduling/receive.ts
@@ -1,9 +1,7 @@
 import {Map as PersistentMap} from 'immutable';
 import {assertNever, type CurrentTime} from '#core';
-import {isNewerConfiguration} from '#jobs';
-import {
-	grantSlackMilliseconds, grantValidityMilliseconds, slowClockFactor, unconfirmedLeadershipMilliseconds,
-} from './constants.js';
+import {isNewerConfiguration, listsOf} from '#jobs';
+import {unreadMilliseconds} from './constants.js';
 import {handleStartAnswers, handleStopAnswers} from './order-answers.js';
 import {advanceNotedEnd} from './ends.js';
 import {handleIncarnationEnd} from './incarnations.js';
@@ -20,9 +18,6 @@
 	AgentName, LoadedJob, SchedulerMessage, SchedulerState, UnreadWorker,
 } from './types.js';
 
-/** How long a worker that has not reported to this scheduler may continue the runs of an earlier one. */
-export const unreadMilliseconds = unconfirmedLeadershipMilliseconds + (grantValidityMilliseconds * slowClockFactor) + grantSlackMilliseconds;
-
 /**
 Applies a message to the scheduler's state and returns the new state with its effects.
 
@@ -115,7 +110,7 @@
 	}
 
 	const unread = workers
-		.filter(({agent}) => !state.workers.has(agent))
+		.filter(({agent}) => !hasListedAllEnds(state, agent))
 		.map(({agent, worker}): [AgentName, UnreadWorker] => [agent, {worker, until: time.monotonic + unreadMilliseconds}]);
 	next = {...next, unread: PersistentMap(unread), deferredIncarnationEnds: []};
 	return chain(next, [
@@ -128,6 +123,11 @@
 	]);
 }
 
+function hasListedAllEnds({workers}: SchedulerState, agent: AgentName): boolean {
+	const worker = workers.get(agent);
+	return worker !== undefined && listsOf(worker.snapshot).ended.kind === 'whole';
+}
+
 function restore({submission, progress, keyVersion}: LoadedJob, {monotonic}: CurrentTime) {
 	return createJob(submission, {progress, keyVersion}, {monotonic, isInherited: true});
 }
--- a/packages/scheduling/reports.ts
+++ b/packages/scheduling/reports.ts
@@ -1,10 +1,12 @@
 /** Handles the renewals of agents: adopts, updates and releases the runs of their workers. */
-import type {Milliseconds, MonotonicTime, CurrentTime} from '#core';
 import {
-	isSameIncarnation, parseJobOfTask, type ReportedRun, type WorkerSnapshot,
+	assertNever, type Milliseconds, type MonotonicTime, type CurrentTime,
+} from '#core';
+import {
+	indexLists, isSameIncarnation, listsOf, parseJobOfTask, type ReportedRun, type TaskName, type WorkerSnapshot,
 } from '#jobs';
 import {
-	grantSlackMilliseconds, grantValidityMilliseconds, slowClockFactor,
+	grantSlackMilliseconds, grantValidityMilliseconds, slowClockFactor, unreadMilliseconds,
 } from './constants.js';
 import {handleEnd} from './ends.js';
 import {handleLostRun, releaseIncarnation} from './incarnations.js';
@@ -20,7 +22,7 @@
 } from './state.js';
 import {applyReportedStarts} from './unanswered-starts.js';
 import type {
-	AgentName, AgentReport, SchedulerJob, SchedulerMessage, SchedulerState, SchedulerWorker, StopOrder, TaskState,
+	AgentName, AgentReport, SchedulerJob, SchedulerMessage, SchedulerState, SchedulerWorker, StopOrder, TaskRun, TaskState,
 } from './types.js';
 
 /** Latest time at which runs that an agent kept alive can end, counted from its last grant. */
@@ -118,7 +120,7 @@
 	const worker = state.workers.get(agent);
 	const isSame = worker !== undefined && isSameIncarnation(worker.snapshot, snapshot);
 	const recorded = worker === undefined || (isSame && worker.process === process) ? state : recordLateAcknowledgements(state, worker, monotonic);
-	const withoutUnread = {...limitLateAcknowledgements(recorded, agent, reported, monotonic), unread: state.unread.delete(agent)};
+	const withoutUnread = {...limitLateAcknowledgements(recorded, agent, reported, monotonic), unread: updateUnread(state, agent, {snapshot, isSame}, monotonic)};
 	if (isSame) {
 		const next: SchedulerWorker = {
 			...worker, snapshot, process, contact: 'attached', grantedAt: monotonic,
@@ -140,6 +142,19 @@
 	});
 }
 
+/** A worker counts as read once it has listed all its ends: the others may be those of tasks that an earlier scheduler started. */
+function updateUnread({unread}: SchedulerState, agent: AgentName, {snapshot, isSame}: Readonly<{snapshot: WorkerSnapshot; isSame: boolean}>, monotonic: MonotonicTime): SchedulerState['unread'] {
+	switch (listsOf(snapshot).ended.kind) {
+		case 'whole': {
+			return unread.delete(agent);
+		}
+
+		case 'cut': {
+			return isSame && !unread.has(agent) ? unread : unread.set(agent, {worker: snapshot.worker, until: monotonic + unreadMilliseconds});
+		}
+	}
+}
+
 /** Reconciles the runs that a worker lists with those that were ordered there. */
 function reconcile(state: SchedulerState, agent: AgentName, snapshot: WorkerSnapshot, time: CurrentTime): SchedulerTransition {
 	if (!state.isLoaded) {
@@ -149,7 +164,7 @@
 	return chain(state, [
 		...snapshot.running.map(reported => (next: SchedulerState) => reconcileRun(openForReport(next, reported.task), agent, reported, time)),
 		next => withoutEffects(updateSlowdowns(next, snapshot.running)),
-		next => handleMissingRuns(next, agent, snapshot.running, time),
+		next => handleMissingRuns(next, agent, snapshot, time),
 	]);
 }
 
@@ -255,37 +270,49 @@
 }
 
 /** Handles ordered runs that the worker lists neither as running nor as ended. */
-function handleMissingRuns(state: SchedulerState, agent: AgentName, running: readonly ReportedRun[], time: CurrentTime): SchedulerTransition {
+function handleMissingRuns(state: SchedulerState, agent: AgentName, snapshot: WorkerSnapshot, time: CurrentTime): SchedulerTransition {
 	const worker = state.workers.get(agent);
 	if (worker === undefined) {
 		return withoutEffects(state);
 	}
 
-	const transitions: Array<(next: SchedulerState) => SchedulerTransition> = [];
-	for (const {name, run} of listRunsOf(state, agent)) {
-		if (!isRunOn(run, worker) || running.some(reported => reported.task === name && reported.run === run.run)) {
-			continue;
-		}
-
-		switch (run.stage) {
-			case 'starting': {
-				break;
+	const findListing = indexLists(listsOf(snapshot));
+	return chain(state, listRunsOf(state, agent).filter(({run}) => isRunOn(run, worker)).map(({name, run}) => next => {
+		const listing = findListing(name, run.run);
+		switch (listing) {
+			// An end that is listed was handled before, with the release of the run.
+			case 'absent':
+			case 'ended': {
+				return handleMissingRun(next, name, run, time.monotonic);
 			}
 
+			// The run may have ended, and its task would run again although it is done. The next list that is whole decides.
+			case 'unknown':
 			case 'running': {
-				transitions.push(next => stopRuns(next, [name], 'worker no longer lists the run', time.monotonic));
-				break;
+				return withoutEffects(next);
 			}
 
-			case 'stopping': {
-				if (run.isStopConfirmed) {
-					transitions.push(next => withoutEffects(releaseRun(next, name, time.monotonic)));
-				}
+			default: {
+				return assertNever(listing);
 			}
 		}
-	}
+	}));
+}
+
+function handleMissingRun(state: SchedulerState, name: TaskName, {stage, isStopConfirmed}: TaskRun, monotonic: MonotonicTime): SchedulerTransition {
+	switch (stage) {
+		case 'starting': {
+			return withoutEffects(state);
+		}
 
-	return chain(state, transitions);
+		case 'running': {
+			return stopRuns(state, [name], 'worker no longer lists the run', monotonic);
+		}
+
+		case 'stopping': {
+			return withoutEffects(isStopConfirmed ? releaseRun(state, name, monotonic) : state);
+		}
+	}
 }
 
 /** The agent is not connected, or reports no worker. The runs may go on until the last grant is over. */
--- a/packages/scheduling/state.ts
+++ b/packages/scheduling/state.ts
@@ -2,7 +2,7 @@
 import {Map as PersistentMap, Set as PersistentSet} from 'immutable';
 import type {MonotonicTime} from '#core';
 import {
-	isSameIncarnation, parseJobOfTask, parseTaskName, type JobStep, type Queue, type Resources, type TaskName,
+	indexLists, isSameIncarnation, listsOf, parseJobOfTask, parseTaskName, type JobStep, type Queue, type Resources, type TaskName,
 } from '#jobs';
 import {runsPerEpoch} from './constants.js';
 import type {
@@ -180,6 +180,13 @@
 	return [...tasks.values()].map(({isDone, checkpoint}) => isDone ? '' : checkpoint).join(' ');
 }
 
+/** Whether the run may have ended although its worker, which lists only a part of its ends, does not say so yet. */
+export function mayHaveEndedUnlisted(state: SchedulerState, task: TaskName, run: TaskRun): boolean {
+	const worker = findWorkerOfRun(state, run);
+	const lists = worker === undefined ? undefined : listsOf(worker.snapshot);
+	return lists?.ended.kind === 'cut' && indexLists(lists)(task, run.run) === 'unknown';
+}
+
 /** Whether a run is on the current incarnation of a worker. */
 export function isRunOn(run: TaskRun | undefined, {snapshot}: SchedulerWorker): run is TaskRun {
 	return run !== undefined && isSameIncarnation(run.incarnation, snapshot);
--- a/packages/scheduling/tick.ts
+++ b/packages/scheduling/tick.ts
@@ -17,7 +17,7 @@
 	chain, listRuns, stopRuns, storeJob, withoutEffects, type ListedRun, type SchedulerTransition,
 } from './runs.js';
 import {
-	findWorkerOfRun, isOpen, findJob, findTask, findStep, latestSoleTime, mayRunOnUnreadWorker, withTask,
+	findWorkerOfRun, isOpen, findJob, findTask, findStep, latestSoleTime, mayHaveEndedUnlisted, mayRunOnUnreadWorker, withTask,
 } from './state.js';
 import {expireUnansweredStarts} from './unanswered-starts.js';
 import type {
@@ -60,7 +60,7 @@
 	let next = state;
 	const effects: SchedulerEffect[] = [];
 	for (const {name, run, task} of runs) {
-		const isDue = run.stage === 'stopping' && monotonic - run.orderedAt > stopRetryMilliseconds;
+		const isDue = run.stage === 'stopping' && monotonic - run.orderedAt > stopRetryMilliseconds && !(run.isStopConfirmed && mayHaveEndedUnlisted(state, name, run));
 		const worker = isDue ? findWorkerOfRun(state, run) : undefined;
 		if (worker?.contact !== 'attached') {
 			continue;
@@ -77,7 +77,7 @@
 
 /** Stops runs without progress, so that their tasks start on other workers. */
 function stopStuckRuns(state: SchedulerState, runs: readonly ListedRun[], monotonic: MonotonicTime): SchedulerTransition {
-	const stuck = runs.filter(({run, job}) => isStuck(run, monotonic) && isOpen(job) && findWorkerOfRun(state, run)?.snapshot.isResponsive === true);
+	const stuck = runs.filter(({name, run, job}) => isStuck(run, monotonic) && isOpen(job) && findWorkerOfRun(state, run)?.snapshot.isResponsive === true && !mayHaveEndedUnlisted(state, name, run));
 	return chain(state, stuck.map(({name, run}) => next => {
 		const worker = findWorkerOfRun(next, run);
 		const job = findJob(next, name);
--- a/packages/scheduling/types.ts
+++ b/packages/scheduling/types.ts
@@ -183,7 +183,7 @@
 /** A report of a worker by a process of its agent. */
 export type AgentReport = Readonly<{process: string | undefined; snapshot: WorkerSnapshot}>;
 
-/** A worker that may still run tasks of an earlier scheduler. It is gone if another worker reports beside the same agent. */
+/** A worker that may still run tasks of an earlier scheduler, or has not listed all their ends. It is gone if another worker reports beside the same agent. */
 export type UnreadWorker = Readonly<{worker: WorkerId; until: MonotonicTime}>;
 
 /** A worker that a scheduler uses, with the agent beside it. */
@@ -203,7 +203,7 @@
 	unansweredStarts: PersistentMap<TaskName, readonly UnansweredStart[]>;
 	/** Acknowledgements that later incarnations may carry out, by agent; agents without any are left out. */
 	lateAcknowledgements: PersistentMap<AgentName, readonly LateAcknowledgement[]>;
-	/** Workers of an earlier scheduler that have not reported yet, by agent name, with the time until which their runs may last. */
+	/** Workers of an earlier scheduler that have not listed all their runs yet, by agent name, with the time until which their runs may last. */
 	unread: PersistentMap<AgentName, UnreadWorker>;
 	/** Until then no other scheduler can have begun, which might extend leases that this one takes to be over. */
 	leaseUntil: MonotonicTime;
--- a/packages/scheduling/unanswered-starts.ts
+++ b/packages/scheduling/unanswered-starts.ts
@@ -4,7 +4,9 @@
 A call without an answer may be carried out seconds later. The stop that a worker confirmed binds that incarnation only: a later one with the same identifier knows neither the stop nor the epoch, and would run the task beside its next run, or after its end.
 */
 import type {Milliseconds, MonotonicTime} from '#core';
-import {lateCallMilliseconds, type TaskName, type WorkerSnapshot} from '#jobs';
+import {
+	lateCallMilliseconds, listsOf, type TaskName, type WorkerSnapshot,
+} from '#jobs';
 import {maximumLeaseMilliseconds, orderDeliveryMilliseconds} from './constants.js';
 import {findTask, markChanged} from './state.js';
 import type {
@@ -26,9 +28,9 @@
 		return -Infinity;
 	}
 
-	// A run that the start has begun is reported, or lasts as long as its lease, which only another scheduler could extend.
+	// A run that the start has begun is reported, or lasts as long as its lease, which only another scheduler could extend. Its end may be one that the worker does not list yet.
 	if (current?.contact === 'attached') {
-		return until;
+		return listsOf(current.snapshot).ended.kind === 'whole' ? until : Infinity;
 	}
 
 	const end = until + maximumLeaseMilliseconds;
@@ -58,7 +60,7 @@
 /**
 Takes over what an agent knows of the starts that its worker has not answered.
 
-Starts that it does not list were refused or carried out, or never reached it, if its list goes back to their orders. An agent that started again since does not know.
+Starts that it does not list were refused or carried out, or never reached it, if its list goes back to their orders. An agent that started again since does not know, nor whether one was carried out whose end the worker does not list yet.
 */
 export function applyReportedStarts(earlier: SchedulerState, agent: AgentName, snapshot: WorkerSnapshot, monotonic: MonotonicTime): SchedulerState {
 	const {worker, incarnation, unansweredStarts} = snapshot;
@@ -69,7 +71,8 @@
 
 	const {knownForMilliseconds, starts} = unansweredStarts;
 	const isListed = (task: TaskName, {run}: UnansweredStart) => starts.some(listed => listed.task === task && listed.run === run);
-	const isSettled = (task: TaskName, start: UnansweredStart) => start.agent === agent && start.worker === worker && !isListed(task, start)
+	const isWhole = listsOf(snapshot).ended.kind === 'whole';
+	const isSettled = (task: TaskName, start: UnansweredStart) => isWhole && start.agent === agent && start.worker === worker && !isListed(task, start)
 		&& start.orderedAt > monotonic - knownForMilliseconds
 		&& start.orderedAt <= monotonic - orderDeliveryMilliseconds;
 	let next = removeStarts(state, isSettled, monotonic);
--- a/packages/supervision/incarnations.ts
+++ b/packages/supervision/incarnations.ts
@@ -20,7 +20,8 @@
 		clock: announcement.clock === undefined ? undefined : {worker: announcement.clock, monotonic},
 		latestStartClock: -Infinity,
 		running: [],
-		ended: [],
+		// Nothing is known until the worker has listed its runs.
+		ended: {kind: 'cut', ends: []},
 		isResponsive: true,
 		adoptedAt: monotonic,
 		answeredAt: -Infinity,
@@ -54,7 +55,7 @@
 
 /** Removes a worker that has ended after its departure. */
 export function completeDeparture(state: SupervisionState, departed: SupervisedWorker): SupervisionStep {
-	const {announcement: {worker, incarnation}, running, ended} = departed;
+	const {announcement: {worker, incarnation}, running, ended: {kind, ends}} = departed;
 	return {
 		state: incrementRevision({...addEndedIncarnation(state, departed, 'left'), worker: undefined, departed}),
 		effects: [
@@ -64,7 +65,8 @@
 					worker,
 					incarnation,
 					running: running.map(({task, run}) => ({task, run})),
-					unacknowledged: ended.map(({task, run, ending}) => ({task, run, ending})),
+					unacknowledged: ends.map(({task, run, ending}) => ({task, run, ending})),
+					areEndsCut: kind === 'cut',
 				},
 			},
 		],
@@ -75,8 +77,8 @@
 	return leavesInMilliseconds === undefined ? undefined : monotonic + leavesInMilliseconds;
 }
 
-/** Keeps what an incarnation listed last, since no later list contains it. */
-function addEndedIncarnation(state: SupervisionState, {announcement: {worker, incarnation}, ended}: SupervisedWorker, ending: EndedIncarnation['ending']): SupervisionState {
+/** Keeps what an incarnation listed last, since no later list contains it. Ends that it did not list are lost: nothing can acknowledge them any more. */
+function addEndedIncarnation(state: SupervisionState, {announcement: {worker, incarnation}, ended: {ends: ended}}: SupervisedWorker, ending: EndedIncarnation['ending']): SupervisionState {
 	if (ending === 'replaced' && ended.length === 0) {
 		return state;
 	}
--- a/packages/supervision/lease-extension.ts
+++ b/packages/supervision/lease-extension.ts
@@ -77,7 +77,7 @@
 	}
 
 	// While the worker lists ended runs, it answers without waiting, so the next call is delayed here. The acknowledgement triggers a call of its own.
-	if (next.worker !== undefined && next.worker.ended.length > 0) {
+	if (next.worker !== undefined && next.worker.ended.ends.length > 0) {
 		return {state: {...next, isExtending: true}, effects: [...applied.effects, {kind: 'schedule-extension', delay: unacknowledgedEndPauseMilliseconds}]};
 	}
 
@@ -161,8 +161,8 @@
 		return {state, effects: []};
 	}
 
-	const ended = result.ended.filter(({number}) => number > worker.notedEnd);
-	const hasNewEnds = ended.some(({number}) => worker.ended.every(known => known.number !== number));
+	const ended = {...result.ended, ends: result.ended.ends.filter(({number}) => number > worker.notedEnd)};
+	const haveEndsChanged = ended.kind !== worker.ended.kind || ended.ends.some(({number}) => worker.ended.ends.every(known => known.number !== number));
 	const haveRunsChanged = result.running.length !== worker.running.length
 		|| result.running.some(({task, run}) => worker.running.every(known => known.task !== task || known.run !== run));
 	const isFenced = extension.epoch > worker.fencedEpoch;
@@ -179,6 +179,6 @@
 			fencedEpoch: Math.max(worker.fencedEpoch, extension.epoch),
 		},
 	};
-	const hasChanged = hasNewEnds || haveRunsChanged || isFenced || !worker.isResponsive;
+	const hasChanged = haveEndsChanged || haveRunsChanged || isFenced || !worker.isResponsive;
 	return hasChanged ? {state: incrementRevision(next), effects: [{kind: 'renew'}]} : {state: next, effects: []};
 }
--- a/packages/supervision/receive.ts
+++ b/packages/supervision/receive.ts
@@ -173,7 +173,7 @@
 		return {state, effects: []};
 	}
 
-	const isListed = worker.running.some(row => row.task === task && row.run === run) || worker.ended.some(row => row.task === task && row.run >= run);
+	const isListed = worker.running.some(row => row.task === task && row.run === run) || worker.ended.ends.some(row => row.task === task && row.run >= run);
 	return {
 		state: incrementRevision({
 			...state,
--- a/packages/supervision/types.ts
+++ b/packages/supervision/types.ts
@@ -1,7 +1,7 @@
 /** State, messages and effects of the agent that extends the leases of one worker's runs. */
 import type {Milliseconds, MonotonicTime, WorkerId} from '#core';
 import type {
-	EndedRun, LostRun, Resources, ReportedRun, ServiceName, TaskName, WorkerIncarnation,
+	EndedRun, ListedEnds, LostRun, Resources, ReportedRun, ServiceName, TaskName, WorkerIncarnation,
 } from '#jobs';
 
 /** A worker's description of itself. */
@@ -41,7 +41,7 @@
 	/** Reading of the worker's clock at the latest start that it confirmed. */
 	latestStartClock: Milliseconds;
 	running: readonly ReportedRun[];
-	ended: readonly EndedRun[];
+	ended: ListedEnds;
 	isResponsive: boolean;
 	/** When the agent learned of this incarnation. */
 	adoptedAt: MonotonicTime;
@@ -108,7 +108,7 @@
 
 /** The worker's answer to a lease extension, with its running and ended runs. */
 export type LeaseExtensionResult =
-	| Readonly<{kind: 'answered'; incarnation: string | undefined; clock: Milliseconds; running: readonly ReportedRun[]; ended: readonly EndedRun[]}>
+	| Readonly<{kind: 'answered'; incarnation: string | undefined; clock: Milliseconds; running: readonly ReportedRun[]; ended: ListedEnds}>
 	| Readonly<{kind: 'refused'; message: string}>
 	/** No process with the worker's identifier takes calls at its address. */
 	| Readonly<{kind: 'absent'; message: string}>
--- a/packages/supervision/unanswered-starts.ts
+++ b/packages/supervision/unanswered-starts.ts
@@ -5,7 +5,7 @@
 */
 import type {MonotonicTime, WorkerId} from '#core';
 import {
-	lateCallMilliseconds, type EndedRun, type ReportedRun, type TaskName, type UnansweredStarts,
+	lateCallMilliseconds, type RunLists, type TaskName, type UnansweredStarts,
 } from '#jobs';
 import {departureCheckMilliseconds, immediateCrashMilliseconds, startProbeMilliseconds} from './constants.js';
 import {recordLease} from './deadlines.js';
@@ -61,8 +61,8 @@
 }
 
 /** Forgets the starts that the worker has carried out, as its lists show. */
-export function forgetCarriedOutStarts(state: SupervisionState, worker: WorkerId, {running, ended}: Readonly<{running: readonly ReportedRun[]; ended: readonly EndedRun[]}>): SupervisionState {
-	const carriedOut = [...running, ...ended];
+export function forgetCarriedOutStarts(state: SupervisionState, worker: WorkerId, {running, ended}: RunLists): SupervisionState {
+	const carriedOut = [...running, ...ended.ends];
 	return {...state, unansweredStarts: state.unansweredStarts.filter(start => start.worker !== worker || carriedOut.every(({task, run}) => task !== start.task || run !== start.run))};
 }
 
--- a/test/coordinator/hand-over.test.ts
+++ b/test/coordinator/hand-over.test.ts
@@ -2,16 +2,16 @@
 import {expect} from 'chai';
 import * as fastCheck from 'fast-check';
 import {
-	handOverStep, progressStep, workerFaultStep, workersRecordStep, type Step,
+	handOverStep, manyEndsStep, progressStep, workerFaultStep, workersRecordStep, type Step,
 } from '#test/support/hand-over/actions';
-import {createCluster} from '#test/support/hand-over/cluster';
+import {createCluster, type ClusterOptions} from '#test/support/hand-over/cluster';
 
 /** Longer than the wait for a worker that has not reported, and the leases that it may have. */
 const settlingMilliseconds = 120_000;
 const checkIntervalMilliseconds = 1000;
 
-async function checkGuarantees(steps: readonly Step[]): Promise<void> {
-	const cluster = createCluster();
+async function checkGuarantees(steps: readonly Step[], options: ClusterOptions = {}): Promise<void> {
+	const cluster = createCluster(options);
 	const checkRuns = (moment: string) => {
 		expect(cluster.guarantees.violations(), moment).to.deep.equal([]);
 	};
@@ -33,13 +33,16 @@
 	expect(cluster.listOpenJobs(), 'jobs that did not end').to.deep.equal([]);
 }
 
-type RandomCase = Readonly<{name: string; step: fastCheck.Arbitrary<Step>; seed: number}>;
+type RandomCase = Readonly<{name: string; step: fastCheck.Arbitrary<Step>; seed: number; options?: ClusterOptions}>;
 
 const randomCases: readonly RandomCase[] = [
 	{name: 'entries, agents and the store', step: handOverStep, seed: 1},
 	{name: 'entries, agents, the store and workers', step: workerFaultStep, seed: 2},
 	{name: 'one agent and the writes of the record of workers', step: workersRecordStep, seed: 3},
 	{name: 'one agent and the writes of progress', step: progressStep, seed: 4},
+	{
+		name: 'entries and the store, beside workers that list two ends at a time', step: manyEndsStep, seed: 5, options: {listedEnds: 2},
+	},
 ];
 
 type Sequence = Readonly<{name: string; steps: readonly Step[]}>;
@@ -124,9 +127,11 @@
 		});
 	}
 
-	for (const {name, step, seed} of randomCases) {
+	for (const {
+		name, step, seed, options,
+	} of randomCases) {
 		it(`no task runs twice at once, or again once done, and every job ends after the faults of ${name}`, async () => {
-			await fastCheck.assert(fastCheck.asyncProperty(fastCheck.array(step, {minLength: 4, maxLength: 16, size: 'max'}), checkGuarantees), {numRuns: 12, seed});
+			await fastCheck.assert(fastCheck.asyncProperty(fastCheck.array(step, {minLength: 4, maxLength: 16, size: 'max'}), async steps => checkGuarantees(steps, options)), {numRuns: 12, seed});
 		});
 	}
 });
--- a/test/scheduling/properties.test.ts
+++ b/test/scheduling/properties.test.ts
@@ -46,7 +46,12 @@
 	expiredThrough = 0;
 	lateStarts: LateStart[] = [];
 
-	constructor(readonly agent: string, readonly observe: (event: WorkerEvent) => void) {}
+	constructor(readonly agent: string, readonly listedEnds: number, readonly observe: (event: WorkerEvent) => void) {}
+
+	/** The oldest ends; the others follow once these are acknowledged. */
+	listEnds(): Readonly<{ended: readonly EndedRun[]; areEndsCut: boolean}> {
+		return {ended: this.ends.slice(0, this.listedEnds), areEndsCut: this.ends.length >= this.listedEnds};
+	}
 
 	start(task: TaskName, run: number, step: JobStep, {capacity = this.reportedAccelerators, ...options}: StartOptions): 'started' | 'run-too-low' | 'superseded' {
 		if (options.epoch < this.fencingEpoch) {
@@ -202,7 +207,7 @@
 			this.forgetStart(task, run);
 		}
 
-		for (const {task, run} of worker.ends.filter(({ending}) => ending !== 'stopped')) {
+		for (const {task, run} of worker.listEnds().ended.filter(({ending}) => ending !== 'stopped')) {
 			this.forgetStart(task, run);
 		}
 	}
@@ -234,6 +239,8 @@
 	/** An agent that is frozen does nothing; one that is disconnected still reaches its worker. */
 	| Readonly<{kind: 'disconnect' | 'reconnect' | 'crash' | 'freeze-agent' | 'restart-agent'; worker: number}>
 	| Readonly<{kind: 'take-over'}>
+	/** While the store is away, the progress of jobs is not stored, and no end is acknowledged. */
+	| Readonly<{kind: 'lose-store' | 'regain-store'}>
 	| Readonly<{kind: 'cancel'; job: number}>
 	| Readonly<{kind: 'lose-answers'; starts: number}>
 	/** The next starts get no answer and are carried out after the delay. */
@@ -271,6 +278,22 @@
 	{arbitrary: takeOverArbitrary, weight: 1},
 );
 
+/** Many short tasks, of which the ends are listed late, since the store is away. */
+const manyEndsActionArbitrary: fastCheck.Arbitrary<Action> = fastCheck.oneof(
+	{
+		arbitrary: fastCheck.record({
+			kind: fastCheck.constant('submit' as const), count: fastCheck.integer({min: 2, max: 10}), accelerators: fastCheck.constantFrom(1, 2), isGang: fastCheck.boolean(),
+			priority: fastCheck.nat(2), duration: fastCheck.integer({min: 300, max: 1500}), behaviour: fastCheck.constantFrom<Behaviour>('works', 'works', 'fails'),
+		}), weight: 4,
+	},
+	{arbitrary: fastCheck.record({kind: fastCheck.constantFrom('lose-store' as const, 'lose-store' as const, 'regain-store' as const)}), weight: 3},
+	{arbitrary: waitArbitrary, weight: 4},
+	{arbitrary: takeOverArbitrary, weight: 1},
+	{arbitrary: agentFaultArbitrary, weight: 1},
+	{arbitrary: delayStartsArbitrary, weight: 1},
+	{arbitrary: fastCheck.record({kind: fastCheck.constant('lose-answers' as const), starts: fastCheck.integer({min: 1, max: 3})}), weight: 1},
+);
+
 /** The platform counts three starts after the third crash. */
 const maximumCrashingStarts = 5;
 
@@ -281,11 +304,10 @@
 	readonly failures = new Map<TaskName, number>();
 	/** Starts of tasks that crash their workers. */
 	readonly crashingStarts = new Map<TaskName, number>();
-	readonly workers = [0, 1, 2].map(index => new SimulatedWorker(`agent-${index}`, event => {
-		this.check(event);
-	}));
-
-	readonly agents = new Map(this.workers.map(({agent}) => [agent, new SimulatedAgent()]));
+	readonly workers: readonly SimulatedWorker[];
+	readonly agents: ReadonlyMap<string, SimulatedAgent>;
+	/** Jobs whose progress the store takes once it is back; undefined while it answers. */
+	unstored: Set<ReturnType<typeof keyOf>> | undefined;
 	time = 0;
 	epoch = 0;
 	jobs = 0;
@@ -297,7 +319,11 @@
 	stored = new Map<string, ReturnType<typeof describeProgress>>();
 	driver: Driver = createDriver();
 
-	constructor() {
+	constructor(listedEnds: number) {
+		this.workers = [0, 1, 2].map(index => new SimulatedWorker(`agent-${index}`, listedEnds, event => {
+			this.check(event);
+		}));
+		this.agents = new Map(this.workers.map(({agent}) => [agent, new SimulatedAgent()]));
 		this.takeOver();
 	}
 
@@ -360,6 +386,8 @@
 	}
 
 	takeOver(): void {
+		// What the earlier scheduler did not store is lost with it.
+		this.unstored = this.unstored === undefined ? undefined : new Set();
 		this.epoch++;
 		// Runs may end while there is no scheduler.
 		this.time += 250;
@@ -423,7 +451,9 @@
 
 	store(key: ReturnType<typeof keyOf>): void {
 		const job = this.driver.state().jobs.get(key);
-		if (job !== undefined) {
+		if (this.unstored !== undefined) {
+			this.unstored.add(key);
+		} else if (job !== undefined) {
 			const progress = describeProgress(job);
 			this.stored.set(key, progress);
 			for (const [name, task] of job.tasks) {
@@ -438,6 +468,14 @@
 		}
 	}
 
+	regainStore(): void {
+		const keys = [...this.unstored ?? []];
+		this.unstored = undefined;
+		for (const key of keys) {
+			this.store(key);
+		}
+	}
+
 	applyStart({agent, incarnation, orders}: Extract<SchedulerEffect, {kind: 'start'}>): void {
 		const target = this.findWorker(agent, incarnation);
 		const answers = orders.map(({task, run}) => {
@@ -534,7 +572,7 @@
 				running: [...worker.runs].map(([task, {run, endsAt}]) => ({
 					task, run, checkpoint: '', percent: Math.max(0, Math.min(99, 100 - ((endsAt - this.time) / 100))),
 				})),
-				ended: [...worker.ends],
+				...worker.listEnds(),
 				lost: [...worker.lost],
 				...simulatedAgent.describe(this.time),
 			}),
@@ -593,6 +631,16 @@
 				break;
 			}
 
+			case 'lose-store': {
+				this.unstored ??= new Set();
+				break;
+			}
+
+			case 'regain-store': {
+				this.regainStore();
+				break;
+			}
+
 			case 'cancel': {
 				if (this.submissions.has(keyOf(action.job))) {
 					this.cancelled.add(action.job);
@@ -634,8 +682,11 @@
 	return outcome === 'completed' || outcome === 'failed' || outcome === 'cancelled';
 }
 
-function checkGuarantees(actions: readonly Action[]): void {
-	const cluster = new Cluster();
+/** Ends that a worker of the platform lists at a time. */
+const usualListedEnds = 500;
+
+function checkGuarantees(actions: readonly Action[], listedEnds = usualListedEnds): void {
+	const cluster = new Cluster(listedEnds);
 	for (const action of actions) {
 		cluster.act(action);
 		cluster.elapse(250);
@@ -647,6 +698,7 @@
 		cluster.agentOf(worker).isFrozen = false;
 	}
 
+	cluster.regainStore();
 	cluster.lostAnswers = 0;
 	cluster.delayedStarts = {starts: 0, delay: 0};
 	cluster.elapse(180_000);
@@ -654,20 +706,25 @@
 	expect(open, 'jobs that did not end').to.deep.equal([]);
 }
 
-type Case = Readonly<{name: string; action: fastCheck.Arbitrary<Action>; seed: number}>;
+type Case = Readonly<{name: string; action: fastCheck.Arbitrary<Action>; seed: number; listedEnds?: number}>;
 
 const cases: readonly Case[] = [
 	{name: 'all failures', action: actionArbitrary, seed: 20_261_204},
 	{name: 'starts that later incarnations carry out', action: lateStartActionArbitrary, seed: 32},
+	{
+		name: 'workers that list two ends at a time', action: manyEndsActionArbitrary, seed: 7, listedEnds: 2,
+	},
 ];
 
 describe('scheduler guarantees under random failures', function () {
 	this.timeout(120_000);
 
-	for (const {name, action, seed} of cases) {
+	for (const {
+		name, action, seed, listedEnds,
+	} of cases) {
 		it(`no task runs twice at once, again once done, beyond its attempts or crashes worker after worker; no worker is over its capacity; every job ends after the failures stop (${name})`, () => {
 			fastCheck.assert(fastCheck.property(fastCheck.array(action, {minLength: 5, maxLength: 30}), actions => {
-				checkGuarantees(actions);
+				checkGuarantees(actions, listedEnds);
 			}), {numRuns: 150, seed});
 		});
 	}
--- a/test/supervision/incarnations.test.ts
+++ b/test/supervision/incarnations.test.ts
@@ -6,7 +6,7 @@
 	type LeaseExtensionResult, type SupervisionEffect, type SupervisionMessage, type SupervisionState,
 } from '#supervision';
 import {
-	announcement, applyMessages, buildExtension, extensionAnswered, granted, options, startedAt10, task,
+	announcement, applyMessages, buildExtension, extensionAnswered, granted, noEnds, options, startedAt10, task,
 } from '#test/support/supervision';
 
 const departed: SupervisionMessage = {kind: 'departed', worker: 'w' as WorkerId};
@@ -23,7 +23,7 @@
 		result: {
 			kind: 'answered', incarnation, clock, running: running.map(() => ({
 				task, run: 1, checkpoint: '', percent: 5,
-			})), ended,
+			})), ended: {kind: 'whole', ends: ended},
 		},
 	};
 }
@@ -44,7 +44,7 @@
 		result: kind === 'failed'
 			? {kind, message: 'no data'}
 			: {
-				kind, incarnation: '100', clock: 51_900, running: [], ended: [],
+				kind, incarnation: '100', clock: 51_900, running: [], ended: noEnds,
 			},
 	};
 }
@@ -141,7 +141,7 @@
 			const {state} = applyMessages([...startedAt10, ...messages]);
 			expect(state.worker?.announcement.incarnation).to.equal(current);
 			expect(listEndings(state)).to.deep.equal(endings);
-			const isDoneListed = messages.some(([, message]) => message.kind === 'extension-answered' && message.result.kind === 'answered' && message.result.ended.includes(done));
+			const isDoneListed = messages.some(([, message]) => message.kind === 'extension-answered' && message.result.kind === 'answered' && message.result.ended.ends.includes(done));
 			expect(state.endedIncarnations.flatMap(({ended}) => ended)).to.deep.equal(isDoneListed ? [done] : []);
 		});
 	}
@@ -210,7 +210,7 @@
 		expect(notedEndsOf(applyMessages([...startedAt10, [20, listed], [30, acknowledged], [40, {kind: 'extension-due'}]]).effects)).to.deep.equal([1]);
 		const answer: SupervisionMessage = {
 			kind: 'extension-answered', extension: buildExtension({notedEnd: 1, sentAt: 30}), result: {
-				kind: 'answered', incarnation: '100', clock: 51_100, running: [], ended: [],
+				kind: 'answered', incarnation: '100', clock: 51_100, running: [], ended: noEnds,
 			},
 		};
 		expect(notedEndsOf(applyMessages([...startedAt10, [20, listed], [30, acknowledged], [35, answer], [40, {kind: 'extension-due'}]]).effects)).to.deep.equal([0]);
--- a/test/supervision/receive.test.ts
+++ b/test/supervision/receive.test.ts
@@ -4,7 +4,7 @@
 	computeLeaseDeadline, describeWorker, receiveSupervisionMessage, type SupervisionMessage,
 } from '#supervision';
 import {
-	announcement, applyMessages, buildExtension, extensionAnswered, granted, options, startedAt10, task,
+	announcement, applyMessages, buildExtension, extensionAnswered, granted, noEnds, options, startedAt10, task,
 } from '#test/support/supervision';
 
 type Case = Readonly<{name: string; run(): void}>;
@@ -70,7 +70,7 @@
 					kind: 'extension-answered',
 					extension: buildExtension({incarnation: '200'}),
 					result: {
-						kind: 'answered', incarnation: '200', clock: 10, running: [], ended: [],
+						kind: 'answered', incarnation: '200', clock: 10, running: [], ended: noEnds,
 					},
 				}],
 			]);
@@ -131,7 +131,7 @@
 				kind: 'extension-answered',
 				extension: buildExtension({incarnation: '200'}),
 				result: {
-					kind: 'answered', incarnation: '200', clock: 50_030, running: [], ended: [],
+					kind: 'answered', incarnation: '200', clock: 50_030, running: [], ended: noEnds,
 				},
 			};
 			const {state} = applyMessages([...startedAt10, [20, restarted], [30, confirmed]]);
@@ -242,7 +242,7 @@
 			} as const;
 			const answer: SupervisionMessage = {
 				kind: 'extension-answered', extension: buildExtension({isRecurring: true, wait: 1000}), result: {
-					kind: 'answered', incarnation: '100', clock: 50_100, running: [], ended: [ended],
+					kind: 'answered', incarnation: '100', clock: 50_100, running: [], ended: {kind: 'whole', ends: [ended]},
 				},
 			};
 			const {effects} = applyMessages([[0, {kind: 'announced', announcement: announcement()}], [0, granted], [0, extensionAnswered(50_000)], [100, {kind: 'extension-due'}], [110, answer]]);
--- a/test/supervision/unanswered-starts.test.ts
+++ b/test/supervision/unanswered-starts.test.ts
@@ -4,7 +4,7 @@
 import {lateCallMilliseconds, type RunEnding} from '#jobs';
 import {describeWorker, type SupervisionMessage} from '#supervision';
 import {
-	announcement, applyMessages, buildExtension, extensionAnswered, granted, task,
+	announcement, applyMessages, buildExtension, extensionAnswered, granted, noEnds, task,
 } from '#test/support/supervision';
 
 const requested: SupervisionMessage = {
@@ -14,9 +14,11 @@
 function ended(ending: RunEnding): SupervisionMessage {
 	return {
 		kind: 'extension-answered', extension: buildExtension(), result: {
-			kind: 'answered', incarnation: '100', clock: 51_000, running: [], ended: [{
-				number: 1, task, run: 1, ending, checkpoint: '',
-			}],
+			kind: 'answered', incarnation: '100', clock: 51_000, running: [], ended: {
+				kind: 'whole', ends: [{
+					number: 1, task, run: 1, ending, checkpoint: '',
+				}],
+			},
 		},
 	};
 }
@@ -32,7 +34,7 @@
 		}],
 		[35, {
 			kind: 'extension-answered', extension, result: {
-				kind: 'answered', incarnation, clock: 10, running: [], ended: [],
+				kind: 'answered', incarnation, clock: 10, running: [], ended: noEnds,
 			},
 		}],
 	];
@@ -44,7 +46,7 @@
 function answeredCall(sentAt: number): SupervisionMessage {
 	return {
 		kind: 'extension-answered', extension: buildExtension({sentAt}), result: {
-			kind: 'answered', incarnation: '100', clock: 50_000 + sentAt, running: [], ended: [],
+			kind: 'answered', incarnation: '100', clock: 50_000 + sentAt, running: [], ended: noEnds,
 		},
 	};
 }
--- a/test/supervisor/stop-tasks.test.ts
+++ b/test/supervisor/stop-tasks.test.ts
@@ -7,6 +7,7 @@
 import {
 	describeWorker, initialSupervisionState, receiveSupervisionMessage, type LeaseExtensionResult, type SupervisionMessage,
 } from '#supervision';
+import {noEnds} from '#test/support/supervision';
 import type {RpcPeer} from '#transport';
 import {supervisorPlugins} from '../../packages/supervisor/plugins.js';
 import '../../packages/supervisor/plugins/index.js';
@@ -21,7 +22,7 @@
 
 function lists(running: readonly ReportedRun[], change: Readonly<{clock?: number; incarnation?: string}> = {}): LeaseExtensionResult {
 	return {
-		kind: 'answered', incarnation: change.incarnation ?? '100', clock: change.clock ?? 52_000, running, ended: [],
+		kind: 'answered', incarnation: change.incarnation ?? '100', clock: change.clock ?? 52_000, running, ended: noEnds,
 	};
 }
 
--- a/test/support/hand-over/actions.ts
+++ b/test/support/hand-over/actions.ts
@@ -97,6 +97,29 @@
 /** Faults that the progress of jobs has to outlast. */
 export const progressStep = createRecordStep('progress/', [400, 3000]);
 
+/** Many short tasks, and a scheduler that cannot store their ends or is replaced: workers have more ends than they list. */
+export const manyEndsStep: fastCheck.Arbitrary<Step> = fastCheck.record({
+	action: fastCheck.oneof(
+		{
+			arbitrary: fastCheck.record({
+				kind: fastCheck.constant('submit' as const),
+				count: fastCheck.integer({min: 3, max: 12}),
+				accelerators: fastCheck.constant(1),
+				maximumPerWorker: fastCheck.constant(0),
+				duration: fastCheck.constantFrom(400, 400, 1500),
+			}), weight: 4,
+		},
+		{arbitrary: schedulerFault, weight: 3},
+		{
+			arbitrary: fastCheck.record({
+				kind: fastCheck.constant('disturb-writes' as const), key: fastCheck.constant('progress/'), writes: fastCheck.integer({min: 2, max: 6}), fate,
+			}), weight: 3,
+		},
+		{arbitrary: cutAgents, weight: 1},
+	),
+	pause: fastCheck.constantFrom(50, 250, 1000, 2500),
+});
+
 /** Faults of entries, agents and the store. */
 export const handOverStep: fastCheck.Arbitrary<Step> = fastCheck.record({action: handOver, pause});
 
--- a/test/support/hand-over/cluster.ts
+++ b/test/support/hand-over/cluster.ts
@@ -26,6 +26,12 @@
 	time(): number;
 }>;
 
+export type ClusterOptions = Readonly<{
+	/** Ends that a worker lists at a time. */
+	listedEnds?: number;
+	log?: ProgramLog;
+}>;
+
 const entryHosts = ['entry-0', 'entry-1'] as const;
 const workerNames = ['w-0', 'w-1', 'w-2'] as const;
 /** The platform's description lets workers' clocks run up to 2% slow. */
@@ -34,7 +40,7 @@
 const storeTimeoutMilliseconds = 2000;
 const prompt: WriteFate = {kind: 'answered', appliedAfter: 5, answeredAfter: 5};
 
-export function createCluster(log: ProgramLog = silentLog): Cluster {
+export function createCluster({listedEnds = 500, log = silentLog}: ClusterOptions = {}): Cluster {
 	const timeline = createTimeline();
 	const {clock} = timeline;
 	const network = createNetwork(clock);
@@ -59,7 +65,7 @@
 		clock, network, log, nextSeed: () => ++seed,
 	};
 	const workers = workerNames.map((name, index) => createWorker({
-		name, clock, clockRate: clockRates[index] ?? 1, workMillisecondsOf: (task: TaskName) => workMilliseconds.get(task.slice(0, 16)) ?? 0, observe: guarantees.observe,
+		name, clock, clockRate: clockRates[index] ?? 1, listedEnds, workMillisecondsOf: (task: TaskName) => workMilliseconds.get(task.slice(0, 16)) ?? 0, observe: guarantees.observe,
 	}));
 
 	const connectStore = (host: string) => (process: SimulatedProcess) => store.connect({
--- a/test/support/hand-over/incarnation.ts
+++ b/test/support/hand-over/incarnation.ts
@@ -17,6 +17,8 @@
 	clock: Clock;
 	/** Rate of the worker's own clock. */
 	clockRate: number;
+	/** Ends that it lists at a time. */
+	listedEnds: number;
 	workMillisecondsOf(task: TaskName): number;
 	observe(event: RunEvent): void;
 }>;
@@ -36,7 +38,7 @@
 	end(): void;
 }>;
 
-export function startIncarnation({name, clock, clockRate, workMillisecondsOf, observe}: WorkerOptions): Incarnation {
+export function startIncarnation({name, clock, clockRate, listedEnds, workMillisecondsOf, observe}: WorkerOptions): Incarnation {
 	const born = clock.now();
 	const runs = new Map<string, Run>();
 	const highestEndedRun = new Map<TaskName, number>();
@@ -121,7 +123,7 @@
 		running: [...runs.values()].map(({task, run, startedAt}): ReportedRun => ({
 			task, run, checkpoint: '', percent: Math.min(99, Math.floor((clock.now() - startedAt) / workMillisecondsOf(task) * 100)),
 		})),
-		ended: ends.map(({hasLapsed, ...end}) => end),
+		ended: {kind: ends.length < listedEnds ? 'whole' : 'cut', ends: ends.slice(0, listedEnds).map(({hasLapsed, ...end}) => end)},
 	});
 
 	return {
--- a/test/support/supervision.ts
+++ b/test/support/supervision.ts
@@ -1,12 +1,13 @@
 /** Builders of the messages that an agent receives from and about its worker. */
 import type {WorkerId} from '#core';
-import type {ServiceName, TaskName} from '#jobs';
+import type {ListedEnds, ServiceName, TaskName} from '#jobs';
 import {
 	initialSupervisionState, receiveSupervisionMessage, type Announcement, type LeaseExtension, type SupervisionEffect, type SupervisionMessage, type SupervisionState,
 } from '#supervision';
 
 export const options = {maximumLeaseMilliseconds: 6000, workerAddress: 'h:1'};
 export const task = '00000000000000a1.0.0.0' as TaskName;
+export const noEnds: ListedEnds = {kind: 'whole', ends: []};
 
 export function announcement(change: Partial<Announcement> = {}): Announcement {
 	return {
@@ -44,7 +45,7 @@
 		result: {
 			kind: 'answered', incarnation: change.incarnation ?? '100', clock, running: (change.running ?? []).map(name => ({
 				task: name as TaskName, run: 1, checkpoint: '', percent: 5,
-			})), ended: [],
+			})), ended: noEnds,
 		},
 	};
 }
