Cancel submissions without an outcome in the soak

The soak cancelled accepted jobs only, so that no seed could show a job that starts after its cancellation was answered 410.

Change: callers give up some of the submissions without an outcome and cancel them through any entry; for half of those a copy of the submission arrives later. A cancellation that is answered 410 counts as confirmed, and a submission that is answered 410 as refused. The new draws have a source of their own, so that those of known seeds stay.

Result: soak/check, two new cases.

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -10,6 +10,9 @@
 const pollMilliseconds = 400;
 const maximumSubmissionsPerJob = 4;
 const cancelShare = 0.15;
+/** Part of the submissions without an outcome that are given up and cancelled, and of those the part of which a copy arrives after it. */
+const withdrawnShare = 0.3;
+const lateCopyShare = 0.5;
 
 export type Callers = Readonly<{
 	jobs: readonly JobDescription[];
@@ -29,6 +32,8 @@
 
 export function startCallers(fronts: readonly string[], seed: number): Callers {
 	const random = createRandomSource(seed + 1);
+	/** Draws that later versions added leave those of earlier ones as they were. */
+	const laterRandom = createRandomSource(seed + 2);
 	const dispatcher = new Agent({connections: 4, keepAliveTimeout: 60_000});
 	const jobs: JobDescription[] = [];
 	const calls: CallRecord[] = [];
@@ -61,20 +66,35 @@
 		}
 	};
 
+	/** Cancels a job whose submission has no outcome, through any entry; the submission may still be under way. */
+	const withdraw = async (job: string, path: string, body: unknown) => {
+		const {status} = await call('cancel', job, path);
+		if (status === 410 && laterRandom() < lateCopyShare) {
+			await sleep(systemClock, laterRandom() * 1500);
+			await call('submit', job, path, body);
+		}
+	};
+
 	const submit = async (number: number) => {
 		const job = `${seed.toString(16)}f${number.toString(16)}`.padStart(16, '0');
 		const path = `/${random() < 0.4 ? 'urgent' : 'batch'}/${job}`;
 		const steps = drawSteps(random);
 		jobs.push({job, steps});
+		const body = {spec: 'text', steps: steps.map(({count, after}) => describeStep(count, after))};
 		for (let attempt = 0; attempt < maximumSubmissionsPerJob; attempt++) {
-			const {status} = await call('submit', job, path, {spec: 'text', steps: steps.map(({count, after}) => describeStep(count, after))});
+			const {status} = await call('submit', job, path, body);
 			if (status === 200) {
 				unfinished.set(job, path);
 				await maybeCancel(job, path);
 				return;
 			}
 
-			if (status === 401 || status === 404) {
+			if (status === 401 || status === 404 || status === 410) {
+				return;
+			}
+
+			if ((status === 0 || status === 504) && laterRandom() < withdrawnShare) {
+				await withdraw(job, path, body);
 				return;
 			}
 
--- a/soak/check.ts
+++ b/soak/check.ts
@@ -18,7 +18,7 @@
 const contactMilliseconds = 5000;
 
 /** Response statuses of submissions that were not accepted and must never run. */
-const refusalStatuses: ReadonlySet<number> = new Set([401, 404, 429, 503]);
+const refusalStatuses: ReadonlySet<number> = new Set([401, 404, 410, 429, 503]);
 
 export function checkHistory(history: History): readonly Violation[] {
 	const runsByJob = new Map<string, RunRecord[]>();
@@ -161,9 +161,9 @@
 	});
 }
 
-/** After an acknowledged cancellation no run starts, and current runs end. */
+/** After a confirmed cancellation no run starts, and current runs end. A 410 confirms it as well: copies of the submission that are still under way are not to run. */
 function checkCancellation({job}: JobDescription, calls: readonly CallRecord[], runs: readonly RunRecord[], {plan, endedAt}: History): readonly Violation[] {
-	const cancelled = calls.find(({action, status}) => action === 'cancel' && status === 200)?.answeredAt;
+	const cancelled = calls.find(({action, status}) => action === 'cancel' && (status === 200 || status === 410))?.answeredAt;
 	if (cancelled === undefined) {
 		return [];
 	}
--- a/test/soak/check.test.ts
+++ b/test/soak/check.test.ts
@@ -124,6 +124,16 @@
 		history: {calls: [accepted, callOf('cancel', 900)], runs: [runOf({startedAt: 20_000, endedAt: 20_100, ending: 'stopped'})]},
 		violated: ['a cancelled job does not run'],
 	},
+	{
+		name: 'reports a start long after a cancellation that found no job',
+		history: {calls: [callOf('submit', 500, {status: 504}), callOf('cancel', 900, {status: 410})], runs: [runOf({startedAt: 20_000, endedAt: 20_100})]},
+		violated: ['a cancelled job does not run'],
+	},
+	{
+		name: 'reports a withdrawn job that ran',
+		history: {calls: [callOf('submit', 500, {status: 410})], runs: [runOf()]},
+		violated: ['what was refused does not run'],
+	},
 	{
 		name: 'reports an accepted job that never ends',
 		history: {calls: [accepted, callOf('show', 60_000, {state: 'running'})], runs: [runOf({ending: 'stopped'})]},
