--- a/packages/coordinator/plugins/scheduler.ts
+++ b/packages/coordinator/plugins/scheduler.ts
@@ -3,7 +3,7 @@
 	createServiceKey, startTask, type Cancel, type TaskHandle,
 } from '#kernel';
 import {
-	countPending, createSchedulerState, receiveSchedulerMessage, type SchedulerEffect, type SchedulerMessage, type SchedulerState,
+	countOpenTasks, countPending, createSchedulerState, receiveSchedulerMessage, type SchedulerEffect, type SchedulerMessage, type SchedulerState,
 } from '#scheduling';
 import {overloadDelayMilliseconds} from '../constants.js';
 import {startJobWatch} from '../job-watch.js';
@@ -160,6 +160,7 @@
 function updateGauges(state: SchedulerState, {counters}: CoordinatorContext): void {
 	const usable = [...state.workers.values()].filter(({contact, snapshot}) => contact === 'attached' && snapshot.isResponsive && snapshot.state === 'ready');
 	counters.setGauge('usable-workers', usable.length);
+	counters.setGauge('open-tasks', countOpenTasks(state));
 	counters.setGauge('unread-workers', state.unread.size);
 	counters.setGauge('jobs-waiting', [...countPending(state).values()].reduce((total, count) => total + count, 0));
 }
