Count jobs from their admission on, and split the comparison of runs

Submissions of one moment passed the check of the budget together, since a job counted only once it was stored; and a job that was stored counted a second time until the next measurement.

Change: a job counts when it is admitted, and until the own scheduler has it, or until a report of another one certainly includes it. If only such jobs stand in the way, the caller is asked to return after that time. The comparison of ordered and listed runs has a file of its own.

Result: the new cases of coordinator/admission; of 40 submissions of 3,000 tasks at one moment 7 are accepted. They were not run on the code before.

--- a/packages/coordinator/callers/submit-within-budget.ts
+++ b/packages/coordinator/callers/submit-within-budget.ts
@@ -10,16 +10,10 @@
 
 /** Stores a job if the scheduler has memory for it. */
 export async function submitWithinBudget(submission: JobSubmission, deadline: MonotonicTime, context: CoordinatorContext): Promise<CallerAnswer> {
-	const admission = context.services.use(admissionService);
-	const decision = admission.decide(submission);
+	const decision = context.services.use(admissionService).request(submission);
 	switch (decision.kind) {
 		case 'admitted': {
-			const answer = await submitJob(submission, deadline, context);
-			if (answer.kind === 'accepted') {
-				admission.accept(submission);
-			}
-
-			return answer;
+			return submitJob(submission, deadline, context);
 		}
 
 		case 'refused': {
--- a/packages/coordinator/callers/submit.ts
+++ b/packages/coordinator/callers/submit.ts
@@ -67,7 +67,7 @@
 			return undefined;
 		}
 
-		// A record that cannot be read is of an accepted job: it is not removed, and an acceptance may have been answered for it.
+		// A record that cannot be read may be of an accepted job, whose caller was told so.
 		case 'accepted':
 		case undefined: {
 			return current === undefined ? undefined : {kind: 'accepted'};
--- a/packages/coordinator/constants.ts
+++ b/packages/coordinator/constants.ts
@@ -62,5 +62,7 @@
 export const memoryUseValidityMilliseconds = 250;
 /** Time after which the scheduler's report includes a job that another entry accepted. */
 export const acceptanceVisibleMilliseconds = 2000;
+/** How long an admitted job counts at most that the own scheduler has not received: longer than its submission may take. */
+export const admissionRetentionMilliseconds = 5000;
 /** Tenants that the scheduler reports to the other entries, those that need most memory. */
 export const maximumSharedTenants = 50;
--- a/packages/coordinator/plugins/admission.ts
+++ b/packages/coordinator/plugins/admission.ts
@@ -1,21 +1,20 @@
-import type {Milliseconds, MonotonicTime} from '#core';
+import type {MonotonicTime} from '#core';
 import {
-	decideAdmission, estimateRecordBytes, estimateTaskBytes, type JobAdmission, type JobSubmission,
+	decideAdmission, estimateRecordBytes, estimateTaskBytes, type JobAdmission, type JobKey, type JobSubmission, type MemoryUse,
 } from '#jobs';
 import {createServiceKey} from '#kernel';
 import type {SharedMemoryUse} from '#protocol';
 import {measureMemoryUse, type SchedulerMemoryUse} from '#scheduling';
 import {
-	acceptanceVisibleMilliseconds, maximumSharedTenants, memoryUseValidityMilliseconds,
+	acceptanceVisibleMilliseconds, admissionRetentionMilliseconds, maximumSharedTenants, memoryUseValidityMilliseconds,
 } from '../constants.js';
 import {coordinatorPlugins} from '../plugins.js';
 import {schedulerService} from './scheduler.js';
 
 /** Decides which jobs this entry accepts, by the memory that the scheduler needs for all of them. */
 export type Admission = Readonly<{
-	decide(submission: JobSubmission): JobAdmission;
-	/** Counts a job that was accepted until the scheduler's report includes it. */
-	accept(submission: JobSubmission): void;
+	/** An admitted job counts from now on, whether its submission succeeds or not, until the scheduler's report would include it. */
+	request(submission: JobSubmission): JobAdmission;
 	/** What this entry's scheduler needs; undefined if it does not schedule. */
 	describe(): SharedMemoryUse | undefined;
 	/** Takes over what the scheduler of another entry reports. */
@@ -24,55 +23,73 @@
 
 export const admissionService = createServiceKey<Admission>('admission');
 
-/** What a scheduler needed at a time; jobs that this entry accepted since then come on top. */
-type KnownUse = Readonly<{use: SchedulerMemoryUse; at: MonotonicTime; includesSince: MonotonicTime}>;
-type Acceptance = Readonly<{tenant: string; bytes: number; at: MonotonicTime}>;
+/** What a scheduler needed at a time. */
+type KnownUse = Readonly<{use: SchedulerMemoryUse; at: MonotonicTime}>;
+/** A job that was admitted and is not part of what is known. */
+type AdmittedJob = Readonly<{job: JobKey; tenant: string; bytes: number; at: MonotonicTime}>;
 
 coordinatorPlugins.register({
 	kind: 'task',
 	name: 'admission',
 	start({services, clock}) {
 		let known: KnownUse | undefined;
-		let acceptances: readonly Acceptance[] = [];
+		let admitted: readonly AdmittedJob[] = [];
 
-		/** The own scheduler receives a job with its acceptance. */
-		const measureOwn = (maximumAge: Milliseconds): KnownUse | undefined => {
+		const update = (use: SchedulerMemoryUse, isIncluded: (job: AdmittedJob) => boolean) => {
+			known = {use, at: clock.monotonic()};
+			admitted = admitted.filter(job => !isIncluded(job) && clock.monotonic() - job.at < admissionRetentionMilliseconds);
+		};
+
+		/** Measures the own scheduler, which receives a job with its acceptance. */
+		const measureOwn = () => {
 			const state = services.use(schedulerService).read();
-			const now = clock.monotonic();
-			if (state?.isLoaded === true && (known === undefined || now - known.at >= maximumAge)) {
-				known = {use: measureMemoryUse(state, now), at: now, includesSince: now};
+			if (state?.isLoaded === true && (known === undefined || clock.monotonic() - known.at >= memoryUseValidityMilliseconds)) {
+				update(measureMemoryUse(state, clock.monotonic()), ({job}) => state.jobs.has(job));
 			}
 
-			return known;
+			return state?.isLoaded === true;
+		};
+
+		/** Sums up what a tenant and all tenants need, with the jobs that were admitted since. */
+		const addAdmitted = (tenant: string, jobs: readonly AdmittedJob[]): MemoryUse => {
+			const sum = (counted: readonly AdmittedJob[]) => counted.reduce((total, {bytes}) => total + bytes, 0);
+			return {
+				total: (known?.use.total ?? 0) + sum(jobs),
+				tenant: (known?.use.tenants.get(tenant) ?? 0) + sum(jobs.filter(job => job.tenant === tenant)),
+				freedPerSecond: known?.use.freedPerSecond ?? 0,
+			};
 		};
 
 		services.provide(admissionService, {
-			decide({tenant = '', request}) {
-				const current = measureOwn(memoryUseValidityMilliseconds);
-				acceptances = acceptances.filter(({at}) => at > (current?.includesSince ?? clock.monotonic() - acceptanceVisibleMilliseconds));
-				const sum = (counted: readonly Acceptance[]) => counted.reduce((total, {bytes}) => total + bytes, 0);
-				return decideAdmission(estimateRecordBytes(request) + estimateTaskBytes(request), {
-					total: (current?.use.total ?? 0) + sum(acceptances),
-					tenant: (current?.use.tenants.get(tenant) ?? 0) + sum(acceptances.filter(accepted => accepted.tenant === tenant)),
-					freedPerSecond: current?.use.freedPerSecond ?? 0,
-				});
-			},
-			accept({tenant = '', request}) {
-				acceptances = [...acceptances, {tenant, bytes: estimateRecordBytes(request) + estimateTaskBytes(request), at: clock.monotonic()}];
+			request({job, tenant = '', request}) {
+				measureOwn();
+				// A retry takes the place of the earlier attempt.
+				admitted = admitted.filter(earlier => earlier.job !== job);
+				const bytes = estimateRecordBytes(request) + estimateTaskBytes(request);
+				const decision = decideAdmission(bytes, addAdmitted(tenant, admitted));
+				if (decision.kind === 'admitted') {
+					admitted = [...admitted, {
+						job, tenant, bytes, at: clock.monotonic(),
+					}];
+				}
+
+				// Some of the admitted jobs may be part of what is known already, or were not stored.
+				return decision.kind === 'refused' && decideAdmission(bytes, addAdmitted(tenant, [])).kind === 'admitted'
+					? {kind: 'refused', retryAfterMilliseconds: acceptanceVisibleMilliseconds}
+					: decision;
 			},
 			describe() {
-				const state = services.use(schedulerService).read();
-				if (state?.isLoaded !== true) {
+				if (!measureOwn() || known === undefined) {
 					return undefined;
 				}
 
-				const {total, tenants, freedPerSecond} = measureOwn(memoryUseValidityMilliseconds)?.use ?? measureMemoryUse(state, clock.monotonic());
+				const {total, tenants, freedPerSecond} = known.use;
 				const largest = [...tenants].toSorted(([, first], [, second]) => second - first).slice(0, maximumSharedTenants);
 				return {total, freedPerSecond, tenants: largest.map(([name, bytes]) => ({name, bytes}))};
 			},
 			observe({total, freedPerSecond, tenants}) {
-				const now = clock.monotonic();
-				known = {use: {total, freedPerSecond, tenants: new Map(tenants.map(({name, bytes}) => [name, bytes]))}, at: now, includesSince: now - acceptanceVisibleMilliseconds};
+				const visibleSince = clock.monotonic() - acceptanceVisibleMilliseconds;
+				update({total, freedPerSecond, tenants: new Map(tenants.map(({name, bytes}) => [name, bytes]))}, ({at}) => at <= visibleSince);
 			},
 		});
 		return () => undefined;
--- a/packages/coordinator/plugins/callers.ts
+++ b/packages/coordinator/plugins/callers.ts
@@ -142,7 +142,7 @@
 /** Maximum number of entries that are tried in turn; each takes up to a third of a caller's usual timeout. */
 const maximumForwards = 2;
 
-/** Whether another entry may serve a call that this one answered so. An entry without any configuration leaves its callers to the load balancer, and what exceeds a limit does so at all entries. */
+/** Whether another entry may serve a call that this one answered so. An entry without any configuration leaves its callers to the load balancer, and what exceeds a limit is refused at once. */
 function mayBeServedElsewhere(answer: CallerAnswer): boolean {
 	return answer.kind === 'undecided' || (answer.kind === 'refused' && reasonsOfOneEntry.has(answer.reason));
 }
--- a/packages/scheduling/reports.ts
+++ b/packages/scheduling/reports.ts
@@ -1,9 +1,7 @@
 /** Handles the renewals of agents: adopts, updates and releases the runs of their workers. */
+import type {Milliseconds, MonotonicTime, CurrentTime} from '#core';
 import {
-	assertNever, type Milliseconds, type MonotonicTime, type CurrentTime,
-} from '#core';
-import {
-	indexLists, isSameIncarnation, listsOf, parseJobOfTask, type ReportedRun, type TaskName, type WorkerSnapshot,
+	isSameIncarnation, listsOf, parseJobOfTask, type ReportedRun, type WorkerSnapshot,
 } from '#jobs';
 import {
 	grantSlackMilliseconds, grantValidityMilliseconds, slowClockFactor, unreadMilliseconds,
@@ -12,17 +10,18 @@
 import {handleLostRun, releaseIncarnation} from './incarnations.js';
 import {limitLateAcknowledgements, logBarredWorker, recordLateAcknowledgements} from './late-acknowledgements.js';
 import {refuseLateStarts} from './late-starts.js';
+import {handleMissingRuns} from './missing-runs.js';
 import {openForReport} from './occurrences.js';
 import {estimateSlowdown} from './remaining.js';
 import {
-	chain, listRunsOf, releaseRun, stopRuns, withoutEffects, type SchedulerTransition,
+	chain, listRunsOf, withoutEffects, type SchedulerTransition,
 } from './runs.js';
 import {
 	isOpen, isRunOn, findJob, findTask, replaceJob, replaceTask, replaceWorker, findStep, withJob, withTask, withWorker,
 } from './state.js';
 import {applyReportedStarts} from './unanswered-starts.js';
 import type {
-	AgentName, AgentReport, SchedulerJob, SchedulerMessage, SchedulerState, SchedulerWorker, StopOrder, TaskRun, TaskState,
+	AgentName, AgentReport, SchedulerJob, SchedulerMessage, SchedulerState, SchedulerWorker, StopOrder, TaskState,
 } from './types.js';
 
 /** Latest time at which runs that an agent kept alive can end, counted from its last grant. */
@@ -269,52 +268,6 @@
 	return next;
 }
 
-/** Handles ordered runs that the worker lists neither as running nor as ended. */
-function handleMissingRuns(state: SchedulerState, agent: AgentName, snapshot: WorkerSnapshot, time: CurrentTime): SchedulerTransition {
-	const worker = state.workers.get(agent);
-	if (worker === undefined) {
-		return withoutEffects(state);
-	}
-
-	const findListing = indexLists(listsOf(snapshot));
-	return chain(state, listRunsOf(state, agent).filter(({run}) => isRunOn(run, worker)).map(({name, run}) => next => {
-		const listing = findListing(name, run.run);
-		switch (listing) {
-			// An end that is listed was handled before, with the release of the run.
-			case 'absent':
-			case 'ended': {
-				return handleMissingRun(next, name, run, time.monotonic);
-			}
-
-			// The run may have ended, and its task would run again although it is done. The next list that is whole decides.
-			case 'unknown':
-			case 'running': {
-				return withoutEffects(next);
-			}
-
-			default: {
-				return assertNever(listing);
-			}
-		}
-	}));
-}
-
-function handleMissingRun(state: SchedulerState, name: TaskName, {stage, isStopConfirmed}: TaskRun, monotonic: MonotonicTime): SchedulerTransition {
-	switch (stage) {
-		case 'starting': {
-			return withoutEffects(state);
-		}
-
-		case 'running': {
-			return stopRuns(state, [name], 'worker no longer lists the run', monotonic);
-		}
-
-		case 'stopping': {
-			return withoutEffects(isStopConfirmed ? releaseRun(state, name, monotonic) : state);
-		}
-	}
-}
-
 /** The agent is not connected, or reports no worker. The runs may go on until the last grant is over. */
 export function handleDetached(state: SchedulerState, agent: AgentName): SchedulerTransition {
 	const worker = state.workers.get(agent);
--- a/test/coordinator/admission.test.ts
+++ b/test/coordinator/admission.test.ts
@@ -80,8 +80,7 @@
 			for (let round = 0; round < 400; round++) {
 				for (const {admission} of [scheduling, ...others]) {
 					const submission = ofTenant(submissionOf(++number, [{count: Math.min(count, 10_000)}, ...(count > 10_000 ? [{count: count - 10_000}] : [])]), `tenant-${number % 3}`);
-					if (admission.decide(submission).kind === 'admitted') {
-						admission.accept(submission);
+					if (admission.request(submission).kind === 'admitted') {
 						driver.send({kind: 'submitted', submission});
 						accepted++;
 					}
@@ -98,7 +97,7 @@
 			expect(countOpenTasks(driver.state())).to.be.at.most(maximumOpenTasks);
 			// Jobs that entries accept before they have heard of each other's may exceed the budget once; they wait unopened.
 			expect(needed).to.be.at.most(2 * memoryBudgetBytes);
-			expect(scheduling.admission.decide(ofTenant(submissionOf(9_999_999, [{count: 10_000}]), 'tenant-1')).kind).to.equal('refused');
+			expect(scheduling.admission.request(ofTenant(submissionOf(9_999_999, [{count: 10_000}]), 'tenant-1')).kind).to.equal('refused');
 		});
 	}
 
@@ -108,10 +107,10 @@
 		const {admission} = startEntry(clock, driver);
 		const submission = submissionOf(1, [{count: 10_000}, {count: 10_000}]);
 		driver.send({kind: 'submitted', submission});
-		expect(admission.decide(submissionOf(2, [{count: 10_000}])).kind).to.equal('refused');
+		expect(admission.request(submissionOf(2, [{count: 10_000}])).kind).to.equal('refused');
 		driver.send({kind: 'cancelled', job: keyOf(1)});
 		clock.advance(300);
-		expect(admission.decide(submissionOf(2, [{count: 10_000}])).kind).to.equal('admitted');
+		expect(admission.request(submissionOf(2, [{count: 10_000}])).kind).to.equal('admitted');
 		expect(admission.describe()?.total).to.equal(estimateRecordBytes(submission.request));
 		driver.elapse(160_000);
 		clock.advance(300);
@@ -119,6 +118,30 @@
 		expect(estimateTaskBytes(submission.request)).to.be.above(estimateRecordBytes(submission.request));
 	});
 
+	it('submissions that are under way count (memory exhausted by submissions of one moment)', async () => {
+		const clock = createVirtualClock();
+		const driver = createReadyDriver([]);
+		const {context} = startEntry(clock, driver);
+		context.services.provide(storePort, createUnreliableStore(clock, () => ({kind: 'answered', appliedAfter: 400, answeredAfter: 400})).store);
+		context.services.provide(storeMonitorService, {isFailing: () => false, measureOutage: () => 0});
+		const submitting = Promise.all(Array.from({length: 40}, async (_, index) => submitWithinBudget(submissionOf(index + 1, [{count: 3000}]), clock.monotonic() + 2000, context)));
+		await elapse(clock, 3000, 100);
+		const answers = await submitting;
+		expect(answers.filter(({kind}) => kind === 'accepted').length).to.equal(7);
+		expect(driver.state().jobs.size).to.equal(7);
+	});
+
+	it('a job that other entries need not have heard of is refused for a short time (caller that returns late)', () => {
+		const clock = createVirtualClock();
+		const {admission} = startEntry(clock);
+		admission.observe({total: 0, freedPerSecond: 0, tenants: []});
+		expect(admission.request(submissionOf(1, [{count: 10_000}, {count: 9000}])).kind).to.equal('admitted');
+		expect(admission.request(submissionOf(2, [{count: 10_000}]))).to.deep.equal({kind: 'refused', retryAfterMilliseconds: 2000});
+		clock.advance(2000);
+		admission.observe({total: 0, freedPerSecond: 0, tenants: []});
+		expect(admission.request(submissionOf(2, [{count: 10_000}])).kind).to.equal('admitted');
+	});
+
 	const storedCases: ReadonlyArray<Readonly<{name: string; stored: JobRecord | undefined; answer: string}>> = [
 		{name: 'a new job beyond the budget is refused at once', stored: undefined, answer: 'refused'},
 		{name: 'a retry of an accepted job is not refused', stored: {kind: 'accepted', submission: submissionOf(2, [{count: 10_000}])}, answer: 'accepted'},
--- a/test/coordinator/undecided.test.ts
+++ b/test/coordinator/undecided.test.ts
@@ -21,7 +21,7 @@
 	services.provide(configurationService, configuration as never);
 	services.provide(leadershipService, leadership as never);
 	services.provide(admissionService, {
-		decide: () => ({kind: 'admitted'}), accept: () => undefined, describe: () => undefined, observe: () => undefined,
+		request: () => ({kind: 'admitted'}), describe: () => undefined, observe: () => undefined,
 	});
 	const context = {services, clock} as unknown as CoordinatorContext;
 	coordinatorPlugins.tasks().find(({name}) => name === 'undecided')?.start(context);
