Check the length of a request only when it is submitted

The check was part of the schema by which stored jobs are read as well, so that a longer job of an earlier release would have been left out at the next takeover.

Change: entries check the length before they accept a job.

--- a/packages/coordinator/callers/submit-within-budget.ts
+++ b/packages/coordinator/callers/submit-within-budget.ts
@@ -1,5 +1,5 @@
 import {assertNever, checkInput, type MonotonicTime} from '#core';
-import {jobRecordSchema, type JobSubmission} from '#jobs';
+import {jobRecordSchema, maximumRequestCharacters, type JobSubmission} from '#jobs';
 import type {CallerAnswer} from '#protocol';
 import {jobStoreKey} from '../keys.js';
 import {storePort} from '../ports.js';
@@ -10,6 +10,10 @@
 
 /** Stores a job if the scheduler has memory for it. */
 export async function submitWithinBudget(submission: JobSubmission, deadline: MonotonicTime, context: CoordinatorContext): Promise<CallerAnswer> {
+	if (JSON.stringify(submission.request).length > maximumRequestCharacters) {
+		return {kind: 'invalid', findings: [{place: 'steps', message: `must take at most ${maximumRequestCharacters} characters`}]};
+	}
+
 	const decision = context.services.use(admissionService).request(submission);
 	switch (decision.kind) {
 		case 'admitted': {
--- a/packages/jobs/memory.ts
+++ b/packages/jobs/memory.ts
@@ -38,6 +38,9 @@
 	return Math.min(schedule.occurrences, 1 + Math.ceil(duration / Math.max(1, schedule.intervalMilliseconds)));
 }
 
+/** Longest request that is accepted, as JSON text; the store takes values of up to 1 MB. */
+export const maximumRequestCharacters = 262_144;
+
 /** Memory of a job whose tasks are not held: one that ended, or of which no occurrence is open. */
 export function estimateRecordBytes(request: JobRequest): number {
 	return bytesPerJob + (bytesPerCharacter * JSON.stringify(request).length);
--- a/packages/jobs/types.ts
+++ b/packages/jobs/types.ts
@@ -64,9 +64,6 @@
 /** Number of tasks over all steps and occurrences of a job. The scheduler holds those of open occurrences in memory, at 0.85 KB each. */
 export const maximumTasksPerJob = 20_000;
 
-/** Length of a job's request as JSON text; the store takes values of up to 1 MB. */
-export const maximumRequestCharacters = 262_144;
-
 /** Job as requested by the caller. */
 export const jobRequestSchema = valibot.pipe(
 	valibot.object({
@@ -78,7 +75,6 @@
 		({steps, schedule}) => steps.reduce((total, {count}) => total + count, 0) * (schedule?.occurrences ?? 1) <= maximumTasksPerJob,
 		`must have at most ${maximumTasksPerJob} tasks over all steps and occurrences`,
 	),
-	valibot.check(request => JSON.stringify(request).length <= maximumRequestCharacters, `must take at most ${maximumRequestCharacters} characters`),
 	valibot.readonly(),
 );
 export type JobRequest = valibot.InferOutput<typeof jobRequestSchema>;
