--- a/test/coordinator/workers-record.test.ts
+++ b/test/coordinator/workers-record.test.ts
@@ -126,4 +126,27 @@
 			expect(unreliable.countWrites()).to.be.at.most(40);
 		});
 	}
+
+	it('lists the worker of an unanswered start also while its agent has another worker (start carried out after its return, unknown to the next scheduler)', async () => {
+		const clock = createVirtualClock();
+		const unreliable = createUnreliableStore(clock, () => prompt);
+		unreliable.put(leaderKey, {entry: 'entry-a'});
+		const services = createServices();
+		services.provide(storePort, unreliable.store);
+		const driver = createReadyDriver([['a']]);
+		const context = {
+			services, clock, counters: createCounters(), log: silentLog,
+		};
+		const workersRecord = createWorkersRecord({leaderVersion: 1, isOver: () => false, task: {read: driver.state}} as never, context as never);
+		driver.send({kind: 'submitted', submission: submissionOf(1, [{}])});
+		driver.send({
+			kind: 'incarnation-ended', agent: 'a', worker: returning.worker, incarnation: '1', ending: 'left', ended: [],
+		});
+		const next: UsedWorker = {agent: 'a', worker: 'w-next' as WorkerId};
+		driver.send({kind: 'renewed', agent: 'a', snapshot: snapshotOf('a', {worker: next.worker})});
+		const stored = workersRecord.ensureStored(next);
+		await elapse(clock, 50, 5);
+		expect(await stored).to.equal(true);
+		expect(unreliable.read(workersKey)).to.deep.equal({workers: [next, returning]});
+	});
 });
