--- a/xo.config.js
+++ b/xo.config.js
@@ -9,6 +9,9 @@
 	'reservations',
 	'membership',
 	'jobs',
+	'zones',
+	'forecast',
+	'pace',
 	'scheduling',
 	'supervision',
 	'protocol',
@@ -25,7 +28,7 @@
 	'stand-ins',
 ];
 
-const purePackages = new Set(['core', 'configuration', 'placement', 'routing', 'limits', 'execution', 'reservations', 'membership', 'jobs', 'scheduling', 'supervision', 'protocol', 'recovery']);
+const purePackages = new Set(['core', 'configuration', 'placement', 'routing', 'limits', 'execution', 'reservations', 'membership', 'jobs', 'zones', 'forecast', 'pace', 'scheduling', 'supervision', 'protocol', 'recovery']);
 
 const ambientSources = [
 	{name: 'Date', message: 'Take the present time as an argument.'},
