Give observations of a watch the store revision

A deletion carries no revision of its own, so that an observer could not tell whether a list from elsewhere is newer. Each observation now names the revision up to which it is whole.

The tests of the store's tasks pass.

--- a/packages/coordinator/observed-versions.ts
+++ b/packages/coordinator/observed-versions.ts
@@ -12,7 +12,7 @@
 
 @example
 ```
-const versions = addObservation(noObservedVersions, {kind: 'all', values: [{key: 'a', value: 1, version: 5}]});
+const versions = addObservation(noObservedVersions, {kind: 'all', revision: 5, values: [{key: 'a', value: 1, version: 5}]});
 versions.get('a'); // 5
 ```
 */
--- a/packages/store/watch.ts
+++ b/packages/store/watch.ts
@@ -19,10 +19,10 @@
 	| Readonly<{kind: 'replied'; reply: ListReply | WatchReply}>
 	| Readonly<{kind: 'stop'}>;
 
-/** Data that a watch received: all values under the prefix, or the changes since the last observation. */
+/** Data that a watch received, with the store revision up to which it is whole: all values under the prefix, or the changes since the last observation. */
 export type Observation =
-	| Readonly<{kind: 'all'; values: readonly StoredValue[]}>
-	| Readonly<{kind: 'changes'; events: readonly WatchEvent[]}>;
+	| Readonly<{kind: 'all'; revision: number; values: readonly StoredValue[]}>
+	| Readonly<{kind: 'changes'; revision: number; events: readonly WatchEvent[]}>;
 
 /** Returns the values of an observation, without deletions. */
 export function extractValues(observation: Observation): readonly StoredValue[] {
@@ -78,14 +78,14 @@
 function handleReply(state: WatchState, reply: ListReply | WatchReply, random: RandomSource, maximumBackoff: Milliseconds | undefined): Step<WatchState, WatchEffect> {
 	switch (reply.kind) {
 		case 'listed': {
-			return observe({...state, revision: reply.revision, failures: 0}, {kind: 'all', values: reply.values});
+			return observe({...state, revision: reply.revision, failures: 0}, {kind: 'all', revision: reply.revision, values: reply.values});
 		}
 
 		case 'events': {
 			const next = {...state, revision: reply.revision, failures: 0};
 			return reply.events.length === 0
 				? {state: next, effects: [createNextCall(next)]}
-				: observe(next, {kind: 'changes', events: reply.events});
+				: observe(next, {kind: 'changes', revision: reply.revision, events: reply.events});
 		}
 
 		// Many watches fall behind at the same time, so their lists are spread with the same backoff as retries.
