Add the pure package of closed zones

Nothing knew the zones that operators close. The package holds the list with its store revision and merges whole lists, changes and the lists of other entries; a newer revision wins.

--- /dev/null
+++ b/packages/zones/index.ts
@@ -0,0 +1,2 @@
+export * from './types.js';
+export * from './merge.js';
