Observe the zones that operators close

No code read the operators' keys that close a zone. The field of the exchange is optional, so that an entry of the earlier version still exchanges.

--- a/packages/coordinator/index.ts
+++ b/packages/coordinator/index.ts
@@ -32,3 +32,5 @@
 export {withdrawalsService} from './plugins/withdrawals.js';
 export {undecidedService} from './plugins/undecided.js';
 export {configurationService} from './plugins/configuration.js';
+export {zonesService} from './plugins/zones.js';
+export * from './zones-state.js';
--- a/packages/coordinator/plugins/configuration.ts
+++ b/packages/coordinator/plugins/configuration.ts
@@ -9,6 +9,8 @@
 import {coordinatorPlugins} from '../plugins.js';
 import {configurationPort, storePort} from '../ports.js';
 import type {CoordinatorContext} from '../types.js';
+import {selectZones} from '../zones-state.js';
+import {zonesService} from './zones.js';
 
 /** Task that owns the configuration in force in this process; its version never decreases. */
 export const configurationService = createServiceKey<TaskHandle<ConfigurationState, ConfigurationMessage>>('configuration');
@@ -32,21 +34,25 @@
 			},
 		});
 		context.services.provide(configurationService, configuration);
+		const source = context.services.use(configurationPort);
+		const zones = context.services.use(zonesService);
+		// One watch serves the configuration and the closed zones, since each waiting watch counts as a call of the store.
 		const watch = startWatchTask({
 			store: context.services.use(storePort),
 			clock: context.clock,
 			random: context.random,
-			prefix: context.services.use(configurationPort).key,
+			prefix: source.prefix,
 			wait: watchMilliseconds,
 			maximumBackoff: storeRetryMaximumMilliseconds,
 			onObserved(observation) {
+				zones.send({kind: 'observed', observation: selectZones(observation, source.decodeKey), source: 'watch'});
 				for (const stored of extractValues(observation)) {
 					receiveStored(stored, context);
 				}
 			},
 			onFailure(reason, failures) {
 				context.counters.countRetry('configuration-watch');
-				log.warn({reason, failures}, 'store is unavailable; keeping the current configuration');
+				log.warn({reason, failures}, 'store is unavailable; keeping the current configuration and closed zones');
 			},
 		});
 		return () => {
@@ -92,7 +98,7 @@
 
 function receiveStored({key, value}: StoredValue, {services, log, counters}: CoordinatorContext): void {
 	const source = services.use(configurationPort);
-	if (key !== source.key) {
+	if (source.decodeKey(key).kind !== 'configuration') {
 		return;
 	}
 
--- a/packages/coordinator/plugins/entry-peers.ts
+++ b/packages/coordinator/plugins/entry-peers.ts
@@ -1,17 +1,19 @@
 import type {EntryId, Milliseconds} from '#core';
 import {createServiceKey} from '#kernel';
 import {connectToPeer, type RpcPeer} from '#transport';
-import {entryExchangeParametersSchema, type SharedMemoryUse} from '#protocol';
+import {entryExchangeParametersSchema, type SharedMemoryUse, type SharedZones} from '#protocol';
 import {entryCallTimeoutMilliseconds, exchangeIntervalMilliseconds} from '../constants.js';
 import {listEntryAddresses} from '../addresses.js';
 import {peerAddressOf} from '../peer-address.js';
 import {coordinatorPlugins} from '../plugins.js';
 import type {CoordinatorContext} from '../types.js';
+import {shareZones} from '../zones-state.js';
 import {admissionService} from './admission.js';
 import {configurationService} from './configuration.js';
 import {directoryService, listEntries} from './directory.js';
 import {leadershipService} from './leadership.js';
 import {undecidedService} from './undecided.js';
+import {zonesService} from './zones.js';
 
 /** Connections that this entry opened to other entries. */
 export type EntryPeers = Readonly<{
@@ -29,6 +31,7 @@
 	undecidedAges: readonly Milliseconds[];
 	undecidedCutAge?: Milliseconds | undefined;
 	memoryUse?: SharedMemoryUse | undefined;
+	closedZones?: SharedZones | undefined;
 }>;
 
 coordinatorPlugins.register({
@@ -134,7 +137,7 @@
 	}
 }
 
-function applySharedState({epoch, undecided, undecidedAges, undecidedCutAge, memoryUse}: SharedState, {services}: CoordinatorContext): void {
+function applySharedState({epoch, undecided, undecidedAges, undecidedCutAge, memoryUse, closedZones}: SharedState, {services}: CoordinatorContext): void {
 	const submissions = undecided.map((path, index) => ({path, age: undecidedAges[index] ?? 0}));
 	services.use(undecidedService).addAll(undecidedCutAge === undefined ? {kind: 'whole', submissions} : {kind: 'cut', submissions, age: undecidedCutAge});
 
@@ -142,13 +145,18 @@
 		services.use(admissionService).observe(memoryUse);
 	}
 
+	if (closedZones !== undefined) {
+		services.use(zonesService).send({kind: 'observed', observation: {kind: 'shared', ...closedZones}, source: 'entry'});
+	}
+
 	services.use(leadershipService).send({kind: 'epoch-observed', epoch});
 }
 
-function describeSharedState({services}: CoordinatorContext): SharedState {
+function describeSharedState({services, clock}: CoordinatorContext): SharedState {
 	const {highestEpoch} = services.use(leadershipService).read();
 	const undecided = services.use(undecidedService).list();
 	const memoryUse = services.use(admissionService).describe();
+	const closedZones = shareZones(services.use(zonesService).read(), {monotonic: clock.monotonic()});
 	return {
 		configurationVersion: services.use(configurationService).read().current?.version ?? 0,
 		epoch: highestEpoch,
@@ -156,5 +164,6 @@
 		undecidedAges: undecided.submissions.map(({age}) => age),
 		...(undecided.kind === 'cut' ? {undecidedCutAge: undecided.age} : {}),
 		...(memoryUse === undefined ? {} : {memoryUse}),
+		...(closedZones === undefined ? {} : {closedZones}),
 	};
 }
--- a/packages/coordinator/plugins/index.ts
+++ b/packages/coordinator/plugins/index.ts
@@ -7,6 +7,7 @@
 import './agents.js';
 import './lease.js';
 import './leadership.js';
+import './zones.js';
 import './configuration.js';
 import './scheduler.js';
 import './admission.js';
--- a/packages/coordinator/ports.ts
+++ b/packages/coordinator/ports.ts
@@ -13,6 +13,19 @@
 
 export const storeMonitorService = createServiceKey<Omit<StoreMonitor, 'store'>>('store-monitor');
 
-/** Key of the operators' configuration in the platform's store, and the decoder of its value. */
-export type ConfigurationSource = Readonly<{key: string; decode(value: unknown): CheckResult<SchedulingConfiguration>}>;
+/** What a key of the operators holds. A key that closes a zone does so whatever its value. */
+export type OperatorKey =
+	| Readonly<{kind: 'configuration'}>
+	| Readonly<{kind: 'closed-zone'; zone: string}>
+	| Readonly<{kind: 'other'}>;
+
+/** The keys that operators write to the platform's store, and the decoder of their configuration. */
+export type ConfigurationSource = Readonly<{
+	/** Prefix of all of them, which each entry watches. */
+	prefix: string;
+	/** Prefix of those that close zones. A list of them leaves out the configuration, which may be large. */
+	closedZonesPrefix: string;
+	decodeKey(key: string): OperatorKey;
+	decode(value: unknown): CheckResult<SchedulingConfiguration>;
+}>;
 export const configurationPort = createServiceKey<ConfigurationSource>('configuration-source');
--- a/packages/protocol/scheduling.ts
+++ b/packages/protocol/scheduling.ts
@@ -99,6 +99,19 @@
 }), valibot.readonly());
 export type SharedMemoryUse = valibot.InferOutput<typeof sharedMemoryUseSchema>;
 
+/** Closed zones as the sender knows them. */
+const sharedZonesSchema = valibot.pipe(valibot.object({
+	/** Store revision of the list. */
+	revision: countSchema,
+	closed: valibot.pipe(valibot.array(valibot.pipe(valibot.object({
+		zone: valibot.string(),
+		revision: countSchema,
+		/** For how long the sender has known the zone to be closed. */
+		closedMilliseconds: valibot.number(),
+	}), valibot.readonly())), valibot.readonly()),
+}), valibot.readonly());
+export type SharedZones = valibot.InferOutput<typeof sharedZonesSchema>;
+
 export const entryExchangeParametersSchema = valibot.object({
 	entry: entryIdSchema,
 	/** Version of the sender's configuration; 0 if none. */
@@ -111,6 +124,8 @@
 	undecidedCutAge: undecidedCutAgeSchema,
 	/** Absent if the sender does not schedule, and in exchanges of earlier versions. */
 	memoryUse: valibot.optional(sharedMemoryUseSchema),
+	/** Absent until the sender has read the list, and in exchanges of earlier versions. */
+	closedZones: valibot.optional(sharedZonesSchema),
 });
 export const entryExchangeResultSchema = valibot.object({
 	configurationVersion: valibot.number(),
@@ -119,6 +134,7 @@
 	undecidedAges: undecidedAgesSchema,
 	undecidedCutAge: undecidedCutAgeSchema,
 	memoryUse: valibot.optional(sharedMemoryUseSchema),
+	closedZones: valibot.optional(sharedZonesSchema),
 });
 
 /** The configuration of the entry that is asked, compressed and in base64; absent if it has none. */
