Report how long a worker stays slow after its start

Workers announce cold_remaining_ms, which nothing read, so that work was placed on cold workers while warm ones that fit equally were free.

--- a/packages/jobs/types.ts
+++ b/packages/jobs/types.ts
@@ -264,6 +264,8 @@
 	state: valibot.picklist(['ready', 'draining']),
 	/** Minimum time until a draining worker leaves. */
 	leavesInMilliseconds: valibot.optional(valibot.number()),
+	/** How much longer the worker stays slow after its start. Absent once it is warm, and in reports of earlier versions. */
+	coldForMilliseconds: valibot.optional(valibot.number()),
 	/** Whether the worker answered its agent's last request. */
 	isResponsive: valibot.boolean(),
 	/** Whether the leases of all runs on the worker have certainly expired. */
--- a/packages/supervision/announcements.ts
+++ b/packages/supervision/announcements.ts
@@ -2,7 +2,7 @@
 import {isSameIncarnation, type Resources} from '#jobs';
 import {maximumSequenceGap, maximumStartAheadMilliseconds} from './constants.js';
 import {proposeIncarnation} from './incarnation-checks.js';
-import {adoptIncarnation, computeLeavingTime} from './incarnations.js';
+import {adoptIncarnation, computeLeavingTime, computeWarmTime} from './incarnations.js';
 import {incrementRevision, type SupervisionOptions, type SupervisionStep} from './state.js';
 import type {Announcement, SupervisionState} from './types.js';
 
@@ -23,7 +23,7 @@
 		const hasStateChanged = worker.isLeaving || announcement.state !== worker.announcement.state || !isSameCapacity(announcement.capacity, worker.announcement.capacity);
 		const next: SupervisionState = {
 			...state, worker: {
-				...worker, announcement, isLeaving: false, leavesAt: computeLeavingTime(announcement, monotonic),
+				...worker, announcement, isLeaving: false, leavesAt: computeLeavingTime(announcement, monotonic), coldUntil: computeWarmTime(announcement, monotonic),
 			},
 		};
 		return hasStateChanged
--- a/packages/supervision/describe.ts
+++ b/packages/supervision/describe.ts
@@ -11,7 +11,7 @@
 		return undefined;
 	}
 
-	const {announcement, isLeaving, leavesAt, running, ended, leaseUntil, startsBarredUntil} = worker;
+	const {announcement, isLeaving, leavesAt, coldUntil, running, ended, leaseUntil, startsBarredUntil} = worker;
 	// A worker that may have left gets no starts. Its runs are not stopped, since the departure may be an earlier incarnation's.
 	const isResponsive = worker.isResponsive && !isLeaving && monotonic >= startsBarredUntil;
 	const isOver = !worker.isResponsive && !isLeaving && isLeaseOver(leaseUntil, monotonic);
@@ -25,6 +25,7 @@
 		capacity: announcement.capacity,
 		state: announcement.state,
 		...(leavesAt === undefined ? {} : {leavesInMilliseconds: Math.max(0, Math.round(leavesAt - monotonic))}),
+		...(coldUntil === undefined || coldUntil <= monotonic ? {} : {coldForMilliseconds: Math.round(coldUntil - monotonic)}),
 		isResponsive,
 		isLeaseOver: isOver,
 		running,
--- a/packages/supervision/incarnations.ts
+++ b/packages/supervision/incarnations.ts
@@ -17,6 +17,7 @@
 		announcement,
 		isLeaving: false,
 		leavesAt: computeLeavingTime(announcement, monotonic),
+		coldUntil: computeWarmTime(announcement, monotonic),
 		clock: announcement.clock === undefined ? undefined : {worker: announcement.clock, monotonic},
 		latestStartClock: -Infinity,
 		running: [],
@@ -77,6 +78,10 @@
 	return leavesInMilliseconds === undefined ? undefined : monotonic + leavesInMilliseconds;
 }
 
+export function computeWarmTime({coldForMilliseconds}: Announcement, monotonic: MonotonicTime): MonotonicTime | undefined {
+	return coldForMilliseconds === undefined ? undefined : monotonic + coldForMilliseconds;
+}
+
 /** Keeps what an incarnation listed last, since no later list contains it. Ends that it did not list are lost: nothing can acknowledge them any more. */
 function addEndedIncarnation(state: SupervisionState, {announcement: {worker, incarnation}, ended: {ends: ended}}: SupervisedWorker, ending: EndedIncarnation['ending']): SupervisionState {
 	if (ending === 'replaced' && ended.length === 0) {
--- a/packages/supervision/types.ts
+++ b/packages/supervision/types.ts
@@ -22,6 +22,8 @@
 	capacity: Resources;
 	state: 'ready' | 'draining';
 	leavesInMilliseconds: Milliseconds | undefined;
+	/** How much longer the worker stays slow after its start; absent if it is warm. */
+	coldForMilliseconds?: Milliseconds | undefined;
 	/** Reading of the worker's monotonic clock. */
 	clock: Milliseconds | undefined;
 }>;
@@ -35,6 +37,8 @@
 export type SupervisedWorker = Readonly<{
 	announcement: Announcement;
 	leavesAt: MonotonicTime | undefined;
+	/** Until when the worker stays slow after its start. */
+	coldUntil: MonotonicTime | undefined;
 	/** Whether a departure was announced; it is complete once the worker no longer answers. */
 	isLeaving: boolean;
 	clock: ClockReading | undefined;
