Start no task in a closed zone

The scheduler holds the closed zones. Their workers are unusable for starts, reservations, claims and preemption, count neither as capacity nor as unused, and keep what runs there; starts that are not confirmed are stopped after 0.4 s instead of 1.2 s. Work that only a closed zone could take waits with the reason zone-closed. Of workers that fit equally, the one that is warm sooner is taken first.

--- a/bench/scheduling/model.ts
+++ b/bench/scheduling/model.ts
@@ -215,7 +215,7 @@
 function createDurations(): Record<SchedulerMessage['kind'], Milliseconds[]> {
 	return {
 		configured: [], loaded: [], submitted: [], cancelled: [], renewed: [], 'incarnation-ended': [], detached: [], 'start-answered': [], 'stop-answered': [], stored: [], tick: [],
-		'lease-confirmed': [], pass: [],
+		'lease-confirmed': [], 'zones-observed': [], pass: [],
 	};
 }
 
--- a/packages/scheduling/constants.ts
+++ b/packages/scheduling/constants.ts
@@ -14,6 +14,10 @@
 export const runsPerEpoch = 1000;
 /** Time after which an unanswered start that the worker does not list is stopped and retried. */
 export const startConfirmationMilliseconds = 1200;
+/** The same in a closed zone. Sooner, so that a start that was delayed on its way is not carried out after the 5 s within which a closing has to take effect: an entry may learn of it 2.8 s late over a connection that went silent. */
+export const closedZoneConfirmationMilliseconds = 400;
+/** How long a closed zone is known before it is logged that no worker names it; agents report twice a second. */
+export const unnamedZoneLogMilliseconds = 5000;
 /** Longest lease that the platform's workers grant. */
 export const maximumLeaseMilliseconds = 10_000;
 /** Longest time until an order has reached its agent, with the report that answers it: a renewal that gets no answer fails earlier, with the connection. */
--- a/packages/scheduling/index.ts
+++ b/packages/scheduling/index.ts
@@ -4,6 +4,9 @@
 export {
 	countPending, createSchedulerState, findTask,
 } from './state.js';
+export {
+	countRunsInClosedZones, isInClosedZone, listClosedZones, type ZoneContents,
+} from './closed-zones.js';
 export {countOpenTasks} from './occurrences.js';
 export {measureMemoryUse, type SchedulerMemoryUse} from './memory-use.js';
 export {describeProgress} from './progress.js';
--- a/packages/scheduling/low-rank.ts
+++ b/packages/scheduling/low-rank.ts
@@ -1,6 +1,8 @@
 /** Limits for low-rank work that cannot save its progress: its duration is unknown, and a stop discards it. */
 import type {Resources} from '#jobs';
-import type {Pool, PoolWorker} from './pool.js';
+import {
+	compareFit, listOutsideClosedZones, type Pool, type PoolWorker,
+} from './pool.js';
 import {
 	longTaskWorkerShare, lowRankThreshold, lowRankWorkerShare, lowUtilizationShare, probeTaskCount,
 } from './constants.js';
@@ -19,7 +21,7 @@
 
 /** Whether the utilization of every resource of the pool is low. */
 export function isUtilizationLow(pool: Pool): boolean {
-	const workers = [...pool.values()];
+	const workers = listOutsideClosedZones(pool);
 	const measureUtilization = (selectAmount: (resources: Resources) => number) => {
 		const capacity = workers.reduce((total, {worker}) => total + selectAmount(worker.snapshot.capacity), 0);
 		const free = workers.reduce((total, worker) => total + selectAmount(worker.free), 0);
@@ -47,9 +49,9 @@
 export function limitToShare(unit: SchedulingUnit, candidates: readonly PoolWorker[], pool: Pool): readonly PoolWorker[] {
 	const hasLowRankRun = ({runs}: PoolWorker) => runs.some(run => isLowRankWithoutCheckpoints(run));
 	const {job, isLong} = unit;
-	const limit = Math.ceil(pool.size * (isLong ? longTaskWorkerShare : lowRankWorkerShare)) + (countRuns(unit) > 0 ? 0 : 1);
+	const limit = Math.ceil(listOutsideClosedZones(pool).length * (isLong ? longTaskWorkerShare : lowRankWorkerShare)) + (countRuns(unit) > 0 ? 0 : 1);
 	const occupied = candidates.filter(candidate => hasLowRankRun(candidate));
-	const others = candidates.filter(candidate => !hasLowRankRun(candidate)).toSorted((first, second) => first.free.accelerators - second.free.accelerators);
+	const others = candidates.filter(candidate => !hasLowRankRun(candidate)).toSorted(compareFit);
 	return isLong ? limitToOwnWorkers(job, [...occupied, ...others], limit) : [...occupied, ...others.slice(0, Math.max(0, limit - occupied.length))];
 }
 
--- a/packages/scheduling/order-answers.ts
+++ b/packages/scheduling/order-answers.ts
@@ -50,7 +50,8 @@
 		case 'too-late':
 		case 'run-too-low':
 		case 'superseded':
-		case 'invalid': {
+		case 'invalid':
+		case 'zone-closed': {
 			const pause = result === 'unhealthy' ? avoidanceMilliseconds : refusalPauseMilliseconds;
 			const paused = withWorker(state, {...worker, health: {...worker.health, avoidedUntil: Math.max(worker.health.avoidedUntil, time.monotonic + pause)}});
 			const released = releaseRefusedRun(paused, name, time.monotonic);
--- a/packages/scheduling/place.ts
+++ b/packages/scheduling/place.ts
@@ -1,8 +1,8 @@
-import type {MonotonicTime, WorkerId} from '#core';
+import type {Milliseconds, MonotonicTime, WorkerId} from '#core';
 import {parseTaskName, type TaskName} from '#jobs';
 import {findAvoidance, isAvoided} from './avoidance.js';
 import {
-	countFitting, isIdle, withReclaimableRoom, type Pool, type PoolWorker,
+	compareFit, countFitting, isIdle, withReclaimableRoom, type Pool, type PoolWorker,
 } from './pool.js';
 import {
 	countRuns, isLowRankWithoutCheckpoints, isUtilizationLow, limitToShare, limitToProbeTasks,
@@ -17,14 +17,20 @@
 export type TaskCounts = ReadonlyMap<AgentName, number>;
 
 /** Lists usable workers with the service and label that the unit requires. */
-function listEligible({step, queue, isolation}: SchedulingUnit, pool: Pool): readonly PoolWorker[] {
-	return [...pool.values()].filter(candidate => {
-		const {worker: {snapshot}, isUsable} = candidate;
-		return isUsable
-			&& snapshot.service === queue.service
-			&& (step.requiredLabel === undefined || snapshot.labels.includes(step.requiredLabel))
-			&& (isolation !== 'idle-worker' || isIdle(candidate));
-	});
+export function listEligible(unit: SchedulingUnit, pool: Pool): readonly PoolWorker[] {
+	return [...pool.values()].filter(candidate => candidate.isUsable && isSuitable(unit, candidate));
+}
+
+/** Lists the workers that the unit could use if their zones were not closed. */
+export function listHeldByZones(unit: SchedulingUnit, pool: Pool): readonly PoolWorker[] {
+	return [...pool.values()].filter(candidate => candidate.isHeldByZone && isSuitable(unit, candidate));
+}
+
+function isSuitable({step, queue, isolation}: SchedulingUnit, candidate: PoolWorker): boolean {
+	const {snapshot} = candidate.worker;
+	return snapshot.service === queue.service
+		&& (step.requiredLabel === undefined || snapshot.labels.includes(step.requiredLabel))
+		&& (isolation !== 'idle-worker' || isIdle(candidate));
 }
 
 /** Lists the workers on which the unit may be placed; low-rank work that cannot save its progress is limited to a share of them. */
@@ -160,7 +166,7 @@
 		.filter(([first]) => dataRack === undefined || first?.worker.snapshot.rack === dataRack)
 		.map(rack => distributeTasks(unit, rack))
 		.filter(taskCounts => countPlaced(taskCounts) >= tasks.length)
-		.toSorted((first, second) => countFreeAccelerators(first, pool) - countFreeAccelerators(second, pool))[0];
+		.toSorted((first, second) => countFreeAccelerators(first, pool) - countFreeAccelerators(second, pool) || findColdTime(first, pool) - findColdTime(second, pool))[0];
 }
 
 /** Places tasks on the workers with the tightest fit by accelerators. A task leaves out the workers that it avoids if there are others, also full ones: it has few attempts. Then it takes a worker that it avoided before only if no other has room, since its orders may still get no answer. */
@@ -224,7 +230,7 @@
 /** Orders workers by free accelerators, those in the rack of the data first; other racks are left out while the unit may wait for that one. */
 function orderByFit(unit: SchedulingUnit, candidates: readonly PoolWorker[], monotonic: MonotonicTime): readonly PoolWorker[] {
 	const {dataRack} = unit.step;
-	const ordered = candidates.toSorted((first, second) => first.free.accelerators - second.free.accelerators);
+	const ordered = candidates.toSorted(compareFit);
 	const inDataRack = ordered.filter(({worker}) => worker.snapshot.rack === dataRack);
 	const canHaveRoom = inDataRack.some(candidate => countFitting(withReclaimableRoom(candidate).free, resourcesOf(unit.step), 1) === 1);
 	return canHaveRoom && mayWaitForRack(unit, monotonic)
@@ -240,7 +246,7 @@
 	const ordered = candidates
 		.map(candidate => ({candidate, fitting: countFitting(candidate.free, need, Math.min(unit.tasks.length, countAllowedTasks(unit, candidate)))}))
 		.filter(({fitting}) => fitting > 0)
-		.toSorted((first, second) => first.candidate.free.accelerators - second.candidate.free.accelerators);
+		.toSorted((first, second) => compareFit(first.candidate, second.candidate));
 	const single = ordered.find(({fitting}) => fitting >= unit.tasks.length);
 	for (const {candidate, fitting} of single === undefined ? ordered.toSorted((first, second) => second.fitting - first.fitting) : [single]) {
 		const taskCount = Math.min(remaining, fitting);
@@ -280,6 +286,11 @@
 	return [...taskCounts.keys()].reduce((total, agent) => total + (pool.get(agent)?.free.accelerators ?? 0), 0);
 }
 
+/** How long the coldest of the chosen workers stays slow; a gang is as slow as its slowest member. */
+function findColdTime(taskCounts: TaskCounts, pool: Pool): Milliseconds {
+	return Math.max(0, ...[...taskCounts.keys()].map(agent => pool.get(agent)?.coldFor ?? 0));
+}
+
 /** Leaves out the workers that members of the gang avoid, but only if it would fit on the others once their runs have ended. */
 function listPreferredWorkers(unit: SchedulingUnit, candidates: readonly PoolWorker[], monotonic: MonotonicTime): readonly PoolWorker[] {
 	const members = listAvoidingTasks(unit);
--- a/packages/scheduling/pool.ts
+++ b/packages/scheduling/pool.ts
@@ -7,6 +7,7 @@
 import {
 	isOpen, isRunOn, findJob, resourcesOf, resolveQueue,
 } from './state.js';
+import {isInClosedZone} from './closed-zones.js';
 import {isOnProbation} from './crashes.js';
 import {findAcknowledgementEnd} from './late-acknowledgements.js';
 import {listLateStarts} from './late-starts.js';
@@ -38,6 +39,10 @@
 	runs: readonly PlacedRun[];
 	/** Whether new tasks may be placed on the worker. */
 	isUsable: boolean;
+	/** Whether its closed zone is the only reason why none may. */
+	isHeldByZone: boolean;
+	/** How much longer the worker stays slow, as it announced. */
+	coldFor: Milliseconds;
 }>;
 
 export type Pool = PersistentMap<AgentName, PoolWorker>;
@@ -46,12 +51,16 @@
 export function createPool(state: SchedulerState, ranks: ReadonlyMap<JobKey, Rank>, monotonic: MonotonicTime): Pool {
 	const lateStarts = listLateStarts(state, monotonic);
 	return state.workers.map((worker, agent) => {
+		const isClosed = isInClosedZone(state, worker);
 		const runs = listRunsOf(state, agent).flatMap(listed => isRunOn(listed.run, worker) ? placeRun(state, listed, ranks) : []);
+		const isOtherwiseUsable = isUsable(worker, monotonic) && findAcknowledgementEnd(state, worker, monotonic) === undefined && !hasOrphanedRun(state, worker) && !runs.some(run => run.isOnProbation);
 		return {
 			worker,
 			runs,
 			free: [...runs.map(({need}) => need), ...lateStarts.get(agent) ?? []].reduce((free, need) => subtract(free, need), worker.snapshot.capacity),
-			isUsable: isUsable(worker, monotonic) && findAcknowledgementEnd(state, worker, monotonic) === undefined && !hasOrphanedRun(state, worker) && !runs.some(run => run.isOnProbation),
+			isUsable: isOtherwiseUsable && !isClosed,
+			isHeldByZone: isOtherwiseUsable && isClosed,
+			coldFor: Math.max(0, worker.grantedAt + (worker.snapshot.coldForMilliseconds ?? 0) - monotonic),
 		};
 	});
 }
@@ -98,6 +107,16 @@
 	};
 }
 
+/** Orders workers by their free accelerators, the tightest first; of those that fit equally, the one that is warm sooner comes first. */
+export function compareFit(first: PoolWorker, second: PoolWorker): number {
+	return first.free.accelerators - second.free.accelerators || first.coldFor - second.coldFor;
+}
+
+/** Lists the workers without those that only a closed zone keeps from getting tasks: what is free there is neither capacity nor unused. */
+export function listOutsideClosedZones(pool: Pool): readonly PoolWorker[] {
+	return [...pool.values()].filter(({isHeldByZone}) => !isHeldByZone);
+}
+
 /** Whether nothing runs on the worker and none of its room is allocated in this pass. */
 export function isIdle({worker: {snapshot: {capacity}}, free, runs}: PoolWorker): boolean {
 	return runs.length === 0
--- a/packages/scheduling/receive.ts
+++ b/packages/scheduling/receive.ts
@@ -1,6 +1,7 @@
 import {Map as PersistentMap} from 'immutable';
 import {assertNever, type CurrentTime} from '#core';
 import {isNewerConfiguration, listsOf} from '#jobs';
+import {handleZones} from './closed-zones.js';
 import {unreadMilliseconds} from './constants.js';
 import {handleStartAnswers, handleStopAnswers} from './order-answers.js';
 import {advanceNotedEnd} from './ends.js';
@@ -49,6 +50,10 @@
 			return load(state, message, time);
 		}
 
+		case 'zones-observed': {
+			return handleZones(state, message.zones);
+		}
+
 		case 'submitted': {
 			const {job} = message.submission;
 			return withoutEffects(state.jobs.has(job)
--- a/packages/scheduling/state.ts
+++ b/packages/scheduling/state.ts
@@ -4,6 +4,7 @@
 import {
 	indexLists, isSameIncarnation, listsOf, parseJobOfTask, parseTaskName, type JobStep, type Queue, type Resources, type TaskName,
 } from '#jobs';
+import {noClosedZones} from '#zones';
 import {runsPerEpoch} from './constants.js';
 import type {
 	SchedulerJob, SchedulerState, SchedulerWorker, TaskCounts, TaskRun, TaskState,
@@ -23,6 +24,8 @@
 		leaseUntil: Infinity,
 		isLoaded: false,
 		deferredIncarnationEnds: [],
+		closedZones: noClosedZones,
+		checkedZones: new Map(),
 		unopenedLoggedAt: -Infinity,
 		isScheduleDue: false,
 	};
--- a/packages/scheduling/tick.ts
+++ b/packages/scheduling/tick.ts
@@ -2,8 +2,9 @@
 import type {MonotonicTime, CurrentTime} from '#core';
 import type {TaskName} from '#jobs';
 import {avoidWorker} from './avoidance.js';
+import {isInClosedZone, logUnnamedZones} from './closed-zones.js';
 import {
-	negligibleLossMilliseconds, checkpointStoreMilliseconds, drainSlackMilliseconds, endedJobRetentionMilliseconds,
+	closedZoneConfirmationMilliseconds, negligibleLossMilliseconds, checkpointStoreMilliseconds, drainSlackMilliseconds, endedJobRetentionMilliseconds,
 	startConfirmationMilliseconds, stopRetryMilliseconds, stuckMilliseconds, stuckPercentFactor,
 } from './constants.js';
 import {recordFailure} from './ends.js';
@@ -39,16 +40,25 @@
 		next => storeCheckpoints(next, time.monotonic),
 		next => removeOldRecords(next, time.monotonic),
 		next => withoutEffects(closeOccurrences(next)),
+		next => logUnnamedZones(next, time.monotonic),
 	]);
 }
 
 /** Stops unconfirmed starts and avoids their workers, which perhaps receive no orders. */
 function stopUnconfirmedStarts(state: SchedulerState, runs: readonly ListedRun[], monotonic: MonotonicTime): SchedulerTransition {
-	const names = runs
-		.filter(({run}) => run.stage === 'starting' && monotonic - run.orderedAt > startConfirmationMilliseconds)
-		.map(({name}) => name);
+	const starting = runs.filter(({run}) => run.stage === 'starting');
+	const names = starting.filter(({run}) => monotonic - run.orderedAt > startConfirmationMilliseconds).map(({name}) => name);
 	const updated = names.reduce((next, name) => avoidWorkerOfRun(next, name, monotonic), state);
-	return stopRuns(updated, names, 'start was not confirmed', monotonic);
+	const inClosedZones = starting.filter(({run}) => monotonic - run.orderedAt > closedZoneConfirmationMilliseconds && isRunInClosedZone(state, run)).map(({name}) => name);
+	return chain(updated, [
+		next => stopRuns(next, names, 'start was not confirmed', monotonic),
+		next => stopRuns(next, inClosedZones, 'start was not confirmed when its zone was closed', monotonic),
+	]);
+}
+
+function isRunInClosedZone(state: SchedulerState, run: TaskRun): boolean {
+	const worker = findWorkerOfRun(state, run);
+	return worker !== undefined && isInClosedZone(state, worker);
 }
 
 function avoidWorkerOfRun(state: SchedulerState, name: TaskName, monotonic: MonotonicTime): SchedulerState {
--- a/packages/scheduling/types.ts
+++ b/packages/scheduling/types.ts
@@ -1,6 +1,7 @@
 /** State, messages and effects of the scheduler. */
 import type {Map as PersistentMap, Set as PersistentSet} from 'immutable';
 import type {MonotonicTime, Unit, WorkerId} from '#core';
+import type {ClosedZones} from '#zones';
 import type {
 	EndedRun, JobKey, JobOutcome, JobProgress, JobSubmission, QueueName, SchedulingConfiguration, TaskCrash, TaskName, TaskProgress, WorkerIncarnation, WorkerSnapshot,
 } from '#jobs';
@@ -211,17 +212,21 @@
 	isLoaded: boolean;
 	/** Ends of incarnations that were reported before the stored jobs were loaded. */
 	deferredIncarnationEnds: readonly IncarnationEnd[];
+	/** Zones that the operators have closed; no task starts on their workers. */
+	closedZones: ClosedZones;
+	/** Closed zones for which workers were looked for, with the revision of their keys. */
+	checkedZones: ReadonlyMap<string, number>;
 	/** When it was last logged that occurrences wait until others are done. */
 	unopenedLoggedAt: MonotonicTime;
 	/** Whether a change may allow a task to start; a pass was requested and has not been carried out yet. */
 	isScheduleDue: boolean;
 }>;
 
-/** Answer to one start order. `unknown` means that none arrived. */
+/** Answer to one start order. `unknown` means that none arrived, `zone-closed` that the order was not sent, since its worker's zone was closed after the decision. */
 export type StartAnswer = Readonly<{
 	task: TaskName;
 	run: number;
-	result: 'started' | 'no-room' | 'unhealthy' | 'too-late' | 'run-too-low' | 'superseded' | 'invalid' | 'unknown';
+	result: 'started' | 'no-room' | 'unhealthy' | 'too-late' | 'run-too-low' | 'superseded' | 'invalid' | 'zone-closed' | 'unknown';
 }>;
 
 /** A worker's incarnation left, or another one replaced it; `ended` holds ends that may not have been reported. */
@@ -231,6 +236,8 @@
 	| Readonly<{kind: 'configured'; configuration: SchedulingConfiguration}>
 	/** Stored jobs and progress, loaded at the takeover. */
 	| Readonly<{kind: 'loaded'; jobs: readonly LoadedJob[]; workers: readonly UsedWorker[]}>
+	/** A newer list of the closed zones. A new scheduler receives one that was read in its term before `loaded`. */
+	| Readonly<{kind: 'zones-observed'; zones: ClosedZones}>
 	| Readonly<{kind: 'submitted'; submission: JobSubmission}>
 	| Readonly<{kind: 'cancelled'; job: JobKey}>
 	/** A renewal of an agent. Without a snapshot it shows that the agent is alive, and nothing about its worker. */
--- a/packages/scheduling/wait-logs.ts
+++ b/packages/scheduling/wait-logs.ts
@@ -3,7 +3,7 @@
 import {withReclaimableRoom, type Pool, type PoolWorker} from './pool.js';
 import {waitingLogMilliseconds, maximumWaitingLogs} from './constants.js';
 import {
-	countPlaced, distributeTasks, mayWaitForRack, listCandidates,
+	countPlaced, distributeTasks, listCandidates, listEligible, listHeldByZones, mayWaitForRack,
 } from './place.js';
 import type {SchedulerTransition} from './runs.js';
 import {replaceJob} from './state.js';
@@ -18,12 +18,28 @@
 - `beside-lasting-work`: the unit would fit if they were idle, but not beside their runs that last until their jobs are cancelled.
 - `wants-rack`: the unit fits elsewhere but still waits for a single rack or the rack of its data.
 - `wants-idle-worker`: a worker crashed at an earlier start, so that the unit waits for one without other work.
+- `zone-closed`: only workers of zones that the operators closed have room, or are large enough.
 - `no-room`: other runs occupy the workers that the unit could use.
 */
-type WaitReason = 'no-worker' | 'larger-than-pool' | 'beside-lasting-work' | 'wants-rack' | 'wants-idle-worker' | 'no-room';
+type WaitReason = 'no-worker' | 'larger-than-pool' | 'beside-lasting-work' | 'wants-rack' | 'wants-idle-worker' | 'zone-closed' | 'no-room';
 
-function findWaitReason(unit: SchedulingUnit, candidates: readonly PoolWorker[], monotonic: MonotonicTime): WaitReason {
-	const needed = unit.step.isGang ? unit.tasks.length : 1;
+/** Whether the unit would fit with the workers of closed zones, now or once their runs have ended, and does not without them. */
+function isHeldByClosedZones(unit: SchedulingUnit, open: readonly PoolWorker[], held: readonly PoolWorker[]): boolean {
+	const needed = countNeeded(unit);
+	const changes = [(candidate: PoolWorker) => candidate, withReclaimableRoom];
+	return changes.some(change => {
+		const canFit = (workers: readonly PoolWorker[]) => countPlaced(distributeTasks(unit, workers.map(worker => change(worker)))) >= needed;
+		return !canFit(open) && canFit([...open, ...held]);
+	});
+}
+
+/** Number of tasks that start together. */
+function countNeeded({step, tasks}: SchedulingUnit): number {
+	return step.isGang ? tasks.length : 1;
+}
+
+function findWaitReason(unit: SchedulingUnit, candidates: readonly PoolWorker[], monotonic: MonotonicTime): Exclude<WaitReason, 'zone-closed'> {
+	const needed = countNeeded(unit);
 	if (unit.isolation === 'idle-worker') {
 		return 'wants-idle-worker';
 	}
@@ -61,7 +77,9 @@
 
 function describeWait(unit: SchedulingUnit, pool: Pool, monotonic: MonotonicTime): Readonly<Record<string, unknown>> {
 	const candidates = listCandidates(unit, pool);
-	const reason = findWaitReason(unit, candidates, monotonic);
+	const held = listHeldByZones(unit, pool);
+	const isHeld = held.length > 0 && isHeldByClosedZones(unit, listEligible(unit, pool), held);
+	const reason = isHeld ? 'zone-closed' : findWaitReason(unit, candidates, monotonic);
 	const common = {
 		job: unit.job.submission.job, step: unit.stepIndex, tasks: unit.tasks.length, rank: unit.rank, waitedMilliseconds: Math.round(monotonic - unit.waitingSince), reason,
 	};
@@ -72,6 +90,15 @@
 			};
 		}
 
+		case 'zone-closed': {
+			return {
+				...common,
+				usableWorkers: candidates.length,
+				workersInClosedZones: held.length,
+				zones: [...new Set(held.map(({worker}) => worker.snapshot.zone))],
+			};
+		}
+
 		case 'larger-than-pool':
 		case 'beside-lasting-work':
 		case 'wants-rack':
--- a/test/support/hand-over/programs.ts
+++ b/test/support/hand-over/programs.ts
@@ -1,7 +1,7 @@
 /** The programs of an entry and of an agent with all tasks that take part in a hand-over, on simulated processes. */
 import {createRandomSource, hashText, type EntryId} from '#core';
 import {
-	coordinatorPlugins, initialConfigurationState, platformStorePort, type ConfigurationState, type CoordinatorContext,
+	coordinatorPlugins, initialConfigurationState, platformStorePort, type ConfigurationState, type CoordinatorContext, configurationPort,
 } from '#coordinator';
 import {
 	createServices, type Clock, type Counters, type ProgramLog,
@@ -10,6 +10,7 @@
 import {supervisionService, supervisorPlugins, workerPort} from '#supervisor';
 import type {RpcPeer} from '#transport';
 import {configuration} from '#test/support/scheduling';
+import {operatorSource} from '#test/support/zones';
 import {configurationService} from '../../../packages/coordinator/plugins/configuration.js';
 import {entryPeersService} from '../../../packages/coordinator/plugins/entry-peers.js';
 import {entrySourcePort} from '../../../packages/supervisor/ports.js';
@@ -32,7 +33,7 @@
 export type EntryProgram = Readonly<{process: SimulatedProcess; context: CoordinatorContext}>;
 
 /** In the order in which their services depend on each other. */
-const entryTasks = ['store', 'lease', 'agents', 'scheduler', 'leadership', 'directory', 'hand-over'] as const;
+const entryTasks = ['store', 'zones', 'lease', 'agents', 'scheduler', 'leadership', 'directory', 'hand-over'] as const;
 const agentTasks = ['supervision', 'entries'] as const;
 
 const peerDialMilliseconds = 700;
@@ -58,6 +59,7 @@
 	const party = createParty(host, process, {registry: coordinatorPlugins, context});
 	services.provide(platformStorePort, store(process));
 	const configurationState: ConfigurationState = {...initialConfigurationState, current: configuration};
+	services.provide(configurationPort, operatorSource);
 	services.provide(configurationService, {
 		name: 'configuration', read: () => configurationState, send: () => undefined, subscribe: () => () => undefined, stop: () => undefined,
 	});
