Hold back orders to closed zones and read the list in each term

An order that was decided before its zone was closed could still be sent, and a new scheduler knew nothing of the zones before its first start. Orders are compared with the list right before they are sent, and a term loads nothing, and so starts nothing, until the list was read in it; a failed read is logged.

The cases of orders, of the job watch and of an entry's list pass.

--- a/packages/coordinator/job-watch.ts
+++ b/packages/coordinator/job-watch.ts
@@ -13,10 +13,12 @@
 	jobsPrefix, parseJobStoreKey, progressPrefix, workersKey,
 } from './keys.js';
 import {addObservation, noObservedVersions, type ObservedVersions} from './observed-versions.js';
-import {storePort} from './ports.js';
+import {configurationPort, storePort} from './ports.js';
 import type {Term} from './plugins/scheduler.js';
+import {zonesService} from './plugins/zones.js';
 import type {CoordinatorContext} from './types.js';
 import {parseWorkersRecord} from './workers-record.js';
+import {selectZones} from './zones-state.js';
 
 export function startJobWatch(term: Term, context: CoordinatorContext): Cancel {
 	const {services, clock, random, counters} = context;
@@ -67,13 +69,14 @@
 	return extractValues(observation).filter(({key, version}) => parseJobStoreKey(key).isCancellation || versions.get(key) !== version);
 }
 
-/** Reads the jobs' progress and the workers in use from the store. The jobs come from the watch's observations, whose values are buffered until `takeBuffered` releases them. */
+/** Reads the jobs' progress, the workers in use and the closed zones from the store. Nothing starts before, so that no scheduler starts tasks in a zone that was closed before its term. The jobs come from the watch's observations, whose values are buffered until `takeBuffered` releases them. */
 async function loadStoredState(term: Term, context: CoordinatorContext, takeBuffered: () => readonly StoredValue[]): Promise<void> {
 	const {services, clock, random} = context;
 	const store = services.use(storePort);
+	const source = services.use(configurationPort);
 	for (let failures = 0; !term.isOver(); failures++) {
-		const [progress, workers] = await Promise.all([store.list(progressPrefix), store.read(workersKey)]);
-		if (progress.kind === 'listed' && workers.kind !== 'unavailable') {
+		const [progress, workers, zones] = await Promise.all([store.list(progressPrefix), store.read(workersKey), store.list(source.closedZonesPrefix)]);
+		if (progress.kind === 'listed' && workers.kind !== 'unavailable' && zones.kind === 'listed') {
 			if (term.isOver()) {
 				return;
 			}
@@ -84,11 +87,18 @@
 			context.log.withPrefix('scheduler').info({
 				epoch: term.epoch, jobs: jobs.length, workers: usedWorkers.length, unreadMilliseconds: Math.round(unreadMilliseconds),
 			}, 'loaded the stored jobs');
+			// A list that is older than what the watch or another entry has told changes nothing.
+			const {kind, ...listed} = zones;
+			services.use(zonesService).send({kind: 'observed', observation: selectZones({kind: 'all', ...listed}, source.decodeKey), source: 'term'});
+			term.task.send({kind: 'zones-observed', zones: services.use(zonesService).read()});
 			term.task.send({kind: 'loaded', jobs, workers: usedWorkers});
 			return;
 		}
 
 		context.counters.countRetry('job-load');
+		context.log.withPrefix('scheduler').warn({
+			epoch: term.epoch, failures: failures + 1, progress: progress.kind, workers: workers.kind, closedZones: zones.kind,
+		}, 'stored state cannot be read; nothing is started before');
 		await sleep(clock, computeBackoff(failures, random, 0, storeRetryMaximumMilliseconds));
 	}
 }
--- a/packages/coordinator/orders.ts
+++ b/packages/coordinator/orders.ts
@@ -1,6 +1,6 @@
 /** Sends the scheduler's orders to agents. */
 import {
-	findTask, type SchedulerEffect, type SchedulerState, type StartAnswer, type StartOrder,
+	findTask, isInClosedZone, type SchedulerEffect, type SchedulerState, type StartAnswer, type StartOrder,
 } from '#scheduling';
 import {orderTimeoutMilliseconds} from './constants.js';
 import {agentsService} from './plugins/agents.js';
@@ -28,11 +28,14 @@
 
 	// The record may be written seconds after the order, when the task may have started elsewhere.
 	const state = term.task.read();
-	const maySend = isRecorded && peer !== undefined && holdsLeadership(context);
+	const placedOn = state.workers.get(agent);
+	// The zone may have been closed after the decision.
+	const isClosed = placedOn !== undefined && isInClosedZone(state, placedOn);
+	const maySend = !isClosed && isRecorded && peer !== undefined && holdsLeadership(context);
 	const orders = maySend ? effectOrders.filter(order => isStillOrdered(state, order, {agent, incarnation})) : [];
 	if (orders.length < effectOrders.length) {
 		counters.countRetry('start-not-sent');
-		answerAll(effectOrders.filter(order => !orders.includes(order)), 'too-late');
+		answerAll(effectOrders.filter(order => !orders.includes(order)), isClosed ? 'zone-closed' : 'too-late');
 	}
 
 	if (peer === undefined || orders.length === 0) {
--- a/packages/coordinator/plugins/scheduler.ts
+++ b/packages/coordinator/plugins/scheduler.ts
@@ -3,7 +3,7 @@
 	createServiceKey, startTask, type Cancel, type TaskHandle,
 } from '#kernel';
 import {
-	countOpenTasks, countPending, createSchedulerState, receiveSchedulerMessage, type SchedulerEffect, type SchedulerMessage, type SchedulerState,
+	countOpenTasks, countPending, countRunsInClosedZones, createSchedulerState, receiveSchedulerMessage, type SchedulerEffect, type SchedulerMessage, type SchedulerState,
 } from '#scheduling';
 import {overloadDelayMilliseconds} from '../constants.js';
 import {startJobWatch} from '../job-watch.js';
@@ -19,6 +19,7 @@
 import {agentsService} from './agents.js';
 import {configurationService} from './configuration.js';
 import {findConfirmedLeaseEnd} from './leadership.js';
+import {zonesService} from './zones.js';
 
 /** Scheduler of this entry; its state exists only during the entry's terms. */
 export type Scheduler = Readonly<{
@@ -113,6 +114,13 @@
 
 	sendConfiguration();
 	const cancelSubscription = configuration.subscribe(sendConfiguration);
+	const zones = services.use(zonesService);
+	const sendZones = () => {
+		task.send({kind: 'zones-observed', zones: zones.read()});
+	};
+
+	sendZones();
+	const cancelZonesSubscription = zones.subscribe(sendZones);
 	const stopWatch = startJobWatch(term, context);
 	services.use(agentsService).announceScheduler({address: peerAddressOf(context.settings), epoch});
 	const tick = (dueAt: MonotonicTime) => {
@@ -142,6 +150,8 @@
 		stop() {
 			isOver = true;
 			cancelSubscription();
+			cancelZonesSubscription();
+			context.counters.setGauge('runs-in-closed-zones', 0);
 			stopWatch();
 			task.stop();
 		},
@@ -162,6 +172,7 @@
 	counters.setGauge('usable-workers', usable.length);
 	counters.setGauge('open-tasks', countOpenTasks(state));
 	counters.setGauge('unread-workers', state.unread.size);
+	counters.setGauge('runs-in-closed-zones', countRunsInClosedZones(state));
 	counters.setGauge('jobs-waiting', [...countPending(state).values()].reduce((total, count) => total + count, 0));
 }
 
--- a/test/coordinator/job-watch.test.ts
+++ b/test/coordinator/job-watch.test.ts
@@ -8,9 +8,10 @@
 	createSchedulerState, receiveSchedulerMessage, type SchedulerEffect, type SchedulerMessage, type SchedulerState,
 } from '#scheduling';
 import {createMemoryStore, type MemoryStore} from '#stand-ins';
-import type {KeyValueStore, TransactionalStore, WatchReply} from '#store';
+import type {KeyValueStore, StoreFailure, TransactionalStore} from '#store';
 import {keyOf, submissionOf} from '#test/support/scheduling';
 import {elapse} from '#test/support/virtual-time';
+import {operatorSource, startZones} from '#test/support/zones';
 
 /** Longer than the records of an ended job are retained. */
 const retentionMilliseconds = 160_000;
@@ -18,7 +19,7 @@
 const accepted = (number: number): JobRecord => ({kind: 'accepted', submission: submissionOf(number, [{}])});
 const completed: JobProgress = {outcome: 'completed', tasks: {'0.0.0': {isDone: true}}, endedAt: 1};
 
-const lostReply: WatchReply = {kind: 'unavailable', effect: 'not-applied', message: 'status 503'};
+const lostReply: StoreFailure = {kind: 'unavailable', effect: 'not-applied', message: 'status 503'};
 
 type Fixture = Readonly<{
 	clock: VirtualClock;
@@ -102,15 +103,20 @@
 			const memory = createMemoryStore(clock);
 			await memory.setSwitches({readsPerSecond: 0, writesPerSecond: 0});
 			const store = memory.connect();
-			const writing = [store.write(`jobs/${keyOf(1)}`, accepted(1), {expectedVersion: 0}), store.write(`progress/${keyOf(1)}`, completed, {expectedVersion: 0})];
+			const writing = [store.write(`jobs/${keyOf(1)}`, accepted(1), {expectedVersion: 0}), store.write(`progress/${keyOf(1)}`, completed, {expectedVersion: 0}), store.write('op/evacuate/z-closed', {}, {expectedVersion: 0})];
 			await elapse(clock, 100);
 			await Promise.all(writing);
 			const services = createServices();
 			let watchFate: 'answered' | 'failing' | 'compacted' = 'answered';
 			let keyToOmit: string | undefined;
+			let areZonesReadable = false;
 			services.provide(storePort, {
 				...store,
 				async list(prefix) {
+					if (prefix === operatorSource.closedZonesPrefix && !areZonesReadable) {
+						return lostReply;
+					}
+
 					const reply = await store.list(prefix);
 					const omitted = keyToOmit;
 					if (omitted === undefined || reply.kind !== 'listed') {
@@ -134,6 +140,7 @@
 			const context = {
 				services, clock, random: () => 0.5, counters: createCounters(), log: silentLog,
 			} as unknown as CoordinatorContext;
+			startZones(context);
 			const isOver = () => false;
 			startJobWatch({
 				epoch: 2, leaderVersion: 1, task, isOver, workersRecord: {restore: () => undefined}, refusalRecords: {observe: () => undefined}, progressWriter: {},
@@ -145,8 +152,12 @@
 				}
 			};
 
+			await pass(1000);
+			expect(task.read().isLoaded, 'loaded without the list of closed zones').to.equal(false);
+			areZonesReadable = true;
 			await pass(1000);
 			expect(task.read().isLoaded).to.equal(true);
+			expect([...task.read().closedZones.zones.keys()]).to.deep.equal(['z-closed']);
 			await run({
 				clock, memory, store: {
 					...store,
--- a/test/coordinator/orders.test.ts
+++ b/test/coordinator/orders.test.ts
@@ -11,6 +11,7 @@
 	createReadyDriver, snapshotOf, startsOf, submissionOf, taskOf, type Driver,
 } from '#test/support/scheduling';
 import {elapse} from '#test/support/virtual-time';
+import {closedZonesOf} from '#test/support/zones';
 
 type Case = Readonly<{
 	name: string;
@@ -55,6 +56,15 @@
 		unsent: [1],
 		maximumWrites: 6,
 	},
+	{
+		name: 'an order to a worker whose zone was closed meanwhile is not sent (start in a closed zone)',
+		meanwhile(driver) {
+			driver.send({kind: 'zones-observed', zones: closedZonesOf(1, 'z')});
+		},
+		sent: [],
+		unsent: [1],
+		maximumWrites: 6,
+	},
 	{
 		name: 'an order to a worker that is gone ends (record written again and again)',
 		meanwhile(driver) {
@@ -127,7 +137,7 @@
 				task: {
 					read: driver.state,
 					send(message: Readonly<{kind: string; answers: ReadonlyArray<Readonly<{run: number; result: string}>>}>) {
-						unsentRuns.push(...message.answers.filter(({result}) => result === 'too-late').map(({run}) => run));
+						unsentRuns.push(...message.answers.filter(({result}) => result === 'too-late' || result === 'zone-closed').map(({run}) => run));
 					},
 				},
 			};
--- a/test/coordinator/undecided.test.ts
+++ b/test/coordinator/undecided.test.ts
@@ -2,9 +2,12 @@
 import {
 	admissionService, configurationService, coordinatorPlugins, leadershipService, undecidedService, type CoordinatorContext,
 } from '#coordinator';
-import {createServices, createVirtualClock, type VirtualClock} from '#kernel';
+import {
+	createCounters, createServices, createVirtualClock, silentLog, type VirtualClock,
+} from '#kernel';
 import type {RpcPeer} from '#transport';
 import {callMethod} from '#test/support/scheduling-entry';
+import {startZones} from '#test/support/zones';
 
 const path = '/batch/00000000000000a1';
 
@@ -23,7 +26,10 @@
 	services.provide(admissionService, {
 		request: () => ({kind: 'admitted'}), describe: () => undefined, observe: () => undefined,
 	});
-	const context = {services, clock} as unknown as CoordinatorContext;
+	const context = {
+		services, clock, counters: createCounters(), log: silentLog,
+	} as unknown as CoordinatorContext;
+	startZones(context);
 	coordinatorPlugins.tasks().find(({name}) => name === 'undecided')?.start(context);
 	return context;
 }
