Show closed zones and what still runs there

Operators could not see which zones the system takes for closed. An odd cold time in an announcement counts as none instead of refusing the announcement.

--- a/packages/command-line/commands/index.ts
+++ b/packages/command-line/commands/index.ts
@@ -7,3 +7,4 @@
 import './status.js';
 import './cancel.js';
 import './fleet.js';
+import './zones.js';
--- a/packages/coordinator/constants.ts
+++ b/packages/coordinator/constants.ts
@@ -32,6 +32,8 @@
 export const outageCheckIntervalMilliseconds = 100;
 /** Delay before the other entries are asked again; while the store is down for all of them, each round asks every entry. */
 export const successorRetryMilliseconds = 500;
+/** Runs in a closed zone that operators are shown one by one. */
+export const maximumShownRuns = 200;
 /** Timeout of calls between entries. */
 export const entryCallTimeoutMilliseconds = 900;
 /** Delay before a failed write of the scheduler's records is retried. */
--- a/packages/coordinator/plugins/index.ts
+++ b/packages/coordinator/plugins/index.ts
@@ -19,3 +19,4 @@
 import './attach-agent.js';
 import './renew-worker.js';
 import './count-pending.js';
+import './show-zones.js';
--- a/packages/protocol/methods.ts
+++ b/packages/protocol/methods.ts
@@ -11,7 +11,7 @@
 	attachParametersSchema, attachResultSchema, checkStoreResultSchema, countPendingParametersSchema, countPendingResultSchema,
 	entryExchangeParametersSchema, entryExchangeResultSchema, fetchConfigurationResultSchema, forwardedAnswerSchema, forwardedCallSchema,
 	schedulerAnnouncementSchema, renewWorkerParametersSchema, renewWorkerResultSchema, startTasksParametersSchema, startTasksResultSchema,
-	stopTasksParametersSchema, stopTasksResultSchema, takeOverParametersSchema,
+	showZonesResultSchema, stopTasksParametersSchema, stopTasksResultSchema, takeOverParametersSchema,
 } from './scheduling.js';
 
 /** All JSON-RPC methods between processes, with their parameter and result schemas. */
@@ -40,6 +40,7 @@
 	'entry.fetch-configuration': {parameters: emptySchema, result: fetchConfigurationResultSchema},
 	'entry.call': {parameters: forwardedCallSchema, result: forwardedAnswerSchema},
 	'entry.count-pending': {parameters: countPendingParametersSchema, result: countPendingResultSchema},
+	'entry.show-zones': {parameters: emptySchema, result: showZonesResultSchema},
 	'entry.check-store': {parameters: emptySchema, result: checkStoreResultSchema},
 	'entry.take-over': {parameters: takeOverParametersSchema, result: emptySchema},
 	probe: {parameters: emptySchema, result: emptySchema},
--- a/packages/protocol/scheduling.ts
+++ b/packages/protocol/scheduling.ts
@@ -205,6 +205,23 @@
 	valibot.object({kind: valibot.literal('not-scheduler')}),
 ]);
 
+export const showZonesResultSchema = valibot.variant('kind', [
+	valibot.object({
+		kind: valibot.literal('shown'),
+		zones: valibot.array(valibot.object({
+			zone: valibot.string(),
+			workers: countSchema,
+			runs: countSchema,
+			/** The first of the runs. */
+			listed: valibot.array(valibot.object({
+				task: taskNameSchema, run: countSchema, worker: workerIdSchema, stage: valibot.picklist(['starting', 'running', 'stopping']), percent: valibot.number(),
+			})),
+		})),
+	}),
+	valibot.object({kind: valibot.literal('not-scheduler')}),
+]);
+export type ShowZonesResult = Readonly<valibot.InferOutput<typeof showZonesResultSchema>>;
+
 /** Prefix of the store keys under which entries register. */
 export const registeredEntriesPrefix = 'cluster/entries/';
 
--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -54,6 +54,7 @@
 		name: 'a manifest without a readable value', decode: () => decodeManifest(undefined), kind: 'invalid', place: 'op/config',
 	},
 	{name: 'an announcement', decode: () => decodeAnnouncement(worker, JSON.stringify(announcement)), kind: 'valid'},
+	{name: 'an announcement with an odd cold time', decode: () => decodeAnnouncement(worker, JSON.stringify({...announcement, cold_remaining_ms: 'long'})), kind: 'valid'},
 	{
 		name: 'an announcement in an unknown state', decode: () => decodeAnnouncement(worker, JSON.stringify({...announcement, state: 'asleep'})), kind: 'invalid', place: 'state',
 	},
--- a/test/support/platform/store.ts
+++ b/test/support/platform/store.ts
@@ -23,6 +23,7 @@
 	/** Writes as the operator does. */
 	put(key: string, value: unknown): void;
 	putBytes(key: string, bytes: string): void;
+	remove(key: string): void;
 	read(key: string): unknown;
 	/** Forgets the history, so that waiting watches are gone. */
 	compact(): void;
@@ -233,6 +234,11 @@
 			put(key, Buffer.from(JSON.stringify(value)).toString('base64'), 0);
 			wake();
 		},
+		remove(key) {
+			revision++;
+			remove(key);
+			wake();
+		},
 		putBytes(key, bytes) {
 			revision++;
 			put(key, bytes, 0);
