Let the soak close and open a zone

No soak closed a zone, so that nothing checked the bound while programs fail.

The cases of the check pass.

--- a/soak/check.ts
+++ b/soak/check.ts
@@ -1,5 +1,6 @@
 /** Checks the invariants of the system against what callers and workers recorded. */
 import {assertNever, type Milliseconds} from '#core';
+import {checkClosedZones} from './closed-zones.js';
 import type {
 	Violation, CallRecord, Fault, History, JobDescription, RunRecord,
 } from './types.js';
@@ -42,6 +43,7 @@
 			];
 		}),
 		...checkConfiguration(history),
+		...checkClosedZones(history),
 	];
 }
 
@@ -82,10 +84,11 @@
 	});
 }
 
-/** How long a fault may disturb or postpone orders; a graceful departure and a new configuration disturb none. */
+/** How long a fault may disturb or postpone orders; a graceful departure, a new configuration and a closed zone disturb none. */
 function measureDisturbance(fault: Fault): Milliseconds {
 	switch (fault.kind) {
-		case 'change-configuration': {
+		case 'change-configuration':
+		case 'close-zone': {
 			return 0;
 		}
 
@@ -170,7 +173,7 @@
 
 	// Delayed starts and faults can postpone the effect of orders sent before the cancellation.
 	const delays = plan.faults.map(fault => fault.kind === 'late-starts' || fault.kind === 'late-orders' || fault.kind === 'late-returns' ? fault.delay : 0);
-	const durations = plan.faults.map(fault => fault.kind === 'leave-worker' ? fault.departure.endsAfter : fault.duration);
+	const durations = plan.faults.map(fault => fault.kind === 'leave-worker' ? fault.departure.endsAfter : (fault.kind === 'close-zone' ? 0 : fault.duration));
 	const toleranceMilliseconds = cancelMilliseconds + Math.max(0, ...delays, ...durations);
 	const late = runs.filter(({startedAt}) => startedAt > cancelled + toleranceMilliseconds);
 	const unfinished = runs.filter(run => run.endedAt === undefined && endedAt > cancelled + toleranceMilliseconds);
--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -3,12 +3,13 @@
 import {sleep, systemClock} from '#kernel';
 import {loopbackHost} from '#test/support/loopback';
 import {killAll, type Daemon} from '#test/support/processes';
-import {describeManifest, manifestKey} from '#test/support/platform/caller';
+import {describeManifest, evacuationPrefix, manifestKey} from '#test/support/platform/caller';
 import {
 	addressesOf, startPlatformAgent, startPlatformEntry, type ProgramOptions,
 } from '#test/support/platform/programs';
 import {servePlatformStore} from '#test/support/platform/store';
 import {servePlatformWorker} from '#test/support/platform/worker';
+import {zoneOfWorker} from './closed-zones.js';
 import {openProxy} from './proxy.js';
 import type {
 	Fault, PlanScope, ProgramFault, RunRecord, SoakPlan,
@@ -50,6 +51,7 @@
 	programs: (index: number) => 300 + (index * 200),
 	'programs-and-workers': (index: number) => 600 + (index * 900),
 	'programs-workers-and-late-returns': (index: number) => 600 + (index * 900),
+	'programs-and-closed-zones': (index: number) => 300 + (index * 200),
 } as const satisfies Readonly<Record<PlanScope, (index: number) => Milliseconds>>;
 
 export async function startFleet({seed, size: {entries, workers}, scope = 'programs'}: SoakPlan): Promise<Fleet> {
@@ -60,7 +62,7 @@
 	store.put(manifestKey, describeConfiguration(version));
 	const storeLinks = await Promise.all(Array.from({length: entries}, async (_, index) => openProxy(loopbackHost(index), store.address)));
 	const workerList = await Promise.all(Array.from({length: workers}, async (_, index) => servePlatformWorker({
-		host: agentHostOf(index), id: `i-${index}`, rack: `r-${index % 2}`, service: 'svc', workMilliseconds: workMillisecondsOf[scope](index),
+		host: agentHostOf(index), id: `i-${index}`, rack: `r-${index % 2}`, service: 'svc', zone: zoneOfWorker(index), workMilliseconds: workMillisecondsOf[scope](index),
 	})));
 	const workerLinks = await Promise.all(workerList.map(async (worker, index) => openProxy(agentHostOf(index), worker.address)));
 	const seeds = `${loopbackHost(0)}:1`;
@@ -137,6 +139,13 @@
 				break;
 			}
 
+			case 'close-zone': {
+				store.put(evacuationPrefix + fault.zone, {});
+				await sleep(systemClock, fault.duration);
+				store.remove(evacuationPrefix + fault.zone);
+				break;
+			}
+
 			default: {
 				assertNever(fault);
 			}
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -2,10 +2,11 @@
 import {
 	assertNever, createRandomSource, pickInteger, type RandomSource,
 } from '#core';
+import {planClosedZones} from './closed-zones.js';
 import {planLateReturns} from './late-returns.js';
 import {pick} from './pick.js';
 import type {
-	LinkMode, PlanScope, ProgramFault, SoakPlan, SoakSize, WorkerFault,
+	Fault, LinkMode, PlanScope, ProgramFault, SoakPlan, SoakSize,
 } from './types.js';
 import {planWorkerFaults} from './worker-faults.js';
 
@@ -38,12 +39,12 @@
 	const times = Array.from({length: count}, () => Math.floor(random() * size.seconds * 1000)).toSorted((first, second) => first - second);
 	const faults = times.map((at, index) => planFault(at, index, size, random));
 	return {
-		seed, size, scope, faults: [...faults, ...planFaultsOfWorkers(seed, size, scope)].toSorted((first, second) => first.at - second.at),
+		seed, size, scope, faults: [...faults, ...planFurtherFaults(seed, size, scope)].toSorted((first, second) => first.at - second.at),
 	};
 }
 
 /** The faults that each scope adds come from a random source of their own. */
-function planFaultsOfWorkers(seed: number, size: SoakSize, scope: PlanScope): readonly WorkerFault[] {
+function planFurtherFaults(seed: number, size: SoakSize, scope: PlanScope): readonly Fault[] {
 	switch (scope) {
 		case 'programs': {
 			return [];
@@ -57,6 +58,10 @@
 			return [...planWorkerFaults(seed, size), ...planLateReturns(seed, size)];
 		}
 
+		case 'programs-and-closed-zones': {
+			return planClosedZones(seed, size);
+		}
+
 		default: {
 			return assertNever(scope);
 		}
--- a/soak/types.ts
+++ b/soak/types.ts
@@ -17,6 +17,8 @@
 	| Readonly<{kind: 'entry-store-link' | 'agent-worker-link'; index: number; mode: LinkMode}>
 	| Readonly<{kind: 'late-starts'; index: number; delay: Milliseconds}>
 	| Readonly<{kind: 'change-configuration'; version: number}>
+	/** The operator closes the zone, and opens it at the end of the fault. */
+	| Readonly<{kind: 'close-zone'; zone: string}>
 );
 
 /** How a worker ends and comes back under its identifier, after a pause. */
@@ -47,8 +49,8 @@
 
 export type SoakSize = Readonly<{entries: number; workers: number; seconds: number}>;
 
-/** Which faults a plan contains. Each scope adds faults to those of the one before, whose plans stay as they were. */
-export const planScopes = ['programs', 'programs-and-workers', 'programs-workers-and-late-returns'] as const;
+/** Which faults a plan contains. Each scope adds faults to those of the one before, whose plans stay as they were; the last one adds a closed zone to those of the programs. */
+export const planScopes = ['programs', 'programs-and-workers', 'programs-workers-and-late-returns', 'programs-and-closed-zones'] as const;
 export type PlanScope = typeof planScopes[number];
 
 /** Histories of earlier versions have no scope. */
--- a/test/soak/check.test.ts
+++ b/test/soak/check.test.ts
@@ -119,6 +119,21 @@
 		},
 		violated: ['steps run in their order'],
 	},
+	{
+		name: 'reports a start in a closed zone after the bound, and none before it, elsewhere or later (check that finds nothing)',
+		history: {
+			plan: {
+				...calmPlan, faults: [{
+					at: 0, duration: 9000, kind: 'close-zone', zone: 'z-1',
+				}],
+			},
+			calls: [accepted, callOf('show', 20_000, {state: 'completed'})],
+			runs: [[4000, 'i-1'], [7000, 'i-1'], [8000, 'i-2'], [9500, 'i-1']].map(([startedAt, worker], index) => runOf({
+				worker: String(worker), run: index + 1, startedAt: Number(startedAt), endedAt: Number(startedAt) + 100, ending: index === 3 ? 'done' : 'stopped',
+			})),
+		},
+		violated: ['no task starts in a closed zone'],
+	},
 	{
 		name: 'reports a start long after a cancellation',
 		history: {calls: [accepted, callOf('cancel', 900)], runs: [runOf({startedAt: 20_000, endedAt: 20_100, ending: 'stopped'})]},
--- a/test/support/platform/caller.ts
+++ b/test/support/platform/caller.ts
@@ -34,6 +34,8 @@
 
 /** Key of the store that the operator writes. */
 export const manifestKey = 'op/config';
+/** Prefix of the keys that close zones. */
+export const evacuationPrefix = 'op/evacuate/';
 
 export function describeManifest(version: number, queues: readonly QueueDescription[]): unknown {
 	return {
