--- a/test/support/platform/programs.ts
+++ b/test/support/platform/programs.ts
@@ -1,5 +1,5 @@
 /** Starts the platform's programs on loopback, with the settings that the deploy file gives them. */
-import {startDaemon, type Daemon} from '../processes.js';
+import {startDaemon, type Daemon, type DaemonOptions} from '../processes.js';
 
 /** Addresses of one program; `base` is the first of its ports. */
 type Place = Readonly<{index: number; host: string; base: number; seeds: string; storeAddress: string}>;
@@ -11,10 +11,10 @@
 	announcements: (host: string, base: number) => `${host}:${base + 4}`,
 } as const;
 
-/** Further settings, and what becomes of standard error. */
-export type ProgramOptions = Readonly<{settings?: Readonly<Record<string, string | number>>; errors?: 'inherit' | 'ignore'}>;
+/** Further settings, and how the process is started. */
+export type ProgramOptions = Readonly<{settings?: Readonly<Record<string, string | number>>}> & DaemonOptions;
 
-export async function startPlatformEntry({index, host, base, seeds, storeAddress}: Place, {settings = {}, errors}: ProgramOptions = {}): Promise<Daemon> {
+export async function startPlatformEntry({index, host, base, seeds, storeAddress}: Place, {settings = {}, ...options}: ProgramOptions = {}): Promise<Daemon> {
 	return startDaemon('platform-entry', {
 		entry: `entry-${index}`,
 		zone: 'z',
@@ -27,10 +27,10 @@
 		'metrics-port': base + 1,
 		'grace-seconds': 3,
 		...settings,
-	}, errors);
+	}, options);
 }
 
-export async function startPlatformAgent({index, host, base, seeds, storeAddress}: Place, workerAddress: string, {settings = {}, errors}: ProgramOptions = {}): Promise<Daemon> {
+export async function startPlatformAgent({index, host, base, seeds, storeAddress}: Place, workerAddress: string, {settings = {}, ...options}: ProgramOptions = {}): Promise<Daemon> {
 	return startDaemon('platform-agent', {
 		agent: `agent-${index}`,
 		'listen-host': host,
@@ -42,5 +42,5 @@
 		'maximum-hold-milliseconds': 6000,
 		'metrics-port': base + 1,
 		...settings,
-	}, errors);
+	}, options);
 }
--- a/test/support/processes.ts
+++ b/test/support/processes.ts
@@ -11,17 +11,29 @@
 
 export type DaemonName = 'dotterelnotch-entry' | 'dotterelnotch-agent' | 'stand-in-store' | 'stand-in-worker' | 'platform-entry' | 'platform-agent';
 
+export type DaemonOptions = Readonly<{
+	errors?: 'inherit' | 'ignore';
+	/** Arguments of Node itself. Example: `--max-old-space-size=96`. */
+	nodeArguments?: readonly string[];
+	/** Environment variables beside those of the test. */
+	environment?: Readonly<Record<string, string>>;
+}>;
+
 /** Starts a daemon and waits until it says that it is ready. */
-export async function startDaemon(name: DaemonName, settings: Readonly<Record<string, string | number>>, errors: 'inherit' | 'ignore' = 'inherit'): Promise<Daemon> {
+export async function startDaemon(name: DaemonName, settings: Readonly<Record<string, string | number>>, {errors = 'inherit', nodeArguments = [], environment = {}}: DaemonOptions = {}): Promise<Daemon> {
 	const flags = Object.entries(settings).map(([setting, value]) => `--${setting}=${value}`);
-	const child = spawn(process.execPath, [`dist/${name}.mjs`, ...flags], {stdio: ['ignore', 'pipe', errors]});
+	const child = spawn(process.execPath, [...nodeArguments, `dist/${name}.mjs`, ...flags], {stdio: ['ignore', 'pipe', errors], env: {...process.env, ...environment}});
 	const exited = new Promise<number | null>(resolve => {
 		child.once('exit', resolve);
 	});
 	const lines = createInterface({input: child.stdout});
 	const ready = new Promise<Readonly<Record<string, number>>>((resolve, reject) => {
-		// Log lines come on the same stream.
+		// Log lines come on the same stream, and so does the report of a process that ran out of memory.
 		lines.on('line', line => {
+			if (!line.startsWith('{')) {
+				return;
+			}
+
 			const parsed = JSON.parse(line) as Readonly<{ready?: boolean; ports?: Readonly<Record<string, number>>}>;
 			if (parsed.ready === true && parsed.ports !== undefined) {
 				resolve(parsed.ports);
