Bound the findings of one input

A body within its size limit holds 500,000 wrong values, and each became a finding of some 500 bytes: ten such bodies ended an entry with a heap of 96 MB. An input is now checked up to its first finding; only one with at most 20,000 values is checked again for all findings, of which 2,000 are reported.

--- a/packages/core/check.ts
+++ b/packages/core/check.ts
@@ -29,12 +29,34 @@
 @param root - Name of the whole input, used for findings without a path.
 */
 export function checkInput<Schema extends valibot.GenericSchema>(schema: Schema, input: unknown, root = 'body'): CheckResult<valibot.InferOutput<Schema>> {
-	const result = valibot.safeParse(schema, input);
-	if (result.success) {
-		return {kind: 'valid', value: result.output};
+	const first = valibot.safeParse(schema, input, {abortEarly: true});
+	if (first.success) {
+		return {kind: 'valid', value: first.output};
 	}
 
-	return {kind: 'invalid', findings: result.issues.map(issue => createFinding(issue, root))};
+	const issues = hasMoreValues(input, maximumCheckedValues) ? first.issues : valibot.safeParse(schema, input).issues;
+	return {kind: 'invalid', findings: (issues ?? first.issues).slice(0, maximumFindings).map(issue => createFinding(issue, root))};
+}
+
+/** Values of an input above which only its first finding is reported. Each finding takes some 500 bytes, and 500,000 wrong values fit in a body of 1 MB. */
+const maximumCheckedValues = 20_000;
+const maximumFindings = 2000;
+
+function hasMoreValues(input: unknown, maximum: number): boolean {
+	const pending: unknown[] = [input];
+	let count = 0;
+	while (pending.length > 0) {
+		const value = pending.pop();
+		const members = typeof value === 'object' && value !== null ? Object.values(value) : [];
+		count += members.length;
+		if (count > maximum) {
+			return true;
+		}
+
+		pending.push(...members);
+	}
+
+	return false;
 }
 
 function createFinding(issue: valibot.BaseIssue<unknown>, root: string): Finding {
