Decide which connections of a listener are refused or closed

Pure functions of what the connections hold: which of them free their memory when the budget of the listener or of a team is exceeded, and which one gives way to a new connection.

--- a/packages/limits/index.ts
+++ b/packages/limits/index.ts
@@ -6,3 +6,4 @@
 export * from './admission.js';
 export * from './retry-budget.js';
 export * from './rate-limit.js';
+export * from './connections.js';
