--- a/packages/limits/connections.ts
+++ b/packages/limits/connections.ts
@@ -49,7 +49,8 @@
 */
 export function chooseReleases(uses: readonly ConnectionUse[], {totalBytes, teamBytes}: ReceivingBudget, now: MonotonicTime): readonly Release[] {
 	const candidates = uses.filter(({releasableBytes}) => releasableBytes > 0).toSorted((first, second) => compareForRelease(first, second, now));
-	const teams = sumByTeam(uses);
+	// Where one team may use all, there are no teams.
+	const teams = teamBytes < totalBytes ? sumByTeam(uses) : [];
 	const releases: Release[] = [];
 	const released = new Set<number>();
 	for (const [team, bytes] of teams) {
--- a/test/limits/connections.test.ts
+++ b/test/limits/connections.test.ts
@@ -103,6 +103,11 @@
 		});
 	}
 
+	it('without a part for a team only the whole budget counts (wrong reason in the logs)', () => {
+		const uses = [useOf(1, {team: undefined, bytes: 500}), useOf(2, {team: undefined, bytes: 400})];
+		expect(chooseReleases(uses, {totalBytes: 800, teamBytes: 800}, now)).to.deep.equal([{connection: 1, reason: 'receive-budget-exceeded'}]);
+	});
+
 	it('after the releases all bounds hold, and none is released twice (crowd outgrows the budget)', () => {
 		fastCheck.assert(fastCheck.property(fastCheck.array(anyUse, {maxLength: 30}), items => {
 			const uses = items.map((item, index) => useOf(index, item));
