Bound buffered log lines by their size

The buffer held 4,000 lines of any length; a line with findings takes up to 200 KB, so that a slow reader of the log could cost 800 MB. It now holds at most 2 MB beside the write that is under way.

--- a/packages/kernel/log-output.ts
+++ b/packages/kernel/log-output.ts
@@ -5,6 +5,8 @@
 
 /** Buffer capacity in lines; about 1 MB of typical lines. */
 const maximumBufferedLines = 4000;
+/** Bound for lines that are longer; a line with findings or a path of a caller holds up to 200 KB. */
+const maximumBufferedCharacters = 2_000_000;
 /** Delay before a write to a full pipe is retried. */
 const retryMilliseconds = 20;
 
@@ -15,6 +17,7 @@
 */
 export function createLogOutput(descriptor: number, linesPerSecond: number, now: () => number): LogOutput {
 	let buffered: string[] = [];
+	let bufferedCharacters = 0;
 	let isWriting = false;
 	let droppedLines = 0;
 	let lastSecond = 0;
@@ -31,6 +34,7 @@
 			flush();
 		});
 		buffered = [];
+		bufferedCharacters = 0;
 	};
 
 	return {
@@ -38,7 +42,7 @@
 			const currentSecond = Math.floor(now() / 1000);
 			linesInSecond = currentSecond === lastSecond ? linesInSecond + 1 : 1;
 			lastSecond = currentSecond;
-			if (linesInSecond > linesPerSecond || buffered.length >= maximumBufferedLines) {
+			if (linesInSecond > linesPerSecond || buffered.length >= maximumBufferedLines || bufferedCharacters >= maximumBufferedCharacters) {
 				droppedLines++;
 				return;
 			}
@@ -51,6 +55,7 @@
 			}
 
 			buffered.push(line);
+			bufferedCharacters += line.length;
 			flush();
 		},
 	};
