Limit the refusal records that an entry writes

Each submission whose write got no answer may leave a record for 150 s, and callers may use a new key each time. Over 10 a second and 150 at once no record is written, and the outcome stays unknown to the caller (504), as it is without the record.

--- a/packages/coordinator/callers/submit.ts
+++ b/packages/coordinator/callers/submit.ts
@@ -8,6 +8,7 @@
 import {storeMonitorService, storePort} from '../ports.js';
 import {storeUnavailableAnswer} from './unavailable.js';
 import {schedulerService} from '../plugins/scheduler.js';
+import {refusalPermitsService} from '../plugins/withdrawals.js';
 import type {CoordinatorContext} from '../types.js';
 
 /** Delay between attempts to read back whether a write was applied. */
@@ -124,6 +125,12 @@
 		return storeUnavailableAnswer;
 	}
 
+	// Without the record nothing is certain, and the outcome stays unknown to the caller.
+	if (services.use(refusalPermitsService).request().kind === 'refused') {
+		counters.countEvent('refusal-record-limited');
+		return undefined;
+	}
+
 	const reply = await store.write(key, {kind: 'refused', refusedAt: clock.now()} satisfies JobRecord, {expectedVersion: version});
 	return reply.kind === 'written' ? storeUnavailableAnswer : undefined;
 }
--- a/packages/coordinator/constants.ts
+++ b/packages/coordinator/constants.ts
@@ -54,6 +54,8 @@
 export const maximumCallerReplyMarginMilliseconds = 300;
 /** Jobs that an entry withdraws in a second, and at once. With 12 entries, 9,000 records are retained at most, which a new scheduler reads in 18 pages. */
 export const withdrawalLimit = {perSecond: 5, burst: 60} as const;
+/** Refusal records that an entry writes in a second, and at once, for submissions whose write got no answer. With 14 entries, 23,000 records are retained at most; while 5% of the answers are lost, the limit is met by 200 submissions a second. */
+export const refusalRecordLimit = {perSecond: 10, burst: 150} as const;
 /** How long records of refused and withdrawn jobs are retained, as long as those of ended jobs. A copy of a submission that is processed later than that is taken for a new one. */
 export const refusalRetentionMilliseconds = 150_000;
 /** Refusal and withdrawal records that one transaction removes: one condition and one removal for each, and the leader record, of 32. */
--- a/packages/coordinator/index.ts
+++ b/packages/coordinator/index.ts
@@ -29,6 +29,6 @@
 export {createRefusalRecords} from './refusal-records.js';
 export {admissionService, type Admission} from './plugins/admission.js';
 export {submitWithinBudget} from './callers/submit-within-budget.js';
-export {withdrawalsService} from './plugins/withdrawals.js';
+export {refusalPermitsService, withdrawalsService} from './plugins/withdrawals.js';
 export {undecidedService} from './plugins/undecided.js';
 export {configurationService} from './plugins/configuration.js';
--- a/test/coordinator/submit.test.ts
+++ b/test/coordinator/submit.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import {
-	schedulerService, storeMonitorService, storePort, submitJob, type CoordinatorContext, type Scheduler, type StoreMonitor,
+	refusalPermitsService, schedulerService, storeMonitorService, storePort, submitJob, type CoordinatorContext, type Scheduler, type StoreMonitor,
 } from '#coordinator';
 import type {JobRecord} from '#jobs';
 import {createCounters, createServices, type Clock} from '#kernel';
@@ -21,6 +21,8 @@
 	fates: readonly Fate[];
 	answer: 'accepted' | 'refused' | 'undecided' | 'withdrawn';
 	storedAtEnd: JobRecord['kind'];
+	/** The entry has written as many refusal records as it may. */
+	isLimited?: true;
 }>;
 
 const cases: readonly Case[] = [
@@ -63,6 +65,14 @@
 		answer: 'undecided',
 		storedAtEnd: 'accepted',
 	},
+	{
+		name: 'over the limit of refusal records the outcome is unknown (a record for each key that a caller invents, or refused job that runs)',
+		stored: undefined, fates: ['late'], answer: 'undecided', storedAtEnd: 'accepted', isLimited: true,
+	},
+	{
+		name: 'over the limit of refusal records a job that was stored is accepted (caller that waits in vain)',
+		stored: undefined, fates: ['reply-lost'], answer: 'accepted', storedAtEnd: 'accepted', isLimited: true,
+	},
 ];
 
 const lostReply: WriteReply = {kind: 'unavailable', effect: 'perhaps-applied', message: 'timeout'};
@@ -133,7 +143,9 @@
 }
 
 describe('submission of a job', () => {
-	for (const {name, stored, fates, answer, storedAtEnd} of cases) {
+	for (const {
+		name, stored, fates, answer, storedAtEnd, isLimited,
+	} of cases) {
 		it(name, async () => {
 			const submission = submissionOf(1, [{}]);
 			const records: Readonly<Record<JobRecord['kind'], JobRecord>> = {
@@ -144,6 +156,7 @@
 			const services = createServices();
 			services.provide(storePort, store as TransactionalStore);
 			services.provide(storeMonitorService, {isFailing: () => false, measureOutage: () => 0} satisfies Omit<StoreMonitor, 'store'>);
+			services.provide(refusalPermitsService, {request: () => isLimited === true ? {kind: 'refused', retryAfterMilliseconds: 1000} : {kind: 'granted'}});
 			services.provide(schedulerService, {send: () => undefined} as unknown as Scheduler);
 			const context = {services, clock: createSteppingClock(), counters: createCounters()} as unknown as CoordinatorContext;
 			const answered = await submitJob(submission, 1000, context);
