--- a/packages/transport/listener-limits.ts
+++ b/packages/transport/listener-limits.ts
@@ -26,19 +26,19 @@
 const connectionsSchema = wholeNumberSettingSchema(1, 100_000);
 const bytesSchema = wholeNumberSettingSchema(1024, 1_073_741_824);
 
-/** Settings of the listeners of an entry. With the defaults all ports of an entry use at most 3,600 descriptors, of the 3,896 that its machine leaves it, and 44 MB. */
+/** Settings of the listeners of an entry. With the defaults all ports of an entry use at most 3,828 descriptors of the 3,896 that its machine leaves it. */
 export const entryListenerSettings = {
-	'maximum-connections': {schema: connectionsSchema, description: 'Maximum number of connections of callers; idle ones are closed in favour of new ones', default: '1200'},
+	'maximum-connections': {schema: connectionsSchema, description: 'Maximum number of connections of callers; idle ones are closed in favour of new ones', default: '2000'},
 	'maximum-body-bytes': {schema: bytesSchema, description: 'Size limit of a request body', default: String(maximumBodyBytes)},
 	'receive-budget-bytes': {
 		schema: bytesSchema,
 		description: 'Memory for requests being received and answers that are not read, over all connections of callers; on the platform half of it for one team', default: String(32 * megabyte),
 	},
 	'unread-answer-milliseconds': {schema: wholeNumberSettingSchema(100, 600_000), description: 'Time in which an answer has to be read before its connection is closed', default: '10000'},
-	'operations-connections': {schema: connectionsSchema, description: 'Maximum number of connections of each further HTTP port: operations and, on the platform, readiness', default: '200'},
+	'operations-connections': {schema: connectionsSchema, description: 'Maximum number of connections of each further HTTP port: operations and, on the platform, readiness', default: '64'},
 	'operations-budget-bytes': {schema: bytesSchema, description: 'The same memory for each of these ports', default: String(4 * megabyte)},
-	'maximum-peer-connections': {schema: connectionsSchema, description: 'Maximum number of connections of agents and other entries', default: '1800'},
-	'handshake-connections': {schema: connectionsSchema, description: 'Maximum number of connections to the port for agents and entries that are not established yet', default: '200'},
+	'maximum-peer-connections': {schema: connectionsSchema, description: 'Maximum number of connections of agents and other entries', default: '1600'},
+	'handshake-connections': {schema: connectionsSchema, description: 'Maximum number of connections to the port for agents and entries that are not established yet', default: '100'},
 	'peer-budget-bytes': {
 		schema: bytesSchema, description: 'Memory for messages being received and messages that are not read, over all connections of agents and other entries', default: String(32 * megabyte),
 	},
@@ -50,7 +50,7 @@
 	'maximum-body-bytes': entryListenerSettings['maximum-body-bytes'],
 	'receive-budget-bytes': {schema: bytesSchema, description: 'Memory for announcements being received and answers that are not read, over all connections', default: String(8 * megabyte)},
 	'unread-answer-milliseconds': entryListenerSettings['unread-answer-milliseconds'],
-	'operations-connections': {schema: connectionsSchema, description: 'Maximum number of connections of the operations port', default: '200'},
+	'operations-connections': {schema: connectionsSchema, description: 'Maximum number of connections of the operations port', default: '64'},
 	'operations-budget-bytes': {schema: bytesSchema, description: 'The same memory for the operations port', default: String(4 * megabyte)},
 } as const satisfies SettingDefinitions;
 
--- a/test/crowds/crowds.test.ts
+++ b/test/crowds/crowds.test.ts
@@ -23,6 +23,7 @@
 const unreadReads: Behaviour = {kind: 'pipelined', requests: 2000, method: 'GET'};
 const unreadSubmissions: Behaviour = {kind: 'pipelined', requests: 1000, method: 'POST'};
 const smallChunks: Behaviour = {kind: 'unfinished-chunks', bytes: 8000, chunkBytes: 1};
+const emptySteps: Behaviour = {kind: 'wrong-steps', steps: 349_000, step: '{}'};
 const silent: Behaviour = {kind: 'silent'};
 
 const cases: readonly Case[] = [
@@ -45,7 +46,13 @@
 		name: 'submissions with a new key each whose answers are not read, at the callers\' port', port: 'front', behaviour: unreadSubmissions, size: 60,
 	},
 	{
-		name: 'bodies of many steps that do not fit the schema, at the callers\' port', port: 'front', behaviour: {kind: 'wrong-steps', steps: 500_000}, size: 10,
+		name: 'bodies of many steps that do not fit the schema, at the callers\' port', port: 'front', behaviour: {kind: 'wrong-steps', steps: 500_000, step: '0'}, size: 10,
+	},
+	{
+		name: 'bodies of many empty steps, at the callers\' port', port: 'front', behaviour: emptySteps, size: 10,
+	},
+	{
+		name: 'bodies of many empty steps, at the announcements of an agent', port: 'announcements', behaviour: emptySteps, size: 10,
 	},
 	{
 		name: 'connections that send nothing, at the callers\' port', port: 'front', behaviour: silent, size: 200, limits: connectionLimits, maximumDescriptors: maximumConnections + ownDescriptors,
--- a/test/support/crowds/client.ts
+++ b/test/support/crowds/client.ts
@@ -12,7 +12,7 @@
 	/** Requests in a row, whose answers are never read. Each names a job of its own. */
 	| Readonly<{kind: 'pipelined'; requests: number; method: 'GET' | 'POST'}>
 	/** A whole body of this many steps, none of which fits the schema. */
-	| Readonly<{kind: 'wrong-steps'; steps: number}>
+	| Readonly<{kind: 'wrong-steps'; steps: number; step: '0' | '{}'}>
 	/** Nothing. */
 	| Readonly<{kind: 'silent'}>;
 
@@ -66,7 +66,7 @@
 		}
 
 		case 'wrong-steps': {
-			const body = `{"steps":[${Array.from({length: behaviour.steps}, () => '0').join(',')}]}`;
+			const body = `{"steps":[${Array.from({length: behaviour.steps}, () => behaviour.step).join(',')}]}`;
 			yield writeHead(method, path, `content-length: ${body.length}\r\n`);
 			yield body;
 			break;
