--- a/packages/transport/listener-limits.ts
+++ b/packages/transport/listener-limits.ts
@@ -32,7 +32,8 @@
 	'maximum-body-bytes': {schema: bytesSchema, description: 'Size limit of a request body', default: String(maximumBodyBytes)},
 	'receive-budget-bytes': {
 		schema: bytesSchema,
-		description: 'Memory for requests being received and answers that are not read, over all connections of callers; on the platform half of it for one team', default: String(32 * megabyte),
+		description: 'Memory for requests being received and answers that are not read, over all connections of callers; on the platform half of it for one team',
+		default: String(16 * megabyte),
 	},
 	'unread-answer-milliseconds': {schema: wholeNumberSettingSchema(100, 600_000), description: 'Time in which an answer has to be read before its connection is closed', default: '10000'},
 	'operations-connections': {schema: connectionsSchema, description: 'Maximum number of connections of each further HTTP port: operations and, on the platform, readiness', default: '64'},
