Decode the image of a step

Cause: tasks that slow each other down are to be told apart by their image, which the scheduler did not receive. Change: a step has an optional image.

--- a/packages/jobs/types.ts
+++ b/packages/jobs/types.ts
@@ -42,6 +42,8 @@
 	requiredLabel: valibot.optional(valibot.string()),
 	/** Rack that holds the data; tasks run slower in other racks. */
 	dataRack: valibot.optional(valibot.string()),
+	/** Image that the tasks run; tasks of one image are of one kind. */
+	image: valibot.optional(valibot.string()),
 	/** Maximum number of tasks of one occurrence on one worker; 0 means unlimited. */
 	maximumPerWorker: countSchema,
 	/** Whether the tasks run until the job is cancelled. */
--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -42,6 +42,7 @@
 	{
 		name: 'a job that is not an object', decode: () => decodeJob(undefined), kind: 'invalid', place: 'body',
 	},
+	{name: 'a job with an image that is no text (job refused for a field that only serves a preference)', decode: () => decodeJob({steps: [{count: 1, image: 7}]}), kind: 'valid'},
 	{name: 'a job with unknown fields', decode: () => decodeJob({steps: [{count: 1, colour: 'red'}], more: 1}), kind: 'valid'},
 	{name: 'a manifest with unknown fields', decode: () => decodeManifest({version: 1, routes: [{...route, colour: 'red'}], tenants: []}), kind: 'valid'},
 	{
