Place by the speeds of workers and keep tasks apart that slow each other down

Cause: a gang is as slow as its slowest member, and placement knew no speeds. Change: the scheduler samples paces once a second at a tick. Among places that fit equally well a gang takes that whose slowest member is fastest; slow workers and conflicting neighbours are left out while others have room. The setting keep-apart switches the latter off. Without beliefs placement is as before.

--- a/packages/coordinator/plugins/scheduler.ts
+++ b/packages/coordinator/plugins/scheduler.ts
@@ -2,6 +2,7 @@
 import {
 	createServiceKey, startTask, type Cancel, type TaskHandle,
 } from '#kernel';
+import {countBeliefs} from '#pace';
 import {
 	countOpenTasks, countPending, createSchedulerState, receiveSchedulerMessage, type SchedulerEffect, type SchedulerMessage, type SchedulerState,
 } from '#scheduling';
@@ -77,7 +78,7 @@
 		}
 	});
 	const task = startTask<SchedulerState, SchedulerMessage, SchedulerEffect>(
-		{name: 'scheduler', initialState: createSchedulerState(epoch), receive: receiveSchedulerMessage},
+		{name: 'scheduler', initialState: createSchedulerState(epoch, context.settings['keep-apart']), receive: receiveSchedulerMessage},
 		{
 			clock,
 			perform(effect) {
@@ -162,6 +163,10 @@
 	counters.setGauge('usable-workers', usable.length);
 	counters.setGauge('open-tasks', countOpenTasks(state));
 	counters.setGauge('unread-workers', state.unread.size);
+	const beliefs = countBeliefs(state.pace.beliefs);
+	counters.setGauge('known-worker-speeds', beliefs.speeds);
+	counters.setGauge('slow-workers', beliefs.slowWorkers);
+	counters.setGauge('interference-beliefs', beliefs.interference);
 	counters.setGauge('jobs-waiting', [...countPending(state).values()].reduce((total, count) => total + count, 0));
 }
 
--- a/packages/scheduling/ends.ts
+++ b/packages/scheduling/ends.ts
@@ -1,11 +1,12 @@
 /** Handles the ends of runs that workers list. */
 import type {CurrentTime} from '#core';
 import {
-	isSameIncarnation, parseJobOfTask, type EndedRun, type JobKey, type TaskName, type WorkerIncarnation,
+	isSameIncarnation, parseJobOfTask, type EndedRun, type JobKey, type TaskName,
 } from '#jobs';
 import {avoidWorker} from './avoidance.js';
 import {avoidanceMilliseconds, failuresBeforeAvoidance} from './constants.js';
 import {isComplete, openForReport} from './occurrences.js';
+import {noteEndedRun, type EndOrigin} from './pace.js';
 import {
 	chain, endJob, stopRuns, storeJob, withoutEffects, type SchedulerTransition,
 } from './runs.js';
@@ -71,11 +72,8 @@
 	};
 }
 
-/** The incarnation that listed an end, and the agent beside it. */
-type EndOrigin = WorkerIncarnation & Readonly<{agent: AgentName}>;
-
 function applyEnd(state: SchedulerState, origin: EndOrigin, end: EndedRun, time: CurrentTime): SchedulerTransition {
-	const {state: next, effects} = applyEndToTask(openForReport(state, end.task), origin, end, time);
+	const {state: next, effects} = applyEndToTask(openForReport(noteEndedRun(state, origin, end, time.monotonic), end.task), origin, end, time);
 	const log = {
 		kind: 'log', event: 'run-ended', fields: {
 			task: end.task, run: end.run, ending: end.ending, worker: origin.worker,
--- a/packages/scheduling/place.ts
+++ b/packages/scheduling/place.ts
@@ -8,6 +8,9 @@
 	countRuns, isLowRankWithoutCheckpoints, isUtilizationLow, limitToShare, limitToProbeTasks,
 } from './low-rank.js';
 import {resourcesOf} from './state.js';
+import {
+	compareSpeed, compareSuitability, groupFromSpeed, preferSuitable,
+} from './suitability.js';
 import type {AgentName, TaskState} from './types.js';
 import type {SchedulingUnit} from './units.js';
 
@@ -122,7 +125,7 @@
 	const {step, tasks} = unit;
 	const preferredWorkers = listPreferredWorkers(unit, candidates, monotonic);
 	const neverAvoided = listNeverAvoided(unit, preferredWorkers);
-	const choices = neverAvoided === preferredWorkers ? [preferredWorkers] : [neverAvoided, preferredWorkers];
+	const choices = preferSuitable(unit, neverAvoided === preferredWorkers ? [preferredWorkers] : [neverAvoided, preferredWorkers]);
 	if (step.prefersOneRack || step.dataRack !== undefined) {
 		const best = findFirst(choices, workers => placeGangInRack(unit, workers, pool));
 		if (best !== undefined) {
@@ -135,12 +138,29 @@
 	}
 
 	const taskCounts = findFirst(choices, workers => {
-		const counts = distributeTasks(unit, workers);
-		return countPlaced(counts) >= tasks.length ? counts : undefined;
+		const counts = unit.isAtRisk ? listBySpeed(unit, workers)[0]?.taskCounts : distributeTasks(unit, workers);
+		return counts !== undefined && countPlaced(counts) >= tasks.length ? counts : undefined;
 	});
 	return taskCounts === undefined ? [] : assign(tasks, taskCounts);
 }
 
+/** A distribution of a gang, and the speed step of its slowest member. */
+type SpeedOption = Readonly<{taskCounts: TaskCounts; slowest: number}>;
+
+/** Lists the ways to place the whole gang that have different slowest members, the fastest first. */
+function listBySpeed(unit: SchedulingUnit, workers: readonly PoolWorker[]): readonly SpeedOption[] {
+	return groupFromSpeed(workers)
+		.map(group => ({slowest: group.slowest, taskCounts: distributeTasks(unit, group.workers)}))
+		.filter(({taskCounts}) => countPlaced(taskCounts) >= unit.tasks.length);
+}
+
+/** Orders by fit and then by the slowest member, or the other way round for work that is close to its objective. */
+function compareByFitAndSpeed({isAtRisk}: SchedulingUnit, first: SpeedOption, second: SpeedOption, pool: Pool): number {
+	const byFit = countFreeAccelerators(first.taskCounts, pool) - countFreeAccelerators(second.taskCounts, pool);
+	const bySpeed = second.slowest - first.slowest;
+	return isAtRisk ? bySpeed || byFit : byFit || bySpeed;
+}
+
 /** Returns the first result that is not undefined; later items are not evaluated. */
 function findFirst<Item, Result>(items: readonly Item[], evaluate: (item: Item) => Result | undefined): Result | undefined {
 	for (const item of items) {
@@ -153,14 +173,13 @@
 	return undefined;
 }
 
-/** Places a gang in the rack with the tightest fit, or in that of its data. */
+/** Places a gang in the rack with the tightest fit, or in that of its data; among racks that fit equally well, in the one whose slowest member is fastest. */
 function placeGangInRack(unit: SchedulingUnit, workers: readonly PoolWorker[], pool: Pool): TaskCounts | undefined {
-	const {step: {dataRack}, tasks} = unit;
+	const {dataRack} = unit.step;
 	return groupByRack(workers, worker => worker)
 		.filter(([first]) => dataRack === undefined || first?.worker.snapshot.rack === dataRack)
-		.map(rack => distributeTasks(unit, rack))
-		.filter(taskCounts => countPlaced(taskCounts) >= tasks.length)
-		.toSorted((first, second) => countFreeAccelerators(first, pool) - countFreeAccelerators(second, pool))[0];
+		.flatMap(rack => listBySpeed(unit, rack))
+		.toSorted((first, second) => compareByFitAndSpeed(unit, first, second, pool))[0]?.taskCounts;
 }
 
 /** Places tasks on the workers with the tightest fit by accelerators. A task leaves out the workers that it avoids if there are others, also full ones: it has few attempts. Then it takes a worker that it avoided before only if no other has room, since its orders may still get no answer. */
@@ -224,7 +243,7 @@
 /** Orders workers by free accelerators, those in the rack of the data first; other racks are left out while the unit may wait for that one. */
 function orderByFit(unit: SchedulingUnit, candidates: readonly PoolWorker[], monotonic: MonotonicTime): readonly PoolWorker[] {
 	const {dataRack} = unit.step;
-	const ordered = candidates.toSorted((first, second) => first.free.accelerators - second.free.accelerators);
+	const ordered = candidates.toSorted((first, second) => compareSuitability(unit, first, second) || first.free.accelerators - second.free.accelerators);
 	const inDataRack = ordered.filter(({worker}) => worker.snapshot.rack === dataRack);
 	const canHaveRoom = inDataRack.some(candidate => countFitting(withReclaimableRoom(candidate).free, resourcesOf(unit.step), 1) === 1);
 	return canHaveRoom && mayWaitForRack(unit, monotonic)
@@ -240,7 +259,7 @@
 	const ordered = candidates
 		.map(candidate => ({candidate, fitting: countFitting(candidate.free, need, Math.min(unit.tasks.length, countAllowedTasks(unit, candidate)))}))
 		.filter(({fitting}) => fitting > 0)
-		.toSorted((first, second) => first.candidate.free.accelerators - second.candidate.free.accelerators);
+		.toSorted((first, second) => first.candidate.free.accelerators - second.candidate.free.accelerators || compareSpeed(first.candidate, second.candidate));
 	const single = ordered.find(({fitting}) => fitting >= unit.tasks.length);
 	for (const {candidate, fitting} of single === undefined ? ordered.toSorted((first, second) => second.fitting - first.fitting) : [single]) {
 		const taskCount = Math.min(remaining, fitting);
--- a/packages/scheduling/pool.ts
+++ b/packages/scheduling/pool.ts
@@ -7,9 +7,11 @@
 import {
 	isOpen, isRunOn, findJob, resourcesOf, resolveQueue,
 } from './state.js';
+import {estimateSpeed, type TaskKind} from '#pace';
 import {isOnProbation} from './crashes.js';
 import {findAcknowledgementEnd} from './late-acknowledgements.js';
 import {listLateStarts} from './late-starts.js';
+import {listConflicting, listKindsToKeepApart} from './pace.js';
 import type {Rank} from './rank.js';
 import {estimateRemaining} from './remaining.js';
 import {listRunsOf, type ListedRun} from './runs.js';
@@ -38,6 +40,10 @@
 	runs: readonly PlacedRun[];
 	/** Whether new tasks may be placed on the worker. */
 	isUsable: boolean;
+	/** Believed speed as a multiple of a usual worker's; undefined without a belief. */
+	speed: number | undefined;
+	/** Kinds of tasks that are to be kept apart from those on the worker. */
+	conflicting: ReadonlySet<TaskKind>;
 }>;
 
 export type Pool = PersistentMap<AgentName, PoolWorker>;
@@ -45,12 +51,15 @@
 /** Collects the runs and free resources of every worker. A run uses its resources until its end is listed, also while it is being stopped; a start that may still be carried out holds them. */
 export function createPool(state: SchedulerState, ranks: ReadonlyMap<JobKey, Rank>, monotonic: MonotonicTime): Pool {
 	const lateStarts = listLateStarts(state, monotonic);
+	const conflicts = listKindsToKeepApart(state, monotonic);
 	return state.workers.map((worker, agent) => {
 		const runs = listRunsOf(state, agent).flatMap(listed => isRunOn(listed.run, worker) ? placeRun(state, listed, ranks) : []);
 		return {
 			worker,
 			runs,
 			free: [...runs.map(({need}) => need), ...lateStarts.get(agent) ?? []].reduce((free, need) => subtract(free, need), worker.snapshot.capacity),
+			speed: estimateSpeed(state.pace.beliefs, worker.snapshot, monotonic),
+			conflicting: listConflicting(runs, conflicts),
 			isUsable: isUsable(worker, monotonic) && findAcknowledgementEnd(state, worker, monotonic) === undefined && !hasOrphanedRun(state, worker) && !runs.some(run => run.isOnProbation),
 		};
 	});
--- a/packages/scheduling/schedule.ts
+++ b/packages/scheduling/schedule.ts
@@ -14,6 +14,7 @@
 } from './place.js';
 import {isUtilizationLow} from './low-rank.js';
 import {openDueOccurrences} from './occurrences.js';
+import {listKindsToKeepApart, type Conflicts} from './pace.js';
 import {findPreemption, type Preemption} from './preempt.js';
 import {rankJobs} from './rank.js';
 import {findReservation} from './reservation.js';
@@ -24,6 +25,7 @@
 import {
 	findTask, listStepMembers, replaceJob, resourcesOf, withTask,
 } from './state.js';
+import {addConflicts, hasSamePlaces, markKindToKeepApart} from './suitability.js';
 import type {RoomClaim, SchedulerEffect, SchedulerState} from './types.js';
 import {extendRackWait, listSchedulingUnits, type SchedulingUnit} from './units.js';
 import {logWaiting} from './wait-logs.js';
@@ -42,6 +44,7 @@
 	claims: readonly HeldRoomClaim[];
 	/** Units of which tasks still wait. */
 	waiting: readonly SchedulingUnit[];
+	conflicts: Conflicts;
 }>;
 
 /** Carries out a scheduling pass. */
@@ -59,10 +62,11 @@
 	}
 
 	const pool = createPool(opened.state, ranks, time.monotonic);
-	const units = isUtilizationLow(pool) ? waiting : waiting.map(unit => extendRackWait(unit));
+	const conflicts = listKindsToKeepApart(opened.state, time.monotonic);
+	const units = (isUtilizationLow(pool) ? waiting : waiting.map(unit => extendRackWait(unit))).map(unit => markKindToKeepApart(unit, conflicts));
 	const claims = listHeldClaims(opened.state, units, pool, time.monotonic);
 	let pass: Pass = {
-		state: opened.state, pool: holdClaims(pool, claims), effects: opened.effects, reservedRanks: new Set(), exhausted: [], claims, waiting: [],
+		state: opened.state, pool: holdClaims(pool, claims), effects: opened.effects, reservedRanks: new Set(), exhausted: [], claims, waiting: [], conflicts,
 	};
 	for (const unit of units) {
 		pass = scheduleUnit(pass, unit, time.monotonic);
@@ -76,7 +80,8 @@
 	const own = pass.claims.filter(({job, claim}) => job === unit.job.submission.job && claim.stepIndex === unit.stepIndex && claim.occurrence === unit.occurrence);
 	const released = own.length === 0 ? pass : {...pass, pool: releaseClaims(pass.pool, own), claims: pass.claims.filter(held => !own.includes(held))};
 	const placements = findPlacements(released, unit, own[0]?.claim, monotonic);
-	const placed = placements.length === 0 ? released : startPlaced(released, unit, placements, monotonic);
+	const logged = own.length === 0 ? logKeptApart(released, unit, placements, monotonic) : released;
+	const placed = placements.length === 0 ? released : startPlaced(logged, unit, placements, monotonic);
 	const remaining = unit.tasks.length - placements.length;
 	if (remaining === 0) {
 		return placed;
@@ -101,6 +106,16 @@
 	return isExhausted(unit, exhausted) ? [] : placeUnit(unit, pool, monotonic);
 }
 
+/** Logs a placement that would be another one without beliefs about neighbours. */
+function logKeptApart(pass: Pass, unit: SchedulingUnit, placements: readonly Placement[], monotonic: MonotonicTime): Pass {
+	if (placements.length === 0 || unit.kindToKeepApart === undefined || hasSamePlaces(placements, placeUnit({...unit, kindToKeepApart: undefined}, pass.pool, monotonic))) {
+		return pass;
+	}
+
+	const {job: {submission: {job}}, stepIndex, kindToKeepApart} = unit;
+	return {...pass, effects: [...pass.effects, {kind: 'log', event: 'kept-apart', fields: {job, step: stepIndex, taskKind: kindToKeepApart}}]};
+}
+
 function noteExhaustion(pass: Pass, unit: SchedulingUnit): Pass {
 	return unit.isolation !== 'none' || isExhausted(unit, pass.exhausted) || hasRoomForTask(unit, pass.pool)
 		? pass
@@ -122,6 +137,7 @@
 
 	const job = pass.state.jobs.get(unit.job.submission.job) ?? unit.job;
 	const agents = placements.map(({agent}) => agent);
+	pool = addConflicts(pool, agents, unit, pass.conflicts);
 	const next = {...pass, pool: unit.isolation === 'none' ? pool : reserveWorkers(pool, agents)};
 	if (job.outcome === 'queued' || (job.agents !== undefined && !agents.every(agent => job.agents?.has(agent)))) {
 		const claim = createRoomClaim(unit, countByAgent(placements), monotonic + claimMilliseconds);
--- a/packages/scheduling/state.ts
+++ b/packages/scheduling/state.ts
@@ -4,12 +4,13 @@
 import {
 	indexLists, isSameIncarnation, listsOf, parseJobOfTask, parseTaskName, type JobStep, type Queue, type Resources, type TaskName,
 } from '#jobs';
+import {createPaceState} from '#pace';
 import {runsPerEpoch} from './constants.js';
 import type {
-	SchedulerJob, SchedulerState, SchedulerWorker, TaskCounts, TaskRun, TaskState,
+	KeepApart, SchedulerJob, SchedulerState, SchedulerWorker, TaskCounts, TaskRun, TaskState,
 } from './types.js';
 
-export function createSchedulerState(epoch: number): SchedulerState {
+export function createSchedulerState(epoch: number, keepApart: KeepApart = 'on'): SchedulerState {
 	return {
 		epoch,
 		configuration: undefined,
@@ -25,6 +26,9 @@
 		deferredIncarnationEnds: [],
 		unopenedLoggedAt: -Infinity,
 		isScheduleDue: false,
+		pace: {
+			keepApart, beliefs: createPaceState(), ended: [], sampledAt: -Infinity,
+		},
 	};
 }
 
--- a/packages/scheduling/tick.ts
+++ b/packages/scheduling/tick.ts
@@ -10,6 +10,7 @@
 import {removeWorker} from './incarnations.js';
 import {expireLateAcknowledgements} from './late-acknowledgements.js';
 import {closeOccurrences} from './occurrences.js';
+import {samplePaces} from './pace.js';
 import {joinCheckpoints} from './progress.js';
 import {latestEndOfRuns} from './reports.js';
 import {estimateRemaining} from './remaining.js';
@@ -38,6 +39,7 @@
 		next => stopPartialGangs(next, time.monotonic),
 		next => storeCheckpoints(next, time.monotonic),
 		next => removeOldRecords(next, time.monotonic),
+		next => samplePaces(next, runs, time.monotonic),
 		next => withoutEffects(closeOccurrences(next)),
 	]);
 }
--- a/packages/scheduling/types.ts
+++ b/packages/scheduling/types.ts
@@ -1,6 +1,7 @@
 /** State, messages and effects of the scheduler. */
 import type {Map as PersistentMap, Set as PersistentSet} from 'immutable';
 import type {MonotonicTime, Unit, WorkerId} from '#core';
+import type {PaceState, RunSample} from '#pace';
 import type {
 	EndedRun, JobKey, JobOutcome, JobProgress, JobSubmission, QueueName, SchedulingConfiguration, TaskCrash, TaskName, TaskProgress, WorkerIncarnation, WorkerSnapshot,
 } from '#jobs';
@@ -189,6 +190,18 @@
 /** A worker that a scheduler uses, with the agent beside it. */
 export type UsedWorker = Readonly<{agent: AgentName; worker: WorkerId}>;
 
+/** Whether tasks that slow each other down are kept apart where there is capacity. */
+export type KeepApart = 'on' | 'off';
+
+/** What is learned of the pace of runs in this term. */
+export type SchedulerPace = Readonly<{
+	keepApart: KeepApart;
+	beliefs: PaceState;
+	/** Runs that ended as done since the last samples were taken. */
+	ended: readonly RunSample[];
+	sampledAt: MonotonicTime;
+}>;
+
 export type SchedulerState = Readonly<{
 	epoch: number;
 	configuration: SchedulingConfiguration | undefined;
@@ -215,6 +228,7 @@
 	unopenedLoggedAt: MonotonicTime;
 	/** Whether a change may allow a task to start; a pass was requested and has not been carried out yet. */
 	isScheduleDue: boolean;
+	pace: SchedulerPace;
 }>;
 
 /** Answer to one start order. `unknown` means that none arrived. */
--- a/packages/scheduling/units.ts
+++ b/packages/scheduling/units.ts
@@ -4,6 +4,7 @@
 import type {
 	JobStep, Queue, TaskName, JobKey,
 } from '#jobs';
+import type {TaskKind} from '#pace';
 import {
 	atRiskSlackShare, guaranteedRackWaitMilliseconds, longTaskFactor, remoteRackFactor,
 } from './constants.js';
@@ -38,6 +39,8 @@
 	isolation: Isolation;
 	/** Workers that all its tasks, or one task of a gang, avoided more than once. */
 	repeatedlyAvoided: ReadonlySet<WorkerId>;
+	/** Kind of the tasks if they are to be kept apart from another kind. */
+	kindToKeepApart?: TaskKind | undefined;
 }>;
 
 /** Lists the units that may start now, in order of placement. */
