Measure paces over whole windows and against the usual speed

Cause: the last part of a run, whose end is known to half a second, replaced the measurement of the whole run, and speeds drifted together because each was related to the others. Change: a window lasts while neighbours and pace stay the same, speeds are multiples of the mean believed speed, and a neighbour is judged by what its worker showed before. Claimed room counts as a neighbour.

--- a/packages/pace/constants.ts
+++ b/packages/pace/constants.ts
@@ -9,17 +9,19 @@
 /** Runs of a group that are needed before their median counts as the usual pace. */
 export const comparableRuns = 5;
 /** Workers on which these runs have to be, so that one worker's speed does not pass for the usual one. */
-export const comparableWorkers = 3;
+export const comparableWorkers = 4;
+/** Values that deviate more from the median do not count towards a mean. */
+export const outlierFactor = 2;
 /** Remembered paces of a group. */
-export const rememberedPaces = 24;
+export const rememberedPaces = 40;
 /** Remembered groups; those without new paces for the longest time are dropped first. */
 export const rememberedGroups = 512;
-/** Runs that deviate more than by this factor say nothing about their worker or neighbours. */
-export const implausibleFactor = 8;
+/** Runs that are slower or faster than usual by more than these factors say nothing about their worker or neighbours: a wrong report, a task that is long. */
+export const implausibleFactors = {slow: 8, fast: 3} as const;
 /** Observations that an estimate of a worker's speed needs. Durations of equal tasks differ by 15%. */
-export const speedObservations = 4;
+export const speedObservations = 3;
 /** Remembered observations of a worker. */
-export const rememberedObservations = 10;
+export const rememberedObservations = 16;
 /** Remembered workers: those of the target size. */
 export const rememberedWorkers = 4300;
 /** Remembered open windows: the running tasks of the target size. */
@@ -35,7 +37,7 @@
 /** The newest observations that show that a worker turned slow, or is no longer slow. */
 export const newestObservations = 3;
 /** Remembered observations of a kind. */
-export const rememberedOfKind = 96;
+export const rememberedOfKind = 256;
 /** Remembered kinds; those without new observations for the longest time are dropped first. */
 export const rememberedKinds = 64;
 /** Held pairs of kinds; those closest to their end are dropped first. */
--- a/packages/pace/interference.ts
+++ b/packages/pace/interference.ts
@@ -92,7 +92,7 @@
 		.map(([neighbour]) => neighbour);
 }
 
-/** A pace divided by the speed that its worker shows in runs without the neighbour. */
+/** A pace divided by the speed that its worker showed until then in runs without the neighbour. Later runs do not count: a cold worker becomes faster by itself. */
 type DividedPace = Readonly<{worker: string; logarithm: number}>;
 
 function compare(state: Pick<PaceState, 'workers' | 'interference'>, pair: Pick<Interference, 'kind' | 'neighbour'>, observations: readonly Observation[]): Comparison | undefined {
@@ -101,7 +101,7 @@
 	const isBeside = ({neighbours}: Observation) => neighbours?.includes(pair.neighbour) === true;
 	const divide = (observation: Observation): readonly DividedPace[] => {
 		const baseline = (state.workers.get(observation.worker)?.observations ?? [])
-			.filter(other => other.run !== observation.run && other.neighbours !== undefined && !isBeside(other))
+			.filter(other => other.at <= observation.at && other.neighbours !== undefined && !isBeside(other) && (other.run !== observation.run || isBeside(observation)))
 			.map(other => correctObservation(other, others));
 		const logarithm = correctObservation(observation, others) - findMedian(baseline);
 		return baseline.length < baselineObservations || Math.abs(logarithm) > Math.log(implausibleInterference) ? [] : [{worker: observation.worker, logarithm}];
--- a/packages/pace/record.ts
+++ b/packages/pace/record.ts
@@ -2,17 +2,17 @@
 import {groupBy, type MonotonicTime} from '#core';
 import type {WorkerIncarnation} from '#jobs';
 import {
-	beliefMilliseconds, comparableRuns, comparableWorkers, implausibleFactor, rememberedGroups, rememberedKinds, rememberedOfKind, rememberedPaces, rememberedPairs, rememberedWorkers,
+	beliefMilliseconds, comparableRuns, comparableWorkers, implausibleFactors, rememberedGroups, rememberedKinds, rememberedOfKind, rememberedPaces, rememberedPairs, rememberedWorkers,
 } from './constants.js';
 import {judgeKind} from './interference.js';
 import {
-	estimateSpeed, isSlow, keyOfPair, keyOfWorker, observeWorker,
+	estimateSpeed, isSlow, keyOfPair, keyOfWorker, observeWorker, replaceObservations,
 } from './speeds.js';
-import {findMedian} from './statistics.js';
+import {findMedian, findUsualMean} from './statistics.js';
 import type {
 	BeliefChange, ComparableGroup, ComparablePace, GroupPaces, Measurement, Observation, PaceState, PaceStep, RunSample, WorkerKey, WorkerPace,
 } from './types.js';
-import {areSameNeighbours, keyOfRun, measureWindows} from './windows.js';
+import {keyOfRun, measureWindows} from './windows.js';
 
 export function createPaceState(): PaceState {
 	return {
@@ -69,17 +69,18 @@
 	return map.size <= limit ? map : new Map([...map].toSorted(([, first], [, second]) => orderOf(first) - orderOf(second)).slice(-limit));
 }
 
-/** Relates each pace to the median of its group. Paces are first divided by what is believed, so that a group on fast workers is not taken for usual. */
+/** Relates each pace to the usual one of its group. Paces are first divided by what is believed, so that a group on fast workers is not taken for usual. */
 function compareWithGroups(state: PaceState, measurements: readonly Measurement[], now: MonotonicTime): Readonly<{groups: PaceState['groups']; observations: readonly Observation[]}> {
 	const groups = new Map<ComparableGroup, GroupPaces>(state.groups);
+	const usualSpeed = findUsualSpeed(state);
 	const observations: Observation[] = [];
 	for (const [group, measured] of groupBy(measurements, ({sample}) => sample.group)) {
-		const paces = measured.map(measurement => comparePace(state, measurement, now));
+		const paces = measured.map(measurement => comparePace(state, measurement, usualSpeed, now));
 		const runs = new Set(paces.map(({run}) => run));
 		const remembered = [...(groups.get(group)?.paces ?? []).filter(({run}) => !runs.has(run)), ...paces].slice(-Math.max(rememberedPaces, paces.length));
-		if (remembered.length >= comparableRuns && new Set(remembered.map(({worker}) => worker)).size >= comparableWorkers) {
-			const median = findMedian(remembered.map(({pace}) => pace));
-			observations.push(...measured.map(measurement => observe(measurement, median, now)).filter(({logarithm}) => Math.abs(logarithm) <= Math.log(implausibleFactor)));
+		const usual = findUsualPace(remembered);
+		if (usual !== undefined) {
+			observations.push(...measured.map(measurement => observe(measurement, usual, now)).filter(({logarithm}) => logarithm >= -Math.log(implausibleFactors.slow) && logarithm <= Math.log(implausibleFactors.fast)));
 		}
 
 		groups.set(group, {paces: remembered.slice(-rememberedPaces), at: now});
@@ -88,15 +89,27 @@
 	return {groups: keepLast(groups, ({at}) => at, rememberedGroups), observations};
 }
 
-function comparePace(state: PaceState, {sample, pace, neighbours = []}: Measurement, now: MonotonicTime): ComparablePace {
-	const speed = estimateSpeed(state, sample.worker, now) ?? 1;
+/** Mean of the believed speeds. Speeds are multiples of it: relating paces to speeds, and speeds to paces, would otherwise let all of them drift together. */
+function findUsualSpeed({workers}: PaceState): number {
+	const logarithms = [...workers.values()].flatMap(({speed}) => speed === undefined ? [] : [Math.log(speed)]);
+	return logarithms.length === 0 ? 1 : Math.exp(findUsualMean(logarithms));
+}
+
+function comparePace(state: PaceState, {sample, pace, neighbours = []}: Measurement, usualSpeed: number, now: MonotonicTime): ComparablePace {
+	const speed = (estimateSpeed(state, sample.worker, now) ?? usualSpeed) / usualSpeed;
 	const factor = neighbours.reduce((product, neighbour) => product * (state.interference.get(keyOfPair({kind: sample.kind, neighbour}))?.factor ?? 1), 1);
 	return {run: keyOfRun(sample), worker: keyOfWorker(sample.worker), pace: pace / (speed * factor)};
 }
 
-function observe({sample, pace, neighbours}: Measurement, median: number, now: MonotonicTime): Observation {
+/** Usual pace of a group: the mean over its workers, of which each counts once, without those that are far from the median. Undefined while there are few. */
+function findUsualPace(paces: readonly ComparablePace[]): number | undefined {
+	const byWorker = [...groupBy(paces, ({worker}) => worker).values()].map(runs => findMedian(runs.map(({pace}) => Math.log(pace))));
+	return paces.length < comparableRuns || byWorker.length < comparableWorkers ? undefined : Math.exp(findUsualMean(byWorker));
+}
+
+function observe({sample, pace, neighbours}: Measurement, usual: number, now: MonotonicTime): Observation {
 	return {
-		run: keyOfRun(sample), worker: keyOfWorker(sample.worker), kind: sample.kind, neighbours, logarithm: Math.log(pace / median), at: now,
+		run: keyOfRun(sample), worker: keyOfWorker(sample.worker), kind: sample.kind, neighbours, logarithm: Math.log(pace / usual), at: now,
 	};
 }
 
@@ -112,13 +125,10 @@
 	return keepLast(workers, ({until}) => until, rememberedWorkers);
 }
 
-/** Each run counts once for each set of neighbours. */
 function observeKinds(kinds: PaceState['kinds'], observations: readonly Observation[]): PaceState['kinds'] {
 	const next = new Map(kinds);
 	for (const [kind, group] of groupBy(observations.filter(({neighbours}) => neighbours !== undefined), observation => observation.kind)) {
-		const added = group.slice(-rememberedOfKind);
-		const isReplaced = (earlier: Observation) => added.some(({run, neighbours}) => run === earlier.run && areSameNeighbours(neighbours, earlier.neighbours));
-		next.set(kind, [...(next.get(kind) ?? []).filter(earlier => !isReplaced(earlier)), ...added].slice(-rememberedOfKind));
+		next.set(kind, replaceObservations(next.get(kind) ?? [], group.slice(-rememberedOfKind)).slice(-rememberedOfKind));
 	}
 
 	return keepLast(next, entries => entries.at(-1)?.at ?? -Infinity, rememberedKinds);
--- a/packages/pace/speeds.ts
+++ b/packages/pace/speeds.ts
@@ -1,13 +1,14 @@
 /** Speeds of workers, in relation to the usual one. */
-import type {MonotonicTime} from '#core';
+import {groupBy, type MonotonicTime} from '#core';
 import type {WorkerIncarnation} from '#jobs';
 import {
 	beliefMilliseconds, newestObservations, rememberedObservations, slowBeliefMilliseconds, slowSpeed, speedObservations, speedStepFactor,
 } from './constants.js';
-import {findMedian} from './statistics.js';
+import {findUsualMean} from './statistics.js';
 import type {
 	Interference, Observation, PaceState, WorkerKey, WorkerPace,
 } from './types.js';
+import {areSameNeighbours} from './windows.js';
 
 export function keyOfWorker({worker, incarnation}: WorkerIncarnation): WorkerKey {
 	return `${worker} ${incarnation}`;
@@ -44,6 +45,13 @@
 	return speed === undefined ? 0 : Math.round(Math.log(speed) / Math.log(speedStepFactor));
 }
 
+/** Adds observations; a run counts once for each set of neighbours. */
+export function replaceObservations(earlier: readonly Observation[], added: readonly Observation[]): readonly Observation[] {
+	const addedByRun = groupBy(added, ({run}) => run);
+	const isReplaced = ({run, neighbours}: Observation) => addedByRun.get(run)?.some(other => areSameNeighbours(other.neighbours, neighbours)) === true;
+	return [...earlier.filter(observation => !isReplaced(observation)), ...added];
+}
+
 /** Logarithm of an observation without the effect of its neighbours, as far as that is known. */
 export function correctObservation({logarithm, kind, neighbours}: Observation, interference: PaceState['interference']): number {
 	return neighbours === undefined || interference.size === 0
@@ -53,21 +61,22 @@
 
 type ObservationContext = Readonly<{interference: PaceState['interference']; now: MonotonicTime}>;
 
-/** Adds observations of a worker, of which each run counts once, and estimates its speed from them. */
+/** Adds observations of a worker, and estimates its speed from the newest one of each run. */
 export function observeWorker(worker: WorkerIncarnation, known: WorkerPace | undefined, added: readonly Observation[], context: ObservationContext): WorkerPace {
 	const {interference, now} = context;
-	const addedRuns = new Set(added.map(({run}) => run));
-	const observations = [...(known?.observations ?? []).filter(({run, at}) => !addedRuns.has(run) && now - at < beliefMilliseconds), ...added].slice(-rememberedObservations);
-	const logarithms = observations.map(observation => correctObservation(observation, interference));
+	const earlier = (known?.observations ?? []).filter(({at}) => now - at < beliefMilliseconds);
+	const observations = replaceObservations(earlier, added).slice(-rememberedObservations);
+	const newestOfRuns = [...new Map(observations.map(observation => [observation.run, observation])).values()];
+	const logarithms = newestOfRuns.map(observation => correctObservation(observation, interference));
 	const speed = logarithms.length < speedObservations ? undefined : findSpeed(logarithms);
 	return {
 		worker, observations, speed, until: now + (isSlow(speed) ? slowBeliefMilliseconds : beliefMilliseconds),
 	};
 }
 
-/** The median of all observations, or of the newest ones if these show that the worker turned slow or is no longer slow. */
+/** The mean of all observations, or of the newest ones if these show that the worker turned slow or is no longer slow. */
 function findSpeed(logarithms: readonly number[]): number {
-	const speed = Math.exp(findMedian(logarithms));
-	const newest = Math.exp(findMedian(logarithms.slice(-newestObservations)));
+	const speed = Math.exp(findUsualMean(logarithms));
+	const newest = Math.exp(findUsualMean(logarithms.slice(-newestObservations)));
 	return isSlow(speed) === isSlow(newest) ? speed : newest;
 }
--- a/packages/pace/types.ts
+++ b/packages/pace/types.ts
@@ -24,19 +24,23 @@
 	/** When the percentage was reached. */
 	at: MonotonicTime;
 	/** From where the pace is measured if the run was not sampled before. */
-	baseline: Readonly<{percent: number; at: MonotonicTime}>;
+	baseline: PacePoint;
 	isEnded: boolean;
 }>;
 
-/** The part of a run that is being measured. */
+/** A percentage and when it was reached. */
+export type PacePoint = Readonly<{percent: number; at: MonotonicTime}>;
+
+/** The part of a run that is being measured: since it started, its pace or its neighbours changed. */
 export type PaceWindow = Readonly<{
-	percent: number;
-	at: MonotonicTime;
+	start: PacePoint;
+	/** The end of the part that was measured last; the start while none was. */
+	measured: PacePoint;
 	/** Undefined if the neighbours changed since the window began. */
 	neighbours: readonly TaskKind[] | undefined;
 }>;
 
-/** Pace of a run over one window, in percent a millisecond. */
+/** Pace of a run over its window, in percent a millisecond. */
 export type Measurement = Readonly<{sample: RunSample; pace: number; neighbours: readonly TaskKind[] | undefined}>;
 
 /** Pace of a run of a group as it would be on a usual worker without slowing neighbours. */
@@ -45,14 +49,14 @@
 /** The newest paces of a group, ended runs included. */
 export type GroupPaces = Readonly<{paces: readonly ComparablePace[]; at: MonotonicTime}>;
 
-/** Pace of a run in relation to the median of its group. */
+/** Pace of a run in relation to the usual one of its group. */
 export type Observation = Readonly<{
 	run: string;
 	worker: WorkerKey;
 	kind: TaskKind;
 	/** Undefined if the neighbours changed meanwhile. */
 	neighbours: readonly TaskKind[] | undefined;
-	/** Natural logarithm of the ratio to the group's median. */
+	/** Natural logarithm of the ratio to the group's usual pace. */
 	logarithm: number;
 	at: MonotonicTime;
 }>;
--- a/packages/pace/windows.ts
+++ b/packages/pace/windows.ts
@@ -1,10 +1,9 @@
 /** Measures the pace of runs over windows in which their neighbours are known. */
-import type {MonotonicTime} from '#core';
 import {
-	longWindowMilliseconds, rememberedWindows, shortestWindowMilliseconds, smallestWindowPercent, windowPercent,
+	longWindowMilliseconds, outlierFactor, rememberedWindows, shortestWindowMilliseconds, smallestWindowPercent, windowPercent,
 } from './constants.js';
 import type {
-	Measurement, PaceWindow, RunSample, TaskKind,
+	Measurement, PacePoint, PaceWindow, RunSample, TaskKind,
 } from './types.js';
 
 /** Key of a run. */
@@ -32,34 +31,62 @@
 			continue;
 		}
 
-		const {percent, at, isEnded} = sample;
-		if (!isPercentage(percent) || percent < window.percent || at < window.at) {
+		if (!isPercentage(sample.percent) || sample.percent < window.measured.percent || sample.at < window.measured.at) {
 			next.set(key, window);
 			continue;
 		}
 
-		const neighbours = areSameNeighbours(window.neighbours, sample.neighbours) ? sample.neighbours : undefined;
-		if (isComplete(window, sample)) {
-			measurements.push({sample, neighbours, pace: (percent - window.percent) / (at - window.at)});
+		const measured = measureSample(window, sample);
+		if (measured.pace !== undefined) {
+			const neighbours = areSameNeighbours(window.neighbours, sample.neighbours) ? sample.neighbours : undefined;
+			measurements.push({sample, neighbours, pace: measured.pace});
 		}
 
-		if (isEnded) {
+		if (sample.isEnded) {
 			next.delete(key);
 		} else if (next.size < rememberedWindows || next.has(key)) {
-			next.set(key, isComplete(window, sample) ? {percent, at, neighbours: sample.neighbours} : {...window, neighbours});
+			next.set(key, measured.window);
 		}
 	}
 
 	return {windows: next, measurements};
 }
 
-function beginWindow({baseline: {percent, at}, neighbours}: RunSample): PaceWindow | undefined {
-	return isPercentage(percent) && Number.isFinite(at) ? {percent, at, neighbours} : undefined;
+function beginWindow({baseline, neighbours}: RunSample): PaceWindow | undefined {
+	return isPercentage(baseline.percent) && Number.isFinite(baseline.at) ? {start: baseline, measured: baseline, neighbours} : undefined;
 }
 
-function isComplete({percent, at}: Readonly<{percent: number; at: MonotonicTime}>, sample: RunSample): boolean {
-	const gained = sample.percent - percent;
-	const duration = sample.at - at;
+/** Measures the pace since the window began, or since the last measurement if the pace changed then. The longer a window, the less the time of single reports matters. */
+function measureSample(window: PaceWindow, {percent, at, neighbours, isEnded}: RunSample): Readonly<{window: PaceWindow; pace: number | undefined}> {
+	const point = {percent, at};
+	const {start, measured} = window;
+	const hasChangedNeighbours = !areSameNeighbours(window.neighbours, neighbours);
+	const isNew = measured.at === start.at;
+	if (!isComplete(measured, point, isEnded && isNew)) {
+		return {pace: undefined, window: hasChangedNeighbours ? {...window, neighbours: undefined} : window};
+	}
+
+	if (hasChangedNeighbours) {
+		return {pace: findPace(start, point), window: {start: point, measured: point, neighbours}};
+	}
+
+	const change = isNew ? 0 : Math.abs(Math.log(findPace(measured, point) / findPace(start, measured)));
+	if (change <= Math.log(outlierFactor)) {
+		return {pace: findPace(start, point), window: {...window, measured: point}};
+	}
+
+	// The time of an end is known less well than that of a percentage.
+	return isEnded ? {pace: undefined, window} : {pace: findPace(measured, point), window: {start: measured, measured: point, neighbours}};
+}
+
+function findPace(start: PacePoint, end: PacePoint): number {
+	return (end.percent - start.percent) / (end.at - start.at);
+}
+
+/** Whether the part is long enough to be measured; the end of a run that was not measured before needs little progress. */
+function isComplete(start: PacePoint, end: PacePoint, isLast: boolean): boolean {
+	const gained = end.percent - start.percent;
+	const duration = end.at - start.at;
 	return duration >= shortestWindowMilliseconds
-		&& (gained >= windowPercent || (gained >= smallestWindowPercent && (sample.isEnded || duration >= longWindowMilliseconds)));
+		&& (gained >= windowPercent || (gained >= smallestWindowPercent && (isLast || duration >= longWindowMilliseconds)));
 }
--- a/packages/scheduling/pace.ts
+++ b/packages/scheduling/pace.ts
@@ -76,7 +76,7 @@
 				...state.pace, beliefs: learned, ended: [], sampledAt: monotonic,
 			},
 		},
-		effects: changes.map(change => logChange(change)),
+		effects: changes.map(change => logChange(change, monotonic)),
 	};
 }
 
@@ -120,12 +120,18 @@
 	};
 }
 
-function logChange(change: BeliefChange): SchedulerEffect {
+function logChange(change: BeliefChange, monotonic: MonotonicTime): SchedulerEffect {
 	switch (change.kind) {
 		case 'interference-began':
 		case 'interference-ended': {
-			const {since, until, factor, ...belief} = change.belief;
-			return {kind: 'log', event: change.kind, fields: {...belief, factor: round(factor), heldMilliseconds: Math.round(until - since)}};
+			const {
+				kind: taskKind, neighbour, factor, observationsWith, observationsWithout, since,
+			} = change.belief;
+			return {
+				kind: 'log', event: change.kind, fields: {
+					taskKind, neighbour, factor: round(factor), observationsWith, observationsWithout, heldMilliseconds: Math.round(monotonic - since),
+				},
+			};
 		}
 
 		case 'slow-worker-began':
--- a/packages/scheduling/room-claims.ts
+++ b/packages/scheduling/room-claims.ts
@@ -18,16 +18,16 @@
 	};
 }
 
-export type HeldRoomClaim = Readonly<{job: JobKey; rank: Rank; need: Resources; claim: RoomClaim}>;
+export type HeldRoomClaim = Readonly<{job: JobKey; rank: Rank; need: Resources; claim: RoomClaim}> & Pick<SchedulingUnit, 'kindToKeepApart'>;
 
 /** Lists the claims that still count: not after their time, and not if a claimed worker cannot be used. */
 export function listHeldClaims({jobs}: SchedulerState, units: readonly SchedulingUnit[], pool: Pool, monotonic: MonotonicTime): readonly HeldRoomClaim[] {
-	return units.flatMap(({job, occurrence, stepIndex, step, rank}) => {
+	return units.flatMap(({job, occurrence, stepIndex, step, rank, kindToKeepApart}) => {
 		const claim = jobs.get(job.submission.job)?.claim;
 		return claim?.occurrence === occurrence && claim.stepIndex === stepIndex && monotonic < claim.until
 			&& [...claim.taskCounts.keys()].every(agent => pool.get(agent)?.isUsable === true)
 			? [{
-				job: job.submission.job, rank, need: resourcesOf(step), claim,
+				job: job.submission.job, rank, need: resourcesOf(step), claim, kindToKeepApart,
 			}]
 			: [];
 	});
--- a/packages/scheduling/schedule.ts
+++ b/packages/scheduling/schedule.ts
@@ -65,8 +65,9 @@
 	const conflicts = listKindsToKeepApart(opened.state, time.monotonic);
 	const units = (isUtilizationLow(pool) ? waiting : waiting.map(unit => extendRackWait(unit))).map(unit => markKindToKeepApart(unit, conflicts));
 	const claims = listHeldClaims(opened.state, units, pool, time.monotonic);
+	const claimed = claims.reduce((next, held) => addConflicts(next, [...held.claim.taskCounts.keys()], held, conflicts), holdClaims(pool, claims));
 	let pass: Pass = {
-		state: opened.state, pool: holdClaims(pool, claims), effects: opened.effects, reservedRanks: new Set(), exhausted: [], claims, waiting: [], conflicts,
+		state: opened.state, pool: claimed, effects: opened.effects, reservedRanks: new Set(), exhausted: [], claims, waiting: [], conflicts,
 	};
 	for (const unit of units) {
 		pass = scheduleUnit(pass, unit, time.monotonic);
--- a/packages/scheduling/suitability.ts
+++ b/packages/scheduling/suitability.ts
@@ -53,8 +53,8 @@
 		: steps.map(slowest => ({slowest, workers: workers.filter(({speed}) => findSpeedStep(speed) >= slowest)}));
 }
 
-/** Records in the pool which kinds are to be kept apart from a unit that was placed in this pass. */
-export function addConflicts(pool: Pool, agents: readonly AgentName[], {kindToKeepApart}: SchedulingUnit, conflicts: Conflicts): Pool {
+/** Records in the pool which kinds are to be kept apart from a unit that was placed in this pass, or whose room is claimed. */
+export function addConflicts(pool: Pool, agents: readonly AgentName[], {kindToKeepApart}: Pick<SchedulingUnit, 'kindToKeepApart'>, conflicts: Conflicts): Pool {
 	const added = kindToKeepApart === undefined ? undefined : conflicts.get(kindToKeepApart);
 	if (added === undefined) {
 		return pool;
