Test beliefs about pace and their use in placement

Cause: the faults that such beliefs can have (slow or cold workers, remote data, long tasks and wrong reports taken for interference; work that waits for a preference) had no tests.

--- a/test/support/scheduling.ts
+++ b/test/support/scheduling.ts
@@ -4,8 +4,9 @@
 	formatTaskName, type EndedRun, type JobKey, type JobStep, type JobSubmission, type Queue, type QueueName, type ReportedRun, type SchedulingConfiguration, type ServiceName, type TaskName,
 	type TenantName, type WorkerSnapshot,
 } from '#jobs';
+import type {PaceState} from '#pace';
 import {
-	createSchedulerState, receiveSchedulerMessage, type SchedulerEffect, type SchedulerMessage, type SchedulerState,
+	createSchedulerState, receiveSchedulerMessage, type KeepApart, type SchedulerEffect, type SchedulerMessage, type SchedulerState,
 } from '#scheduling';
 
 export const service = 'svc' as ServiceName;
@@ -79,8 +80,9 @@
 }>;
 
 /** Creates a driver; by default progress counts as stored immediately. */
-export function createDriver(options: Readonly<{epoch?: number; isStoring?: boolean; start?: number}> = {}): Driver {
-	let state = createSchedulerState(options.epoch ?? 1);
+export function createDriver(options: Readonly<{epoch?: number; isStoring?: boolean; start?: number; keepApart?: KeepApart; beliefs?: PaceState}> = {}): Driver {
+	const initial = createSchedulerState(options.epoch ?? 1, options.keepApart);
+	let state: SchedulerState = {...initial, pace: {...initial.pace, beliefs: options.beliefs ?? initial.pace.beliefs}};
 	let time = options.start ?? 0;
 	let keyVersion = 1;
 	const send = (message: SchedulerMessage): readonly SchedulerEffect[] => {
