Model uneven workers and interference in the scheduling bench

Cause: nothing showed what beliefs about pace bring or cost. Change: options of the load model, off in the present scenarios: speeds, workers that turn slow, images that slow each other down, and scheduling without beliefs or with the real speeds.

--- a/bench/scheduling/model.ts
+++ b/bench/scheduling/model.ts
@@ -1,9 +1,11 @@
 /** Plays a scenario: the scheduler's decisions against simulated workers, in virtual time and without a network. */
 import {createRandomSource, type Milliseconds} from '#core';
 import type {JobKey} from '#jobs';
+import {createPaceState} from '#pace';
 import {
-	createSchedulerState, receiveSchedulerMessage, type SchedulerEffect, type SchedulerMessage, type SchedulerState,
+	createSchedulerState, receiveSchedulerMessage, type SchedulerEffect, type KeepApart, type SchedulerMessage, type SchedulerState,
 } from '#scheduling';
+import {createRates} from './rates.js';
 import {
 	service, type ArrivingJob, type Kind, type Scenario,
 } from './scenarios.js';
@@ -33,6 +35,19 @@
 	discardedCoreSeconds: number;
 	/** Core-seconds of the jobs that ended on time; an accelerator counts as 8 cores. */
 	onTimeCoreSeconds: number;
+	/** Core-seconds of runs on uneven workers, and of those that a neighbour slowed; an accelerator counts as 8 cores. */
+	coreSeconds: number;
+	slowedCoreSeconds: number;
+	/** Mean duration of completed gangs in relation to their duration on usual workers in one rack. */
+	gangStretch: number;
+	/** Placements that were other ones because of beliefs about neighbours. */
+	keptApart: number;
+	/** Pairs that were believed to interfere, at any time, and those of them that do not. */
+	believedPairs: number;
+	wrongPairs: number;
+	/** Speeds that were believed at the end, and those of them that are off by more than half a step. */
+	believedSpeeds: number;
+	wrongSpeeds: number;
 	/** Duration of each handled message, by kind. */
 	durations: Readonly<Record<SchedulerMessage['kind'], readonly Milliseconds[]>>;
 }>;
@@ -47,8 +62,14 @@
 /** Callers pay less for a job that takes up to this multiple of its time, and nothing after it. */
 const lateFactor = 3;
 
+export type PlayOptions = Readonly<{
+	keepApart?: KeepApart;
+	/** `none`: the scheduler forgets its beliefs before they have an effect. `known`: it knows the real speeds, which shows what learning could bring at most. */
+	beliefs?: 'learned' | 'none' | 'known';
+}>;
+
 /** Plays the scenario to its end, one message after the other. */
-export function playScenario(scenario: Scenario): Played {
+export function playScenario(scenario: Scenario, {keepApart = 'on', beliefs = 'learned'}: PlayOptions = {}): Played {
 	const random = createRandomSource(seed);
 	const workers = new Map(Array.from({length: scenario.workers}, (_, index) => createSimulatedWorker(index, service, random)).map(worker => [worker.agent, worker]));
 	const jobs = new Map<JobKey, ArrivingJob>(scenario.arrivals.map(job => [job.submission.job, job]));
@@ -56,13 +77,16 @@
 	const completions = new Map<JobKey, number>();
 	const lastStops = new Map<string, number>();
 	const durations = createDurations();
-	let state: SchedulerState = createSchedulerState(1);
+	const rates = createRates(scenario, [...workers.values()], seed);
+	const gangStarts = new Map<JobKey, number>();
+	let state: SchedulerState = createSchedulerState(1, keepApart);
 	let time = 0;
 	let starts = 0;
 	let stops = 0;
 	let repeatedStops = 0;
 	let spreadStarts = 0;
 	let discardedCoreSeconds = 0;
+	let keptApart = 0;
 
 	/** Whether the runs of a job that belongs in one rack are in several. */
 	const isSpread = (key: JobKey) => {
@@ -82,8 +106,9 @@
 		starts += orders.length;
 		spreadStarts += isSlow ? orders.length : 0;
 		firstStarts.set(job, firstStarts.get(job) ?? time);
+		gangStarts.set(job, time);
 		for (const order of orders) {
-			workers.get(agent)?.start(order, step, arriving.duration * (isSlow ? spreadFactor : 1), time);
+			workers.get(agent)?.start(order, step, arriving.duration * (isSlow ? spreadFactor : 1) * (step.isGang ? 1 : rates.drawLength()), time);
 		}
 	};
 
@@ -94,6 +119,7 @@
 			discardedCoreSeconds += Number(lossCoreSeconds);
 		}
 
+		keptApart += event === 'kept-apart' ? 1 : 0;
 		if (event === 'job-ended') {
 			completions.set(job as JobKey, time);
 		}
@@ -144,7 +170,8 @@
 		const startedAt = performance.now();
 		const step = receiveSchedulerMessage(state, message, {now: time, monotonic: time});
 		durations[message.kind].push(performance.now() - startedAt);
-		({state} = step);
+		state = beliefs === 'learned' ? step.state : {...step.state, pace: {...step.state.pace, beliefs: beliefs === 'none' ? createPaceState() : rates.findBeliefs(time)}};
+		rates.noteBeliefs(state, time);
 		for (const effect of step.effects) {
 			perform(effect);
 		}
@@ -171,6 +198,7 @@
 			}
 		}
 
+		rates.update(time);
 		for (const worker of workers.values()) {
 			if (worker.advance(time) || (time - worker.reportsAt()) % reportMilliseconds < stepMilliseconds) {
 				report(worker);
@@ -208,10 +236,23 @@
 		spreadStarts,
 		discardedCoreSeconds,
 		durations,
+		keptApart,
+		...rates.describe(),
+		gangStretch: measureGangStretch(scenario, gangStarts, completions),
 		onTimeCoreSeconds: scenario.arrivals.reduce((total, job, index) => total + (played[index]?.isOnTime === true ? measureWork(job) : 0), 0),
 	};
 }
 
+/** Gangs that the scheduler started once, on time of their last start. */
+function measureGangStretch({arrivals}: Scenario, starts: ReadonlyMap<JobKey, number>, completions: ReadonlyMap<JobKey, number>): number {
+	const stretches = arrivals.flatMap(({submission: {job, request}, duration}) => {
+		const startedAt = starts.get(job);
+		const completedAt = completions.get(job);
+		return request.steps[0]?.isGang === true && request.steps[0].count > 1 && startedAt !== undefined && completedAt !== undefined ? [(completedAt - startedAt) / duration] : [];
+	});
+	return stretches.reduce((total, stretch) => total + stretch, 0) / Math.max(1, stretches.length);
+}
+
 function createDurations(): Record<SchedulerMessage['kind'], Milliseconds[]> {
 	return {
 		configured: [], loaded: [], submitted: [], cancelled: [], renewed: [], 'incarnation-ended': [], detached: [], 'start-answered': [], 'stop-answered': [], stored: [], tick: [],
--- a/bench/scheduling/report.ts
+++ b/bench/scheduling/report.ts
@@ -1,7 +1,7 @@
 /** Reports what callers get and what a decision costs, by size of the pool and load. */
 import type {Milliseconds} from '#core';
 import {playScenario, type Played} from './model.js';
-import {createScenario, type Kind} from './scenarios.js';
+import {createScenario, type Kind, type Unevenness} from './scenarios.js';
 
 const sizes = [
 	{workers: 160, rate: 1, length: 20_000}, {workers: 160, rate: 1.5, length: 20_000}, {workers: 1000, rate: 1, length: 5000},
@@ -10,7 +10,56 @@
 const crestFactor = 2.5;
 const seed = 7;
 
+/** Workers and tasks of the customer whose workers differ in speed. */
+const unevenness: Unevenness = {
+	speeds: [0.8, 1, 1.25], slowShare: 0.1, imagesPerKind: 2, interference: [], acceleratorsOfLayouts: 1, durationSpread: 0.15,
+};
+const interference: Unevenness['interference'] = [{image: 'layout-0', neighbour: 'curve-1', factor: 0.6}, {image: 'layout-0', neighbour: 'layout-1', factor: 0.6}];
+const unevenSeeds = [7, 9] as const;
+
 export function benchScheduling(): readonly string[] {
+	return [...benchLoads(), ...benchInterference(), ...benchSpeeds(), ...benchPasses()];
+}
+
+/** Work that neighbours slow, with and without keeping apart. */
+function benchInterference(): readonly string[] {
+	return unevenSeeds.flatMap(scenarioSeed => (['off', 'on'] as const).map(keepApart => {
+		const played = playScenario(createScenario({
+			workers: 160, rate: 0.7, factor: 1, length: 60_000, seed: scenarioSeed, unevenness: {...unevenness, interference},
+		}), {keepApart});
+		return `160 uneven workers with interference, seed ${scenarioSeed}, keep-apart ${keepApart}: ${describeUneven(played)}; `
+			+ `${played.believedPairs} pairs believed, ${played.wrongPairs} of them wrong, ${played.keptApart} placements changed`;
+	}));
+}
+
+/** Durations of gangs without speeds, with learned ones, and with the real ones; and pairs that are believed although nothing interferes. */
+function benchSpeeds(): readonly string[] {
+	return unevenSeeds.flatMap(scenarioSeed => (['none', 'learned', 'known'] as const).map(beliefs => {
+		const played = playScenario(createScenario({
+			workers: 96, rate: 1, factor: 1, length: 60_000, seed: scenarioSeed, unevenness: {...unevenness, acceleratorsOfLayouts: 2},
+		}), {beliefs});
+		return `96 uneven workers, seed ${scenarioSeed}, speeds ${beliefs}: ${describeUneven(played)}; `
+			+ `${played.believedSpeeds} speeds believed, ${played.wrongSpeeds} of them off by over 12%; ${played.wrongPairs} pairs believed without cause`;
+	}));
+}
+
+/** Cost of decisions with and without speeds. */
+function benchPasses(): readonly string[] {
+	return [{workers: 160, length: 20_000}, {workers: 1000, length: 5000}].flatMap(({workers, length}) => (['none', 'known'] as const).map(beliefs => {
+		const played = playScenario(createScenario({
+			workers, factor: crestFactor, length, seed, unevenness,
+		}), {beliefs});
+		return `${workers} uneven workers, speeds ${beliefs}: milliseconds, mean / longest: ${describeCosts(played)}`;
+	}));
+}
+
+function describeUneven({jobs, coreSeconds, slowedCoreSeconds, gangStretch}: Played): string {
+	const owed = jobs.reduce((total, job) => total + job.owed, 0);
+	const earned = jobs.reduce((total, job) => total + job.earned, 0);
+	return `${(slowedCoreSeconds / coreSeconds).toFixed(3)} of the work slowed, gangs take ${gangStretch.toFixed(3)} of their usual duration, earned ${(earned / owed).toFixed(3)} of owed`;
+}
+
+function benchLoads(): readonly string[] {
 	return sizes.flatMap(({workers, rate, length}) => {
 		const played = playScenario(createScenario({
 			workers, rate, factor: crestFactor, length, seed,
--- a/bench/scheduling/scenarios.ts
+++ b/bench/scheduling/scenarios.ts
@@ -47,7 +47,23 @@
 	worth: number; lateWorth: number;
 }>;
 
-export type Scenario = Readonly<{workers: number; configuration: SchedulingConfiguration; arrivals: readonly ArrivingJob[]; length: number}>;
+/** How uneven the workers and tasks are. */
+export type Unevenness = Readonly<{
+	/** Speeds of workers, drawn with equal probability. */
+	speeds: readonly number[];
+	/** Share of the workers that turn slow for some seconds, once each at a random time. */
+	slowShare: number;
+	/** Images of each kind of job, drawn with equal probability. */
+	imagesPerKind: number;
+	/** Pairs of images, such as `layout-0` and `curve-1`, of which the first progresses by `factor` beside the second. */
+	interference: ReadonlyArray<Readonly<{image: string; neighbour: string; factor: number}>>;
+	/** Accelerators of each single task. Tasks of four spread over many workers. */
+	acceleratorsOfLayouts: number;
+	/** Durations within a step differ at random by up to this share. */
+	durationSpread: number;
+}>;
+
+export type Scenario = Readonly<{workers: number; configuration: SchedulingConfiguration; arrivals: readonly ArrivingJob[]; length: number; unevenness?: Unevenness | undefined}>;
 
 function queueOf({kind, priority, stretch, targetMilliseconds}: KindOfJob): Queue {
 	return {
@@ -55,7 +71,7 @@
 	};
 }
 
-export type ScenarioOptions = Readonly<{workers: number; rate?: number; factor: number; length: number; seed: number}>;
+export type ScenarioOptions = Readonly<{workers: number; rate?: number; factor: number; length: number; seed: number; unevenness?: Unevenness}>;
 
 /**
 Creates jobs for `workers` workers over `length` milliseconds; `rate` multiplies the usual rates, `factor` those from a sixth to the half of that time.
@@ -65,8 +81,11 @@
 createScenario({workers: 160, factor: 2, length: 30_000, seed: 7});
 ```
 */
-export function createScenario({workers, rate = 1, factor, length, seed}: ScenarioOptions): Scenario {
+export function createScenario({workers, rate = 1, factor, length, seed, unevenness}: ScenarioOptions): Scenario {
 	const random = createRandomSource(seed);
+	// Images are drawn from a generator of their own, so that the jobs are those of the even scenario.
+	const randomImage = createRandomSource(seed + 1);
+	const withImage = (job: ArrivingJob): ArrivingJob => unevenness === undefined ? job : changeStep(job, {image: `${job.kind}-${Math.floor(randomImage() * unevenness.imagesPerKind)}`, ...(job.kind === 'layout' ? {accelerators: unevenness.acceleratorsOfLayouts} : {})});
 	const arrivals: ArrivingJob[] = [];
 	let count = 0;
 	for (const kind of kinds) {
@@ -75,7 +94,7 @@
 			const perMillisecond = kind.perSecond * (workers / 160) * rate * (isCrest ? factor : 1) / 1000;
 			at += -Math.log(1 - random()) / perMillisecond;
 			if (at < length) {
-				arrivals.push(createJob(kind, at, ++count, random));
+				arrivals.push(withImage(createJob(kind, at, ++count, random)));
 			}
 		}
 	}
@@ -83,10 +102,15 @@
 	const guaranteedAccelerators = Math.floor(workers * acceleratorsPerWorker * guaranteedShare / tenantCount);
 	const tenants = Array.from({length: tenantCount}, (_, index) => ({name: `tenant-${index}` as TenantName, apiKeys: [], guaranteedAccelerators}));
 	return {
-		workers, length, configuration: {version: 1, queues: kinds.map(kind => queueOf(kind)), tenants}, arrivals: arrivals.toSorted((first, second) => first.at - second.at),
+		workers, length, configuration: {version: 1, queues: kinds.map(kind => queueOf(kind)), tenants}, arrivals: arrivals.toSorted((first, second) => first.at - second.at), unevenness,
 	};
 }
 
+function changeStep(job: ArrivingJob, changes: Partial<JobStep>): ArrivingJob {
+	const {request} = job.submission;
+	return {...job, submission: {...job.submission, request: {...request, steps: request.steps.map(step => ({...step, ...changes}))}}};
+}
+
 function countTasksInRack(cores: number, accelerators: number): number {
 	return workersPerRack * Math.min(Math.floor(coresPerWorker / cores), Math.floor(acceleratorsPerWorker / accelerators));
 }
--- a/bench/scheduling/workers.ts
+++ b/bench/scheduling/workers.ts
@@ -11,7 +11,16 @@
 /** Interval of an agent's reports while nothing ends. */
 export const reportMilliseconds = 500;
 
-type SimulatedRun = Readonly<{task: TaskName; run: number; step: JobStep; startedAt: MonotonicTime; duration: number; initialPercent: number}> & {stopsAt: MonotonicTime};
+type SimulatedRun = Readonly<{task: TaskName; run: number; step: JobStep; duration: number; initialPercent: number}> & {
+	stopsAt: MonotonicTime;
+	/** Rate of progress since `since`, in relation to a usual worker, and the percentage of the task that was done before. */
+	rate: number;
+	since: MonotonicTime;
+	earlierPercent: number;
+};
+
+/** A run as its rate depends on it. */
+export type RatedRun = Readonly<{task: TaskName; step: JobStep}>;
 
 export type SimulatedWorker = Readonly<{
 	agent: AgentName;
@@ -22,6 +31,9 @@
 	advance(time: MonotonicTime): boolean;
 	acknowledge(notedEnd: number): void;
 	describe(time: MonotonicTime): WorkerSnapshot;
+	listRuns(): readonly RatedRun[];
+	/** Changes the rate of a run's progress. */
+	setRate(task: TaskName, rate: number, time: MonotonicTime): void;
 	reportsAt(): number;
 }>;
 
@@ -33,7 +45,8 @@
 	const reportOffset = Math.floor(random() * reportMilliseconds);
 	let ended: EndedRun[] = [];
 	let endCount = 0;
-	const measurePercent = ({startedAt, duration, initialPercent}: SimulatedRun, time: MonotonicTime) => Math.min(100, initialPercent + Math.floor((time - startedAt) * 100 / duration));
+	const measureGain = ({since, duration, rate, earlierPercent}: SimulatedRun, time: MonotonicTime) => earlierPercent + ((time - since) * rate * 100 / duration);
+	const measurePercent = (run: SimulatedRun, time: MonotonicTime) => Math.min(100, run.initialPercent + Math.floor(measureGain(run, time)));
 	const end = (run: SimulatedRun, ending: EndedRun['ending'], time: MonotonicTime) => {
 		runs.delete(run.task);
 		ended.push({
@@ -46,7 +59,7 @@
 		rack,
 		start({task, run, checkpoint}, step, duration, time) {
 			runs.set(task, {
-				task, run, step, startedAt: time, duration, initialPercent: Number(checkpoint), stopsAt: Infinity,
+				task, run, step, duration, initialPercent: Number(checkpoint), stopsAt: Infinity, rate: 1, since: time, earlierPercent: 0,
 			});
 		},
 		stop({task, run}, time) {
@@ -87,6 +100,15 @@
 			ended,
 			lost: [],
 		}),
+		listRuns: () => [...runs.values()],
+		setRate(task, rate, time) {
+			const run = runs.get(task);
+			if (run !== undefined && run.rate !== rate) {
+				run.earlierPercent = measureGain(run, time);
+				run.since = time;
+				run.rate = rate;
+			}
+		},
 		reportsAt: () => reportOffset,
 	};
 }
