--- a/packages/scheduling/pool.ts
+++ b/packages/scheduling/pool.ts
@@ -8,9 +8,11 @@
 	isOpen, isRunOn, findJob, resourcesOf, resolveQueue,
 } from './state.js';
 import {isInClosedZone} from './closed-zones.js';
+import {estimateSpeed, type TaskKind} from '#pace';
 import {isOnProbation} from './crashes.js';
 import {findAcknowledgementEnd} from './late-acknowledgements.js';
 import {listLateStarts} from './late-starts.js';
+import {listConflicting, listKindsToKeepApart} from './pace.js';
 import type {Rank} from './rank.js';
 import {estimateRemaining} from './remaining.js';
 import {listRunsOf, type ListedRun} from './runs.js';
@@ -43,6 +45,10 @@
 	isHeldByZone: boolean;
 	/** How much longer the worker stays slow, as it announced. */
 	coldFor: Milliseconds;
+	/** Believed speed as a multiple of a usual worker's; undefined without a belief. */
+	speed: number | undefined;
+	/** Kinds of tasks that are to be kept apart from those on the worker. */
+	conflicting: ReadonlySet<TaskKind>;
 }>;
 
 export type Pool = PersistentMap<AgentName, PoolWorker>;
@@ -50,6 +56,7 @@
 /** Collects the runs and free resources of every worker. A run uses its resources until its end is listed, also while it is being stopped; a start that may still be carried out holds them. */
 export function createPool(state: SchedulerState, ranks: ReadonlyMap<JobKey, Rank>, monotonic: MonotonicTime): Pool {
 	const lateStarts = listLateStarts(state, monotonic);
+	const conflicts = listKindsToKeepApart(state, monotonic);
 	return state.workers.map((worker, agent) => {
 		const isClosed = isInClosedZone(state, worker);
 		const runs = listRunsOf(state, agent).flatMap(listed => isRunOn(listed.run, worker) ? placeRun(state, listed, ranks) : []);
@@ -61,6 +68,8 @@
 			isUsable: isOtherwiseUsable && !isClosed,
 			isHeldByZone: isOtherwiseUsable && isClosed,
 			coldFor: Math.max(0, worker.grantedAt + (worker.snapshot.coldForMilliseconds ?? 0) - monotonic),
+			speed: estimateSpeed(state.pace.beliefs, worker.snapshot, monotonic),
+			conflicting: listConflicting(runs, conflicts),
 		};
 	});
 }
--- a/packages/scheduling/state.ts
+++ b/packages/scheduling/state.ts
@@ -5,12 +5,13 @@
 	indexLists, isSameIncarnation, listsOf, parseJobOfTask, parseTaskName, type JobStep, type Queue, type Resources, type TaskName,
 } from '#jobs';
 import {noClosedZones} from '#zones';
+import {createPaceState} from '#pace';
 import {runsPerEpoch} from './constants.js';
 import type {
-	SchedulerJob, SchedulerState, SchedulerWorker, TaskCounts, TaskRun, TaskState,
+	KeepApart, SchedulerJob, SchedulerState, SchedulerWorker, TaskCounts, TaskRun, TaskState,
 } from './types.js';
 
-export function createSchedulerState(epoch: number): SchedulerState {
+export function createSchedulerState(epoch: number, keepApart: KeepApart = 'on'): SchedulerState {
 	return {
 		epoch,
 		configuration: undefined,
@@ -28,6 +29,9 @@
 		checkedZones: new Map(),
 		unopenedLoggedAt: -Infinity,
 		isScheduleDue: false,
+		pace: {
+			keepApart, beliefs: createPaceState(), ended: [], sampledAt: -Infinity,
+		},
 	};
 }
 
