Start long-running tasks without the limits for work that ends by itself

The share of workers for low ranks and the limit to the first tasks of a wide step apply to work whose duration is unknown. Long-running work is now neither limited by the share nor counted in it.

--- a/packages/scheduling/low-rank.ts
+++ b/packages/scheduling/low-rank.ts
@@ -12,9 +12,9 @@
 	return job.counts.running;
 }
 
-/** Whether the unit has a low rank and cannot be stopped without discarding work. */
+/** Whether the unit has a low rank, cannot be stopped without discarding work, and ends by itself. Long-running work is not limited: each of its tasks is expected to run wherever there is room, and it never shows a pace. */
 export function isLowRankWithoutCheckpoints({rank, step}: Pick<SchedulingUnit, 'rank' | 'step'>): boolean {
-	return rank > lowRankThreshold && !step.isCheckpointing;
+	return rank > lowRankThreshold && !step.isCheckpointing && !step.isLongRunning;
 }
 
 /** Whether the utilization of every resource of the pool is low. */
