--- a/packages/scheduling/ends.ts
+++ b/packages/scheduling/ends.ts
@@ -10,7 +10,7 @@
 	chain, endJob, stopRuns, storeJob, withoutEffects, type SchedulerTransition,
 } from './runs.js';
 import {
-	countFailures, isOpen, findJob, findTask, resolveQueue, listStepMembers, findStep, markChanged, withTask, withWorker,
+	countFailures, isOpen, findJob, findTask, resolveQueue, listStepMembers, findStep, markChanged, replaceJob, withTask, withWorker,
 } from './state.js';
 import type {
 	AgentName, SchedulerJob, SchedulerState, TaskState,
@@ -87,8 +87,7 @@
 function applyEndToTask(state: SchedulerState, origin: EndOrigin, end: EndedRun, time: CurrentTime): SchedulerTransition {
 	const job = findJob(state, end.task);
 	const task = job?.tasks.get(end.task);
-	const step = job === undefined ? undefined : findStep(job, end.task);
-	if (job === undefined || task === undefined || step === undefined) {
+	if (job === undefined || task === undefined) {
 		return withoutEffects(state);
 	}
 
@@ -99,28 +98,28 @@
 		return withoutEffects(withTask(state, end.task, updated));
 	}
 
-	switch (end.ending) {
+	return applyEndToOpenJob(replaceJob(state, {...job, hasStarted: true}), {
+		job, end, task: updated, origin,
+	}, time);
+}
+
+/** Applies an end to its task. What has ended has begun, also if it was never listed as running. */
+function applyEndToOpenJob(state: SchedulerState, ended: TaskEndWithOrigin, time: CurrentTime): SchedulerTransition {
+	const isLongRunning = findStep(ended.job, ended.end.task)?.isLongRunning === true;
+	switch (ended.end.ending) {
 		case 'done': {
-			return step.isLongRunning
-				? requeueTask(state, {job, end, task: updated}, time)
-				: finishTask(state, {
-					job, end, task: updated, origin,
-				}, time);
+			return isLongRunning ? requeueTask(state, ended, time) : finishTask(state, ended, time);
 		}
 
 		case 'failed': {
-			return step.isLongRunning
-				? requeueTask(state, {job, end, task: updated}, time)
-				: failTask(state, {
-					job, end, task: updated, origin,
-				}, time);
+			return isLongRunning ? requeueTask(state, ended, time) : failTask(state, ended, time);
 		}
 
 		case 'stopped':
 		case 'lapsed':
 		case 'broken':
 		case 'alone': {
-			return requeueTask(state, {job, end, task: updated}, time);
+			return requeueTask(state, ended, time);
 		}
 	}
 }
--- a/packages/scheduling/occurrences.ts
+++ b/packages/scheduling/occurrences.ts
@@ -38,7 +38,9 @@
 		taskNames: PersistentMap(),
 		occurrences,
 		counts: {waiting: 0, running: 0, unfinished: 0},
-		hasStarted: occurrences.next > occurrences.unopened.size || storedTasks.some(({isDone}) => isDone),
+		hasStarted: occurrences.next > occurrences.unopened.size || storedTasks.some(({isDone = false, failedRuns = [], checkpoint = '', crashes = []}) => hasStarted({
+			isDone, failedRuns, checkpoint, crashes,
+		})),
 		hasCrashes: storedTasks.some(({crashes = []}) => crashes.length > 0),
 		outcome: progress?.outcome ?? 'queued',
 		version: isStored ? 1 : 0,
--- a/packages/scheduling/state.ts
+++ b/packages/scheduling/state.ts
@@ -4,7 +4,6 @@
 import {
 	indexLists, isSameIncarnation, listsOf, parseJobOfTask, parseTaskName, type JobStep, type Queue, type Resources, type TaskName,
 } from '#jobs';
-import {runsPerEpoch} from './constants.js';
 import type {
 	SchedulerJob, SchedulerState, SchedulerWorker, TaskCounts, TaskRun, TaskState,
 } from './types.js';
@@ -120,8 +119,12 @@
 	return run === undefined ? runs : runs.set(run.agent, (runs.get(run.agent) ?? PersistentSet<TaskName>()).add(name));
 }
 
-export function hasStarted({isDone, run, lastRun}: TaskState): boolean {
-	return isDone || run !== undefined || lastRun % runsPerEpoch > 0;
+/** What shows that a task has begun; stored progress has no run. */
+type StartEvidence = Pick<TaskState, 'isDone' | 'failedRuns' | 'checkpoint' | 'crashes'> & Readonly<{run?: TaskState['run']}>;
+
+/** Whether a run of the task has certainly begun on a worker. A start that was ordered and refused, or got no answer, does not show that. */
+export function hasStarted({isDone, run, failedRuns, checkpoint, crashes}: StartEvidence): boolean {
+	return isDone || run?.isStartConfirmed === true || failedRuns.length > 0 || checkpoint !== '' || crashes.length > 0;
 }
 
 export function findJob(state: SchedulerState, task: TaskName): SchedulerJob | undefined {
@@ -202,7 +205,7 @@
 	return jobs.valueSeq().filter(job => isOpen(job)).toArray().toSorted((first, second) => first.submission.submittedAt - second.submission.submittedAt);
 }
 
-/** Counts the jobs without a started task, by queue. */
+/** Counts the jobs of which no task has begun on a worker, by queue. */
 export function countPending({jobs}: SchedulerState): ReadonlyMap<string, number> {
 	const counts = new Map<string, number>();
 	for (const job of jobs.values()) {
--- a/packages/scheduling/types.ts
+++ b/packages/scheduling/types.ts
@@ -119,7 +119,7 @@
 	occurrences: Occurrences;
 	/** Numbers of tasks, kept up to date so that no message has to iterate over all of them. */
 	counts: TaskCounts;
-	/** Whether a task has started in this epoch or is done. */
+	/** Whether a task has begun on a worker, as far as this scheduler knows. */
 	hasStarted: boolean;
 	/** Whether a worker crashed under one of its tasks. */
 	hasCrashes: boolean;
@@ -264,6 +264,6 @@
 	| Readonly<{kind: 'remove-records'; job: JobKey; keyVersion: number}>
 	| Readonly<{kind: 'log'; event: string; fields: Readonly<Record<string, unknown>>}>;
 
-/** Number of jobs without a started task, by queue. */
+/** Number of jobs of which no task has begun on a worker, by queue. */
 export type PendingCounts = ReadonlyMap<QueueName, number>;
 
