Stop long-running work for a guarantee, last and within may_miss if possible

After the wait that applies to other runs without checkpoints, work within a guarantee now searches for victims in three steps: without long-running work, with as much of it as its steps permit to be away, and with any. Tasks that are away for other causes count towards maximumUnavailable, and a gang counts as a whole. Work beyond a guarantee still never stops long-running work.

--- a/packages/scheduling/constants.ts
+++ b/packages/scheduling/constants.ts
@@ -94,6 +94,8 @@
 export const lowestUrgentRank = 1;
 /** Additional cost, in core-seconds, of stopping urgent work: about what callers pay for it on time in relation to the price of discarded work. */
 export const urgentVictimCoreSeconds = 4000;
+/** Additional cost, in core-seconds, of stopping a long-running task: more than any other run loses, so that such a stop comes last. */
+export const longRunningVictimCoreSeconds = 1_000_000;
 /** How often work beyond a guarantee may stop the same task, so that its job eventually ends; urgent work may stop a task that saves its progress more often. */
 export const maximumPreemptions = 1;
 /** Interval at which checkpoints of runs are stored. Workers create one for each 0.5 to 2 s of work, and one write holds those of 15 jobs. */
--- a/packages/scheduling/preempt.ts
+++ b/packages/scheduling/preempt.ts
@@ -4,12 +4,13 @@
 	add, countFitting, subtract, type Pool, type PoolWorker, type PlacedRun,
 } from './pool.js';
 import {
-	affordableLossFactors, lowestUrgentRank, negligibleLossMilliseconds, endingSoonMilliseconds, freshProgressMilliseconds,
+	affordableLossFactors, lowestUrgentRank, negligibleLossMilliseconds, endingSoonMilliseconds, freshProgressMilliseconds, longRunningVictimCoreSeconds,
 	lateValueShare, maximumPreemptions, preemptionDelayMilliseconds, rackPreferenceCoreSeconds, urgentVictimCoreSeconds,
 } from './constants.js';
 import {
 	countAllowedTasks, groupByRack, listCandidates, listRacksToWaitFor, type TaskCounts,
 } from './place.js';
+import {selectStoppable, type LongRunningLimit} from './long-running.js';
 import {measureLoss, estimateWork} from './loss.js';
 import {estimateRemaining} from './remaining.js';
 import {resourcesOf} from './state.js';
@@ -21,33 +22,45 @@
 
 type PreemptionOption = Readonly<{candidate: PoolWorker; fitting: number; cost: number}>;
 
+/** What a search for victims depends on. */
+export type VictimSearch = Readonly<{unit: SchedulingUnit; pool: Pool; limit: LongRunningLimit; monotonic: MonotonicTime}>;
+
 /** Finds the cheapest victims of a lower rank whose stop makes room for the unit's tasks. Runs that are being stopped or end soon cost nothing. */
-export function findPreemption(unit: SchedulingUnit, count: number, pool: Pool, monotonic: MonotonicTime): Preemption | undefined {
+export function findPreemption(search: VictimSearch, count: number): Preemption | undefined {
+	const {unit, pool, monotonic} = search;
 	const options = listCandidates(unit, pool)
-		.map(candidate => createOption(unit, count, candidate, monotonic))
+		.map(candidate => createOption(search, count, candidate, []))
 		.filter(({fitting}) => fitting > 0)
 		.toSorted((first, second) => (first.cost / first.fitting) - (second.cost / second.fitting));
 	const racks = unit.step.prefersOneRack ? groupByRack(options, ({candidate}) => candidate) : [];
 	const isLimitedToRack = unit.step.prefersOneRack && listRacksToWaitFor(unit, listCandidates(unit, pool), monotonic).length > 0;
 	const preemptions = [
-		...racks.map(rack => ({found: findWithin(unit, count, rack, monotonic), penalty: 0})),
-		...(isLimitedToRack ? [] : [{found: findWithin(unit, count, options, monotonic), penalty: unit.step.prefersOneRack ? rackPreferenceCoreSeconds : 0}]),
-	].flatMap(({found, penalty}) => found === undefined ? [] : [{found, totalCost: penalty + measureTotalLoss(found.victims, monotonic)}]);
+		...racks.map(rack => ({found: findWithin(search, count, rack), penalty: 0})),
+		...(isLimitedToRack ? [] : [{found: findWithin(search, count, options), penalty: unit.step.prefersOneRack ? rackPreferenceCoreSeconds : 0}]),
+	].flatMap(({found, penalty}) => found === undefined ? [] : [{found, totalCost: penalty + measureTotalCost(found.victims, monotonic)}]);
 	return preemptions.toSorted((first, second) => first.totalCost - second.totalCost)[0]?.found;
 }
 
 /** Takes the cheapest options first; `options` are in that order. */
-function findWithin(unit: SchedulingUnit, count: number, options: readonly PreemptionOption[], monotonic: MonotonicTime): Preemption | undefined {
+function findWithin(search: VictimSearch, count: number, options: readonly PreemptionOption[]): Preemption | undefined {
+	const {unit, limit, monotonic} = search;
 	const taskCounts = new Map<AgentName, number>();
 	const victims: PlacedRun[] = [];
 	let remaining = count;
-	for (const {candidate, fitting} of options) {
+	for (const option of options) {
 		if (remaining === 0) {
 			break;
 		}
 
+		const {candidate} = option;
+		// What a step permits is shared by all workers, so that earlier victims leave less of it.
+		const {fitting} = limit === 'within-maximum-unavailable' ? createOption(search, remaining, candidate, victims) : option;
 		const taskCount = Math.min(remaining, fitting);
-		victims.push(...pickVictims(unit, taskCount, candidate, monotonic));
+		if (taskCount === 0) {
+			continue;
+		}
+
+		victims.push(...pickVictims(search, taskCount, candidate, victims));
 		taskCounts.set(candidate.worker.agent, taskCount);
 		remaining -= taskCount;
 	}
@@ -56,23 +69,33 @@
 	return isEnough && isAffordable(unit, victims, monotonic) ? {victims, taskCounts} : undefined;
 }
 
-function createOption(unit: SchedulingUnit, count: number, candidate: PoolWorker, monotonic: MonotonicTime): PreemptionOption {
+function createOption(search: VictimSearch, count: number, candidate: PoolWorker, chosen: readonly PlacedRun[]): PreemptionOption {
+	const {unit, monotonic} = search;
 	const limit = Math.min(count, countAllowedTasks(unit, candidate));
-	const reclaimable = candidate.runs.filter(run => isEndingSoon(unit, run, monotonic) || mayPreempt(unit, run, monotonic));
+	const reclaimable = [...candidate.runs.filter(run => isEndingSoon(unit, run, monotonic)), ...listStoppable(search, candidate, chosen)];
 	const free = reclaimable.reduce((total, {need}) => add(total, need), candidate.free);
 	const fitting = countFitting(free, resourcesOf(unit.step), limit);
-	const victims = pickVictims(unit, fitting, candidate, monotonic);
+	const victims = pickVictims(search, fitting, candidate, chosen);
 	return {candidate, fitting, cost: victims.reduce((total, victim) => total + measureCost(victim, monotonic), 0)};
 }
 
+/** Lists the runs of a worker that may be stopped, the cheapest first, and long-running ones last. */
+function listStoppable({unit, pool, limit, monotonic}: VictimSearch, {runs}: PoolWorker, chosen: readonly PlacedRun[]): readonly PlacedRun[] {
+	const stoppable = runs
+		.filter(run => !isEndingSoon(unit, run, monotonic) && mayPreempt(unit, run, monotonic))
+		.toSorted((first, second) => measureCost(first, monotonic) - measureCost(second, monotonic));
+	return selectStoppable(stoppable, chosen, pool, limit);
+}
+
 /** Selects the cheapest victims, then drops those that turn out not to be needed. */
-function pickVictims(unit: SchedulingUnit, taskCount: number, {runs, free}: PoolWorker, monotonic: MonotonicTime): readonly PlacedRun[] {
+function pickVictims(search: VictimSearch, taskCount: number, candidate: PoolWorker, chosen: readonly PlacedRun[]): readonly PlacedRun[] {
+	const {unit, monotonic} = search;
+	const {runs, free} = candidate;
 	const need = resourcesOf(unit.step);
 	const fits = (available: typeof free) => countFitting(available, need, taskCount) >= taskCount;
 	let available = runs.filter(run => isEndingSoon(unit, run, monotonic)).reduce((total, victim) => add(total, victim.need), free);
 	const victims: PlacedRun[] = [];
-	const stoppable = runs.filter(candidate => !isEndingSoon(unit, candidate, monotonic) && mayPreempt(unit, candidate, monotonic));
-	for (const run of stoppable.toSorted((first, second) => measureCost(first, monotonic) - measureCost(second, monotonic))) {
+	for (const run of listStoppable(search, candidate, chosen)) {
 		if (fits(available)) {
 			break;
 		}
@@ -116,13 +139,17 @@
 	}
 }
 
-/** Whether the unit may stop a run; it must have a lower rank and not be long-running. Work within a guarantee may stop any such run after a short wait, other work only if it is at risk of being late and the loss is affordable. A negligible loss needs neither, unless the run is of urgent work. */
+/** Whether the unit may stop a run, which must have a lower rank; long-running work is stopped only for a guarantee. Work within a guarantee may stop any such run after a short wait, other work only if it is at risk of being late and the loss is affordable. A negligible loss needs neither, unless the run is of urgent work. */
 function mayPreempt(unit: SchedulingUnit, victim: PlacedRun, monotonic: MonotonicTime): boolean {
 	const {rank, waitingSince, isAtRisk} = unit;
-	if (victim.rank <= rank || victim.step.isLongRunning) {
+	if (victim.rank <= rank) {
 		return false;
 	}
 
+	if (victim.step.isLongRunning) {
+		return rank === 0 && monotonic - waitingSince >= preemptionDelayMilliseconds;
+	}
+
 	const isProtected = rank > lowestUrgentRank || (rank > 0 && !victim.step.isCheckpointing);
 	if (isProtected && victim.preemptions >= maximumPreemptions) {
 		return false;
@@ -167,9 +194,17 @@
 	return total;
 }
 
+function measureTotalCost(victims: readonly PlacedRun[], monotonic: MonotonicTime): number {
+	return measureTotalLoss(victims, monotonic) + (victims.filter(({step}) => step.isLongRunning).length * longRunningVictimCoreSeconds);
+}
+
 /** Cost by which victims are selected: low for a small loss and for a low rank. Urgent work has so little slack that a stop makes it late. */
 function measureCost(victim: PlacedRun, monotonic: MonotonicTime): number {
 	const loss = measureVictimLoss(victim, monotonic) + (restartCoreSeconds * (1 + victim.preemptions));
+	if (victim.step.isLongRunning) {
+		return loss + longRunningVictimCoreSeconds;
+	}
+
 	return victim.rank <= lowestUrgentRank ? loss + urgentVictimCoreSeconds : loss / victim.rank;
 }
 
--- a/packages/scheduling/schedule.ts
+++ b/packages/scheduling/schedule.ts
@@ -12,6 +12,7 @@
 import {
 	countByAgent, hasRoomForTask, placeUnit, type Placement, type TaskCounts,
 } from './place.js';
+import {listLongRunningLimits} from './long-running.js';
 import {isUtilizationLow} from './low-rank.js';
 import {openDueOccurrences} from './occurrences.js';
 import {findPreemption, type Preemption} from './preempt.js';
@@ -152,7 +153,7 @@
 
 /** Preempts work of a lower rank for the unit and allocates the resources to it for the rest of the pass, or reserves workers if there is none. */
 function preempt(pass: Pass, unit: SchedulingUnit, count: number, monotonic: MonotonicTime): Pass {
-	const found = findPreemption(unit, count, pass.pool, monotonic) ?? findPreemptionOfClaims(pass, unit, count, monotonic);
+	const found = findVictims(pass, unit, count, monotonic);
 	if (found === undefined) {
 		const job = pass.state.jobs.get(unit.job.submission.job) ?? unit.job;
 		return reserveForUnit({...pass, state: replaceJob(pass.state, {...job, preemptionFailedAt: monotonic})}, unit, monotonic);
@@ -169,10 +170,21 @@
 	);
 }
 
-/** Work within a guarantee takes room that lower ranks claimed if there is no other. */
-function findPreemptionOfClaims({pool, claims}: Pass, unit: SchedulingUnit, count: number, monotonic: MonotonicTime): Preemption | undefined {
-	const lower = claims.filter(({rank}) => rank > unit.rank);
-	return unit.rank === 0 && lower.length > 0 ? findPreemption(unit, count, releaseClaims(pool, lower), monotonic) : undefined;
+/** Work within a guarantee takes room that lower ranks claimed if there is no other, and that of long-running work last. */
+function findVictims({pool, claims}: Pass, unit: SchedulingUnit, count: number, monotonic: MonotonicTime): Preemption | undefined {
+	const lower = unit.rank === 0 ? claims.filter(({rank}) => rank > 0) : [];
+	for (const limit of listLongRunningLimits(unit, pool)) {
+		const search = {
+			unit, pool, limit, monotonic,
+		};
+		const found = findPreemption(search, count)
+			?? (lower.length > 0 ? findPreemption({...search, pool: releaseClaims(pool, lower)}, count) : undefined);
+		if (found !== undefined) {
+			return found;
+		}
+	}
+
+	return undefined;
 }
 
 function allocateTasks({step}: SchedulingUnit, taskCounts: TaskCounts, pool: Pool): Pool {
--- a/test/scheduling/long-running.test.ts
+++ b/test/scheduling/long-running.test.ts
@@ -1,7 +1,7 @@
 /** Long-running work: started wherever there is room, and stopped only for a guarantee. */
 import {expect} from 'chai';
 import {
-	createDriver, createReadyDriver, endedRunOf, configuration, reportedRunOf, snapshotOf, startsOf, submissionOf, taskOf, type Driver,
+	createDriver, createReadyDriver, endedRunOf, configuration, keyOf, reportedRunOf, snapshotOf, startsOf, stopsOf, submissionOf, taskOf, type Driver,
 } from '#test/support/scheduling';
 
 type Case = Readonly<{name: string; run(): void}>;
@@ -57,7 +57,96 @@
 	},
 ];
 
+type StopCase = Readonly<{
+	name: string;
+	workers: readonly string[];
+	/** Jobs that hold the pool, in the order of their submission. */
+	holding: ReadonlyArray<Parameters<typeof submissionOf>[1][number] & Readonly<{priority?: number}>>;
+	/** The job within its guarantee. */
+	arriving: Parameters<typeof submissionOf>[1][number];
+	/** Numbers of the jobs of the tasks that are stopped for it, one for each task. */
+	stopped: readonly number[];
+	/** What changes before that job arrives. */
+	before?(driver: Driver): void;
+}>;
+
+const stopCases: readonly StopCase[] = [
+	{
+		name: 'a guarantee is reclaimed from long-running work that permits no task to be away (guaranteed job never starts)',
+		workers: ['a', 'b'], holding: [{count: 2, accelerators: 8, isLongRunning: true}], arriving: {accelerators: 4}, stopped: [1],
+	},
+	{
+		name: 'of two steps, the one that permits a task to be away is stopped (step without permission stopped)',
+		workers: ['a', 'b'], holding: [{accelerators: 8, isLongRunning: true}, {accelerators: 8, isLongRunning: true, maximumUnavailable: 1}], arriving: {accelerators: 4}, stopped: [2],
+	},
+	{
+		name: 'a step of which as many tasks are away as it permits is stopped after others (tasks away for other causes not counted)',
+		workers: ['a', 'b', 'c', 'd'],
+		holding: [{
+			count: 2, accelerators: 8, isLongRunning: true, maximumUnavailable: 1,
+		}, {
+			count: 2, accelerators: 8, isLongRunning: true, maximumUnavailable: 1,
+		}],
+		before(driver) {
+			driver.send({
+				kind: 'incarnation-ended', agent: 'a', worker: snapshotOf('a').worker, incarnation: '1', ending: 'left', ended: [],
+			});
+		},
+		arriving: {accelerators: 8},
+		stopped: [2],
+	},
+	{
+		name: 'other runs of a lower rank are stopped first (long-running work stopped although a batch run could make room)',
+		workers: ['a', 'b'], holding: [{accelerators: 8, isLongRunning: true, maximumUnavailable: 1}, {accelerators: 8, estimatedMilliseconds: 60_000}], arriving: {accelerators: 4}, stopped: [2],
+	},
+	{
+		name: 'a gang counts as a whole (gang ended although only one of its tasks may be away)',
+		workers: ['a', 'b', 'c'],
+		holding: [{
+			count: 2, accelerators: 8, isLongRunning: true, isGang: true, maximumUnavailable: 1,
+		}, {accelerators: 8, isLongRunning: true, maximumUnavailable: 1}],
+		arriving: {accelerators: 4},
+		stopped: [2],
+	},
+	{
+		name: 'a gang within a guarantee takes what the steps permit, and more only as far as it needs (more tasks away than needed)',
+		workers: ['a', 'b', 'c', 'd'],
+		holding: [{
+			count: 4, accelerators: 8, isLongRunning: true, maximumUnavailable: 2,
+		}],
+		arriving: {count: 2, accelerators: 4, isGang: true},
+		stopped: [1],
+	},
+];
+
+/** Lists the jobs of the tasks that are stopped within a duration. */
+function watchStops(driver: Driver, duration: number): readonly string[] {
+	return [...new Set(stopsOf(driver.elapse(duration)))].map(task => task.slice(0, 16));
+}
+
 describe('long-running work', () => {
+	for (const {name, workers, holding, before, arriving, stopped} of stopCases) {
+		it(name, () => {
+			const driver = createReadyDriver(workers.map(worker => [worker]));
+			for (const [index, step] of holding.entries()) {
+				submitAndRun(driver, index + 1, step, {priority: 2});
+			}
+
+			driver.elapse(2000);
+			before?.(driver);
+			driver.send({kind: 'submitted', submission: submissionOf(99, [arriving], {priority: 0, submittedAt: driver.time()})});
+			expect(watchStops(driver, 600), 'before the guarantee has waited').to.deep.equal([]);
+			expect(watchStops(driver, 600)).to.deep.equal(stopped.map(number => keyOf(number)));
+		});
+	}
+
+	it('other urgent work does not stop long-running work (may_miss used up by work without a guarantee)', () => {
+		const driver = createReadyDriver([['a']]);
+		submitAndRun(driver, 1, {accelerators: 8, isLongRunning: true, maximumUnavailable: 1});
+		driver.send({kind: 'submitted', submission: submissionOf(2, [{count: 2, accelerators: 8}], {priority: 0, submittedAt: driver.time()})});
+		expect(watchStops(driver, 5000)).to.deep.equal([]);
+	});
+
 	for (const {name, run} of startCases) {
 		it(name, run);
 	}
