Count lost work once, and by reason

Stops now carry a typed reason, ends of runs tell what was lost with them, and the metrics count lost core-seconds by reason.

--- a/packages/coordinator/plugins/scheduler.ts
+++ b/packages/coordinator/plugins/scheduler.ts
@@ -195,11 +195,19 @@
 
 		case 'log': {
 			context.counters.countEvent(effect.event);
+			countLoss(effect.fields, context);
 			context.log.withPrefix('scheduler').info({epoch: term.epoch, ...effect.fields}, describeEvent(effect.event));
 		}
 	}
 }
 
+/** Counts lost work in core-seconds, by reason: `lost-core-seconds-preempted`. */
+function countLoss({lossReason, lossCoreSeconds}: Readonly<Record<string, unknown>>, {counters}: CoordinatorContext): void {
+	if (typeof lossReason === 'string' && typeof lossCoreSeconds === 'number' && lossCoreSeconds > 0) {
+		counters.countEvent(`lost-core-seconds-${lossReason}`, lossCoreSeconds);
+	}
+}
+
 /** Timeout of the call that makes an agent renew at once. */
 const acknowledgeTimeoutMilliseconds = 1000;
 
--- a/packages/scheduling/ends.ts
+++ b/packages/scheduling/ends.ts
@@ -5,6 +5,7 @@
 } from '#jobs';
 import {avoidWorker} from './avoidance.js';
 import {avoidanceMilliseconds, failuresBeforeAvoidance} from './constants.js';
+import {measureLoss} from './loss.js';
 import {isComplete, openForReport} from './occurrences.js';
 import {
 	chain, endJob, stopRuns, storeJob, withoutEffects, type SchedulerTransition,
@@ -12,6 +13,7 @@
 import {
 	countFailures, isOpen, findJob, findTask, resolveQueue, listStepMembers, findStep, markChanged, replaceJob, withTask, withWorker,
 } from './state.js';
+import {describeLoss} from './stop-reasons.js';
 import type {
 	AgentName, SchedulerJob, SchedulerState, TaskState,
 } from './types.js';
@@ -75,15 +77,25 @@
 type EndOrigin = WorkerIncarnation & Readonly<{agent: AgentName}>;
 
 function applyEnd(state: SchedulerState, origin: EndOrigin, end: EndedRun, time: CurrentTime): SchedulerTransition {
-	const {state: next, effects} = applyEndToTask(openForReport(state, end.task), origin, end, time);
+	const opened = openForReport(state, end.task);
+	const {state: next, effects} = applyEndToTask(opened, origin, end, time);
 	const log = {
 		kind: 'log', event: 'run-ended', fields: {
-			task: end.task, run: end.run, ending: end.ending, worker: origin.worker,
+			task: end.task, run: end.run, ending: end.ending, worker: origin.worker, ...describeLossOfEnd(opened, origin, end, time),
 		},
 	} as const;
 	return {state: next, effects: [...effects, log]};
 }
 
+/** Lost work of a run that ended without being done. The line that ordered a stop has counted that of its runs. */
+function describeLossOfEnd(state: SchedulerState, origin: EndOrigin, {task: name, run: number, ending}: EndedRun, {monotonic}: CurrentTime): Readonly<Record<string, unknown>> {
+	const job = findJob(state, name);
+	const run = job?.tasks.get(name)?.run;
+	const step = job === undefined ? undefined : findStep(job, name);
+	const isCurrentRun = run?.run === number && isSameIncarnation(run.incarnation, origin);
+	return step === undefined || !isCurrentRun || run.stage === 'stopping' || ending === 'done' ? {} : describeLoss(`run-${ending}`, measureLoss(run, step, monotonic));
+}
+
 function applyEndToTask(state: SchedulerState, origin: EndOrigin, end: EndedRun, time: CurrentTime): SchedulerTransition {
 	const job = findJob(state, end.task);
 	const task = job?.tasks.get(end.task);
@@ -141,7 +153,7 @@
 	const {job: key} = job.submission;
 	return chain(clearFailures(markChanged(next, end.task, time.monotonic), origin.agent), [
 		// Stops another run of the same task, which is no longer needed.
-		after => end.run === job.tasks.get(end.task)?.run?.run ? withoutEffects(after) : stopRuns(after, [end.task], 'task completed on another worker', time.monotonic),
+		after => end.run === job.tasks.get(end.task)?.run?.run ? withoutEffects(after) : stopRuns(after, [end.task], {kind: 'done-elsewhere'}, time.monotonic),
 		after => isJobComplete(after, key) ? endJob(after, key, 'completed', time) : storeCurrent(after, key),
 	]);
 }
@@ -184,7 +196,7 @@
 	const job = findJob(state, task);
 	const members = job !== undefined && findStep(job, task)?.isGang === true ? listStepMembers(job, task) : [];
 	const hasNewerRun = members.some(name => (job?.tasks.get(name)?.run?.run ?? 0) > run);
-	return hasNewerRun ? withoutEffects(state) : stopRuns(state, members, 'a member of the gang ended', monotonic);
+	return hasNewerRun ? withoutEffects(state) : stopRuns(state, members, {kind: 'member-ended'}, monotonic);
 }
 
 function clearFailures(state: SchedulerState, agent: AgentName): SchedulerState {
--- a/packages/scheduling/incarnations.ts
+++ b/packages/scheduling/incarnations.ts
@@ -14,13 +14,11 @@
 import {
 	findJob, findStep, isOpen, isRunOn, listStepMembers,
 } from './state.js';
+import {describeLoss, type ReleaseCause} from './stop-reasons.js';
 import type {
 	IncarnationEnd, SchedulerState, SchedulerWorker, TaskRun,
 } from './types.js';
 
-/** Why the runs of a worker's incarnation have certainly ended. */
-export type ReleaseCause = 'worker-restarted' | 'worker-silent' | 'worker-left' | 'agent-lost';
-
 function describeCause(cause: ReleaseCause): string {
 	switch (cause) {
 		case 'worker-restarted': {
@@ -80,7 +78,8 @@
 			const step = findStep(job, name);
 			lostTasks.push(name);
 			lostRuns.push({run: run.run, stage: run.stage, isStopConfirmed: run.isStopConfirmed});
-			loss += step === undefined ? 0 : measureLoss(run, step, time.monotonic);
+			// The line that ordered a stop has counted the work of its runs.
+			loss += step === undefined || run.stage === 'stopping' ? 0 : measureLoss(run, step, time.monotonic);
 			next = releaseRun(isCrash(cause, worker) ? recordCrash(next, name, run, time.monotonic) : next, name, time.monotonic);
 		}
 	}
@@ -96,11 +95,11 @@
 				? []
 				: [{
 					kind: 'log', event: 'runs-lost', fields: {
-						reason: describeCause(cause), lossCoreSeconds: Math.round(loss), worker: worker.snapshot.worker, incarnation: worker.snapshot.incarnation, tasks: lostTasks, runs: lostRuns,
+						reason: describeCause(cause), ...describeLoss(cause, loss), worker: worker.snapshot.worker, incarnation: worker.snapshot.incarnation, tasks: lostTasks, runs: lostRuns,
 					},
 				}],
 		}),
-		after => stopRuns(after, gangMembers, 'a member of the gang is lost', time.monotonic),
+		after => stopRuns(after, gangMembers, {kind: 'member-lost'}, time.monotonic),
 		...(isCrash(cause, worker) ? [...new Set(lostTasks.map(name => parseJobOfTask(name)))] : []).map(key => (after: SchedulerState) => handleCrashes(after, key, lostTasks, time)),
 	]);
 }
--- a/packages/scheduling/missing-runs.ts
+++ b/packages/scheduling/missing-runs.ts
@@ -46,7 +46,7 @@
 		}
 
 		case 'running': {
-			return stopRuns(state, [name], 'worker no longer lists the run', monotonic);
+			return stopRuns(state, [name], {kind: 'not-listed'}, monotonic);
 		}
 
 		case 'stopping': {
--- a/packages/scheduling/order-answers.ts
+++ b/packages/scheduling/order-answers.ts
@@ -64,7 +64,7 @@
 						},
 					}],
 				}),
-				next => isGang ? stopRuns(next, listStepMembers(job, name), 'a member of the gang was refused', time.monotonic) : withoutEffects(next),
+				next => isGang ? stopRuns(next, listStepMembers(job, name), {kind: 'member-refused'}, time.monotonic) : withoutEffects(next),
 			]);
 		}
 	}
--- a/packages/scheduling/runs.ts
+++ b/packages/scheduling/runs.ts
@@ -6,6 +6,7 @@
 import {
 	findWorkerOfRun, isOpen, findJob, findTask, listStepMembers, findStep, markChanged, withJob, withTask,
 } from './state.js';
+import {describeLoss, describeStopReason, type StopReason} from './stop-reasons.js';
 import {recordUnansweredStart} from './unanswered-starts.js';
 import type {
 	AgentName, SchedulerEffect, SchedulerJob, SchedulerState, StartOrder, StopOrder, TaskRun, TaskState,
@@ -98,7 +99,7 @@
 }
 
 /** Orders the stop of runs and of the other members of their gangs, which cannot work alone. */
-export function stopRuns(state: SchedulerState, names: readonly TaskName[], reason: string, monotonic: MonotonicTime): SchedulerTransition {
+export function stopRuns(state: SchedulerState, names: readonly TaskName[], reason: StopReason, monotonic: MonotonicTime): SchedulerTransition {
 	const affected = new Set(names.flatMap(name => {
 		const job = findJob(state, name);
 		return job !== undefined && findStep(job, name)?.isGang === true ? listStepMembers(job, name) : [name];
@@ -128,7 +129,11 @@
 	}));
 	return {
 		state: next,
-		effects: stops.length === 0 ? [] : [...stops, {kind: 'log', event: 'stop-ordered', fields: {reason, lossCoreSeconds: Math.round(loss), tasks: [...orders.values()].flat()}}],
+		effects: stops.length === 0
+			? []
+			: [...stops, {
+				kind: 'log', event: 'stop-ordered', fields: {reason: describeStopReason(reason), ...describeLoss(reason.kind, loss), tasks: [...orders.values()].flat()},
+			}],
 	};
 }
 
@@ -168,7 +173,7 @@
 			...job, outcome, endedAt: now, endedAtMonotonic: monotonic,
 		}),
 		// The members of a completed gang end by themselves.
-		next => outcome === 'completed' ? withoutEffects(next) : stopRuns(next, listRunningTasks(job), `job ${outcome}`, monotonic),
+		next => outcome === 'completed' ? withoutEffects(next) : stopRuns(next, listRunningTasks(job), {kind: `job-${outcome}`}, monotonic),
 		next => ({
 			state: next,
 			effects: [{kind: 'log', event: 'job-ended', fields: {job: jobKey, outcome, ageMilliseconds: now - job.submission.submittedAt}}],
--- a/packages/scheduling/schedule.ts
+++ b/packages/scheduling/schedule.ts
@@ -166,7 +166,7 @@
 	const claimed = countPreemptions(replaceJob(pass.state, {...job, claim}), found.victims);
 	return apply(
 		{...pass, pool: allocateTasks(unit, found.taskCounts, pass.pool)},
-		stopRuns(claimed, found.victims.map(({task}) => task), `room for ${unit.job.submission.job} of rank ${unit.rank}`, monotonic),
+		stopRuns(claimed, found.victims.map(({task}) => task), {kind: 'preempted', job: unit.job.submission.job, rank: unit.rank}, monotonic),
 	);
 }
 
--- a/packages/scheduling/tick.ts
+++ b/packages/scheduling/tick.ts
@@ -48,7 +48,7 @@
 		.filter(({run}) => run.stage === 'starting' && monotonic - run.orderedAt > startConfirmationMilliseconds)
 		.map(({name}) => name);
 	const updated = names.reduce((next, name) => avoidWorkerOfRun(next, name, monotonic), state);
-	return stopRuns(updated, names, 'start was not confirmed', monotonic);
+	return stopRuns(updated, names, {kind: 'not-confirmed'}, monotonic);
 }
 
 function avoidWorkerOfRun(state: SchedulerState, name: TaskName, monotonic: MonotonicTime): SchedulerState {
@@ -86,7 +86,8 @@
 		}
 
 		const recorded = recordFailure(avoidWorkerOfRun(next, name, monotonic), worker.agent, job.submission.job, monotonic);
-		return stopRuns(recorded, [name], `no progress for ${Math.round(monotonic - run.progressedAt)} ms`, monotonic);
+		const duration = monotonic - run.progressedAt;
+		return stopRuns(recorded, [name], {kind: 'no-progress', duration}, monotonic);
 	}));
 }
 
@@ -108,7 +109,7 @@
 			&& (step.isCheckpointing || monotonic - run.startedAt < negligibleLossMilliseconds)
 			&& estimateRemaining(run, step, monotonic) > (snapshot.leavesInMilliseconds ?? 0) + drainSlackMilliseconds;
 	}).map(({name}) => name);
-	return stopRuns(state, names, 'worker leaves before the run can end', monotonic);
+	return stopRuns(state, names, {kind: 'worker-draining'}, monotonic);
 }
 
 /** Removes workers whose last grant is over, also those whose agents are still connected: their leases were not extended since. */
@@ -137,7 +138,7 @@
 		}
 	}
 
-	return stopRuns(state, partial, 'only a part of the gang runs', monotonic);
+	return stopRuns(state, partial, {kind: 'gang-incomplete'}, monotonic);
 }
 
 /** Lists the members that run if they are not the whole gang under one run number. */
