Resume gangs from the newest checkpoint of any member

The newest value of a gang was chosen by the percentage that a member had reached when it last reported, so that an older value of a member that ran on was taken; stored values had no percentage, so that the first member's was used after a takeover. Values of failed runs, of adopted runs before their second report, and of ends that arrived after the next incarnation were not recorded. Now a value counts from its first report, with its run, and the percentage is stored.

--- a/packages/jobs/types.ts
+++ b/packages/jobs/types.ts
@@ -157,6 +157,8 @@
 	/** Numbers of the failed runs; each counts once, however often it is reported. */
 	failedRuns: valibot.optional(valibot.pipe(valibot.array(valibot.number()), valibot.readonly())),
 	checkpoint: valibot.optional(valibot.string()),
+	/** Percentage at which the checkpoint was first reported; absent in records of earlier versions. */
+	checkpointPercent: valibot.optional(valibot.number()),
 	crashes: valibot.optional(valibot.pipe(valibot.array(taskCrashSchema), valibot.readonly())),
 }), valibot.readonly());
 export type TaskProgress = valibot.InferOutput<typeof taskProgressSchema>;
--- a/packages/scheduling/ends.ts
+++ b/packages/scheduling/ends.ts
@@ -4,6 +4,7 @@
 	isSameIncarnation, parseJobOfTask, type EndedRun, type JobKey, type TaskName, type WorkerIncarnation,
 } from '#jobs';
 import {avoidWorker} from './avoidance.js';
+import {recordLastCheckpoint} from './checkpoints.js';
 import {avoidanceMilliseconds, failuresBeforeAvoidance} from './constants.js';
 import {measureLoss} from './loss.js';
 import {isComplete, openForReport} from './occurrences.js';
@@ -11,7 +12,7 @@
 	chain, endJob, stopRuns, storeJob, withoutEffects, type SchedulerTransition,
 } from './runs.js';
 import {
-	countFailures, isOpen, findJob, findTask, resolveQueue, listStepMembers, findStep, markChanged, replaceJob, withTask, withWorker,
+	countFailures, isOpen, findJob, findTask, resolveQueue, listStepMembers, findStep, markChanged, replaceJob, replaceTask, withTask, withWorker,
 } from './state.js';
 import {describeLoss} from './stop-reasons.js';
 import type {
@@ -31,14 +32,19 @@
 	]);
 }
 
-/** Handles an end that an incarnation listed before it ended itself. If that incarnation is no longer known, only what lasts counts: a task that is done, or failed. */
+/** Handles an end that an incarnation listed before it ended itself. If that incarnation is no longer known, only what lasts counts: a task that is done, or failed, and its checkpoint. */
 export function handleLastEnd(state: SchedulerState, origin: EndOrigin, end: EndedRun, time: CurrentTime): SchedulerTransition {
 	const worker = state.workers.get(origin.agent);
 	if (worker !== undefined && isSameIncarnation(worker.snapshot, origin)) {
 		return handleEnd(state, origin.agent, end, time);
 	}
 
-	return end.ending === 'done' || end.ending === 'failed' ? applyEnd(state, origin, end, time) : withoutEffects(state);
+	return end.ending === 'done' || end.ending === 'failed' ? applyEnd(state, origin, end, time) : withoutEffects(recordCheckpointOfEnd(state, end));
+}
+
+function recordCheckpointOfEnd(state: SchedulerState, end: EndedRun): SchedulerState {
+	const task = findTask(state, end.task);
+	return task === undefined || task.isDone ? state : replaceTask(state, end.task, recordLastCheckpoint(task, end));
 }
 
 /** Defers the acknowledgement of an end until the progress that contains it is stored. */
@@ -104,7 +110,8 @@
 	}
 
 	const isCurrentRun = isSameIncarnation(task.run?.incarnation, origin) && task.run?.run === end.run;
-	const released = isCurrentRun ? {...task, run: undefined} : task;
+	const recorded = recordLastCheckpoint(task, end);
+	const released = isCurrentRun ? {...recorded, run: undefined} : recorded;
 	const updated = {...released, lastRun: Math.max(released.lastRun, end.run)};
 	if (!isOpen(job)) {
 		return withoutEffects(withTask(state, end.task, updated));
@@ -184,11 +191,8 @@
 }
 
 /** Lets a task start again from its latest checkpoint. */
-function requeueTask(state: SchedulerState, {job, end, task}: TaskEnd, time: CurrentTime): SchedulerTransition {
-	const checkpoint = end.checkpoint === '' ? task.checkpoint : end.checkpoint;
-	const lastPercent = Math.max(task.checkpointPercent, job.tasks.get(end.task)?.run?.percent ?? 0);
-	const next = withTask(state, end.task, {...task, checkpoint, checkpointPercent: end.checkpoint === '' ? task.checkpointPercent : lastPercent});
-	return stopGang(markChanged(next, end.task, time.monotonic), end, time);
+function requeueTask(state: SchedulerState, {end, task}: TaskEnd, time: CurrentTime): SchedulerTransition {
+	return stopGang(markChanged(withTask(state, end.task, task), end.task, time.monotonic), end, time);
 }
 
 /** Stops the other members of a gang that belong to the same run or an earlier one. They would also end by themselves, but later. */
--- a/packages/scheduling/progress.ts
+++ b/packages/scheduling/progress.ts
@@ -27,12 +27,14 @@
 	const unopened = Object.assign({}, ...occurrences.unopened.values()) as StoredTasks;
 	const stored: Record<string, TaskProgress> = {};
 	const doneNames: TaskName[] = [];
-	for (const [name, {isDone, failedRuns, checkpoint, crashes}] of tasks) {
+	for (const [name, {isDone, failedRuns, checkpoint, checkpointPercent, crashes}] of tasks) {
 		if (isDone) {
 			doneNames.push(name);
 		} else if (failedRuns.length > 0 || checkpoint !== '' || crashes.length > 0) {
 			stored[formatLocalTaskName(name)] = {
-				...(failedRuns.length === 0 ? {} : {failedRuns}), ...(checkpoint === '' ? {} : {checkpoint}), ...(crashes.length === 0 ? {} : {crashes}),
+				...(failedRuns.length === 0 ? {} : {failedRuns}),
+				...(checkpoint === '' ? {} : {checkpoint, checkpointPercent}),
+				...(crashes.length === 0 ? {} : {crashes}),
 			};
 		}
 	}
--- a/packages/scheduling/reports.ts
+++ b/packages/scheduling/reports.ts
@@ -6,6 +6,7 @@
 import {
 	grantSlackMilliseconds, grantValidityMilliseconds, slowClockFactor, unreadMilliseconds,
 } from './constants.js';
+import {recordCheckpoint} from './checkpoints.js';
 import {handleEnd} from './ends.js';
 import {handleLostRun, releaseIncarnation} from './incarnations.js';
 import {limitLateAcknowledgements, logBarredWorker, recordLateAcknowledgements} from './late-acknowledgements.js';
@@ -188,7 +189,7 @@
 		const incarnation = {worker: worker.snapshot.worker, incarnation: worker.snapshot.incarnation};
 		return {
 			state: withTask(state, reported.task, {
-				...task,
+				...recordCheckpoint(task, {checkpoint: reported.checkpoint, checkpointRun: reported.run, checkpointPercent: reported.percent}),
 				lastRun: Math.max(task.lastRun, reported.run),
 				run: {
 					agent,
@@ -240,8 +241,7 @@
 	const hasProgress = reported.percent > run.percent;
 	const isResumed = run.percent === 0 && task.checkpoint !== '' && hasProgress;
 	return replaceTask(state, reported.task, {
-		...task,
-		...(reported.checkpoint === '' ? {} : {checkpoint: reported.checkpoint, checkpointPercent: reported.percent}),
+		...recordCheckpoint(task, {checkpoint: reported.checkpoint, checkpointRun: reported.run, checkpointPercent: reported.percent}),
 		run: {
 			...run,
 			stage: run.stage === 'starting' ? 'running' : run.stage,
--- a/packages/scheduling/runs.ts
+++ b/packages/scheduling/runs.ts
@@ -1,6 +1,7 @@
 /** State transitions of runs and jobs: orders starts and stops, releases ended runs and ends jobs. */
 import type {MonotonicTime} from '#core';
 import type {JobKey, TaskName} from '#jobs';
+import {findGangCheckpoint, noCheckpoint} from './checkpoints.js';
 import {measureLoss} from './loss.js';
 import type {Placement} from './place.js';
 import {
@@ -42,7 +43,7 @@
 	const gangRun = Math.max(0, ...placements.map(({task}) => job.tasks.get(task)?.lastRun ?? 0)) + 1;
 	const [firstPlacement] = placements;
 	const isGang = firstPlacement !== undefined && findStep(job, firstPlacement.task)?.isGang === true;
-	const gangCheckpoint = isGang ? latestCheckpoint(job, firstPlacement.task) : '';
+	const gangCheckpoint = isGang ? findGangCheckpoint(job, firstPlacement.task) : noCheckpoint;
 	let next = state;
 	for (const {task: name, agent} of placements) {
 		const task = job.tasks.get(name);
@@ -52,12 +53,14 @@
 		}
 
 		const run = isGang ? gangRun : task.lastRun + 1;
-		const checkpoint = isGang ? gangCheckpoint : task.checkpoint;
+		const {checkpoint, checkpointRun, checkpointPercent} = isGang ? gangCheckpoint : task;
 		const {worker: workerId, incarnation} = worker.snapshot;
 		next = withTask(next, name, {
 			...task,
 			lastRun: run,
 			checkpoint,
+			checkpointRun,
+			checkpointPercent,
 			run: {
 				agent,
 				incarnation: {worker: workerId, incarnation},
@@ -92,12 +95,6 @@
 	}
 }
 
-/** Finds the latest checkpoint of a gang. Any member's checkpoint is valid for all, and all have to start from the same one. */
-function latestCheckpoint(job: SchedulerJob, task: TaskName): string {
-	const members = listStepMembers(job, task).flatMap(name => job.tasks.get(name) ?? []);
-	return members.toSorted((first, second) => second.checkpointPercent - first.checkpointPercent).find(({checkpoint}) => checkpoint !== '')?.checkpoint ?? '';
-}
-
 /** Orders the stop of runs and of the other members of their gangs, which cannot work alone. */
 export function stopRuns(state: SchedulerState, names: readonly TaskName[], reason: StopReason, monotonic: MonotonicTime): SchedulerTransition {
 	const affected = new Set(names.flatMap(name => {
@@ -150,7 +147,7 @@
 
 function removeRun(state: SchedulerState, name: TaskName, monotonic: MonotonicTime): SchedulerState {
 	const task = findTask(state, name);
-	return task === undefined ? state : markChanged(withTask(state, name, {...task, run: undefined}), name, monotonic);
+	return task === undefined ? state : markChanged(withTask(state, name, {...task, run: undefined, lastPercent: task.run?.percent ?? task.lastPercent}), name, monotonic);
 }
 
 /** Increments the job's version and requests that its progress is stored. */
--- a/packages/scheduling/types.ts
+++ b/packages/scheduling/types.ts
@@ -69,8 +69,12 @@
 	failedRuns: readonly number[];
 	lastRun: number;
 	checkpoint: string;
-	/** Percentage at which the checkpoint was reported; selects the latest one of a gang. */
+	/** The run that the checkpoint was reported for; 0 if an earlier scheduler stored it. */
+	checkpointRun: number;
+	/** Percentage at which the checkpoint was first reported; selects the newest one of a gang. */
 	checkpointPercent: number;
+	/** Percentage that the last run had reached when it was released; its end may be reported later. */
+	lastPercent: number;
 	run: TaskRun | undefined;
 	/** Workers on which the task failed, got stuck or was not confirmed to have started, the latest one last. */
 	avoided: readonly AvoidedWorker[];
--- /dev/null
+++ b/test/scheduling/checkpoints.test.ts
@@ -0,0 +1,169 @@
+/** Gangs resume as a whole from the newest checkpoint that a worker reported for one of their members. */
+import {expect} from 'chai';
+import {describeProgress} from '#scheduling';
+import type {EndedRun, JobProgress} from '#jobs';
+import {
+	configuration, createDriver, createReadyDriver, keyOf, reportedRunOf, snapshotOf, startsOf, submissionOf, taskOf, type Driver,
+} from '#test/support/scheduling';
+
+const gang = {
+	count: 2, accelerators: 8, isGang: true, isCheckpointing: true, estimatedMilliseconds: 60_000,
+} as const;
+
+type Case = Readonly<{
+	name: string;
+	/** Checkpoint of every member of the next start. */
+	checkpoint: string;
+	/** What happens while member 0 runs on worker `a` and member 1 on `b`. */
+	act(driver: Driver): void;
+}>;
+
+function report(driver: Driver, agent: 'a' | 'b', checkpoint: string, percent: number) {
+	driver.send({kind: 'renewed', agent, snapshot: snapshotOf(agent, {running: [reportedRunOf(taskOf(1, agent === 'a' ? 0 : 1), 1, percent, checkpoint)]})});
+}
+
+function reportEnd(driver: Driver, agent: 'a' | 'b', end: EndedRun) {
+	driver.send({kind: 'renewed', agent, snapshot: snapshotOf(agent, {ended: [end]})});
+}
+
+function endOf(agent: 'a' | 'b', ending: EndedRun['ending'], checkpoint = '', number = 1): EndedRun {
+	return {
+		number, task: taskOf(1, agent === 'a' ? 0 : 1), run: 1, ending, checkpoint,
+	};
+}
+
+function leave(driver: Driver, agent: 'a' | 'b', ended: readonly EndedRun[] = [], ending: 'left' | 'replaced' = 'left') {
+	driver.send({
+		kind: 'incarnation-ended', agent, worker: snapshotOf(agent).worker, incarnation: '1', ending, ended,
+	});
+}
+
+const cases: readonly Case[] = [
+	{
+		name: 'the value of a member whose worker left without an end (gang repeats what only that member had saved)',
+		checkpoint: 'a-60',
+		act(driver) {
+			report(driver, 'a', 'a-60', 60);
+			report(driver, 'b', 'b-40', 40);
+			leave(driver, 'a');
+			reportEnd(driver, 'b', endOf('b', 'stopped'));
+		},
+	},
+	{
+		name: 'the value of an end that was reported only with the end of its incarnation (value of the last run lost)',
+		checkpoint: 'a-70',
+		act(driver) {
+			report(driver, 'a', 'a-50', 50);
+			report(driver, 'b', 'b-55', 55);
+			report(driver, 'a', 'a-50', 70);
+			leave(driver, 'a', [endOf('a', 'broken', 'a-70')]);
+			reportEnd(driver, 'b', endOf('b', 'stopped'));
+		},
+	},
+	{
+		name: 'the value of an end that was reported after the next incarnation (value of a broken gang lost)',
+		checkpoint: 'a-70',
+		act(driver) {
+			report(driver, 'a', 'a-50', 50);
+			report(driver, 'b', 'b-55', 55);
+			report(driver, 'a', 'a-50', 70);
+			driver.send({kind: 'renewed', agent: 'a', snapshot: snapshotOf('a', {incarnation: '2'})});
+			leave(driver, 'a', [endOf('a', 'broken', 'a-70')], 'replaced');
+			reportEnd(driver, 'b', endOf('b', 'stopped'));
+		},
+	},
+	{
+		name: 'the newer of two values although the other member has progressed further since (progress without a new value taken for a new value)',
+		checkpoint: 'b-55',
+		act(driver) {
+			report(driver, 'a', 'a-50', 50);
+			report(driver, 'b', 'b-55', 55);
+			report(driver, 'a', 'a-50', 62);
+			reportEnd(driver, 'a', endOf('a', 'broken'));
+			reportEnd(driver, 'b', endOf('b', 'stopped'));
+		},
+	},
+	{
+		name: 'the value with which a member failed (value of a failed run lost)',
+		checkpoint: 'b-30',
+		act(driver) {
+			report(driver, 'a', 'a-20', 20);
+			report(driver, 'b', 'b-20', 30);
+			reportEnd(driver, 'b', endOf('b', 'failed', 'b-30'));
+			reportEnd(driver, 'a', endOf('a', 'broken', 'a-20'));
+		},
+	},
+	{
+		name: 'no value if no member reported one (value of another task used)',
+		checkpoint: '',
+		act(driver) {
+			report(driver, 'a', '', 60);
+			leave(driver, 'a');
+			reportEnd(driver, 'b', endOf('b', 'stopped'));
+		},
+	},
+];
+
+describe('a gang resumes with all members from', () => {
+	for (const {name, checkpoint, act} of cases) {
+		it(name, () => {
+			const driver = createReadyDriver([['a'], ['b']]);
+			const starts = startsOf(driver.send({kind: 'submitted', submission: submissionOf(1, [gang])}));
+			for (const {agent, task, run} of starts) {
+				driver.send({kind: 'start-answered', agent, answers: [{task, run, result: 'started'}]});
+			}
+
+			// Another job's value must not be used.
+			const other = startsOf([...driver.send({kind: 'renewed', agent: 'x', snapshot: snapshotOf('x')}), ...driver.send({kind: 'submitted', submission: submissionOf(2, [{...gang, count: 1}])})]);
+			driver.send({kind: 'renewed', agent: 'x', snapshot: snapshotOf('x', {running: other.map(({task, run}) => reportedRunOf(task, run, 90, 'other-90'))})});
+			const restarted: string[] = [];
+			const watched: Driver = {
+				...driver,
+				send(message) {
+					const effects = driver.send(message);
+					restarted.push(...startsOf(effects).filter(({task}) => task.startsWith(keyOf(1))).map(start => start.checkpoint));
+					return effects;
+				},
+			};
+			act(watched);
+			for (const agent of ['c', 'd']) {
+				watched.send({kind: 'renewed', agent, snapshot: snapshotOf(agent)});
+			}
+
+			expect(restarted).to.deep.equal([checkpoint, checkpoint]);
+		});
+	}
+
+	it('the newest stored value under the next scheduler (value of the first member used, however old it is)', () => {
+		const driver = createReadyDriver([['a'], ['b']]);
+		driver.send({kind: 'submitted', submission: submissionOf(1, [gang])});
+		report(driver, 'a', 'a-40', 40);
+		report(driver, 'b', 'b-60', 60);
+		const progress: JobProgress = describeProgress(driver.state().jobs.get(keyOf(1))!);
+		const next = createDriver({epoch: 2});
+		next.send({kind: 'configured', configuration});
+		next.send({
+			kind: 'loaded', workers: [], jobs: [{
+				submission: submissionOf(1, [gang]), isCancelled: false, progress, keyVersion: 5,
+			}],
+		});
+		const starts = startsOf(['c', 'd'].flatMap(agent => next.send({kind: 'renewed', agent, snapshot: snapshotOf(agent)})));
+		expect(starts.map(({checkpoint}) => checkpoint)).to.deep.equal(['b-60', 'b-60']);
+	});
+
+	it('the value of a member that the next scheduler adopted and then lost (value reported once not recorded)', () => {
+		const driver = createDriver({epoch: 2});
+		driver.send({kind: 'configured', configuration});
+		driver.send({
+			kind: 'loaded', workers: [], jobs: [{
+				submission: submissionOf(1, [gang]), isCancelled: false, progress: {outcome: 'running', tasks: {}, agents: ['a', 'b']}, keyVersion: 5,
+			}],
+		});
+		report(driver, 'a', 'a-60', 60);
+		report(driver, 'b', 'b-40', 40);
+		leave(driver, 'a');
+		reportEnd(driver, 'b', endOf('b', 'stopped'));
+		const starts = startsOf(['c', 'd'].flatMap(agent => driver.send({kind: 'renewed', agent, snapshot: snapshotOf(agent)})));
+		expect(starts.map(({checkpoint}) => checkpoint)).to.deep.equal(['a-60', 'a-60']);
+	});
+});
