--- a/test/scheduling/checkpoints.test.ts
+++ b/test/scheduling/checkpoints.test.ts
@@ -3,7 +3,7 @@
 import {describeProgress} from '#scheduling';
 import type {EndedRun, JobProgress} from '#jobs';
 import {
-	configuration, createDriver, createReadyDriver, keyOf, reportedRunOf, snapshotOf, startsOf, submissionOf, taskOf, type Driver,
+	configuration, createDriver, createReadyDriver, keyOf, reportedRunOf, snapshotOf, startsOf, stopsOf, submissionOf, taskOf, type Driver,
 } from '#test/support/scheduling';
 
 const gang = {
@@ -167,3 +167,42 @@
 		expect(starts.map(({checkpoint}) => checkpoint)).to.deep.equal(['a-60', 'a-60']);
 	});
 });
+
+type NoticeCase = Readonly<{name: string; isCheckpointing: boolean; percent: number; leavesInMilliseconds: number; stopped: number}>;
+
+/** The gang takes 60 s, so that 20% of it take 12 s. */
+const noticeCases: readonly NoticeCase[] = [
+	{
+		name: 'a gang that saves checkpoints is stopped as a whole (half of the gang runs on)', isCheckpointing: true, percent: 20, leavesInMilliseconds: 2000, stopped: 2,
+	},
+	{
+		name: 'a gang that ends before the worker leaves runs on (stopped without need)', isCheckpointing: true, percent: 20, leavesInMilliseconds: 60_000, stopped: 0,
+	},
+	{
+		name: 'a gang that cannot save its progress runs on, since workers often stay longer (work discarded at the notice)', isCheckpointing: false, percent: 20, leavesInMilliseconds: 2000, stopped: 0,
+	},
+];
+
+describe('at the notice that a worker leaves', () => {
+	for (const {name, isCheckpointing, percent, leavesInMilliseconds, stopped} of noticeCases) {
+		it(name, () => {
+			const driver = createReadyDriver([['a'], ['b']]);
+			const starts = startsOf(driver.send({kind: 'submitted', submission: submissionOf(1, [{...gang, isCheckpointing}])}));
+			for (const {agent, task, run} of starts) {
+				driver.send({kind: 'start-answered', agent, answers: [{task, run, result: 'started'}]});
+			}
+
+			for (let reached = 0; reached <= percent; reached++) {
+				for (const agent of ['a', 'b'] as const) {
+					report(driver, agent, isCheckpointing ? `${agent}-${reached}` : '', reached);
+				}
+
+				driver.elapse(600);
+			}
+
+			const running = [reportedRunOf(taskOf(1, 0), 1, percent, isCheckpointing ? `a-${percent}` : '')];
+			driver.send({kind: 'renewed', agent: 'a', snapshot: snapshotOf('a', {state: 'draining', leavesInMilliseconds, running})});
+			expect(stopsOf(driver.elapse(250))).to.have.length(stopped);
+		});
+	}
+});
