Try last attempts alone, and keep long work off workers that come and go

A job that fails for good goes on with its other tasks until the last attempt of one has failed. The tasks that wait now wait for a task with one attempt left, while something of the job runs and no longer than the task is estimated to take. Work that cannot save its progress takes workers last whose agents lost, replaced or announced the departure of a worker in the last minute.

--- a/bench/bench.ts
+++ b/bench/bench.ts
@@ -2,11 +2,12 @@
 import process from 'node:process';
 import {benchPlacement} from './placement/index.js';
 import {benchRouting} from './routing/index.js';
-import {benchScheduling} from './scheduling/index.js';
+import {benchLosses, benchScheduling} from './scheduling/index.js';
 
 const sections = [
 	{title: 'Routing and queues of requests', run: benchRouting},
 	{title: 'Scheduling of jobs of steps', run: benchScheduling},
+	{title: 'Lost work, each decision against the earlier one', run: benchLosses},
 	{title: 'Placement of gangs and guaranteed shapes', run: benchPlacement},
 ] as const;
 
--- a/bench/scheduling/model.ts
+++ b/bench/scheduling/model.ts
@@ -2,8 +2,11 @@
 import {createRandomSource, type Milliseconds} from '#core';
 import type {JobKey} from '#jobs';
 import {
-	createSchedulerState, receiveSchedulerMessage, type SchedulerEffect, type SchedulerMessage, type SchedulerState,
+	createSchedulerState, defaultPolicy, receiveSchedulerMessage, type SchedulerEffect, type SchedulerMessage, type SchedulerState, type SchedulingPolicy,
 } from '#scheduling';
+import {
+	createDepartures, createFailures, noFaults, type Faults,
+} from './faults.js';
 import {
 	service, type ArrivingJob, type Kind, type Scenario,
 } from './scenarios.js';
@@ -31,6 +34,8 @@
 	/** Starts of tasks that belong in one rack, in several. */
 	spreadStarts: number;
 	discardedCoreSeconds: number;
+	/** Lost core-seconds by reason. */
+	lostCoreSeconds: ReadonlyMap<string, number>;
 	/** Core-seconds of the jobs that ended on time; an accelerator counts as 8 cores. */
 	onTimeCoreSeconds: number;
 	/** Duration of each handled message, by kind. */
@@ -44,19 +49,27 @@
 /** Time after the last arrival in which jobs may still end. */
 const drainMilliseconds = 30_000;
 const seed = 5;
+const faultSeed = 6;
+
+type PlayOptions = Readonly<{faults?: Faults; policy?: SchedulingPolicy}>;
 /** Callers pay less for a job that takes up to this multiple of its time, and nothing after it. */
 const lateFactor = 3;
 
 /** Plays the scenario to its end, one message after the other. */
-export function playScenario(scenario: Scenario): Played {
+export function playScenario(scenario: Scenario, {faults = noFaults, policy = defaultPolicy}: PlayOptions = {}): Played {
 	const random = createRandomSource(seed);
+	const faultRandom = createRandomSource(faultSeed);
+	const findFailure = createFailures(faults, scenario.arrivals, faultRandom);
+	const departures = createDepartures(faults, scenario.workers, faultRandom);
+	const lostCoreSeconds = new Map<string, number>();
 	const workers = new Map(Array.from({length: scenario.workers}, (_, index) => createSimulatedWorker(index, service, random)).map(worker => [worker.agent, worker]));
 	const jobs = new Map<JobKey, ArrivingJob>(scenario.arrivals.map(job => [job.submission.job, job]));
 	const firstStarts = new Map<JobKey, number>();
 	const completions = new Map<JobKey, number>();
+	const ended = new Set<JobKey>();
 	const lastStops = new Map<string, number>();
 	const durations = createDurations();
-	let state: SchedulerState = createSchedulerState(1);
+	let state: SchedulerState = createSchedulerState(1, policy);
 	let time = 0;
 	let starts = 0;
 	let stops = 0;
@@ -83,11 +96,15 @@
 		spreadStarts += isSlow ? orders.length : 0;
 		firstStarts.set(job, firstStarts.get(job) ?? time);
 		for (const order of orders) {
-			workers.get(agent)?.start(order, step, arriving.duration * (isSlow ? spreadFactor : 1), time);
+			workers.get(agent)?.start(order, step, {duration: arriving.duration * (isSlow ? spreadFactor : 1), failsAtPercent: findFailure(order.task)}, time);
 		}
 	};
 
-	const noteEvent = ({event, fields: {reason, lossCoreSeconds, job}}: Extract<SchedulerEffect, {kind: 'log'}>): void => {
+	const noteEvent = ({event, fields: {reason, lossReason, lossCoreSeconds, job, outcome}}: Extract<SchedulerEffect, {kind: 'log'}>): void => {
+		if (typeof lossReason === 'string') {
+			lostCoreSeconds.set(lossReason, (lostCoreSeconds.get(lossReason) ?? 0) + Number(lossCoreSeconds));
+		}
+
 		if (event === 'stop-ordered' && typeof reason === 'string' && reason.startsWith('room for')) {
 			repeatedStops += time - (lastStops.get(reason) ?? -Infinity) < stopMilliseconds ? 1 : 0;
 			lastStops.set(reason, time);
@@ -95,7 +112,10 @@
 		}
 
 		if (event === 'job-ended') {
-			completions.set(job as JobKey, time);
+			ended.add(job as JobKey);
+			if (outcome === 'completed') {
+				completions.set(job as JobKey, time);
+			}
 		}
 	};
 
@@ -150,8 +170,17 @@
 		}
 	};
 
-	const report = (worker: SimulatedWorker) => {
-		send({kind: 'renewed', agent: worker.agent, snapshot: worker.describe(time)});
+	const leave = (worker: SimulatedWorker, index: number) => {
+		const {worker: identifier, incarnation} = worker.describe(time);
+		worker.leave();
+		departures.renew(index, time);
+		send({
+			kind: 'incarnation-ended', agent: worker.agent, worker: identifier, incarnation, ending: 'left', ended: [],
+		});
+	};
+
+	const report = (worker: SimulatedWorker, leavesIn?: Milliseconds) => {
+		send({kind: 'renewed', agent: worker.agent, snapshot: worker.describe(time, leavesIn)});
 		worker.acknowledge(state.workers.get(worker.agent)?.notedEnd ?? 0);
 	};
 
@@ -162,7 +191,7 @@
 	}
 
 	const arrivals = [...scenario.arrivals];
-	while (time < scenario.length + drainMilliseconds && (arrivals.length > 0 || completions.size < jobs.size)) {
+	while (time < scenario.length + drainMilliseconds && (arrivals.length > 0 || ended.size < jobs.size)) {
 		time += stepMilliseconds;
 		while ((arrivals[0]?.at ?? Infinity) <= time) {
 			const arrival = arrivals.shift();
@@ -171,9 +200,12 @@
 			}
 		}
 
-		for (const worker of workers.values()) {
-			if (worker.advance(time) || (time - worker.reportsAt()) % reportMilliseconds < stepMilliseconds) {
-				report(worker);
+		for (const [index, worker] of [...workers.values()].entries()) {
+			const leavesIn = departures.leavesAt(index) - time;
+			if (leavesIn <= 0) {
+				leave(worker, index);
+			} else if (time >= departures.returnsAt(index) && (worker.advance(time) || (time - worker.reportsAt()) % reportMilliseconds < stepMilliseconds)) {
+				report(worker, leavesIn <= faults.noticeMilliseconds ? leavesIn : undefined);
 			}
 		}
 
@@ -207,6 +239,7 @@
 		repeatedStops,
 		spreadStarts,
 		discardedCoreSeconds,
+		lostCoreSeconds,
 		durations,
 		onTimeCoreSeconds: scenario.arrivals.reduce((total, job, index) => total + (played[index]?.isOnTime === true ? measureWork(job) : 0), 0),
 	};
--- a/bench/scheduling/workers.ts
+++ b/bench/scheduling/workers.ts
@@ -11,17 +11,22 @@
 /** Interval of an agent's reports while nothing ends. */
 export const reportMilliseconds = 500;
 
-type SimulatedRun = Readonly<{task: TaskName; run: number; step: JobStep; startedAt: MonotonicTime; duration: number; initialPercent: number}> & {stopsAt: MonotonicTime};
+type SimulatedRun = Readonly<{task: TaskName; run: number; step: JobStep; startedAt: MonotonicTime; duration: number; initialPercent: number; failsAtPercent: number}> & {stopsAt: MonotonicTime};
+
+/** How long a run takes, and the percentage at which it fails. */
+export type RunBehaviour = Readonly<{duration: number; failsAtPercent: number}>;
 
 export type SimulatedWorker = Readonly<{
 	agent: AgentName;
 	rack: string;
-	start(order: StartOrder, step: JobStep, duration: number, time: MonotonicTime): void;
+	start(order: StartOrder, step: JobStep, behaviour: RunBehaviour, time: MonotonicTime): void;
 	stop(order: StopOrder, time: MonotonicTime): void;
 	/** Ends what is due; returns whether something ended. */
 	advance(time: MonotonicTime): boolean;
 	acknowledge(notedEnd: number): void;
-	describe(time: MonotonicTime): WorkerSnapshot;
+	/** Ends all runs without a report; the next incarnation of the worker starts empty. */
+	leave(): void;
+	describe(time: MonotonicTime, leavesInMilliseconds?: number): WorkerSnapshot;
 	reportsAt(): number;
 }>;
 
@@ -33,6 +38,7 @@
 	const reportOffset = Math.floor(random() * reportMilliseconds);
 	let ended: EndedRun[] = [];
 	let endCount = 0;
+	let incarnation = 1;
 	const measurePercent = ({startedAt, duration, initialPercent}: SimulatedRun, time: MonotonicTime) => Math.min(100, initialPercent + Math.floor((time - startedAt) * 100 / duration));
 	const end = (run: SimulatedRun, ending: EndedRun['ending'], time: MonotonicTime) => {
 		runs.delete(run.task);
@@ -44,9 +50,9 @@
 	return {
 		agent,
 		rack,
-		start({task, run, checkpoint}, step, duration, time) {
+		start({task, run, checkpoint}, step, {duration, failsAtPercent}, time) {
 			runs.set(task, {
-				task, run, step, startedAt: time, duration, initialPercent: Number(checkpoint), stopsAt: Infinity,
+				task, run, step, startedAt: time, duration, initialPercent: Number(checkpoint), failsAtPercent, stopsAt: Infinity,
 			});
 		},
 		stop({task, run}, time) {
@@ -58,7 +64,9 @@
 		advance(time) {
 			const earlier = endCount;
 			for (const run of runs.values()) {
-				if (measurePercent(run, time) >= 100) {
+				if (measurePercent(run, time) >= run.failsAtPercent) {
+					end(run, 'failed', time);
+				} else if (measurePercent(run, time) >= 100) {
 					end(run, 'done', time);
 				} else if (time >= run.stopsAt) {
 					end(run, 'stopped', time);
@@ -70,15 +78,21 @@
 		acknowledge(notedEnd) {
 			ended = ended.filter(({number}) => number > notedEnd);
 		},
-		describe: time => ({
+		leave() {
+			runs.clear();
+			ended = [];
+			endCount = 0;
+			incarnation++;
+		},
+		describe: (time, leavesInMilliseconds) => ({
 			worker: `worker-${index}` as WorkerId,
-			incarnation: '1',
+			incarnation: String(incarnation),
 			service,
 			zone: 'zone',
 			labels: ['a'],
 			rack,
 			capacity: {processorMillicores: coresPerWorker * 1000, memoryMegabytes: 524_288, accelerators: acceleratorsPerWorker},
-			state: 'ready',
+			...(leavesInMilliseconds === undefined ? {state: 'ready'} : {state: 'draining', leavesInMilliseconds}),
 			isResponsive: true,
 			isLeaseOver: false,
 			running: [...runs.values()].map((run): ReportedRun => ({
--- a/packages/scheduling/constants.ts
+++ b/packages/scheduling/constants.ts
@@ -14,6 +14,10 @@
 export const runsPerEpoch = 1000;
 /** Time after which an unanswered start that the worker does not list is stopped and retried. */
 export const startConfirmationMilliseconds = 1200;
+/** How long a worker counts as unstable after one beside its agent left, was replaced or announced that it leaves. */
+export const departureMemoryMilliseconds = 60_000;
+/** Agents that are remembered as unstable, so that a zone that leaves does not fill the memory: a tenth of the largest pool. */
+export const rememberedDepartures = 430;
 /** Longest lease that the platform's workers grant. */
 export const maximumLeaseMilliseconds = 10_000;
 /** Longest time until an order has reached its agent, with the report that answers it: a renewal that gets no answer fails earlier, with the connection. */
--- a/packages/scheduling/ends.ts
+++ b/packages/scheduling/ends.ts
@@ -178,7 +178,9 @@
 function failTask(state: SchedulerState, {job, end, task, origin}: TaskEndWithOrigin, time: CurrentTime): SchedulerTransition {
 	const {job: key} = job.submission;
 	const failedRuns = task.failedRuns.includes(end.run) ? task.failedRuns : [...task.failedRuns, end.run];
-	const next = markChanged(withTask(state, end.task, avoidWorker({...task, failedRuns}, origin.worker, time.monotonic)), end.task, time.monotonic);
+	const failed = withTask(state, end.task, avoidWorker({...task, failedRuns}, origin.worker, time.monotonic));
+	const failedJob = failed.jobs.get(key) ?? job;
+	const next = replaceJob(failed, {...failedJob, hasFailures: true, changedAt: time.monotonic});
 	return chain(recordFailure(next, origin.agent, key, time.monotonic), [
 		after => hasAttemptsLeft(after, end.task) ? storeCurrent(after, key) : endJob(after, key, 'failed', time),
 		after => stopGang(after, end, time),
--- a/packages/scheduling/incarnations.ts
+++ b/packages/scheduling/incarnations.ts
@@ -4,6 +4,7 @@
 	isSameIncarnation, parseJobOfTask, type JobKey, type LostRun, type TaskName,
 } from '#jobs';
 import {addCrash, hasExhaustedCrashes, recordCrash} from './crashes.js';
+import {noteDeparture} from './departures.js';
 import {handleLastEnd} from './ends.js';
 import {recordLateAcknowledgements} from './late-acknowledgements.js';
 import {measureLoss} from './loss.js';
@@ -134,7 +135,8 @@
 
 /** Removes a worker whose incarnation has certainly ended. */
 export function removeWorker(state: SchedulerState, worker: SchedulerWorker, cause: ReleaseCause, time: CurrentTime): SchedulerTransition {
-	const {state: released, effects} = releaseIncarnation(recordLateAcknowledgements(state, worker, time.monotonic), worker, cause, time);
+	const noted = noteDeparture(recordLateAcknowledgements(state, worker, time.monotonic), worker.agent, time.monotonic);
+	const {state: released, effects} = releaseIncarnation(noted, worker, cause, time);
 	return {
 		state: {...released, workers: released.workers.delete(worker.agent), unacknowledged: released.unacknowledged.delete(worker.agent)}, effects,
 	};
--- a/packages/scheduling/index.ts
+++ b/packages/scheduling/index.ts
@@ -6,5 +6,6 @@
 } from './state.js';
 export {countOpenTasks} from './occurrences.js';
 export {measureMemoryUse, type SchedulerMemoryUse} from './memory-use.js';
+export {defaultPolicy, type SchedulingPolicy} from './policy.js';
 export {describeProgress} from './progress.js';
 export {measureWaitForStarts} from './unanswered-starts.js';
--- a/packages/scheduling/occurrences.ts
+++ b/packages/scheduling/occurrences.ts
@@ -41,6 +41,7 @@
 		hasStarted: occurrences.next > occurrences.unopened.size || storedTasks.some(({isDone = false, failedRuns = [], checkpoint = '', crashes = []}) => hasStarted({
 			isDone, failedRuns, checkpoint, crashes,
 		})),
+		hasFailures: storedTasks.some(({failedRuns = []}) => failedRuns.length > 0),
 		hasCrashes: storedTasks.some(({crashes = []}) => crashes.length > 0),
 		outcome: progress?.outcome ?? 'queued',
 		version: isStored ? 1 : 0,
--- a/packages/scheduling/place.ts
+++ b/packages/scheduling/place.ts
@@ -1,6 +1,7 @@
 import type {MonotonicTime, WorkerId} from '#core';
 import {parseTaskName, type TaskName} from '#jobs';
 import {findAvoidance, isAvoided} from './avoidance.js';
+import {listStable, preferStable} from './departures.js';
 import {
 	countFitting, isIdle, withReclaimableRoom, type Pool, type PoolWorker,
 } from './pool.js';
@@ -122,7 +123,7 @@
 	const {step, tasks} = unit;
 	const preferredWorkers = listPreferredWorkers(unit, candidates, monotonic);
 	const neverAvoided = listNeverAvoided(unit, preferredWorkers);
-	const choices = neverAvoided === preferredWorkers ? [preferredWorkers] : [neverAvoided, preferredWorkers];
+	const choices = [...new Set([listStable(unit, neverAvoided), neverAvoided, preferredWorkers])];
 	if (step.prefersOneRack || step.dataRack !== undefined) {
 		const best = findFirst(choices, workers => placeGangInRack(unit, workers, pool));
 		if (best !== undefined) {
@@ -224,7 +225,7 @@
 /** Orders workers by free accelerators, those in the rack of the data first; other racks are left out while the unit may wait for that one. */
 function orderByFit(unit: SchedulingUnit, candidates: readonly PoolWorker[], monotonic: MonotonicTime): readonly PoolWorker[] {
 	const {dataRack} = unit.step;
-	const ordered = candidates.toSorted((first, second) => first.free.accelerators - second.free.accelerators);
+	const ordered = preferStable(unit, candidates.toSorted((first, second) => first.free.accelerators - second.free.accelerators));
 	const inDataRack = ordered.filter(({worker}) => worker.snapshot.rack === dataRack);
 	const canHaveRoom = inDataRack.some(candidate => countFitting(withReclaimableRoom(candidate).free, resourcesOf(unit.step), 1) === 1);
 	return canHaveRoom && mayWaitForRack(unit, monotonic)
--- a/packages/scheduling/pool.ts
+++ b/packages/scheduling/pool.ts
@@ -8,6 +8,7 @@
 	isOpen, isRunOn, findJob, resourcesOf, resolveQueue,
 } from './state.js';
 import {isOnProbation} from './crashes.js';
+import {isUnstable} from './departures.js';
 import {findAcknowledgementEnd} from './late-acknowledgements.js';
 import {listLateStarts} from './late-starts.js';
 import type {Rank} from './rank.js';
@@ -38,6 +39,8 @@
 	runs: readonly PlacedRun[];
 	/** Whether new tasks may be placed on the worker. */
 	isUsable: boolean;
+	/** Whether a worker beside the agent lately left, came back or announced that it leaves. */
+	isUnstable: boolean;
 }>;
 
 export type Pool = PersistentMap<AgentName, PoolWorker>;
@@ -52,6 +55,7 @@
 			runs,
 			free: [...runs.map(({need}) => need), ...lateStarts.get(agent) ?? []].reduce((free, need) => subtract(free, need), worker.snapshot.capacity),
 			isUsable: isUsable(worker, monotonic) && findAcknowledgementEnd(state, worker, monotonic) === undefined && !hasOrphanedRun(state, worker) && !runs.some(run => run.isOnProbation),
+			isUnstable: isUnstable(state, agent, monotonic),
 		};
 	});
 }
--- a/packages/scheduling/preempt.ts
+++ b/packages/scheduling/preempt.ts
@@ -20,7 +20,8 @@
 /** Runs to stop so that the unit fits, and the number of its tasks for which each worker then has room. */
 export type Preemption = Readonly<{victims: readonly PlacedRun[]; taskCounts: TaskCounts}>;
 
-type PreemptionOption = Readonly<{candidate: PoolWorker; fitting: number; cost: number}>;
+/** `stoppable` are the runs that may be stopped, the cheapest first. */
+type PreemptionOption = Readonly<{candidate: PoolWorker; stoppable: readonly PlacedRun[]; fitting: number; cost: number}>;
 
 /** What a search for victims depends on. */
 export type VictimSearch = Readonly<{unit: SchedulingUnit; pool: Pool; limit: LongRunningLimit; monotonic: MonotonicTime}>;
@@ -47,20 +48,19 @@
 	const taskCounts = new Map<AgentName, number>();
 	const victims: PlacedRun[] = [];
 	let remaining = count;
-	for (const option of options) {
+	for (const found of options) {
 		if (remaining === 0) {
 			break;
 		}
 
-		const {candidate} = option;
 		// What a step permits is shared by all workers, so that earlier victims leave less of it.
-		const {fitting} = limit === 'within-maximum-unavailable' ? createOption(search, remaining, candidate, victims) : option;
+		const {candidate, stoppable, fitting} = limit === 'within-maximum-unavailable' ? createOption(search, remaining, found.candidate, victims) : found;
 		const taskCount = Math.min(remaining, fitting);
 		if (taskCount === 0) {
 			continue;
 		}
 
-		victims.push(...pickVictims(search, taskCount, candidate, victims));
+		victims.push(...pickVictims(search, taskCount, candidate, stoppable));
 		taskCounts.set(candidate.worker.agent, taskCount);
 		remaining -= taskCount;
 	}
@@ -72,11 +72,14 @@
 function createOption(search: VictimSearch, count: number, candidate: PoolWorker, chosen: readonly PlacedRun[]): PreemptionOption {
 	const {unit, monotonic} = search;
 	const limit = Math.min(count, countAllowedTasks(unit, candidate));
-	const reclaimable = [...candidate.runs.filter(run => isEndingSoon(unit, run, monotonic)), ...listStoppable(search, candidate, chosen)];
+	const stoppable = listStoppable(search, candidate, chosen);
+	const reclaimable = [...candidate.runs.filter(run => isEndingSoon(unit, run, monotonic)), ...stoppable];
 	const free = reclaimable.reduce((total, {need}) => add(total, need), candidate.free);
 	const fitting = countFitting(free, resourcesOf(unit.step), limit);
-	const victims = pickVictims(search, fitting, candidate, chosen);
-	return {candidate, fitting, cost: victims.reduce((total, victim) => total + measureCost(victim, monotonic), 0)};
+	const cost = pickVictims(search, fitting, candidate, stoppable).reduce((total, victim) => total + measureCost(victim, monotonic), 0);
+	return {
+		candidate, stoppable, fitting, cost,
+	};
 }
 
 /** Lists the runs of a worker that may be stopped, the cheapest first, and long-running ones last. */
@@ -88,14 +91,12 @@
 }
 
 /** Selects the cheapest victims, then drops those that turn out not to be needed. */
-function pickVictims(search: VictimSearch, taskCount: number, candidate: PoolWorker, chosen: readonly PlacedRun[]): readonly PlacedRun[] {
-	const {unit, monotonic} = search;
-	const {runs, free} = candidate;
+function pickVictims({unit, monotonic}: VictimSearch, taskCount: number, {runs, free}: PoolWorker, stoppable: readonly PlacedRun[]): readonly PlacedRun[] {
 	const need = resourcesOf(unit.step);
 	const fits = (available: typeof free) => countFitting(available, need, taskCount) >= taskCount;
 	let available = runs.filter(run => isEndingSoon(unit, run, monotonic)).reduce((total, victim) => add(total, victim.need), free);
 	const victims: PlacedRun[] = [];
-	for (const run of listStoppable(search, candidate, chosen)) {
+	for (const run of stoppable) {
 		if (fits(available)) {
 			break;
 		}
--- a/packages/scheduling/reports.ts
+++ b/packages/scheduling/reports.ts
@@ -7,6 +7,7 @@
 	grantSlackMilliseconds, grantValidityMilliseconds, slowClockFactor, unreadMilliseconds,
 } from './constants.js';
 import {recordCheckpoint} from './checkpoints.js';
+import {noteDeparture} from './departures.js';
 import {handleEnd} from './ends.js';
 import {handleLostRun, releaseIncarnation} from './incarnations.js';
 import {limitLateAcknowledgements, logBarredWorker, recordLateAcknowledgements} from './late-acknowledgements.js';
@@ -74,7 +75,7 @@
 
 /** Releases the earlier incarnation of a worker. Runs that the new one already lists, or may still start, move to it. */
 function replaceIncarnation(state: SchedulerState, earlier: SchedulerWorker, snapshot: WorkerSnapshot, time: CurrentTime): SchedulerTransition {
-	let next = state;
+	let next = noteDeparture(state, earlier.agent, time.monotonic);
 	for (const reported of snapshot.running) {
 		const task = findTask(next, reported.task);
 		if (task !== undefined && isRunOn(task.run, earlier) && task.run.run === reported.run) {
@@ -126,7 +127,8 @@
 			...worker, snapshot, process, contact: 'attached', grantedAt: monotonic,
 		};
 		// Agents report twice a second, mostly without changes, which need no scheduling pass.
-		return hasCapacityChanged(worker, snapshot) ? withWorker(withoutUnread, next) : replaceWorker(withoutUnread, next);
+		const noted = worker.snapshot.state === 'ready' && snapshot.state === 'draining' ? noteDeparture(withoutUnread, agent, monotonic) : withoutUnread;
+		return hasCapacityChanged(worker, snapshot) ? withWorker(noted, next) : replaceWorker(noted, next);
 	}
 
 	return withWorker(withoutUnread, {
--- a/packages/scheduling/room-claims.ts
+++ b/packages/scheduling/room-claims.ts
@@ -22,7 +22,8 @@
 
 /** Lists the claims that still count: not after their time, and not if a claimed worker cannot be used. */
 export function listHeldClaims({jobs}: SchedulerState, units: readonly SchedulingUnit[], pool: Pool, monotonic: MonotonicTime): readonly HeldRoomClaim[] {
-	return units.flatMap(({job, occurrence, stepIndex, step, rank}) => {
+	// A held-back unit has the step of another, which holds the claim.
+	return units.filter(({isHeldBack}) => !isHeldBack).flatMap(({job, occurrence, stepIndex, step, rank}) => {
 		const claim = jobs.get(job.submission.job)?.claim;
 		return claim?.occurrence === occurrence && claim.stepIndex === stepIndex && monotonic < claim.until
 			&& [...claim.taskCounts.keys()].every(agent => pool.get(agent)?.isUsable === true)
--- a/packages/scheduling/schedule.ts
+++ b/packages/scheduling/schedule.ts
@@ -74,6 +74,10 @@
 }
 
 function scheduleUnit(pass: Pass, unit: SchedulingUnit, monotonic: MonotonicTime): Pass {
+	if (unit.isHeldBack && isJobBusy(pass.state, unit, monotonic)) {
+		return {...pass, waiting: [...pass.waiting, unit]};
+	}
+
 	const own = pass.claims.filter(({job, claim}) => job === unit.job.submission.job && claim.stepIndex === unit.stepIndex && claim.occurrence === unit.occurrence);
 	const released = own.length === 0 ? pass : {...pass, pool: releaseClaims(pass.pool, own), claims: pass.claims.filter(held => !own.includes(held))};
 	const placements = findPlacements(released, unit, own[0]?.claim, monotonic);
@@ -93,6 +97,12 @@
 		: reserveForUnit(waiting, unit, monotonic);
 }
 
+/** Whether something of the unit's job runs or is about to start. */
+function isJobBusy({jobs}: SchedulerState, {job: {submission}}: SchedulingUnit, monotonic: MonotonicTime): boolean {
+	const job = jobs.get(submission.job);
+	return job !== undefined && (job.counts.running > 0 || (job.claim !== undefined && monotonic < job.claim.until));
+}
+
 function findPlacements({pool, exhausted}: Pass, unit: SchedulingUnit, claim: RoomClaim | undefined, monotonic: MonotonicTime): readonly Placement[] {
 	const onClaim = claim === undefined || unit.isolation !== 'none' ? [] : placeOnClaim(unit, claim, pool);
 	if (onClaim.length > 0) {
--- a/packages/scheduling/state.ts
+++ b/packages/scheduling/state.ts
@@ -4,13 +4,15 @@
 import {
 	indexLists, isSameIncarnation, listsOf, parseJobOfTask, parseTaskName, type JobStep, type Queue, type Resources, type TaskName,
 } from '#jobs';
+import {defaultPolicy, type SchedulingPolicy} from './policy.js';
 import type {
 	SchedulerJob, SchedulerState, SchedulerWorker, TaskCounts, TaskRun, TaskState,
 } from './types.js';
 
-export function createSchedulerState(epoch: number): SchedulerState {
+export function createSchedulerState(epoch: number, policy: SchedulingPolicy = defaultPolicy): SchedulerState {
 	return {
 		epoch,
+		policy,
 		configuration: undefined,
 		jobs: PersistentMap(),
 		workers: PersistentMap(),
@@ -19,6 +21,7 @@
 		unansweredStarts: PersistentMap(),
 		lateAcknowledgements: PersistentMap(),
 		unread: PersistentMap(),
+		departures: PersistentMap(),
 		leaseUntil: Infinity,
 		isLoaded: false,
 		deferredIncarnationEnds: [],
--- a/packages/scheduling/types.ts
+++ b/packages/scheduling/types.ts
@@ -5,6 +5,8 @@
 	EndedRun, JobKey, JobOutcome, JobProgress, JobSubmission, QueueName, SchedulingConfiguration, TaskCrash, TaskName, TaskProgress, WorkerIncarnation, WorkerSnapshot,
 } from '#jobs';
 
+import type {SchedulingPolicy} from './policy.js';
+
 /** Name of the agent that runs beside a worker. */
 export type AgentName = Unit<string, 'agent'>;
 
@@ -125,6 +127,8 @@
 	counts: TaskCounts;
 	/** Whether a task has begun on a worker, as far as this scheduler knows. */
 	hasStarted: boolean;
+	/** Whether a run of one of its tasks failed. */
+	hasFailures: boolean;
 	/** Whether a worker crashed under one of its tasks. */
 	hasCrashes: boolean;
 	outcome: 'queued' | JobOutcome;
@@ -195,6 +199,7 @@
 
 export type SchedulerState = Readonly<{
 	epoch: number;
+	policy: SchedulingPolicy;
 	configuration: SchedulingConfiguration | undefined;
 	jobs: PersistentMap<JobKey, SchedulerJob>;
 	/** By agent name; each agent has one worker. */
@@ -209,6 +214,8 @@
 	lateAcknowledgements: PersistentMap<AgentName, readonly LateAcknowledgement[]>;
 	/** Workers of an earlier scheduler that have not listed all their runs yet, by agent name, with the time until which their runs may last. */
 	unread: PersistentMap<AgentName, UnreadWorker>;
+	/** Agents whose workers left, were replaced or announced that they leave, with the time until which they count as unstable. */
+	departures: PersistentMap<AgentName, MonotonicTime>;
 	/** Until then no other scheduler can have begun, which might extend leases that this one takes to be over. */
 	leaseUntil: MonotonicTime;
 	/** Whether the stored jobs have been loaded. */
--- a/packages/scheduling/units.ts
+++ b/packages/scheduling/units.ts
@@ -10,6 +10,7 @@
 import {listRepeatedlyAvoided} from './avoidance.js';
 import {chooseIsolation, selectStartable, type Isolation} from './crashes.js';
 import {listDueOccurrences} from './occurrences.js';
+import {listDecisiveTasks, splitByAttempts} from './last-attempts.js';
 import type {Rank} from './rank.js';
 import {
 	countFailures, isOpen, mayRunOnUnreadWorker, resolveQueue,
@@ -36,6 +37,8 @@
 	/** How long the tasks wait for one rack, or the rack of their data, before they run elsewhere. */
 	rackWaitLimit: Milliseconds;
 	isolation: Isolation;
+	/** Whether the tasks start only if nothing else of the job runs, since a last attempt of another task is open. */
+	isHeldBack: boolean;
 	/** Workers that all its tasks, or one task of a gang, avoided more than once. */
 	repeatedlyAvoided: ReadonlySet<WorkerId>;
 }>;
@@ -58,9 +61,10 @@
 		const onTimeLimit = (queue.stretch * criticalPath) + queue.targetMilliseconds;
 		const isLate = age > onTimeLimit;
 		const isAtRisk = age > (onTimeLimit - criticalPath) * atRiskSlackShare;
+		const decisive = state.policy.lastAttempts === 'alone' && rank > 0 ? listDecisiveTasks(job, queue, monotonic) : new Set<TaskName>();
 		for (const occurrence of listDueOccurrences(job, now)) {
 			const waitingSince = Math.min(job.changedAt, monotonic);
-			units.push(...listReadySteps(job, queue, occurrence, mayStart).map(unit => ({
+			units.push(...listReadySteps(job, occurrence, {queue, decisive, mayStart}).map(unit => ({
 				...unit,
 				rank,
 				isLate,
@@ -82,9 +86,11 @@
 	return unit.rank === 0 ? unit : {...unit, rackWaitLimit: unit.rackWaitLimit * remoteRackFactor};
 }
 
-type StepUnit = Pick<SchedulingUnit, 'job' | 'queue' | 'step' | 'occurrence' | 'stepIndex' | 'tasks'>;
+type StepUnit = Pick<SchedulingUnit, 'job' | 'queue' | 'step' | 'occurrence' | 'stepIndex' | 'tasks' | 'isHeldBack'>;
 
-function listReadySteps(job: SchedulerJob, queue: Queue, occurrence: number, mayStart: (task: TaskName) => boolean): readonly StepUnit[] {
+type ReadyOptions = Readonly<{queue: Queue; decisive: ReadonlySet<TaskName>; mayStart(task: TaskName): boolean}>;
+
+function listReadySteps(job: SchedulerJob, occurrence: number, {queue, decisive, mayStart}: ReadyOptions): readonly StepUnit[] {
 	const {steps} = job.submission.request;
 	const namesOf = (index: number) => job.taskNames.get(occurrence)?.[index] ?? [];
 	const isStepDone = (index: number) => namesOf(index).every(name => job.tasks.get(name)?.isDone === true);
@@ -98,9 +104,9 @@
 		const waiting = selectStartable(job, names, listWaiting(job, names, step, queue), step.isGang).filter(name => mayStart(name));
 		const isStartable = step.isGang ? waiting.length === names.length : waiting.length > 0;
 		return isStartable
-			? [{
-				job, queue, step, occurrence, stepIndex, tasks: waiting,
-			}]
+			? splitByAttempts(waiting, decisive).map(choice => ({
+				job, queue, step, occurrence, stepIndex, ...choice,
+			}))
 			: [];
 	});
 }
@@ -139,5 +145,6 @@
 	return first.rank - second.rank
 		|| Number(first.isLate) - Number(second.isLate)
 		|| Number(first.isLong) - Number(second.isLong)
-		|| first.job.submission.submittedAt - second.job.submission.submittedAt;
+		|| first.job.submission.submittedAt - second.job.submission.submittedAt
+		|| Number(first.isHeldBack) - Number(second.isHeldBack);
 }
--- a/packages/scheduling/wait-logs.ts
+++ b/packages/scheduling/wait-logs.ts
@@ -18,12 +18,17 @@
 - `beside-lasting-work`: the unit would fit if they were idle, but not beside their runs that last until their jobs are cancelled.
 - `wants-rack`: the unit fits elsewhere but still waits for a single rack or the rack of its data.
 - `wants-idle-worker`: a worker crashed at an earlier start, so that the unit waits for one without other work.
+- `wants-last-attempt`: the last attempt of another task decides whether the job can complete.
 - `no-room`: other runs occupy the workers that the unit could use.
 */
-type WaitReason = 'no-worker' | 'larger-than-pool' | 'beside-lasting-work' | 'wants-rack' | 'wants-idle-worker' | 'no-room';
+type WaitReason = 'no-worker' | 'larger-than-pool' | 'beside-lasting-work' | 'wants-rack' | 'wants-idle-worker' | 'wants-last-attempt' | 'no-room';
 
 function findWaitReason(unit: SchedulingUnit, candidates: readonly PoolWorker[], monotonic: MonotonicTime): WaitReason {
 	const needed = unit.step.isGang ? unit.tasks.length : 1;
+	if (unit.isHeldBack) {
+		return 'wants-last-attempt';
+	}
+
 	if (unit.isolation === 'idle-worker') {
 		return 'wants-idle-worker';
 	}
@@ -76,6 +81,7 @@
 		case 'beside-lasting-work':
 		case 'wants-rack':
 		case 'wants-idle-worker':
+		case 'wants-last-attempt':
 		case 'no-room': {
 			return {
 				...common,
