--- a/bench/scheduling/report.ts
+++ b/bench/scheduling/report.ts
@@ -1,4 +1,5 @@
 /** Reports what callers get and what a decision costs, by size of the pool and load. */
+import {defaultPolicy} from '#scheduling';
 import type {Milliseconds} from '#core';
 import {playScenario, type Played} from './model.js';
 import {createScenario, type Kind, type Unevenness} from './scenarios.js';
@@ -26,7 +27,7 @@
 	return unevenSeeds.flatMap(scenarioSeed => (['off', 'on'] as const).map(keepApart => {
 		const played = playScenario(createScenario({
 			workers: 160, rate: 0.7, factor: 1, length: 60_000, seed: scenarioSeed, unevenness: {...unevenness, interference},
-		}), {keepApart});
+		}), {policy: {...defaultPolicy, keepApart}});
 		return `160 uneven workers with interference, seed ${scenarioSeed}, keep-apart ${keepApart}: ${describeUneven(played)}; `
 			+ `${played.believedPairs} pairs believed, ${played.wrongPairs} of them wrong, ${played.keptApart} placements changed`;
 	}));
--- a/bench/scheduling/workers.ts
+++ b/bench/scheduling/workers.ts
@@ -11,7 +11,7 @@
 /** Interval of an agent's reports while nothing ends. */
 export const reportMilliseconds = 500;
 
-type SimulatedRun = Readonly<{task: TaskName; run: number; step: JobStep; duration: number; initialPercent: number}> & {
+type SimulatedRun = Readonly<{task: TaskName; run: number; step: JobStep; duration: number; initialPercent: number; failsAtPercent: number}> & {
 	stopsAt: MonotonicTime;
 	/** Rate of progress since `since`, in relation to a usual worker, and the percentage of the task that was done before. */
 	rate: number;
@@ -22,15 +22,20 @@
 /** A run as its rate depends on it. */
 export type RatedRun = Readonly<{task: TaskName; step: JobStep}>;
 
+/** How long a run takes on a usual worker, and the percentage at which it fails. */
+export type RunBehaviour = Readonly<{duration: number; failsAtPercent: number}>;
+
 export type SimulatedWorker = Readonly<{
 	agent: AgentName;
 	rack: string;
-	start(order: StartOrder, step: JobStep, duration: number, time: MonotonicTime): void;
+	start(order: StartOrder, step: JobStep, behaviour: RunBehaviour, time: MonotonicTime): void;
 	stop(order: StopOrder, time: MonotonicTime): void;
 	/** Ends what is due; returns whether something ended. */
 	advance(time: MonotonicTime): boolean;
 	acknowledge(notedEnd: number): void;
-	describe(time: MonotonicTime): WorkerSnapshot;
+	/** Ends all runs without a report; the next incarnation of the worker starts empty. */
+	leave(): void;
+	describe(time: MonotonicTime, leavesInMilliseconds?: number): WorkerSnapshot;
 	listRuns(): readonly RatedRun[];
 	/** Changes the rate of a run's progress. */
 	setRate(task: TaskName, rate: number, time: MonotonicTime): void;
@@ -45,6 +50,7 @@
 	const reportOffset = Math.floor(random() * reportMilliseconds);
 	let ended: EndedRun[] = [];
 	let endCount = 0;
+	let incarnation = 1;
 	const measureGain = ({since, duration, rate, earlierPercent}: SimulatedRun, time: MonotonicTime) => earlierPercent + ((time - since) * rate * 100 / duration);
 	const measurePercent = (run: SimulatedRun, time: MonotonicTime) => Math.min(100, run.initialPercent + Math.floor(measureGain(run, time)));
 	const end = (run: SimulatedRun, ending: EndedRun['ending'], time: MonotonicTime) => {
@@ -57,9 +63,9 @@
 	return {
 		agent,
 		rack,
-		start({task, run, checkpoint}, step, duration, time) {
+		start({task, run, checkpoint}, step, {duration, failsAtPercent}, time) {
 			runs.set(task, {
-				task, run, step, duration, initialPercent: Number(checkpoint), stopsAt: Infinity, rate: 1, since: time, earlierPercent: 0,
+				task, run, step, duration, initialPercent: Number(checkpoint), failsAtPercent, stopsAt: Infinity, rate: 1, since: time, earlierPercent: 0,
 			});
 		},
 		stop({task, run}, time) {
@@ -71,7 +77,9 @@
 		advance(time) {
 			const earlier = endCount;
 			for (const run of runs.values()) {
-				if (measurePercent(run, time) >= 100) {
+				if (measurePercent(run, time) >= run.failsAtPercent) {
+					end(run, 'failed', time);
+				} else if (measurePercent(run, time) >= 100) {
 					end(run, 'done', time);
 				} else if (time >= run.stopsAt) {
 					end(run, 'stopped', time);
@@ -83,15 +91,21 @@
 		acknowledge(notedEnd) {
 			ended = ended.filter(({number}) => number > notedEnd);
 		},
-		describe: time => ({
+		leave() {
+			runs.clear();
+			ended = [];
+			endCount = 0;
+			incarnation++;
+		},
+		describe: (time, leavesInMilliseconds) => ({
 			worker: `worker-${index}` as WorkerId,
-			incarnation: '1',
+			incarnation: String(incarnation),
 			service,
 			zone: 'zone',
 			labels: ['a'],
 			rack,
 			capacity: {processorMillicores: coresPerWorker * 1000, memoryMegabytes: 524_288, accelerators: acceleratorsPerWorker},
-			state: 'ready',
+			...(leavesInMilliseconds === undefined ? {state: 'ready'} : {state: 'draining', leavesInMilliseconds}),
 			isResponsive: true,
 			isLeaseOver: false,
 			running: [...runs.values()].map((run): ReportedRun => ({
--- a/packages/coordinator/plugins/scheduler.ts
+++ b/packages/coordinator/plugins/scheduler.ts
@@ -4,7 +4,7 @@
 } from '#kernel';
 import {countBeliefs} from '#pace';
 import {
-	countOpenTasks, countPending, countRunsInClosedZones, createSchedulerState, receiveSchedulerMessage, type SchedulerEffect, type SchedulerMessage, type SchedulerState,
+	countOpenTasks, countPending, countRunsInClosedZones, createSchedulerState, defaultPolicy, receiveSchedulerMessage, type SchedulerEffect, type SchedulerMessage, type SchedulerState,
 } from '#scheduling';
 import {overloadDelayMilliseconds} from '../constants.js';
 import {startJobWatch} from '../job-watch.js';
@@ -79,7 +79,7 @@
 		}
 	});
 	const task = startTask<SchedulerState, SchedulerMessage, SchedulerEffect>(
-		{name: 'scheduler', initialState: createSchedulerState(epoch, context.settings['keep-apart']), receive: receiveSchedulerMessage},
+		{name: 'scheduler', initialState: createSchedulerState(epoch, {...defaultPolicy, keepApart: context.settings['keep-apart']}), receive: receiveSchedulerMessage},
 		{
 			clock,
 			perform(effect) {
@@ -211,11 +211,19 @@
 
 		case 'log': {
 			context.counters.countEvent(effect.event);
+			countLoss(effect.fields, context);
 			context.log.withPrefix('scheduler').info({epoch: term.epoch, ...effect.fields}, describeEvent(effect.event));
 		}
 	}
 }
 
+/** Counts lost work in core-seconds, by reason: `lost-core-seconds-preempted`. */
+function countLoss({lossReason, lossCoreSeconds}: Readonly<Record<string, unknown>>, {counters}: CoordinatorContext): void {
+	if (typeof lossReason === 'string' && typeof lossCoreSeconds === 'number' && lossCoreSeconds > 0) {
+		counters.countEvent(`lost-core-seconds-${lossReason}`, lossCoreSeconds);
+	}
+}
+
 /** Timeout of the call that makes an agent renew at once. */
 const acknowledgeTimeoutMilliseconds = 1000;
 
--- a/packages/scheduling/constants.ts
+++ b/packages/scheduling/constants.ts
@@ -18,6 +18,10 @@
 export const closedZoneConfirmationMilliseconds = 400;
 /** How long a closed zone is known before it is logged that no worker names it; agents report twice a second. */
 export const unnamedZoneLogMilliseconds = 5000;
+/** How long a worker counts as unstable after one beside its agent left, was replaced or announced that it leaves. */
+export const departureMemoryMilliseconds = 60_000;
+/** Agents that are remembered as unstable, so that a zone that leaves does not fill the memory: a tenth of the largest pool. */
+export const rememberedDepartures = 430;
 /** Longest lease that the platform's workers grant. */
 export const maximumLeaseMilliseconds = 10_000;
 /** Longest time until an order has reached its agent, with the report that answers it: a renewal that gets no answer fails earlier, with the connection. */
@@ -98,6 +102,8 @@
 export const lowestUrgentRank = 1;
 /** Additional cost, in core-seconds, of stopping urgent work: about what callers pay for it on time in relation to the price of discarded work. */
 export const urgentVictimCoreSeconds = 4000;
+/** Additional cost, in core-seconds, of stopping a long-running task: more than any other run loses, so that such a stop comes last. */
+export const longRunningVictimCoreSeconds = 1_000_000;
 /** How often work beyond a guarantee may stop the same task, so that its job eventually ends; urgent work may stop a task that saves its progress more often. */
 export const maximumPreemptions = 1;
 /** Interval at which checkpoints of runs are stored. Workers create one for each 0.5 to 2 s of work, and one write holds those of 15 jobs. */
--- a/packages/scheduling/ends.ts
+++ b/packages/scheduling/ends.ts
@@ -4,15 +4,18 @@
 	isSameIncarnation, parseJobOfTask, type EndedRun, type JobKey, type TaskName,
 } from '#jobs';
 import {avoidWorker} from './avoidance.js';
+import {recordLastCheckpoint} from './checkpoints.js';
 import {avoidanceMilliseconds, failuresBeforeAvoidance} from './constants.js';
+import {measureLoss} from './loss.js';
 import {isComplete, openForReport} from './occurrences.js';
 import {noteEndedRun, type EndOrigin} from './pace.js';
 import {
 	chain, endJob, stopRuns, storeJob, withoutEffects, type SchedulerTransition,
 } from './runs.js';
 import {
-	countFailures, isOpen, findJob, findTask, resolveQueue, listStepMembers, findStep, markChanged, withTask, withWorker,
+	countFailures, isOpen, findJob, findTask, resolveQueue, listStepMembers, findStep, markChanged, replaceJob, replaceTask, withTask, withWorker,
 } from './state.js';
+import {describeLoss} from './stop-reasons.js';
 import type {
 	AgentName, SchedulerJob, SchedulerState, TaskState,
 } from './types.js';
@@ -30,14 +33,19 @@
 	]);
 }
 
-/** Handles an end that an incarnation listed before it ended itself. If that incarnation is no longer known, only what lasts counts: a task that is done, or failed. */
+/** Handles an end that an incarnation listed before it ended itself. If that incarnation is no longer known, only what lasts counts: a task that is done, or failed, and its checkpoint. */
 export function handleLastEnd(state: SchedulerState, origin: EndOrigin, end: EndedRun, time: CurrentTime): SchedulerTransition {
 	const worker = state.workers.get(origin.agent);
 	if (worker !== undefined && isSameIncarnation(worker.snapshot, origin)) {
 		return handleEnd(state, origin.agent, end, time);
 	}
 
-	return end.ending === 'done' || end.ending === 'failed' ? applyEnd(state, origin, end, time) : withoutEffects(state);
+	return end.ending === 'done' || end.ending === 'failed' ? applyEnd(state, origin, end, time) : withoutEffects(recordCheckpointOfEnd(state, end));
+}
+
+function recordCheckpointOfEnd(state: SchedulerState, end: EndedRun): SchedulerState {
+	const task = findTask(state, end.task);
+	return task === undefined || task.isDone ? state : replaceTask(state, end.task, recordLastCheckpoint(task, end));
 }
 
 /** Defers the acknowledgement of an end until the progress that contains it is stored. */
@@ -73,52 +81,62 @@
 }
 
 function applyEnd(state: SchedulerState, origin: EndOrigin, end: EndedRun, time: CurrentTime): SchedulerTransition {
-	const {state: next, effects} = applyEndToTask(openForReport(noteEndedRun(state, origin, end, time.monotonic), end.task), origin, end, time);
+	const opened = openForReport(noteEndedRun(state, origin, end, time.monotonic), end.task);
+	const {state: next, effects} = applyEndToTask(opened, origin, end, time);
 	const log = {
 		kind: 'log', event: 'run-ended', fields: {
-			task: end.task, run: end.run, ending: end.ending, worker: origin.worker,
+			task: end.task, run: end.run, ending: end.ending, worker: origin.worker, ...describeLossOfEnd(opened, origin, end, time),
 		},
 	} as const;
 	return {state: next, effects: [...effects, log]};
 }
 
+/** Lost work of a run that ended without being done. The line that ordered a stop has counted that of its runs. */
+function describeLossOfEnd(state: SchedulerState, origin: EndOrigin, {task: name, run: number, ending}: EndedRun, {monotonic}: CurrentTime): Readonly<Record<string, unknown>> {
+	const job = findJob(state, name);
+	const run = job?.tasks.get(name)?.run;
+	const step = job === undefined ? undefined : findStep(job, name);
+	const isCurrentRun = run?.run === number && isSameIncarnation(run.incarnation, origin);
+	return step === undefined || !isCurrentRun || run.stage === 'stopping' || ending === 'done' ? {} : describeLoss(`run-${ending}`, measureLoss(run, step, monotonic));
+}
+
 function applyEndToTask(state: SchedulerState, origin: EndOrigin, end: EndedRun, time: CurrentTime): SchedulerTransition {
 	const job = findJob(state, end.task);
 	const task = job?.tasks.get(end.task);
-	const step = job === undefined ? undefined : findStep(job, end.task);
-	if (job === undefined || task === undefined || step === undefined) {
+	if (job === undefined || task === undefined) {
 		return withoutEffects(state);
 	}
 
 	const isCurrentRun = isSameIncarnation(task.run?.incarnation, origin) && task.run?.run === end.run;
-	const released = isCurrentRun ? {...task, run: undefined} : task;
+	const recorded = recordLastCheckpoint(task, end);
+	const released = isCurrentRun ? {...recorded, run: undefined} : recorded;
 	const updated = {...released, lastRun: Math.max(released.lastRun, end.run)};
 	if (!isOpen(job)) {
 		return withoutEffects(withTask(state, end.task, updated));
 	}
 
-	switch (end.ending) {
+	return applyEndToOpenJob(replaceJob(state, {...job, hasStarted: true}), {
+		job, end, task: updated, origin,
+	}, time);
+}
+
+/** Applies an end to its task. What has ended has begun, also if it was never listed as running. */
+function applyEndToOpenJob(state: SchedulerState, ended: TaskEndWithOrigin, time: CurrentTime): SchedulerTransition {
+	const isLongRunning = findStep(ended.job, ended.end.task)?.isLongRunning === true;
+	switch (ended.end.ending) {
 		case 'done': {
-			return step.isLongRunning
-				? requeueTask(state, {job, end, task: updated}, time)
-				: finishTask(state, {
-					job, end, task: updated, origin,
-				}, time);
+			return isLongRunning ? requeueTask(state, ended, time) : finishTask(state, ended, time);
 		}
 
 		case 'failed': {
-			return step.isLongRunning
-				? requeueTask(state, {job, end, task: updated}, time)
-				: failTask(state, {
-					job, end, task: updated, origin,
-				}, time);
+			return isLongRunning ? requeueTask(state, ended, time) : failTask(state, ended, time);
 		}
 
 		case 'stopped':
 		case 'lapsed':
 		case 'broken':
 		case 'alone': {
-			return requeueTask(state, {job, end, task: updated}, time);
+			return requeueTask(state, ended, time);
 		}
 	}
 }
@@ -140,7 +158,7 @@
 	const {job: key} = job.submission;
 	return chain(clearFailures(markChanged(next, end.task, time.monotonic), origin.agent), [
 		// Stops another run of the same task, which is no longer needed.
-		after => end.run === job.tasks.get(end.task)?.run?.run ? withoutEffects(after) : stopRuns(after, [end.task], 'task completed on another worker', time.monotonic),
+		after => end.run === job.tasks.get(end.task)?.run?.run ? withoutEffects(after) : stopRuns(after, [end.task], {kind: 'done-elsewhere'}, time.monotonic),
 		after => isJobComplete(after, key) ? endJob(after, key, 'completed', time) : storeCurrent(after, key),
 	]);
 }
@@ -158,7 +176,9 @@
 function failTask(state: SchedulerState, {job, end, task, origin}: TaskEndWithOrigin, time: CurrentTime): SchedulerTransition {
 	const {job: key} = job.submission;
 	const failedRuns = task.failedRuns.includes(end.run) ? task.failedRuns : [...task.failedRuns, end.run];
-	const next = markChanged(withTask(state, end.task, avoidWorker({...task, failedRuns}, origin.worker, time.monotonic)), end.task, time.monotonic);
+	const failed = withTask(state, end.task, avoidWorker({...task, failedRuns}, origin.worker, time.monotonic));
+	const failedJob = failed.jobs.get(key) ?? job;
+	const next = replaceJob(failed, {...failedJob, hasFailures: true, changedAt: time.monotonic});
 	return chain(recordFailure(next, origin.agent, key, time.monotonic), [
 		after => hasAttemptsLeft(after, end.task) ? storeCurrent(after, key) : endJob(after, key, 'failed', time),
 		after => stopGang(after, end, time),
@@ -171,11 +191,8 @@
 }
 
 /** Lets a task start again from its latest checkpoint. */
-function requeueTask(state: SchedulerState, {job, end, task}: TaskEnd, time: CurrentTime): SchedulerTransition {
-	const checkpoint = end.checkpoint === '' ? task.checkpoint : end.checkpoint;
-	const lastPercent = Math.max(task.checkpointPercent, job.tasks.get(end.task)?.run?.percent ?? 0);
-	const next = withTask(state, end.task, {...task, checkpoint, checkpointPercent: end.checkpoint === '' ? task.checkpointPercent : lastPercent});
-	return stopGang(markChanged(next, end.task, time.monotonic), end, time);
+function requeueTask(state: SchedulerState, {end, task}: TaskEnd, time: CurrentTime): SchedulerTransition {
+	return stopGang(markChanged(withTask(state, end.task, task), end.task, time.monotonic), end, time);
 }
 
 /** Stops the other members of a gang that belong to the same run or an earlier one. They would also end by themselves, but later. */
@@ -183,7 +200,7 @@
 	const job = findJob(state, task);
 	const members = job !== undefined && findStep(job, task)?.isGang === true ? listStepMembers(job, task) : [];
 	const hasNewerRun = members.some(name => (job?.tasks.get(name)?.run?.run ?? 0) > run);
-	return hasNewerRun ? withoutEffects(state) : stopRuns(state, members, 'a member of the gang ended', monotonic);
+	return hasNewerRun ? withoutEffects(state) : stopRuns(state, members, {kind: 'member-ended'}, monotonic);
 }
 
 function clearFailures(state: SchedulerState, agent: AgentName): SchedulerState {
--- a/packages/scheduling/index.ts
+++ b/packages/scheduling/index.ts
@@ -9,5 +9,6 @@
 } from './closed-zones.js';
 export {countOpenTasks} from './occurrences.js';
 export {measureMemoryUse, type SchedulerMemoryUse} from './memory-use.js';
+export {defaultPolicy, type KeepApart, type SchedulingPolicy} from './policy.js';
 export {describeProgress} from './progress.js';
 export {measureWaitForStarts} from './unanswered-starts.js';
--- a/packages/scheduling/pace.ts
+++ b/packages/scheduling/pace.ts
@@ -21,7 +21,7 @@
 /** Kinds that are to be kept apart, by kind; empty unless that is switched on. */
 export type Conflicts = ReadonlyMap<TaskKind, ReadonlySet<TaskKind>>;
 
-export function listKindsToKeepApart({pace: {keepApart, beliefs}}: SchedulerState, monotonic: MonotonicTime): Conflicts {
+export function listKindsToKeepApart({pace: {beliefs}, policy: {keepApart}}: SchedulerState, monotonic: MonotonicTime): Conflicts {
 	return keepApart === 'off' || beliefs.interference.size === 0 ? new Map() : listConflicts(beliefs, monotonic);
 }
 
--- a/packages/scheduling/pool.ts
+++ b/packages/scheduling/pool.ts
@@ -10,6 +10,7 @@
 import {isInClosedZone} from './closed-zones.js';
 import {estimateSpeed, type TaskKind} from '#pace';
 import {isOnProbation} from './crashes.js';
+import {isUnstable} from './departures.js';
 import {findAcknowledgementEnd} from './late-acknowledgements.js';
 import {listLateStarts} from './late-starts.js';
 import {listConflicting, listKindsToKeepApart} from './pace.js';
@@ -49,6 +50,8 @@
 	speed: number | undefined;
 	/** Kinds of tasks that are to be kept apart from those on the worker. */
 	conflicting: ReadonlySet<TaskKind>;
+	/** Whether a worker beside the agent lately left, came back or announced that it leaves. */
+	isUnstable: boolean;
 }>;
 
 export type Pool = PersistentMap<AgentName, PoolWorker>;
@@ -70,6 +73,7 @@
 			coldFor: Math.max(0, worker.grantedAt + (worker.snapshot.coldForMilliseconds ?? 0) - monotonic),
 			speed: estimateSpeed(state.pace.beliefs, worker.snapshot, monotonic),
 			conflicting: listConflicting(runs, conflicts),
+			isUnstable: isUnstable(state, agent, monotonic),
 		};
 	});
 }
--- a/packages/scheduling/reports.ts
+++ b/packages/scheduling/reports.ts
@@ -6,6 +6,8 @@
 import {
 	grantSlackMilliseconds, grantValidityMilliseconds, slowClockFactor, unreadMilliseconds,
 } from './constants.js';
+import {recordCheckpoint} from './checkpoints.js';
+import {noteDeparture} from './departures.js';
 import {handleEnd} from './ends.js';
 import {handleLostRun, releaseIncarnation} from './incarnations.js';
 import {limitLateAcknowledgements, logBarredWorker, recordLateAcknowledgements} from './late-acknowledgements.js';
@@ -73,7 +75,7 @@
 
 /** Releases the earlier incarnation of a worker. Runs that the new one already lists, or may still start, move to it. */
 function replaceIncarnation(state: SchedulerState, earlier: SchedulerWorker, snapshot: WorkerSnapshot, time: CurrentTime): SchedulerTransition {
-	let next = state;
+	let next = noteDeparture(state, earlier.agent, time.monotonic);
 	for (const reported of snapshot.running) {
 		const task = findTask(next, reported.task);
 		if (task !== undefined && isRunOn(task.run, earlier) && task.run.run === reported.run) {
@@ -125,7 +127,8 @@
 			...worker, snapshot, process, contact: 'attached', grantedAt: monotonic,
 		};
 		// Agents report twice a second, mostly without changes, which need no scheduling pass.
-		return hasCapacityChanged(worker, snapshot) ? withWorker(withoutUnread, next) : replaceWorker(withoutUnread, next);
+		const noted = worker.snapshot.state === 'ready' && snapshot.state === 'draining' ? noteDeparture(withoutUnread, agent, monotonic) : withoutUnread;
+		return hasCapacityChanged(worker, snapshot) ? withWorker(noted, next) : replaceWorker(noted, next);
 	}
 
 	return withWorker(withoutUnread, {
@@ -188,7 +191,7 @@
 		const incarnation = {worker: worker.snapshot.worker, incarnation: worker.snapshot.incarnation};
 		return {
 			state: withTask(state, reported.task, {
-				...task,
+				...recordCheckpoint(task, {checkpoint: reported.checkpoint, checkpointRun: reported.run, checkpointPercent: reported.percent}),
 				lastRun: Math.max(task.lastRun, reported.run),
 				run: {
 					agent,
@@ -240,8 +243,7 @@
 	const hasProgress = reported.percent > run.percent;
 	const isResumed = run.percent === 0 && task.checkpoint !== '' && hasProgress;
 	return replaceTask(state, reported.task, {
-		...task,
-		...(reported.checkpoint === '' ? {} : {checkpoint: reported.checkpoint, checkpointPercent: reported.percent}),
+		...recordCheckpoint(task, {checkpoint: reported.checkpoint, checkpointRun: reported.run, checkpointPercent: reported.percent}),
 		run: {
 			...run,
 			stage: run.stage === 'starting' ? 'running' : run.stage,
--- a/packages/scheduling/runs.ts
+++ b/packages/scheduling/runs.ts
@@ -1,11 +1,13 @@
 /** State transitions of runs and jobs: orders starts and stops, releases ended runs and ends jobs. */
 import type {MonotonicTime} from '#core';
 import type {JobKey, TaskName} from '#jobs';
+import {findGangCheckpoint, noCheckpoint} from './checkpoints.js';
 import {measureLoss} from './loss.js';
 import type {Placement} from './place.js';
 import {
 	findWorkerOfRun, isOpen, findJob, findTask, listStepMembers, findStep, markChanged, withJob, withTask,
 } from './state.js';
+import {describeLoss, describeStopReason, type StopReason} from './stop-reasons.js';
 import {recordUnansweredStart} from './unanswered-starts.js';
 import type {
 	AgentName, SchedulerEffect, SchedulerJob, SchedulerState, StartOrder, StopOrder, TaskRun, TaskState,
@@ -41,7 +43,7 @@
 	const gangRun = Math.max(0, ...placements.map(({task}) => job.tasks.get(task)?.lastRun ?? 0)) + 1;
 	const [firstPlacement] = placements;
 	const isGang = firstPlacement !== undefined && findStep(job, firstPlacement.task)?.isGang === true;
-	const gangCheckpoint = isGang ? latestCheckpoint(job, firstPlacement.task) : '';
+	const gangCheckpoint = isGang ? findGangCheckpoint(job, firstPlacement.task) : noCheckpoint;
 	let next = state;
 	for (const {task: name, agent} of placements) {
 		const task = job.tasks.get(name);
@@ -51,12 +53,14 @@
 		}
 
 		const run = isGang ? gangRun : task.lastRun + 1;
-		const checkpoint = isGang ? gangCheckpoint : task.checkpoint;
+		const {checkpoint, checkpointRun, checkpointPercent} = isGang ? gangCheckpoint : task;
 		const {worker: workerId, incarnation} = worker.snapshot;
 		next = withTask(next, name, {
 			...task,
 			lastRun: run,
 			checkpoint,
+			checkpointRun,
+			checkpointPercent,
 			run: {
 				agent,
 				incarnation: {worker: workerId, incarnation},
@@ -91,14 +95,8 @@
 	}
 }
 
-/** Finds the latest checkpoint of a gang. Any member's checkpoint is valid for all, and all have to start from the same one. */
-function latestCheckpoint(job: SchedulerJob, task: TaskName): string {
-	const members = listStepMembers(job, task).flatMap(name => job.tasks.get(name) ?? []);
-	return members.toSorted((first, second) => second.checkpointPercent - first.checkpointPercent).find(({checkpoint}) => checkpoint !== '')?.checkpoint ?? '';
-}
-
 /** Orders the stop of runs and of the other members of their gangs, which cannot work alone. */
-export function stopRuns(state: SchedulerState, names: readonly TaskName[], reason: string, monotonic: MonotonicTime): SchedulerTransition {
+export function stopRuns(state: SchedulerState, names: readonly TaskName[], reason: StopReason, monotonic: MonotonicTime): SchedulerTransition {
 	const affected = new Set(names.flatMap(name => {
 		const job = findJob(state, name);
 		return job !== undefined && findStep(job, name)?.isGang === true ? listStepMembers(job, name) : [name];
@@ -128,7 +126,11 @@
 	}));
 	return {
 		state: next,
-		effects: stops.length === 0 ? [] : [...stops, {kind: 'log', event: 'stop-ordered', fields: {reason, lossCoreSeconds: Math.round(loss), tasks: [...orders.values()].flat()}}],
+		effects: stops.length === 0
+			? []
+			: [...stops, {
+				kind: 'log', event: 'stop-ordered', fields: {reason: describeStopReason(reason), ...describeLoss(reason.kind, loss), tasks: [...orders.values()].flat()},
+			}],
 	};
 }
 
@@ -145,7 +147,7 @@
 
 function removeRun(state: SchedulerState, name: TaskName, monotonic: MonotonicTime): SchedulerState {
 	const task = findTask(state, name);
-	return task === undefined ? state : markChanged(withTask(state, name, {...task, run: undefined}), name, monotonic);
+	return task === undefined ? state : markChanged(withTask(state, name, {...task, run: undefined, lastPercent: task.run?.percent ?? task.lastPercent}), name, monotonic);
 }
 
 /** Increments the job's version and requests that its progress is stored. */
@@ -168,7 +170,7 @@
 			...job, outcome, endedAt: now, endedAtMonotonic: monotonic,
 		}),
 		// The members of a completed gang end by themselves.
-		next => outcome === 'completed' ? withoutEffects(next) : stopRuns(next, listRunningTasks(job), `job ${outcome}`, monotonic),
+		next => outcome === 'completed' ? withoutEffects(next) : stopRuns(next, listRunningTasks(job), {kind: `job-${outcome}`}, monotonic),
 		next => ({
 			state: next,
 			effects: [{kind: 'log', event: 'job-ended', fields: {job: jobKey, outcome, ageMilliseconds: now - job.submission.submittedAt}}],
--- a/packages/scheduling/schedule.ts
+++ b/packages/scheduling/schedule.ts
@@ -12,6 +12,7 @@
 import {
 	countByAgent, hasRoomForTask, placeUnit, type Placement, type TaskCounts,
 } from './place.js';
+import {listLongRunningLimits} from './long-running.js';
 import {isUtilizationLow} from './low-rank.js';
 import {openDueOccurrences} from './occurrences.js';
 import {listKindsToKeepApart, type Conflicts} from './pace.js';
@@ -78,6 +79,10 @@
 }
 
 function scheduleUnit(pass: Pass, unit: SchedulingUnit, monotonic: MonotonicTime): Pass {
+	if (unit.isHeldBack && isJobBusy(pass.state, unit, monotonic)) {
+		return {...pass, waiting: [...pass.waiting, unit]};
+	}
+
 	const own = pass.claims.filter(({job, claim}) => job === unit.job.submission.job && claim.stepIndex === unit.stepIndex && claim.occurrence === unit.occurrence);
 	const released = own.length === 0 ? pass : {...pass, pool: releaseClaims(pass.pool, own), claims: pass.claims.filter(held => !own.includes(held))};
 	const placements = findPlacements(released, unit, own[0]?.claim, monotonic);
@@ -98,6 +103,12 @@
 		: reserveForUnit(waiting, unit, monotonic);
 }
 
+/** Whether something of the unit's job runs or is about to start. */
+function isJobBusy({jobs}: SchedulerState, {job: {submission}}: SchedulingUnit, monotonic: MonotonicTime): boolean {
+	const job = jobs.get(submission.job);
+	return job !== undefined && (job.counts.running > 0 || (job.claim !== undefined && monotonic < job.claim.until));
+}
+
 function findPlacements({pool, exhausted}: Pass, unit: SchedulingUnit, claim: RoomClaim | undefined, monotonic: MonotonicTime): readonly Placement[] {
 	const onClaim = claim === undefined || unit.isolation !== 'none' ? [] : placeOnClaim(unit, claim, pool);
 	if (onClaim.length > 0) {
@@ -169,7 +180,7 @@
 
 /** Preempts work of a lower rank for the unit and allocates the resources to it for the rest of the pass, or reserves workers if there is none. */
 function preempt(pass: Pass, unit: SchedulingUnit, count: number, monotonic: MonotonicTime): Pass {
-	const found = findPreemption(unit, count, pass.pool, monotonic) ?? findPreemptionOfClaims(pass, unit, count, monotonic);
+	const found = findVictims(pass, unit, count, monotonic);
 	if (found === undefined) {
 		const job = pass.state.jobs.get(unit.job.submission.job) ?? unit.job;
 		return reserveForUnit({...pass, state: replaceJob(pass.state, {...job, preemptionFailedAt: monotonic})}, unit, monotonic);
@@ -182,14 +193,25 @@
 	const claimed = countPreemptions(replaceJob(pass.state, {...job, claim}), found.victims);
 	return apply(
 		{...pass, pool: allocateTasks(unit, found.taskCounts, pass.pool)},
-		stopRuns(claimed, found.victims.map(({task}) => task), `room for ${unit.job.submission.job} of rank ${unit.rank}`, monotonic),
+		stopRuns(claimed, found.victims.map(({task}) => task), {kind: 'preempted', job: unit.job.submission.job, rank: unit.rank}, monotonic),
 	);
 }
 
-/** Work within a guarantee takes room that lower ranks claimed if there is no other. */
-function findPreemptionOfClaims({pool, claims}: Pass, unit: SchedulingUnit, count: number, monotonic: MonotonicTime): Preemption | undefined {
-	const lower = claims.filter(({rank}) => rank > unit.rank);
-	return unit.rank === 0 && lower.length > 0 ? findPreemption(unit, count, releaseClaims(pool, lower), monotonic) : undefined;
+/** Work within a guarantee takes room that lower ranks claimed if there is no other, and that of long-running work last. */
+function findVictims({pool, claims}: Pass, unit: SchedulingUnit, count: number, monotonic: MonotonicTime): Preemption | undefined {
+	const lower = unit.rank === 0 ? claims.filter(({rank}) => rank > 0) : [];
+	for (const limit of listLongRunningLimits(unit, pool)) {
+		const search = {
+			unit, pool, limit, monotonic,
+		};
+		const found = findPreemption(search, count)
+			?? (lower.length > 0 ? findPreemption({...search, pool: releaseClaims(pool, lower)}, count) : undefined);
+		if (found !== undefined) {
+			return found;
+		}
+	}
+
+	return undefined;
 }
 
 function allocateTasks({step}: SchedulingUnit, taskCounts: TaskCounts, pool: Pool): Pool {
--- a/packages/scheduling/state.ts
+++ b/packages/scheduling/state.ts
@@ -6,14 +6,15 @@
 } from '#jobs';
 import {noClosedZones} from '#zones';
 import {createPaceState} from '#pace';
-import {runsPerEpoch} from './constants.js';
+import {defaultPolicy, type SchedulingPolicy} from './policy.js';
 import type {
-	KeepApart, SchedulerJob, SchedulerState, SchedulerWorker, TaskCounts, TaskRun, TaskState,
+	SchedulerJob, SchedulerState, SchedulerWorker, TaskCounts, TaskRun, TaskState,
 } from './types.js';
 
-export function createSchedulerState(epoch: number, keepApart: KeepApart = 'on'): SchedulerState {
+export function createSchedulerState(epoch: number, policy: SchedulingPolicy = defaultPolicy): SchedulerState {
 	return {
 		epoch,
+		policy,
 		configuration: undefined,
 		jobs: PersistentMap(),
 		workers: PersistentMap(),
@@ -22,6 +23,7 @@
 		unansweredStarts: PersistentMap(),
 		lateAcknowledgements: PersistentMap(),
 		unread: PersistentMap(),
+		departures: PersistentMap(),
 		leaseUntil: Infinity,
 		isLoaded: false,
 		deferredIncarnationEnds: [],
@@ -30,7 +32,7 @@
 		unopenedLoggedAt: -Infinity,
 		isScheduleDue: false,
 		pace: {
-			keepApart, beliefs: createPaceState(), ended: [], sampledAt: -Infinity,
+			beliefs: createPaceState(), ended: [], sampledAt: -Infinity,
 		},
 	};
 }
@@ -127,8 +129,12 @@
 	return run === undefined ? runs : runs.set(run.agent, (runs.get(run.agent) ?? PersistentSet<TaskName>()).add(name));
 }
 
-export function hasStarted({isDone, run, lastRun}: TaskState): boolean {
-	return isDone || run !== undefined || lastRun % runsPerEpoch > 0;
+/** What shows that a task has begun; stored progress has no run. */
+type StartEvidence = Pick<TaskState, 'isDone' | 'failedRuns' | 'checkpoint' | 'crashes'> & Readonly<{run?: TaskState['run']}>;
+
+/** Whether a run of the task has certainly begun on a worker. A start that was ordered and refused, or got no answer, does not show that. */
+export function hasStarted({isDone, run, failedRuns, checkpoint, crashes}: StartEvidence): boolean {
+	return isDone || run?.isStartConfirmed === true || failedRuns.length > 0 || checkpoint !== '' || crashes.length > 0;
 }
 
 export function findJob(state: SchedulerState, task: TaskName): SchedulerJob | undefined {
@@ -209,7 +215,7 @@
 	return jobs.valueSeq().filter(job => isOpen(job)).toArray().toSorted((first, second) => first.submission.submittedAt - second.submission.submittedAt);
 }
 
-/** Counts the jobs without a started task, by queue. */
+/** Counts the jobs of which no task has begun on a worker, by queue. */
 export function countPending({jobs}: SchedulerState): ReadonlyMap<string, number> {
 	const counts = new Map<string, number>();
 	for (const job of jobs.values()) {
--- a/packages/scheduling/types.ts
+++ b/packages/scheduling/types.ts
@@ -7,6 +7,8 @@
 	EndedRun, JobKey, JobOutcome, JobProgress, JobSubmission, QueueName, SchedulingConfiguration, TaskCrash, TaskName, TaskProgress, WorkerIncarnation, WorkerSnapshot,
 } from '#jobs';
 
+import type {SchedulingPolicy} from './policy.js';
+
 /** Name of the agent that runs beside a worker. */
 export type AgentName = Unit<string, 'agent'>;
 
@@ -71,8 +73,12 @@
 	failedRuns: readonly number[];
 	lastRun: number;
 	checkpoint: string;
-	/** Percentage at which the checkpoint was reported; selects the latest one of a gang. */
+	/** The run that the checkpoint was reported for; 0 if an earlier scheduler stored it. */
+	checkpointRun: number;
+	/** Percentage at which the checkpoint was first reported; selects the newest one of a gang. */
 	checkpointPercent: number;
+	/** Percentage that the last run had reached when it was released; its end may be reported later. */
+	lastPercent: number;
 	run: TaskRun | undefined;
 	/** Workers on which the task failed, got stuck or was not confirmed to have started, the latest one last. */
 	avoided: readonly AvoidedWorker[];
@@ -121,8 +127,10 @@
 	occurrences: Occurrences;
 	/** Numbers of tasks, kept up to date so that no message has to iterate over all of them. */
 	counts: TaskCounts;
-	/** Whether a task has started in this epoch or is done. */
+	/** Whether a task has begun on a worker, as far as this scheduler knows. */
 	hasStarted: boolean;
+	/** Whether a run of one of its tasks failed. */
+	hasFailures: boolean;
 	/** Whether a worker crashed under one of its tasks. */
 	hasCrashes: boolean;
 	outcome: 'queued' | JobOutcome;
@@ -191,12 +199,8 @@
 /** A worker that a scheduler uses, with the agent beside it. */
 export type UsedWorker = Readonly<{agent: AgentName; worker: WorkerId}>;
 
-/** Whether tasks that slow each other down are kept apart where there is capacity. */
-export type KeepApart = 'on' | 'off';
-
 /** What is learned of the pace of runs in this term. */
 export type SchedulerPace = Readonly<{
-	keepApart: KeepApart;
 	beliefs: PaceState;
 	/** Runs that ended as done since the last samples were taken. */
 	ended: readonly RunSample[];
@@ -205,6 +209,7 @@
 
 export type SchedulerState = Readonly<{
 	epoch: number;
+	policy: SchedulingPolicy;
 	configuration: SchedulingConfiguration | undefined;
 	jobs: PersistentMap<JobKey, SchedulerJob>;
 	/** By agent name; each agent has one worker. */
@@ -219,6 +224,8 @@
 	lateAcknowledgements: PersistentMap<AgentName, readonly LateAcknowledgement[]>;
 	/** Workers of an earlier scheduler that have not listed all their runs yet, by agent name, with the time until which their runs may last. */
 	unread: PersistentMap<AgentName, UnreadWorker>;
+	/** Agents whose workers left, were replaced or announced that they leave, with the time until which they count as unstable. */
+	departures: PersistentMap<AgentName, MonotonicTime>;
 	/** Until then no other scheduler can have begun, which might extend leases that this one takes to be over. */
 	leaseUntil: MonotonicTime;
 	/** Whether the stored jobs have been loaded. */
@@ -285,6 +292,6 @@
 	| Readonly<{kind: 'remove-records'; job: JobKey; keyVersion: number}>
 	| Readonly<{kind: 'log'; event: string; fields: Readonly<Record<string, unknown>>}>;
 
-/** Number of jobs without a started task, by queue. */
+/** Number of jobs of which no task has begun on a worker, by queue. */
 export type PendingCounts = ReadonlyMap<QueueName, number>;
 
--- a/packages/scheduling/wait-logs.ts
+++ b/packages/scheduling/wait-logs.ts
@@ -19,9 +19,10 @@
 - `wants-rack`: the unit fits elsewhere but still waits for a single rack or the rack of its data.
 - `wants-idle-worker`: a worker crashed at an earlier start, so that the unit waits for one without other work.
 - `zone-closed`: only workers of zones that the operators closed have room, or are large enough.
+- `wants-last-attempt`: the last attempt of another task decides whether the job can complete.
 - `no-room`: other runs occupy the workers that the unit could use.
 */
-type WaitReason = 'no-worker' | 'larger-than-pool' | 'beside-lasting-work' | 'wants-rack' | 'wants-idle-worker' | 'zone-closed' | 'no-room';
+type WaitReason = 'no-worker' | 'larger-than-pool' | 'beside-lasting-work' | 'wants-rack' | 'wants-idle-worker' | 'wants-last-attempt' | 'zone-closed' | 'no-room';
 
 /** Whether the unit would fit with the workers of closed zones, now or once their runs have ended, and does not without them. */
 function isHeldByClosedZones(unit: SchedulingUnit, open: readonly PoolWorker[], held: readonly PoolWorker[]): boolean {
@@ -40,6 +41,10 @@
 
 function findWaitReason(unit: SchedulingUnit, candidates: readonly PoolWorker[], monotonic: MonotonicTime): Exclude<WaitReason, 'zone-closed'> {
 	const needed = countNeeded(unit);
+	if (unit.isHeldBack) {
+		return 'wants-last-attempt';
+	}
+
 	if (unit.isolation === 'idle-worker') {
 		return 'wants-idle-worker';
 	}
@@ -103,6 +108,7 @@
 		case 'beside-lasting-work':
 		case 'wants-rack':
 		case 'wants-idle-worker':
+		case 'wants-last-attempt':
 		case 'no-room': {
 			return {
 				...common,
--- a/test/support/scheduling.ts
+++ b/test/support/scheduling.ts
@@ -6,7 +6,7 @@
 } from '#jobs';
 import type {PaceState} from '#pace';
 import {
-	createSchedulerState, receiveSchedulerMessage, type KeepApart, type SchedulerEffect, type SchedulerMessage, type SchedulerState,
+	createSchedulerState, defaultPolicy, receiveSchedulerMessage, type KeepApart, type SchedulerEffect, type SchedulerMessage, type SchedulerState,
 } from '#scheduling';
 
 export const service = 'svc' as ServiceName;
@@ -81,7 +81,7 @@
 
 /** Creates a driver; by default progress counts as stored immediately. */
 export function createDriver(options: Readonly<{epoch?: number; isStoring?: boolean; start?: number; keepApart?: KeepApart; beliefs?: PaceState}> = {}): Driver {
-	const initial = createSchedulerState(options.epoch ?? 1, options.keepApart);
+	const initial = createSchedulerState(options.epoch ?? 1, {...defaultPolicy, keepApart: options.keepApart ?? defaultPolicy.keepApart});
 	let state: SchedulerState = {...initial, pace: {...initial.pace, beliefs: options.beliefs ?? initial.pace.beliefs}};
 	let time = options.start ?? 0;
 	let keyVersion = 1;
