Refuse for want of memory with an unknown outcome instead of 503

A refusal by the listener knows nothing of earlier attempts: a retry of a submission whose accepted answer was lost was told by 503 that the job never runs. It is now 504 with Retry-After, and the outcome unknown in the product's own interface.

--- a/packages/transport/http-connection.ts
+++ b/packages/transport/http-connection.ts
@@ -10,8 +10,8 @@
 import type {ListenerLimits} from './listener-limits.js';
 import {createPacedStream} from './paced-stream.js';
 
-/** A request that the listener refuses by itself. */
-export type ListenerRefusal = Readonly<{status: 413 | 503; reason: RefusalReason}>;
+/** A request that the listener refuses by itself. For want of room it says 504: this attempt does not run, but an earlier one may have been accepted, which only the handler could tell. */
+export type ListenerRefusal = Readonly<{status: 413 | 504; reason: RefusalReason}>;
 export type EncodedRefusal = Readonly<{headers: Readonly<Record<string, string>>; body: string}>;
 
 export type HttpConnectionOptions = Readonly<{
@@ -39,7 +39,7 @@
 /** Time in which the client of a refused request may read the refusal before the connection is closed. */
 const lingerMilliseconds = 1000;
 
-const statusTexts = {413: 'Payload Too Large', 503: 'Service Unavailable'} as const;
+const statusTexts = {413: 'Payload Too Large', 504: 'Gateway Timeout'} as const;
 
 /** Accepts a connection; undefined if it is refused. */
 export function acceptConnection(socket: Socket, {limits, table, closures, encodeRefusal, findTeam, handle}: HttpConnectionOptions): HttpConnection | undefined {
@@ -103,7 +103,7 @@
 	const close = (reason: RefusalReason) => {
 		switch (phase) {
 			case 'receiving': {
-				refuse({status: 503, reason});
+				refuse({status: 504, reason});
 				break;
 			}
 
--- a/packages/transport/http-server.ts
+++ b/packages/transport/http-server.ts
@@ -34,7 +34,7 @@
 	return encodeProblem(reason === 'body-too-large'
 		? {status, reason, title: `Body exceeds ${maximumBodyBytes} bytes`}
 		: {
-			status, reason, title: 'Too much is being received', retryAfterMilliseconds, extensions: {outcome: 'not-run'},
+			status, reason, title: 'Too much is being received', retryAfterMilliseconds, extensions: {outcome: 'unknown'},
 		});
 }
 
--- a/tools/docs/refusals.ts
+++ b/tools/docs/refusals.ts
@@ -15,11 +15,11 @@
 		action: 'Connect again; find the client that holds the others',
 	},
 	'receive-budget-exceeded': {
-		meaning: 'The requests being received and the answers not read exceeded `receive-budget-bytes`, and this connection held most for longest; the request did not run',
+		meaning: 'The requests being received and the answers not read exceeded `receive-budget-bytes`, and this connection held most for longest; this attempt did not run, and an earlier one may have (504)',
 		action: 'Wait for `Retry-After`; find the client whose bodies do not end or that does not read',
 	},
 	'team-budget-exceeded': {
-		meaning: 'The same for one team, or for all callers without a valid API key, which may use half of it; the request did not run',
+		meaning: 'The same for one team, or for all callers without a valid API key, which may use half of it; this attempt did not run, and an earlier one may have (504)',
 		action: 'Wait for `Retry-After`; find the team\'s client',
 	},
 	'answer-not-read': {meaning: 'The client did not read an answer within `unread-answer-milliseconds`; the request was handled', action: 'Query the identifier; find the client'},
