Count a change of a closed zone once

The scheduling entry counted each change twice, in the task of the zones and with the scheduler's log line. The first is left out; the gauge of each entry shows its list.

--- a/packages/coordinator/plugins/zones.ts
+++ b/packages/coordinator/plugins/zones.ts
@@ -31,17 +31,15 @@
 	},
 });
 
-function logChange({kind, milliseconds, ...details}: ZonesEffect, {log, counters}: CoordinatorContext): void {
+function logChange({kind, milliseconds, ...details}: ZonesEffect, {log}: CoordinatorContext): void {
 	const zonesLog = log.withPrefix('zones');
 	switch (kind) {
 		case 'closed': {
-			counters.countEvent('zone-closed');
 			zonesLog.info({...details, knownForMilliseconds: milliseconds}, 'zone is closed');
 			break;
 		}
 
 		case 'opened': {
-			counters.countEvent('zone-opened');
 			zonesLog.info({...details, closedForMilliseconds: milliseconds}, 'zone is open');
 			break;
 		}
--- a/packages/scheduling/closed-zones.ts
+++ b/packages/scheduling/closed-zones.ts
@@ -1,6 +1,6 @@
 /** What closed zones mean for the scheduler: their workers get no starts, and what already runs there may end. */
-import {compareZones, isZoneClosed, type ClosedZones} from '#zones';
 import type {MonotonicTime} from '#core';
+import {compareZones, isZoneClosed, type ClosedZones} from '#zones';
 import {unnamedZoneLogMilliseconds} from './constants.js';
 import {listRunsOf, type ListedRun, type SchedulerTransition} from './runs.js';
 import type {SchedulerEffect, SchedulerState, SchedulerWorker} from './types.js';
@@ -13,7 +13,7 @@
 	return isZoneClosed(closedZones, snapshot.zone);
 }
 
-/** Takes over a newer list. Workers of a zone that was opened may be used again, so that a change requests a pass. */
+/** Takes over a newer list, where operators evacuate zones and take them back into service. Workers of a zone that was opened may be used again, so that a change requests a pass. */
 export function handleZones(state: SchedulerState, zones: ClosedZones): SchedulerTransition {
 	if (zones.revision <= state.closedZones.revision) {
 		return {state, effects: []};
--- a/packages/scheduling/pool.ts
+++ b/packages/scheduling/pool.ts
@@ -110,7 +110,7 @@
 	};
 }
 
-/** Orders workers by their free accelerators, the tightest first; of those that fit equally, the one that is warm sooner comes first. */
+/** Orders workers by their free accelerators, the tightest first. Where a zone was opened or workers started again, so that some are slow for a while, the one that is warm sooner comes first of those that fit equally. */
 export function compareFit(first: PoolWorker, second: PoolWorker): number {
 	return first.free.accelerators - second.free.accelerators || first.coldFor - second.coldFor;
 }
