--- a/packages/scheduling/closed-zones.ts
+++ b/packages/scheduling/closed-zones.ts
@@ -1,6 +1,6 @@
 /** What closed zones mean for the scheduler: their workers get no starts, and what already runs there may end. */
-import {compareZones, isZoneClosed, type ClosedZones} from '#zones';
 import type {MonotonicTime} from '#core';
+import {compareZones, isZoneClosed, type ClosedZones} from '#zones';
 import {unnamedZoneLogMilliseconds} from './constants.js';
 import {listRunsOf, type ListedRun, type SchedulerTransition} from './runs.js';
 import type {SchedulerEffect, SchedulerState, SchedulerWorker} from './types.js';
@@ -13,7 +13,7 @@
 	return isZoneClosed(closedZones, snapshot.zone);
 }
 
-/** Takes over a newer list. Workers of a zone that was opened may be used again, so that a change requests a pass. */
+/** Takes over a newer list, where operators evacuate zones and take them back into service. Workers of a zone that was opened may be used again, so that a change requests a pass. */
 export function handleZones(state: SchedulerState, zones: ClosedZones): SchedulerTransition {
 	if (zones.revision <= state.closedZones.revision) {
 		return {state, effects: []};
@@ -22,12 +22,15 @@
 	const {closed, opened} = compareZones(state.closedZones, zones);
 	const hasChanged = closed.length + opened.length > 0;
 	const next = {...state, closedZones: zones, isScheduleDue: state.isScheduleDue || hasChanged};
+	// A new scheduler does not know yet what is in the zones.
 	return {
 		state: next,
-		effects: [
-			...opened.map(([zone, {revision}]) => describeChange(next, 'zone-opened', zone, revision)),
-			...closed.map(([zone, {revision}]) => describeChange(next, 'zone-closed', zone, revision)),
-		],
+		effects: state.isLoaded
+			? [
+				...opened.map(([zone, {revision}]) => describeChange(next, 'zone-opened', zone, revision)),
+				...closed.map(([zone, {revision}]) => describeChange(next, 'zone-closed', zone, revision)),
+			]
+			: [],
 	};
 }
 
@@ -63,6 +66,8 @@
 		? {state, effects: []}
 		: {
 			state: {...state, checkedZones: new Map([...state.checkedZones, ...due.map(([zone, {revision}]): [string, number] => [zone, revision])])},
-			effects: due.filter(([zone]) => findContents(state, zone).workers.length === 0).map(([zone, {revision}]) => ({kind: 'log', event: 'closed-zone-without-workers', fields: {zone, revision}})),
+			effects: due
+				.filter(([zone]) => findContents(state, zone).workers.length === 0)
+				.map(([zone, {revision}]) => ({kind: 'log', event: 'closed-zone-without-workers', fields: {zone, revision}})),
 		};
 }
--- a/packages/scheduling/pool.ts
+++ b/packages/scheduling/pool.ts
@@ -63,7 +63,10 @@
 	return state.workers.map((worker, agent) => {
 		const isClosed = isInClosedZone(state, worker);
 		const runs = listRunsOf(state, agent).flatMap(listed => isRunOn(listed.run, worker) ? placeRun(state, listed, ranks) : []);
-		const isOtherwiseUsable = isUsable(worker, monotonic) && findAcknowledgementEnd(state, worker, monotonic) === undefined && !hasOrphanedRun(state, worker) && !runs.some(run => run.isOnProbation);
+		const isOtherwiseUsable = isUsable(worker, monotonic)
+			&& findAcknowledgementEnd(state, worker, monotonic) === undefined
+			&& !hasOrphanedRun(state, worker)
+			&& !runs.some(run => run.isOnProbation);
 		return {
 			worker,
 			runs,
@@ -120,7 +123,7 @@
 	};
 }
 
-/** Orders workers by their free accelerators, the tightest first; of those that fit equally, the one that is warm sooner comes first. */
+/** Orders workers by their free accelerators, the tightest first. Where a zone was opened or workers started again, so that some are slow for a while, the one that is warm sooner comes first of those that fit equally. */
 export function compareFit(first: PoolWorker, second: PoolWorker): number {
 	return first.free.accelerators - second.free.accelerators || first.coldFor - second.coldFor;
 }
