Let kinds take turns by the number of samples

Cause: turns by the clock could leave kinds out for ever if samples keep missing the same seconds. Change: the state counts its samples.

--- a/packages/pace/constants.ts
+++ b/packages/pace/constants.ts
@@ -46,8 +46,6 @@
 export const comparedNeighbours = 8;
 /** Kinds that are judged with each sample, in turns. Each takes up to 5 ms. */
 export const judgedKinds = 4;
-/** Time after which the next kinds take their turn. */
-export const judgeMilliseconds = 1000;
 /** Observations that each side of a comparison needs. */
 export const interferenceObservations = 8;
 /** Workers that each side of a comparison needs, so that a worker that is slow or cold makes no belief. */
--- a/packages/pace/record.ts
+++ b/packages/pace/record.ts
@@ -2,7 +2,7 @@
 import {groupBy, type MonotonicTime} from '#core';
 import type {WorkerIncarnation} from '#jobs';
 import {
-	beliefMilliseconds, comparableRuns, comparableWorkers, implausibleFactors, judgedKinds, judgeMilliseconds, rememberedGroups, rememberedKinds, rememberedOfKind, rememberedPaces, rememberedPairs, rememberedWorkers,
+	beliefMilliseconds, comparableRuns, comparableWorkers, implausibleFactors, judgedKinds, rememberedGroups, rememberedKinds, rememberedOfKind, rememberedPaces, rememberedPairs, rememberedWorkers,
 } from './constants.js';
 import {judgeKind} from './interference.js';
 import {
@@ -16,7 +16,7 @@
 
 export function createPaceState(): PaceState {
 	return {
-		windows: new Map(), groups: new Map(), workers: new Map(), kinds: new Map(), interference: new Map(),
+		windows: new Map(), groups: new Map(), workers: new Map(), kinds: new Map(), interference: new Map(), turn: 0,
 	};
 }
 
@@ -38,20 +38,20 @@
 	const workers = observeWorkers(expired.state, observations, incarnations, now);
 	const kinds = observeKinds(expired.state.kinds, observations);
 	let {interference} = expired.state;
-	for (const kind of chooseKinds(kinds, now)) {
+	for (const kind of chooseKinds(kinds, state.turn)) {
 		interference = judgeKind({workers, kinds, interference}, kind, now);
 	}
 
 	const next: PaceState = {
-		windows, groups, workers, kinds, interference: keepLast(interference, ({until}) => until, rememberedPairs),
+		windows, groups, workers, kinds, interference: keepLast(interference, ({until}) => until, rememberedPairs), turn: state.turn + 1,
 	};
 	return {state: next, changes: [...expired.changes, ...listChanges(expired.state, next, now)]};
 }
 
 /** Takes turns, so that the cost of a sample does not grow with the number of kinds. */
-function chooseKinds(kinds: PaceState['kinds'], now: MonotonicTime): readonly TaskKind[] {
+function chooseKinds(kinds: PaceState['kinds'], turn: number): readonly TaskKind[] {
 	const all = [...kinds.keys()].toSorted();
-	const first = Math.floor(now / judgeMilliseconds) * judgedKinds;
+	const first = turn * judgedKinds;
 	return all.length <= judgedKinds ? all : Array.from({length: judgedKinds}, (_, index) => all[(first + index) % all.length] ?? '');
 }
 
@@ -63,6 +63,7 @@
 		workers: filterValues(state.workers, ({until}) => now < until),
 		kinds: filterValues(state.kinds, observations => now - (observations.at(-1)?.at ?? -Infinity) < beliefMilliseconds),
 		interference: filterValues(state.interference, ({until}) => now < until),
+		turn: state.turn,
 	};
 	return {state: next, changes: listChanges(state, next, now)};
 }
--- a/packages/pace/types.ts
+++ b/packages/pace/types.ts
@@ -94,6 +94,8 @@
 	kinds: ReadonlyMap<TaskKind, readonly Observation[]>;
 	/** Held beliefs by kind and neighbour. */
 	interference: ReadonlyMap<string, Interference>;
+	/** Number of samples, by which kinds take turns in being judged. */
+	turn: number;
 }>;
 
 /** A belief that began or ended. */
