--- a/packages/scheduling/preempt.ts
+++ b/packages/scheduling/preempt.ts
@@ -86,8 +86,9 @@
 function listStoppable({unit, pool, limit, monotonic}: VictimSearch, {runs}: PoolWorker, chosen: readonly PlacedRun[]): readonly PlacedRun[] {
 	const stoppable = runs
 		.filter(run => !isEndingSoon(unit, run, monotonic) && mayPreempt(unit, run, monotonic))
-		.toSorted((first, second) => measureCost(first, monotonic) - measureCost(second, monotonic));
-	return selectStoppable(stoppable, chosen, pool, limit);
+		.map(run => ({run, cost: measureCost(run, monotonic)}))
+		.toSorted((first, second) => first.cost - second.cost);
+	return selectStoppable(stoppable.map(({run}) => run), chosen, pool, limit);
 }
 
 /** Selects the cheapest victims, then drops those that turn out not to be needed. */
