Forecast the starts of jobs from the scheduler's load

Admission knew only memory: under too little capacity jobs were accepted that could not start before they were worthless. packages/forecast sums up waiting and running work, room and guarantees, estimates the start and end of one job, and decides accept, wait or refuse; packages/scheduling describes its load for it.

--- /dev/null
+++ b/packages/forecast/types.ts
@@ -0,0 +1,155 @@
+/** The load of a scheduler, the forecast that is built from it, and what follows from the forecast for one job. */
+import * as valibot from 'valibot';
+import type {Milliseconds, MonotonicTime} from '#core';
+import {
+	resourcesSchema, serviceNameSchema, type JobSubmission, type Resources, type ServiceName,
+} from '#jobs';
+
+const workSchema = valibot.pipe(valibot.object({
+	acceleratorMilliseconds: valibot.number(),
+	/** Processor time in milliseconds of one whole core. */
+	coreMilliseconds: valibot.number(),
+}), valibot.readonly());
+/** An amount of work, by the callers' estimates. */
+export type Work = valibot.InferOutput<typeof workSchema>;
+
+/**
+How a job's waiting work is ordered within its rank.
+
+- `on-time`: before all others.
+- `late`: it can no longer earn its full value, and goes after work that can.
+- `long`: it takes much longer than others, and goes after work of the usual length.
+*/
+export type Urgency = 'on-time' | 'late' | 'long';
+
+/** Work of one step that waits for workers. */
+export type WaitingWork = Readonly<{
+	service: ServiceName;
+	rank: number;
+	/** Empty for jobs without a tenant. */
+	team: string;
+	urgency: Urgency;
+	work: Work;
+	/** Room of one task. */
+	task: Resources;
+	/** Room that has to be free at the same time: that of a task, or of a whole gang. */
+	unit: Resources;
+}>;
+
+/** A run, whose room is free again after the remaining time; infinite for work that does not end by itself. */
+export type RunningWork = Readonly<{service: ServiceName; rank: number; room: Resources; remaining: Milliseconds}>;
+
+export type WorkerRoom = Readonly<{
+	service: ServiceName;
+	capacity: Resources;
+	free: Resources;
+	/** Whether new work may start there now. */
+	isUsable: boolean;
+	/** Whether it is expected to take work again; false for a worker that is about to leave. */
+	isStaying: boolean;
+}>;
+
+/** Accelerators that are guaranteed to a team, and how many of them its jobs take. */
+export type TeamGuarantee = Readonly<{team: string; accelerators: number; used: number}>;
+
+/** What a scheduler has to do and the room that it has for it, independent of the scheduler's state. */
+export type LoadSnapshot = Readonly<{
+	waiting: readonly WaitingWork[];
+	running: readonly RunningWork[];
+	workers: readonly WorkerRoom[];
+	/** All teams of the configuration. */
+	teams: readonly TeamGuarantee[];
+}>;
+
+const rankForecastSchema = valibot.pipe(valibot.object({
+	rank: valibot.number(),
+	/** Waiting work that goes before a new job of the rank. */
+	onTime: workSchema,
+	/** Waiting work that goes before a job of the rank once that is late itself. */
+	late: workSchema,
+	/** Room of the runs that end by themselves. */
+	running: resourcesSchema,
+}), valibot.readonly());
+export type RankForecast = valibot.InferOutput<typeof rankForecastSchema>;
+
+const releaseSchema = valibot.pipe(valibot.object({withinMilliseconds: valibot.number(), room: resourcesSchema}), valibot.readonly());
+/** Room that the runs free which end by then, all earlier ones included. */
+export type Release = valibot.InferOutput<typeof releaseSchema>;
+
+const teamForecastSchema = valibot.pipe(valibot.object({
+	team: valibot.string(),
+	backlog: workSchema,
+	/** Guaranteed accelerators that the team's jobs do not take. */
+	guaranteedLeft: valibot.number(),
+}), valibot.readonly());
+export type TeamForecast = valibot.InferOutput<typeof teamForecastSchema>;
+
+const poolForecastSchema = valibot.pipe(valibot.object({
+	service: serviceNameSchema,
+	/** Number of workers that are not about to leave. */
+	workers: valibot.number(),
+	/** Maximum of each resource over these workers. */
+	largestWorker: resourcesSchema,
+	/** Capacity of these workers, whether they take work now or not. */
+	capacity: resourcesSchema,
+	/** Capacity of the workers that take work now, without the room of work that does not end by itself. */
+	usable: resourcesSchema,
+	/** Free room of the workers that take work now. */
+	free: resourcesSchema,
+	/** Room of work that does not end by itself. */
+	lasting: resourcesSchema,
+	/** By ascending rank. */
+	ranks: valibot.pipe(valibot.array(rankForecastSchema), valibot.readonly()),
+	/** By ascending time. */
+	releases: valibot.pipe(valibot.array(releaseSchema), valibot.readonly()),
+	/** Waiting work of all teams. */
+	backlog: workSchema,
+	/** Number of teams among which the backlog is divided. */
+	teamCount: valibot.number(),
+	teams: valibot.pipe(valibot.array(teamForecastSchema), valibot.readonly()),
+}), valibot.readonly());
+/** Forecast for the workers of one service. */
+export type PoolForecast = valibot.InferOutput<typeof poolForecastSchema>;
+
+export type Forecast = Readonly<{
+	/** When the load was described, by the clock of this process. */
+	at: MonotonicTime;
+	pools: readonly PoolForecast[];
+}>;
+
+/** A forecast as entries report it to each other, whose clocks differ. */
+export const sharedForecastSchema = valibot.pipe(valibot.object({
+	ageMilliseconds: valibot.number(),
+	pools: valibot.pipe(valibot.array(poolForecastSchema), valibot.readonly()),
+}), valibot.readonly());
+export type SharedForecast = valibot.InferOutput<typeof sharedForecastSchema>;
+
+export type ForecastJob = Pick<JobSubmission, 'job' | 'queue' | 'tenant' | 'request'>;
+
+/** Time from now until the first task starts and the last one ends. */
+export type Timing = Readonly<{start: Milliseconds; end: Milliseconds}>;
+
+/**
+- `no-workers`: no worker of the service is known.
+- `larger-than-pool`: no worker, or not all of them together, could hold a task or gang of it.
+- `beside-lasting-work`: it would fit if work that does not end by itself were not there.
+*/
+export type UnknownReason = 'no-workers' | 'larger-than-pool' | 'beside-lasting-work';
+
+export type JobEstimate =
+	| Readonly<{kind: 'unknown'; reason: UnknownReason}>
+	| Readonly<{
+		kind: 'estimated';
+		/** Earliest that is plausible, although the callers' estimates may be twice the actual durations. */
+		optimistic: Timing;
+		usual: Timing;
+		/** When the optimistic estimate allows the job to earn something; 0 if it does now. */
+		worthwhileIn: Milliseconds;
+	}>;
+
+export type ForecastDecision =
+	/** The job is expected to be on time, or nothing is known against it. */
+	| Readonly<{kind: 'accept'; reason: 'on-time' | 'no-forecast' | 'scheduled' | 'long-running'}>
+	/** The job is accepted, and expected to be late. */
+	| Readonly<{kind: 'wait'; reason: UnknownReason | 'late' | 'within-guarantee' | 'within-equal-share'; estimate: JobEstimate}>
+	| Readonly<{kind: 'refuse'; reason: 'no-capacity-in-time'; retryAfterMilliseconds: Milliseconds; estimate: JobEstimate}>;
--- a/packages/scheduling/index.ts
+++ b/packages/scheduling/index.ts
@@ -8,3 +8,4 @@
 export {measureMemoryUse, type SchedulerMemoryUse} from './memory-use.js';
 export {describeProgress} from './progress.js';
 export {measureWaitForStarts} from './unanswered-starts.js';
+export {describeLoad, observeStarts} from './load.js';
--- a/packages/scheduling/rank.ts
+++ b/packages/scheduling/rank.ts
@@ -35,6 +35,6 @@
 }
 
 /** Number of accelerators that all tasks of one occurrence need together. */
-function countAccelerators({submission: {request: {steps}}}: SchedulerJob): number {
+export function countAccelerators({submission: {request: {steps}}}: SchedulerJob): number {
 	return steps.reduce((total, {count, accelerators}) => total + (count * accelerators), 0);
 }
--- a/packages/scheduling/schedule.ts
+++ b/packages/scheduling/schedule.ts
@@ -1,5 +1,6 @@
 /** One scheduling pass: decides which tasks start on which workers and which runs are preempted for them. */
 import type {MonotonicTime, CurrentTime} from '#core';
+import {lowestPreemptingRank} from '#forecast';
 import {
 	createPool, reserveWorkers, allocate, type Pool, type PlacedRun,
 } from './pool.js';
@@ -28,9 +29,6 @@
 import {extendRackWait, listSchedulingUnits, type SchedulingUnit} from './units.js';
 import {logWaiting} from './wait-logs.js';
 
-/** Lowest rank that may preempt other work. */
-const lowestPreemptingRank = 2;
-
 type Pass = Readonly<{
 	state: SchedulerState;
 	pool: Pool;
--- a/packages/scheduling/units.ts
+++ b/packages/scheduling/units.ts
@@ -117,7 +117,7 @@
 }
 
 /** Median over all jobs of the estimated duration of their longest task. */
-function findMedianDuration({jobs}: SchedulerState): Milliseconds {
+export function findMedianDuration({jobs}: SchedulerState): Milliseconds {
 	const durations = [...jobs.values()]
 		.map(({submission: {request: {steps}}}) => Math.max(...steps.map(step => step.estimatedMilliseconds)))
 		.toSorted((first, second) => first - second);
@@ -125,7 +125,7 @@
 }
 
 /** Estimates the duration of the longest chain of steps from the caller's estimates and the progress of the runs. */
-function estimateCriticalPath({submission: {request: {steps}}, slowdown}: SchedulerJob): Milliseconds {
+export function estimateCriticalPath({submission: {request: {steps}}, slowdown}: SchedulerJob): Milliseconds {
 	const pathDurations: number[] = [];
 	for (const {after, estimatedMilliseconds} of steps) {
 		pathDurations.push(estimatedMilliseconds + Math.max(0, ...after.map(index => pathDurations[index] ?? 0)));
