--- a/packages/coordinator/callers/submit-within-budget.ts
+++ b/packages/coordinator/callers/submit-within-budget.ts
@@ -1,4 +1,6 @@
-import {assertNever, checkInput, type MonotonicTime} from '#core';
+import {
+	assertNever, checkInput, type Milliseconds, type MonotonicTime,
+} from '#core';
 import {jobRecordSchema, maximumRequestCharacters, type JobSubmission} from '#jobs';
 import type {CallerAnswer} from '#protocol';
 import {jobStoreKey} from '../keys.js';
@@ -8,7 +10,7 @@
 import {submitJob} from './submit.js';
 import {storeUnavailableAnswer} from './unavailable.js';
 
-/** Stores a job if the scheduler has memory for it. */
+/** Stores a job if the scheduler has memory for it and it is not bound to end too late. */
 export async function submitWithinBudget(submission: JobSubmission, deadline: MonotonicTime, context: CoordinatorContext): Promise<CallerAnswer> {
 	if (JSON.stringify(submission.request).length > maximumRequestCharacters) {
 		return {kind: 'invalid', findings: [{place: 'steps', message: `must take at most ${maximumRequestCharacters} characters`}]};
@@ -21,8 +23,11 @@
 		}
 
 		case 'refused': {
-			const refusal: CallerAnswer = {kind: 'refused', reason: 'too-many-tasks', retryAfterMilliseconds: decision.retryAfterMilliseconds};
-			return await findEarlierAnswer(submission, context) ?? refusal;
+			return refuse('too-many-tasks', decision.retryAfterMilliseconds, submission, context);
+		}
+
+		case 'too-late': {
+			return refuse('no-capacity-in-time', decision.retryAfterMilliseconds, submission, context);
 		}
 
 		case 'too-large': {
@@ -35,6 +40,10 @@
 	}
 }
 
+async function refuse(reason: string, retryAfterMilliseconds: Milliseconds, submission: JobSubmission, context: CoordinatorContext): Promise<CallerAnswer> {
+	return await findEarlierAnswer(submission, context) ?? {kind: 'refused', reason, retryAfterMilliseconds};
+}
+
 /** A retry of a job that was accepted is not refused, whatever the others need meanwhile. */
 async function findEarlierAnswer({job}: JobSubmission, {services}: CoordinatorContext): Promise<CallerAnswer | undefined> {
 	const current = await services.use(storePort).read(jobStoreKey(job));
--- a/packages/coordinator/constants.ts
+++ b/packages/coordinator/constants.ts
@@ -60,6 +60,12 @@
 export const maximumRefusalRemovals = 15;
 /** How old the measured memory of the own scheduler may be when a job is accepted; measuring visits all jobs. */
 export const memoryUseValidityMilliseconds = 250;
+/** Shortest interval at which the scheduler's load is forecast. */
+export const forecastIntervalMilliseconds = 250;
+/** Longest interval, so that other entries always have a forecast that is valid. */
+export const maximumForecastIntervalMilliseconds = 1000;
+/** Interval of forecasts as a multiple of the duration of the last one; they take at most a twentieth of the processor. */
+export const forecastIntervalFactor = 20;
 /** Time after which the scheduler's report includes a job that another entry accepted. */
 export const acceptanceVisibleMilliseconds = 2000;
 /** How long an admitted job counts at most that the own scheduler has not received: longer than its submission may take. */
--- a/packages/coordinator/index.ts
+++ b/packages/coordinator/index.ts
@@ -28,6 +28,7 @@
 export {startJobWatch} from './job-watch.js';
 export {createRefusalRecords} from './refusal-records.js';
 export {admissionService, type Admission} from './plugins/admission.js';
+export {forecastService, type JobForecasts} from './plugins/forecast.js';
 export {submitWithinBudget} from './callers/submit-within-budget.js';
 export {withdrawalsService} from './plugins/withdrawals.js';
 export {undecidedService} from './plugins/undecided.js';
--- a/packages/coordinator/plugins/admission.ts
+++ b/packages/coordinator/plugins/admission.ts
@@ -1,4 +1,4 @@
-import type {MonotonicTime} from '#core';
+import type {Milliseconds, MonotonicTime} from '#core';
 import {
 	decideAdmission, estimateRecordBytes, estimateTaskBytes, type JobAdmission, type JobKey, type JobSubmission, type MemoryUse,
 } from '#jobs';
@@ -9,12 +9,13 @@
 	acceptanceVisibleMilliseconds, admissionRetentionMilliseconds, maximumSharedTenants, memoryUseValidityMilliseconds,
 } from '../constants.js';
 import {coordinatorPlugins} from '../plugins.js';
+import {forecastService} from './forecast.js';
 import {schedulerService} from './scheduler.js';
 
-/** Decides which jobs this entry accepts, by the memory that the scheduler needs for all of them. */
+/** Decides which jobs this entry accepts, by the memory that the scheduler needs for all of them and the forecast of their starts. */
 export type Admission = Readonly<{
 	/** An admitted job counts from now on, whether its submission succeeds or not, until the scheduler's report would include it. */
-	request(submission: JobSubmission): JobAdmission;
+	request(submission: JobSubmission): JobAdmission | LateJob;
 	/** What this entry's scheduler needs; undefined if it does not schedule. */
 	describe(): SharedMemoryUse | undefined;
 	/** Takes over what the scheduler of another entry reports. */
@@ -23,6 +24,9 @@
 
 export const admissionService = createServiceKey<Admission>('admission');
 
+/** There is memory for the job, and it would end too late to earn anything. */
+export type LateJob = Readonly<{kind: 'too-late'; retryAfterMilliseconds: Milliseconds}>;
+
 /** What a scheduler needed at a time. */
 type KnownUse = Readonly<{use: SchedulerMemoryUse; at: MonotonicTime}>;
 /** A job that was admitted and is not part of what is known. */
@@ -61,13 +65,19 @@
 		};
 
 		services.provide(admissionService, {
-			request({job, tenant = '', request}) {
+			request(submission) {
+				const {job, tenant = '', request} = submission;
 				measureOwn();
 				// A retry takes the place of the earlier attempt.
 				admitted = admitted.filter(earlier => earlier.job !== job);
 				const bytes = estimateRecordBytes(request) + estimateTaskBytes(request);
 				const decision = decideAdmission(bytes, addAdmitted(tenant, admitted));
 				if (decision.kind === 'admitted') {
+					const forecast = services.use(forecastService).request(submission);
+					if (forecast.kind === 'refuse') {
+						return {kind: 'too-late', retryAfterMilliseconds: forecast.retryAfterMilliseconds};
+					}
+
 					admitted = [...admitted, {
 						job, tenant, bytes, at: clock.monotonic(),
 					}];
--- a/packages/coordinator/plugins/entry-peers.ts
+++ b/packages/coordinator/plugins/entry-peers.ts
@@ -1,4 +1,5 @@
 import type {EntryId, Milliseconds} from '#core';
+import type {SharedForecast} from '#forecast';
 import {createServiceKey} from '#kernel';
 import {connectToPeer, type RpcPeer} from '#transport';
 import {entryExchangeParametersSchema, type SharedMemoryUse} from '#protocol';
@@ -10,6 +11,7 @@
 import {admissionService} from './admission.js';
 import {configurationService} from './configuration.js';
 import {directoryService, listEntries} from './directory.js';
+import {forecastService} from './forecast.js';
 import {leadershipService} from './leadership.js';
 import {undecidedService} from './undecided.js';
 
@@ -29,6 +31,7 @@
 	undecidedAges: readonly Milliseconds[];
 	undecidedCutAge?: Milliseconds | undefined;
 	memoryUse?: SharedMemoryUse | undefined;
+	forecast?: SharedForecast | undefined;
 }>;
 
 coordinatorPlugins.register({
@@ -134,7 +137,7 @@
 	}
 }
 
-function applySharedState({epoch, undecided, undecidedAges, undecidedCutAge, memoryUse}: SharedState, {services}: CoordinatorContext): void {
+function applySharedState({epoch, undecided, undecidedAges, undecidedCutAge, memoryUse, forecast}: SharedState, {services}: CoordinatorContext): void {
 	const submissions = undecided.map((path, index) => ({path, age: undecidedAges[index] ?? 0}));
 	services.use(undecidedService).addAll(undecidedCutAge === undefined ? {kind: 'whole', submissions} : {kind: 'cut', submissions, age: undecidedCutAge});
 
@@ -142,6 +145,10 @@
 		services.use(admissionService).observe(memoryUse);
 	}
 
+	if (forecast !== undefined) {
+		services.use(forecastService).observe(forecast);
+	}
+
 	services.use(leadershipService).send({kind: 'epoch-observed', epoch});
 }
 
@@ -149,6 +156,7 @@
 	const {highestEpoch} = services.use(leadershipService).read();
 	const undecided = services.use(undecidedService).list();
 	const memoryUse = services.use(admissionService).describe();
+	const forecast = services.use(forecastService).describe();
 	return {
 		configurationVersion: services.use(configurationService).read().current?.version ?? 0,
 		epoch: highestEpoch,
@@ -156,5 +164,6 @@
 		undecidedAges: undecided.submissions.map(({age}) => age),
 		...(undecided.kind === 'cut' ? {undecidedCutAge: undecided.age} : {}),
 		...(memoryUse === undefined ? {} : {memoryUse}),
+		...(forecast === undefined ? {} : {forecast}),
 	};
 }
--- a/packages/coordinator/plugins/index.ts
+++ b/packages/coordinator/plugins/index.ts
@@ -9,6 +9,7 @@
 import './leadership.js';
 import './configuration.js';
 import './scheduler.js';
+import './forecast.js';
 import './admission.js';
 import './directory.js';
 import './entry-peers.js';
--- a/packages/coordinator/settings.ts
+++ b/packages/coordinator/settings.ts
@@ -18,6 +18,7 @@
 	'grace-seconds': {schema: decimalSettingSchema(0.5, 600), description: 'Seconds between SIGTERM and SIGKILL', default: '6'},
 	'processor-share': {schema: positiveNumberSettingSchema, description: 'Share of a core that this process may use; entries with more of it are preferred as the scheduler', default: '1'},
 	'processor-speed': {schema: positiveNumberSettingSchema, description: 'Speed of that core as a multiple of a usual one', default: '1'},
+	'refuse-by-forecast': {schema: valibot.picklist(['on', 'off'], 'must be on or off'), description: 'Whether jobs are refused that would certainly end too late', default: 'on'},
 	'log-level': {schema: valibot.picklist(logLevels, 'must be debug, info, warn or error'), description: 'Least severe level that is logged', default: 'info'},
 } as const satisfies SettingDefinitions;
 
--- a/packages/protocol/scheduling.ts
+++ b/packages/protocol/scheduling.ts
@@ -3,6 +3,7 @@
 import {
 	addressSchema, countSchema, entryIdSchema, workerIdSchema,
 } from '#core';
+import {sharedForecastSchema} from '#forecast';
 import {
 	endedRunSchema, jobRequestSchema, taskNameSchema, workerSnapshotSchema,
 } from '#jobs';
@@ -111,6 +112,8 @@
 	undecidedCutAge: undecidedCutAgeSchema,
 	/** Absent if the sender does not schedule, and in exchanges of earlier versions. */
 	memoryUse: valibot.optional(sharedMemoryUseSchema),
+	/** Absent if the sender does not schedule or has no forecast, and in exchanges of earlier versions. */
+	forecast: valibot.optional(sharedForecastSchema),
 });
 export const entryExchangeResultSchema = valibot.object({
 	configurationVersion: valibot.number(),
@@ -119,6 +122,8 @@
 	undecidedAges: undecidedAgesSchema,
 	undecidedCutAge: undecidedCutAgeSchema,
 	memoryUse: valibot.optional(sharedMemoryUseSchema),
+	/** Absent if the sender does not schedule or has no forecast, and in exchanges of earlier versions. */
+	forecast: valibot.optional(sharedForecastSchema),
 });
 
 /** The configuration of the entry that is asked, compressed and in base64; absent if it has none. */
--- a/test/coordinator/admission.test.ts
+++ b/test/coordinator/admission.test.ts
@@ -7,7 +7,7 @@
 	countOverlappingOccurrences, decideAdmission, estimateRecordBytes, estimateTaskBytes, memoryBudgetBytes, type JobAdmission, type JobRecord, type JobSubmission, type MemoryUse, type TenantName,
 } from '#jobs';
 import {
-	createCounters, createServices, createVirtualClock, type VirtualClock,
+	createCounters, createServices, createVirtualClock, silentLog, type VirtualClock,
 } from '#kernel';
 import {countOpenTasks, maximumOpenTasks} from '#scheduling';
 import {
@@ -44,13 +44,18 @@
 
 function startEntry(clock: VirtualClock, driver?: Driver): Entry {
 	const services = createServices();
-	const context = {services, clock, counters: createCounters()} as unknown as CoordinatorContext;
+	const context = {
+		services, clock, counters: createCounters(), log: silentLog, settings: {'refuse-by-forecast': 'on'},
+	} as unknown as CoordinatorContext;
 	services.provide(schedulerService, {
 		send(message) {
 			driver?.send(message);
 		}, read: () => driver?.state(),
 	} as Scheduler);
-	coordinatorPlugins.tasks().find(({name}) => name === 'admission')?.start(context);
+	for (const task of coordinatorPlugins.tasks().filter(({name}) => name === 'forecast' || name === 'admission')) {
+		task.start(context);
+	}
+
 	return {admission: services.use(admissionService), context};
 }
 
--- a/test/coordinator/undecided.test.ts
+++ b/test/coordinator/undecided.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import {
-	admissionService, configurationService, coordinatorPlugins, leadershipService, undecidedService, type CoordinatorContext,
+	admissionService, configurationService, coordinatorPlugins, forecastService, leadershipService, undecidedService, type CoordinatorContext,
 } from '#coordinator';
 import {createServices, createVirtualClock, type VirtualClock} from '#kernel';
 import type {RpcPeer} from '#transport';
@@ -23,6 +23,9 @@
 	services.provide(admissionService, {
 		request: () => ({kind: 'admitted'}), describe: () => undefined, observe: () => undefined,
 	});
+	services.provide(forecastService, {
+		request: () => ({kind: 'accept', reason: 'no-forecast'}), describe: () => undefined, observe: () => undefined,
+	});
 	const context = {services, clock} as unknown as CoordinatorContext;
 	coordinatorPlugins.tasks().find(({name}) => name === 'undecided')?.start(context);
 	return context;
