--- a/packages/forecast/types.ts
+++ b/packages/forecast/types.ts
@@ -2,16 +2,11 @@
 import * as valibot from 'valibot';
 import type {Milliseconds, MonotonicTime} from '#core';
 import {
-	resourcesSchema, serviceNameSchema, type JobSubmission, type Resources, type ServiceName,
+	serviceNameSchema, type JobSubmission, type Resources, type ServiceName,
 } from '#jobs';
 
-const workSchema = valibot.pipe(valibot.object({
-	acceleratorMilliseconds: valibot.number(),
-	/** Processor time in milliseconds of one whole core. */
-	coreMilliseconds: valibot.number(),
-}), valibot.readonly());
-/** An amount of work, by the callers' estimates. */
-export type Work = valibot.InferOutput<typeof workSchema>;
+/** An amount of work, by the callers' estimates. A core millisecond is processor time of one whole core. */
+export type Work = Readonly<{acceleratorMilliseconds: number; coreMilliseconds: number}>;
 
 /**
 How a job's waiting work is ordered within its rank.
@@ -63,57 +58,53 @@
 	teams: readonly TeamGuarantee[];
 }>;
 
-const rankForecastSchema = valibot.pipe(valibot.object({
-	rank: valibot.number(),
+export type RankForecast = Readonly<{
+	rank: number;
 	/** Waiting work that goes before a new job of the rank. */
-	onTime: workSchema,
+	onTime: Work;
 	/** Waiting work that goes before a job of the rank once that is late itself. */
-	late: workSchema,
+	late: Work;
 	/** Room of the runs that end by themselves. */
-	running: resourcesSchema,
+	running: Resources;
 	/** The smallest room that blocked work of the rank waits for: free room does not start a job that needs as much. */
-	narrowest: valibot.optional(resourcesSchema),
-}), valibot.readonly());
-export type RankForecast = valibot.InferOutput<typeof rankForecastSchema>;
+	narrowest?: Resources;
+}>;
 
-const releaseSchema = valibot.pipe(valibot.object({withinMilliseconds: valibot.number(), room: resourcesSchema}), valibot.readonly());
 /** Room that the runs free which end by then, all earlier ones included. */
-export type Release = valibot.InferOutput<typeof releaseSchema>;
+export type Release = Readonly<{withinMilliseconds: Milliseconds; room: Resources}>;
 
-const teamForecastSchema = valibot.pipe(valibot.object({
-	team: valibot.string(),
-	backlog: workSchema,
+export type TeamForecast = Readonly<{
+	team: string;
+	backlog: Work;
 	/** Guaranteed accelerators that the team's jobs do not take. */
-	guaranteedLeft: valibot.number(),
-}), valibot.readonly());
-export type TeamForecast = valibot.InferOutput<typeof teamForecastSchema>;
+	guaranteedLeft: number;
+}>;
 
-const poolForecastSchema = valibot.pipe(valibot.object({
-	service: serviceNameSchema,
+/** Forecast for the workers of one service. */
+export type PoolForecast = Readonly<{
+	service: ServiceName;
 	/** Number of workers that are not about to leave. */
-	workers: valibot.number(),
+	workers: number;
 	/** Maximum of each resource over these workers. */
-	largestWorker: resourcesSchema,
+	largestWorker: Resources;
 	/** Capacity of these workers, whether they take work now or not. */
-	capacity: resourcesSchema,
+	capacity: Resources;
 	/** Capacity of the workers that take work now, without the room of work that does not end by itself. */
-	usable: resourcesSchema,
+	usable: Resources;
 	/** Free room of the workers that take work now. */
-	free: resourcesSchema,
+	free: Resources;
 	/** Room of work that does not end by itself. */
-	lasting: resourcesSchema,
+	lasting: Resources;
 	/** By ascending rank. */
-	ranks: valibot.pipe(valibot.array(rankForecastSchema), valibot.readonly()),
+	ranks: readonly RankForecast[];
 	/** By ascending time. */
-	releases: valibot.pipe(valibot.array(releaseSchema), valibot.readonly()),
+	releases: readonly Release[];
 	/** Waiting work of all teams. */
-	backlog: workSchema,
+	backlog: Work;
 	/** Number of teams among which the backlog is divided. */
-	teamCount: valibot.number(),
-	teams: valibot.pipe(valibot.array(teamForecastSchema), valibot.readonly()),
-}), valibot.readonly());
-/** Forecast for the workers of one service. */
-export type PoolForecast = valibot.InferOutput<typeof poolForecastSchema>;
+	teamCount: number;
+	teams: readonly TeamForecast[];
+}>;
 
 export type Forecast = Readonly<{
 	/** When the load was described, by the clock of this process. */
@@ -121,11 +112,36 @@
 	pools: readonly PoolForecast[];
 }>;
 
-/** A forecast as entries report it to each other, whose clocks differ. */
-export const sharedForecastSchema = valibot.pipe(valibot.object({
-	ageMilliseconds: valibot.number(),
-	pools: valibot.pipe(valibot.array(poolForecastSchema), valibot.readonly()),
+/** Accelerators and cores, in milliseconds. */
+const sharedWorkSchema = valibot.pipe(valibot.tuple([valibot.number(), valibot.number()]), valibot.readonly());
+export type SharedWork = valibot.InferOutput<typeof sharedWorkSchema>;
+/** Thousandths of a core, megabytes and accelerators. */
+const sharedRoomSchema = valibot.pipe(valibot.tuple([valibot.number(), valibot.number(), valibot.number()]), valibot.readonly());
+/** Rank, work on time, late work, running room and the narrowest blocked room, if any. */
+const sharedRankSchema = valibot.pipe(valibot.tuple([valibot.number(), sharedWorkSchema, sharedWorkSchema, sharedRoomSchema, valibot.nullable(sharedRoomSchema)]), valibot.readonly());
+const sharedReleaseSchema = valibot.pipe(valibot.tuple([valibot.number(), sharedRoomSchema]), valibot.readonly());
+/** Name, backlog and what is left of the guarantee. */
+const sharedTeamSchema = valibot.pipe(valibot.tuple([valibot.string(), sharedWorkSchema, valibot.number()]), valibot.readonly());
+export type SharedRoom = valibot.InferOutput<typeof sharedRoomSchema>;
+
+const sharedPoolSchema = valibot.pipe(valibot.object({
+	service: serviceNameSchema,
+	workers: valibot.number(),
+	largestWorker: sharedRoomSchema,
+	capacity: sharedRoomSchema,
+	usable: sharedRoomSchema,
+	free: sharedRoomSchema,
+	lasting: sharedRoomSchema,
+	ranks: valibot.pipe(valibot.array(sharedRankSchema), valibot.readonly()),
+	releases: valibot.pipe(valibot.array(sharedReleaseSchema), valibot.readonly()),
+	backlog: sharedWorkSchema,
+	teamCount: valibot.number(),
+	teams: valibot.pipe(valibot.array(sharedTeamSchema), valibot.readonly()),
 }), valibot.readonly());
+export type SharedPool = valibot.InferOutput<typeof sharedPoolSchema>;
+
+/** A forecast as entries report it to each other, whose clocks differ. */
+export const sharedForecastSchema = valibot.pipe(valibot.object({ageMilliseconds: valibot.number(), pools: valibot.pipe(valibot.array(sharedPoolSchema), valibot.readonly())}), valibot.readonly());
 export type SharedForecast = valibot.InferOutput<typeof sharedForecastSchema>;
 
 export type ForecastJob = Pick<JobSubmission, 'job' | 'queue' | 'tenant' | 'request'>;
