--- a/bench/scheduling/model.ts
+++ b/bench/scheduling/model.ts
@@ -1,8 +1,11 @@
 /** Plays a scenario: the scheduler's decisions against simulated workers, in virtual time and without a network. */
-import {createRandomSource, type Milliseconds} from '#core';
-import type {JobKey} from '#jobs';
+import {createRandomSource, type Milliseconds, type MonotonicTime} from '#core';
 import {
-	createSchedulerState, receiveSchedulerMessage, type SchedulerEffect, type SchedulerMessage, type SchedulerState,
+	addAdmittedJobs, createForecast, decideByForecast, trackEstimates, type EstimateError, type Forecast, type TrackedEstimates,
+} from '#forecast';
+import type {JobKey, JobSubmission, TenantName} from '#jobs';
+import {
+	createSchedulerState, describeLoad, observeStarts, receiveSchedulerMessage, type SchedulerEffect, type SchedulerMessage, type SchedulerState,
 } from '#scheduling';
 import {
 	service, type ArrivingJob, type Kind, type Scenario,
@@ -13,6 +16,9 @@
 
 export type PlayedJob = Readonly<{
 	kind: Kind;
+	tenant: TenantName | undefined;
+	/** How much later it was invited to return; undefined if it was accepted. */
+	retryAfter: Milliseconds | undefined;
 	/** Milliseconds from the submission to the first start; undefined if no task started. */
 	wait: number | undefined;
 	isOnTime: boolean;
@@ -33,6 +39,10 @@
 	discardedCoreSeconds: number;
 	/** Core-seconds of the jobs that ended on time; an accelerator counts as 8 cores. */
 	onTimeCoreSeconds: number;
+	/** Errors of the estimates that jobs were given. */
+	estimateErrors: readonly EstimateError[];
+	/** Duration of each forecast, from the scheduler's state. */
+	forecastDurations: readonly Milliseconds[];
 	/** Duration of each handled message, by kind. */
 	durations: Readonly<Record<SchedulerMessage['kind'], readonly Milliseconds[]>>;
 }>;
@@ -47,8 +57,11 @@
 /** Callers pay less for a job that takes up to this multiple of its time, and nothing after it. */
 const lateFactor = 3;
 
+/** Which jobs are accepted: all, or those that the forecast does not refuse. Callers do not return after a refusal. */
+export type ModelAdmission = 'all' | 'by-forecast';
+
 /** Plays the scenario to its end, one message after the other. */
-export function playScenario(scenario: Scenario): Played {
+export function playScenario(scenario: Scenario, admission: ModelAdmission = 'all'): Played {
 	const random = createRandomSource(seed);
 	const workers = new Map(Array.from({length: scenario.workers}, (_, index) => createSimulatedWorker(index, service, random)).map(worker => [worker.agent, worker]));
 	const jobs = new Map<JobKey, ArrivingJob>(scenario.arrivals.map(job => [job.submission.job, job]));
@@ -63,6 +76,7 @@
 	let repeatedStops = 0;
 	let spreadStarts = 0;
 	let discardedCoreSeconds = 0;
+	const forecasting = createForecasting(admission);
 
 	/** Whether the runs of a job that belongs in one rack are in several. */
 	const isSpread = (key: JobKey) => {
@@ -162,11 +176,11 @@
 	}
 
 	const arrivals = [...scenario.arrivals];
-	while (time < scenario.length + drainMilliseconds && (arrivals.length > 0 || completions.size < jobs.size)) {
+	while (time < scenario.length + drainMilliseconds && (arrivals.length > 0 || completions.size + forecasting.refused.size < jobs.size)) {
 		time += stepMilliseconds;
 		while ((arrivals[0]?.at ?? Infinity) <= time) {
 			const arrival = arrivals.shift();
-			if (arrival !== undefined) {
+			if (arrival !== undefined && forecasting.accepts(arrival.submission, time)) {
 				send({kind: 'submitted', submission: arrival.submission});
 			}
 		}
@@ -179,6 +193,7 @@
 
 		if (time % tickMilliseconds < stepMilliseconds) {
 			send({kind: 'tick'});
+			forecasting.update(state, time);
 		}
 
 		if (state.isScheduleDue) {
@@ -193,6 +208,8 @@
 		const age = completedAt - job.at;
 		return {
 			kind: job.kind,
+			tenant: job.submission.tenant,
+			retryAfter: forecasting.refused.get(key),
 			wait: startedAt === undefined ? undefined : startedAt - job.at,
 			isOnTime: age <= job.onTimeMilliseconds,
 			isCompleted: completedAt < Infinity,
@@ -208,10 +225,57 @@
 		spreadStarts,
 		discardedCoreSeconds,
 		durations,
+		estimateErrors: forecasting.errors,
+		forecastDurations: forecasting.durations,
 		onTimeCoreSeconds: scenario.arrivals.reduce((total, job, index) => total + (played[index]?.isOnTime === true ? measureWork(job) : 0), 0),
 	};
 }
 
+type Forecasting = Readonly<{
+	accepts(submission: JobSubmission, time: MonotonicTime): boolean;
+	update(state: SchedulerState, time: number): void;
+	refused: ReadonlyMap<JobKey, Milliseconds>;
+	errors: readonly EstimateError[];
+	durations: readonly Milliseconds[];
+}>;
+
+/** Forecasts as the scheduler's entry does, at its interval. */
+function createForecasting(admission: ModelAdmission): Forecasting {
+	const refused = new Map<JobKey, Milliseconds>();
+	const errors: EstimateError[] = [];
+	const durations: Milliseconds[] = [];
+	let forecast: Forecast | undefined;
+	let admitted: JobSubmission[] = [];
+	let tracked: TrackedEstimates = new Map();
+	let jobs: SchedulerState['jobs'] | undefined;
+	return {
+		refused,
+		errors,
+		durations,
+		accepts(submission, time) {
+			const decision = decideByForecast(forecast === undefined ? undefined : addAdmittedJobs(forecast, admitted), submission, time);
+			if (admission === 'by-forecast' && decision.kind === 'refuse') {
+				refused.set(submission.job, decision.retryAfterMilliseconds);
+				return false;
+			}
+
+			admitted.push(submission);
+			return true;
+		},
+		update(state, time) {
+			const startedAt = performance.now();
+			const load = describeLoad(state, {now: time, monotonic: time});
+			const result = trackEstimates(tracked, observeStarts(state, jobs ?? state.jobs, tracked.keys(), time), forecast);
+			({tracked} = result);
+			({jobs} = state);
+			forecast = load === undefined ? undefined : createForecast(load, time);
+			durations.push(performance.now() - startedAt);
+			errors.push(...result.errors);
+			admitted = [];
+		},
+	};
+}
+
 function createDurations(): Record<SchedulerMessage['kind'], Milliseconds[]> {
 	return {
 		configured: [], loaded: [], submitted: [], cancelled: [], renewed: [], 'incarnation-ended': [], detached: [], 'start-answered': [], 'stop-answered': [], stored: [], tick: [],
--- a/bench/scheduling/scenarios.ts
+++ b/bench/scheduling/scenarios.ts
@@ -55,7 +55,14 @@
 	};
 }
 
-export type ScenarioOptions = Readonly<{workers: number; rate?: number; factor: number; length: number; seed: number}>;
+export type ScenarioOptions = Readonly<{
+	workers: number; rate?: number; factor: number; length: number; seed: number;
+	/** Further jobs of one team during the crest, as a multiple of the usual rate of all teams. */
+	surgeRate?: number;
+}>;
+
+/** The team whose surge is played. */
+export const surgingTenant = 'tenant-0' as TenantName;
 
 /**
 Creates jobs for `workers` workers over `length` milliseconds; `rate` multiplies the usual rates, `factor` those from a sixth to the half of that time.
@@ -65,7 +72,7 @@
 createScenario({workers: 160, factor: 2, length: 30_000, seed: 7});
 ```
 */
-export function createScenario({workers, rate = 1, factor, length, seed}: ScenarioOptions): Scenario {
+export function createScenario({workers, rate = 1, factor, length, seed, surgeRate = 0}: ScenarioOptions): Scenario {
 	const random = createRandomSource(seed);
 	const arrivals: ArrivingJob[] = [];
 	let count = 0;
@@ -80,6 +87,15 @@
 		}
 	}
 
+	const surgeRandom = createRandomSource(seed + 1);
+	for (const kind of surgeRate > 0 ? kinds : []) {
+		for (let at = length / 6; at < length / 2;) {
+			at += -Math.log(1 - surgeRandom()) * 1000 / (kind.perSecond * (workers / 160) * surgeRate);
+			const {submission, ...job} = createJob(kind, at, ++count, surgeRandom);
+			arrivals.push({...job, submission: {...submission, tenant: surgingTenant}});
+		}
+	}
+
 	const guaranteedAccelerators = Math.floor(workers * acceleratorsPerWorker * guaranteedShare / tenantCount);
 	const tenants = Array.from({length: tenantCount}, (_, index) => ({name: `tenant-${index}` as TenantName, apiKeys: [], guaranteedAccelerators}));
 	return {
