Count only work that certainly goes first in the optimistic estimate

The backlog is now divided by the room that a unit needs at once, and work that keeps to a share of the workers is not taken for blocked.

--- a/packages/forecast/estimate.ts
+++ b/packages/forecast/estimate.ts
@@ -5,7 +5,7 @@
 	addRoom, addWork, durationOf, fitsIn, longestChain, noRoom, noWork, roomOfTask, roomOfUnit, subtractRoom,
 } from './amounts.js';
 import {lowestPreemptingRank, optimisticDurationShare, worthlessObjectives} from './constants.js';
-import {sumWork} from './forecast.js';
+import {sizeOf, sumWork} from './forecast.js';
 import {rankOfJob} from './teams.js';
 import type {
 	Forecast, ForecastJob, JobEstimate, PoolForecast, UnknownReason, Work,
@@ -23,7 +23,7 @@
 /**
 Estimates the first start and the end of a job. Addresses a full pool, in which waiting work of the same and higher ranks starts first.
 
-The optimistic estimate counts only work that certainly goes first: not what is long, nor what is late while the job itself can still be on time. It is 0 while room for the job is free or could be taken from lower ranks, and nothing that needs as little waits before it. Work that does not end by itself delays nothing in it.
+The optimistic estimate counts only work that certainly goes first: not gangs that need more room at once, which narrower work passes while the pool is full, nor what is long, nor what is late while the job itself can still be on time. It is 0 while room for the job is free or could be taken from lower ranks, and nothing that needs as little waits before it. Work that does not end by itself delays nothing in it.
 
 @example
 ```
@@ -42,21 +42,23 @@
 	const objective = findObjective(job);
 	const chain = longestChain(job.request);
 	const roots = job.request.steps.filter(({after}) => after.length === 0);
-	const first = {onTime: sumAhead(pool, rank, 'on-time'), all: sumAhead(pool, rank, 'late')};
+	const size = Math.max(...roots.map(step => sizeOf(roomOfUnit(step))));
+	const certain = {onTime: sumAhead(pool, rank, 'on-time', size), all: sumAhead(pool, rank, 'late', size)};
+	const expected = {onTime: sumAhead(pool, rank, 'on-time', Infinity), all: sumAhead(pool, rank, 'late', Infinity)};
 	const reclaimable = addRoom(pool.free, sumReclaimable(pool, rank));
 	const hasRoom = roots.some(step => fitsIn(roomOfUnit(step), reclaimable) && !isRoomTaken(pool, rank, roomOfUnit(step)));
 	const hasFreeRoom = roots.some(step => fitsIn(roomOfUnit(step), pool.free));
 	const release = findRelease(pool, roots, reclaimable);
 
-	const early = hasRoom ? 0 : optimisticDurationShare * Math.max(release.earliest, durationOf(first.onTime, pool.capacity));
+	const early = hasRoom ? 0 : optimisticDurationShare * Math.max(release.earliest, durationOf(certain.onTime, pool.capacity));
 	// A job that becomes late while it waits goes after those that were late before.
-	const late = hasRoom ? 0 : optimisticDurationShare * Math.max(release.earliest, durationOf(first.all, pool.capacity));
+	const late = hasRoom ? 0 : optimisticDurationShare * Math.max(release.earliest, durationOf(certain.all, pool.capacity));
 	const optimisticStart = early <= objective ? early : Math.max(objective, late);
 	const optimisticDuration = optimisticDurationShare * Math.max(chain, durationOf(sumWork(job), pool.capacity));
 	const latestStart = (worthlessObjectives * objective) - optimisticDuration;
 
-	const expected = hasFreeRoom && durationOf(first.onTime, pool.usable) === 0 ? 0 : release.latest + durationOf(first.onTime, pool.usable);
-	const usualStart = expected <= objective ? expected : Math.max(objective, release.latest + durationOf(first.all, pool.usable));
+	const usualEarly = hasFreeRoom && durationOf(expected.onTime, pool.usable) === 0 ? 0 : release.latest + durationOf(expected.onTime, pool.usable);
+	const usualStart = usualEarly <= objective ? usualEarly : Math.max(objective, release.latest + durationOf(expected.all, pool.usable));
 	return {
 		kind: 'estimated',
 		optimistic: {start: optimisticStart, end: optimisticStart + optimisticDuration},
@@ -81,14 +83,15 @@
 	return steps.every(step => fitsIn(roomOfUnit(step), ending)) ? undefined : 'beside-lasting-work';
 }
 
-/** Waiting work that starts before a job of the rank, which can still be on time or is late itself. */
-function sumAhead({ranks}: PoolForecast, rank: number, own: 'on-time' | 'late'): Work {
+/** Waiting work of units up to a size that starts before a job of the rank, which can still be on time or is late itself. */
+function sumAhead({ranks}: PoolForecast, rank: number, own: 'on-time' | 'late', largestSize: number): Work {
 	return ranks.reduce((total, current) => {
 		if (current.rank > rank) {
 			return total;
 		}
 
-		return addWork(total, current.rank < rank || own === 'late' ? addWork(current.onTime, current.late) : current.onTime);
+		const sizes = current.sizes.filter(({accelerators}) => accelerators <= largestSize);
+		return sizes.reduce((sum, {onTime, late}) => addWork(sum, current.rank < rank || own === 'late' ? addWork(onTime, late) : onTime), total);
 	}, noWork);
 }
 
--- a/packages/forecast/forecast.ts
+++ b/packages/forecast/forecast.ts
@@ -7,7 +7,7 @@
 import {releaseMilliseconds} from './constants.js';
 import {findTeam, rankOfJob} from './teams.js';
 import type {
-	Forecast, ForecastJob, LoadSnapshot, PoolForecast, RankForecast, Release, RunningWork, TeamForecast, TeamGuarantee, WaitingWork, Work, WorkerRoom,
+	Forecast, ForecastJob, LoadSnapshot, PoolForecast, RankForecast, Release, RunningWork, SizeForecast, TeamForecast, TeamGuarantee, WaitingWork, Work, WorkerRoom,
 } from './types.js';
 
 /**
@@ -80,7 +80,7 @@
 	};
 
 	for (const {rank, urgency, work, unit, isBlocked} of waiting) {
-		update(rank, forecast => withNarrowest(addWaiting(forecast, urgency, work), isBlocked ? unit : undefined));
+		update(rank, forecast => withNarrowest(addWaiting(forecast, {urgency, work, unit}), isBlocked ? unit : undefined));
 	}
 
 	for (const {rank, room} of running) {
@@ -91,19 +91,22 @@
 }
 
 function emptyRank(rank: number): RankForecast {
-	return {
-		rank, onTime: noWork, late: noWork, running: noRoom,
-	};
+	return {rank, sizes: [], running: noRoom};
 }
 
-function addWaiting(forecast: RankForecast, urgency: WaitingWork['urgency'], work: Work): RankForecast {
+function addWaiting(forecast: RankForecast, {urgency, work, unit}: Pick<WaitingWork, 'urgency' | 'work' | 'unit'>): RankForecast {
+	const accelerators = sizeOf(unit);
+	const size = forecast.sizes.find(current => current.accelerators === accelerators) ?? {accelerators, onTime: noWork, late: noWork};
+	const replace = (next: SizeForecast): RankForecast => ({
+		...forecast, sizes: [...forecast.sizes.filter(current => current !== size), next].toSorted((first, second) => first.accelerators - second.accelerators),
+	});
 	switch (urgency) {
 		case 'on-time': {
-			return {...forecast, onTime: addWork(forecast.onTime, work)};
+			return replace({...size, onTime: addWork(size.onTime, work)});
 		}
 
 		case 'late': {
-			return {...forecast, late: addWork(forecast.late, work)};
+			return replace({...size, late: addWork(size.late, work)});
 		}
 
 		// Long work goes after all other work of its rank.
@@ -113,6 +116,11 @@
 	}
 }
 
+/** Upper bound of the size of a unit. */
+export function sizeOf({accelerators}: Resources): number {
+	return accelerators === 0 ? 0 : 2 ** Math.ceil(Math.log2(accelerators));
+}
+
 function withNarrowest(forecast: RankForecast, unit: Resources | undefined): RankForecast {
 	const {narrowest} = forecast;
 	return unit === undefined || (narrowest !== undefined && compareRoom(narrowest, unit) <= 0) ? forecast : {...forecast, narrowest: unit};
@@ -144,15 +152,16 @@
 
 function addJob(pool: PoolForecast, job: ForecastJob): PoolForecast {
 	const steps = job.request.schedule === undefined ? job.request.steps.filter(({isLongRunning}) => !isLongRunning) : [];
-	const work = sumWork(job);
 	const rank = rankOfJob(pool, job);
 	const current = pool.ranks.find(forecast => forecast.rank === rank) ?? emptyRank(rank);
 	const team = findTeam(pool, job);
 	const roots = steps.filter(({after}) => after.length === 0);
+	const waiting = steps.map(step => ({urgency: 'on-time' as const, work: workOf(step, step.count, step.estimatedMilliseconds), unit: roomOfUnit(step)}));
+	const work = sumWork(job);
 	return {
 		...pool,
 		free: roots.reduce((free, step) => subtractRoom(free, roomOfUnit(step)), pool.free),
-		ranks: [...pool.ranks.filter(forecast => forecast !== current), {...current, onTime: addWork(current.onTime, work)}].toSorted((first, second) => first.rank - second.rank),
+		ranks: [...pool.ranks.filter(forecast => forecast !== current), waiting.reduce(addWaiting, current)].toSorted((first, second) => first.rank - second.rank),
 		backlog: addWork(pool.backlog, work),
 		teams: [...pool.teams.filter(forecast => forecast.team !== team.team), {...team, backlog: addWork(team.backlog, work)}],
 	};
--- a/packages/forecast/share.ts
+++ b/packages/forecast/share.ts
@@ -42,8 +42,8 @@
 		free: encodeRoom(pool.free),
 		lasting: encodeRoom(pool.lasting),
 		backlog: encodeWork(pool.backlog),
-		ranks: pool.ranks.map(({rank, onTime, late, running, narrowest}) => [
-			rank, encodeWork(onTime), encodeWork(late), encodeRoom(running), narrowest === undefined ? null : encodeRoom(narrowest),
+		ranks: pool.ranks.map(({rank, sizes, running, narrowest}) => [
+			rank, sizes.map(({accelerators, onTime, late}) => [accelerators, encodeWork(onTime), encodeWork(late)]), encodeRoom(running), narrowest === undefined ? null : encodeRoom(narrowest),
 		]),
 		// A time by which nothing more ends says nothing.
 		releases: pool.releases.filter(({room}, index, all) => !isEqualRoom(room, all[index - 1]?.room ?? noRoom)).map(({withinMilliseconds, room}) => [withinMilliseconds, encodeRoom(room)]),
@@ -62,8 +62,8 @@
 		free: decodeRoom(pool.free),
 		lasting: decodeRoom(pool.lasting),
 		backlog: decodeWork(pool.backlog),
-		ranks: pool.ranks.map(([rank, onTime, late, running, narrowest]) => ({
-			rank, onTime: decodeWork(onTime), late: decodeWork(late), running: decodeRoom(running), ...(narrowest === null ? {} : {narrowest: decodeRoom(narrowest)}),
+		ranks: pool.ranks.map(([rank, sizes, running, narrowest]) => ({
+			rank, sizes: sizes.map(([accelerators, onTime, late]) => ({accelerators, onTime: decodeWork(onTime), late: decodeWork(late)})), running: decodeRoom(running), ...(narrowest === null ? {} : {narrowest: decodeRoom(narrowest)}),
 		})),
 		releases: pool.releases.map(([withinMilliseconds, room]) => ({withinMilliseconds, room: decodeRoom(room)})),
 		teams: pool.teams.map(([team, backlog, guaranteedLeft]) => ({team, backlog: decodeWork(backlog), guaranteedLeft})),
--- a/packages/forecast/types.ts
+++ b/packages/forecast/types.ts
@@ -58,12 +58,19 @@
 	teams: readonly TeamGuarantee[];
 }>;
 
-export type RankForecast = Readonly<{
-	rank: number;
-	/** Waiting work that goes before a new job of the rank. */
+/** Waiting work of one rank whose tasks, or whole gangs, need about as many accelerators. */
+export type SizeForecast = Readonly<{
+	/** Upper bound of the accelerators that have to be free at the same time: 0 or a power of 2. */
+	accelerators: number;
+	/** Work that goes before a new job of the rank. */
 	onTime: Work;
-	/** Waiting work that goes before a job of the rank once that is late itself. */
+	/** Work that goes before a job of the rank once that is late itself. */
 	late: Work;
+}>;
+
+export type RankForecast = Readonly<{
+	rank: number;
+	sizes: readonly SizeForecast[];
 	/** Room of the runs that end by themselves. */
 	running: Resources;
 	/** The smallest room that blocked work of the rank waits for: free room does not start a job that needs as much. */
@@ -117,8 +124,10 @@
 export type SharedWork = valibot.InferOutput<typeof sharedWorkSchema>;
 /** Thousandths of a core, megabytes and accelerators. */
 const sharedRoomSchema = valibot.pipe(valibot.tuple([valibot.number(), valibot.number(), valibot.number()]), valibot.readonly());
-/** Rank, work on time, late work, running room and the narrowest blocked room, if any. */
-const sharedRankSchema = valibot.pipe(valibot.tuple([valibot.number(), sharedWorkSchema, sharedWorkSchema, sharedRoomSchema, valibot.nullable(sharedRoomSchema)]), valibot.readonly());
+/** Accelerators, work on time and late work. */
+const sharedSizeSchema = valibot.pipe(valibot.tuple([valibot.number(), sharedWorkSchema, sharedWorkSchema]), valibot.readonly());
+/** Rank, sizes, running room and the narrowest blocked room, if any. */
+const sharedRankSchema = valibot.pipe(valibot.tuple([valibot.number(), valibot.pipe(valibot.array(sharedSizeSchema), valibot.readonly()), sharedRoomSchema, valibot.nullable(sharedRoomSchema)]), valibot.readonly());
 const sharedReleaseSchema = valibot.pipe(valibot.tuple([valibot.number(), sharedRoomSchema]), valibot.readonly());
 /** Name, backlog and what is left of the guarantee. */
 const sharedTeamSchema = valibot.pipe(valibot.tuple([valibot.string(), sharedWorkSchema, valibot.number()]), valibot.readonly());
--- a/packages/scheduling/load.ts
+++ b/packages/scheduling/load.ts
@@ -5,6 +5,7 @@
 } from '#forecast';
 import {countTasksOfOccurrence, type JobKey, type JobStep} from '#jobs';
 import {longTaskFactor} from './constants.js';
+import {isLowRankWithoutCheckpoints} from './low-rank.js';
 import {createPool, type PlacedRun, type Pool} from './pool.js';
 import {countAccelerators, rankJobs, type Rank} from './rank.js';
 import {estimateRemaining} from './remaining.js';
@@ -51,6 +52,7 @@
 		const {submission: {job: key, tenant: team = '', request: {steps}}, slowdown = 1} = job;
 		const queue = resolveQueue(state, job);
 		const isLate = time.now - job.submission.submittedAt > (queue.stretch * estimateCriticalPath(job)) + queue.targetMilliseconds;
+		const rank = ranks.get(key) ?? queue.priority + 1;
 		for (const [index, step] of steps.entries()) {
 			const count = counts[index] ?? 0;
 			const duration = step.estimatedMilliseconds * slowdown;
@@ -58,13 +60,13 @@
 			if (count > 0 && !step.isLongRunning && (step.requiredLabel === undefined || labels.has(step.requiredLabel))) {
 				waiting.push({
 					service: queue.service,
-					rank: ranks.get(key) ?? queue.priority + 1,
+					rank,
 					team,
 					urgency: chooseUrgency(isLate, duration >= longDuration),
 					work: workOf(step, count, duration),
 					task: roomOfTask(step),
 					unit: roomOfUnit(step),
-					isBlocked: time.monotonic - job.changedAt > firstPassMilliseconds && step.after.length === 0 && isUnrestricted(step),
+					isBlocked: time.monotonic - job.changedAt > firstPassMilliseconds && step.after.length === 0 && isUnrestricted(step) && !isLowRankWithoutCheckpoints({rank, step}),
 				});
 			}
 		}
@@ -76,7 +78,7 @@
 /** Time after which a job has certainly been considered by a pass. */
 const firstPassMilliseconds = 1000;
 
-/** Whether a step may run on any worker of its service. */
+/** Whether a step may run on any worker of its service; low-rank work that cannot save its progress keeps to a share of them. */
 function isUnrestricted({requiredLabel, dataRack, prefersOneRack, maximumPerWorker}: JobStep): boolean {
 	return requiredLabel === undefined && dataRack === undefined && !prefersOneRack && maximumPerWorker === 0;
 }
