Let a team's surge go after other teams of its rank in a full pool

Within a rank, work that arrived earlier goes first, so a surge pushed back the usual load of all other teams. A team that holds more than half of all running and waiting work, with at least 4 waiting jobs, now goes after the others of its rank that are as late, unless its work is within a guarantee.

--- a/packages/scheduling/schedule.ts
+++ b/packages/scheduling/schedule.ts
@@ -13,6 +13,7 @@
 import {
 	countByAgent, hasRoomForTask, placeUnit, type Placement, type TaskCounts,
 } from './place.js';
+import {orderByShare} from './equal-share.js';
 import {isUtilizationLow} from './low-rank.js';
 import {openDueOccurrences} from './occurrences.js';
 import {findPreemption, type Preemption} from './preempt.js';
@@ -57,7 +58,7 @@
 	}
 
 	const pool = createPool(opened.state, ranks, time.monotonic);
-	const units = isUtilizationLow(pool) ? waiting : waiting.map(unit => extendRackWait(unit));
+	const units = isUtilizationLow(pool) ? waiting : orderByShare(waiting, pool).map(unit => extendRackWait(unit));
 	const claims = listHeldClaims(opened.state, units, pool, time.monotonic);
 	let pass: Pass = {
 		state: opened.state, pool: holdClaims(pool, claims), effects: opened.effects, reservedRanks: new Set(), exhausted: [], claims, waiting: [],
