--- a/bench/scheduling/model.ts
+++ b/bench/scheduling/model.ts
@@ -232,11 +232,11 @@
 }
 
 type Forecasting = Readonly<{
-	accepts(submission: JobSubmission, time: MonotonicTime): boolean;
-	update(state: SchedulerState, time: number): void;
 	refused: ReadonlyMap<JobKey, Milliseconds>;
 	errors: readonly EstimateError[];
 	durations: readonly Milliseconds[];
+	accepts(submission: JobSubmission, time: MonotonicTime): boolean;
+	update(state: SchedulerState, time: number): void;
 }>;
 
 /** Forecasts as the scheduler's entry does, at its interval. */
--- a/bench/scheduling/report.ts
+++ b/bench/scheduling/report.ts
@@ -1,7 +1,7 @@
 /** Reports what callers get and what a decision costs, by size of the pool and load. */
 import type {Milliseconds} from '#core';
 import {playScenario, type Played} from './model.js';
-import {createScenario, type Kind} from './scenarios.js';
+import {createScenario, surgingTenant, type Kind} from './scenarios.js';
 
 const sizes = [
 	{workers: 160, rate: 1, length: 20_000}, {workers: 160, rate: 1.5, length: 20_000}, {workers: 1000, rate: 1, length: 5000},
@@ -9,9 +9,11 @@
 const kinds: readonly Kind[] = ['roster', 'curve', 'layout'];
 const crestFactor = 2.5;
 const seed = 7;
+/** Multiple of the usual rate at which refusals begin. */
+const surgeRate = 60;
 
 export function benchScheduling(): readonly string[] {
-	return sizes.flatMap(({workers, rate, length}) => {
+	const played = sizes.flatMap(({workers, rate, length}) => {
 		const played = playScenario(createScenario({
 			workers, rate, factor: crestFactor, length, seed,
 		}));
@@ -20,6 +22,39 @@
 			`  milliseconds, mean / longest: ${describeCosts(played)}`,
 		];
 	});
+	return [...played, ...describeSurge()];
+}
+
+/** Compares admission of all jobs with admission by the forecast while one team sends far more than the pool can do. */
+function describeSurge(): readonly string[] {
+	const scenario = createScenario({
+		workers: 24, factor: 1, length: 15_000, seed, surgeRate,
+	});
+	const all = playScenario(scenario, 'all');
+	const byForecast = playScenario(scenario, 'by-forecast');
+	const refused = byForecast.jobs.filter(({retryAfter}) => retryAfter !== undefined);
+	const wronglyRefused = byForecast.jobs.filter(({retryAfter}, index) => retryAfter !== undefined && (all.jobs[index]?.earned ?? 0) > 0);
+	return [
+		`24 workers, one team's surge of ${surgeRate} times the usual rate, ${all.jobs.length} jobs: all accepted, ${describeShares(all)}; `
+		+ `by forecast, ${describeShares(byForecast)}, ${refused.length} refused, of which ${wronglyRefused.length} earned something when all were accepted`,
+		`  estimate of the first start: ${describeErrors(all)}`,
+	];
+}
+
+function describeShares({jobs}: Played): string {
+	const shareOf = (counted: Played['jobs']) => (counted.reduce((total, {earned}) => total + earned, 0) / counted.reduce((total, {owed}) => total + owed, 0)).toFixed(3);
+	return `earned of owed ${shareOf(jobs)}, by other teams ${shareOf(jobs.filter(({tenant}) => tenant !== surgingTenant))}`;
+}
+
+function describeErrors({estimateErrors}: Played): string {
+	const describe = (errors: readonly Milliseconds[]) => {
+		const sorted = errors.toSorted((first, second) => first - second);
+		const quantile = (share: number) => Math.round(sorted[Math.floor((sorted.length - 1) * share)] ?? 0);
+		return `${sorted.length} with median ${quantile(0.5)} and 90% within ${quantile(0.9)} ms`;
+	};
+
+	const errors = estimateErrors.map(({estimated, actual}) => actual - estimated);
+	return `too early ${describe(errors.filter(error => error > 0))}, too late ${describe(errors.filter(error => error <= 0).map(error => -error))}`;
 }
 
 function describeService({jobs, starts, stops, spreadStarts, discardedCoreSeconds, onTimeCoreSeconds}: Played): string {
@@ -33,7 +68,7 @@
 		+ `discarded ${(discardedCoreSeconds / Math.max(1, onTimeCoreSeconds)).toFixed(3)} of the work on time`;
 }
 
-function describeCosts({durations}: Played): string {
+function describeCosts({durations, forecastDurations}: Played): string {
 	const describe = (values: readonly Milliseconds[]) => `${(values.reduce((total, value) => total + value, 0) / Math.max(1, values.length)).toFixed(2)} / ${Math.max(0, ...values).toFixed(1)}`;
-	return `renewal ${describe(durations.renewed)}, submission ${describe(durations.submitted)}, tick ${describe(durations.tick)}, pass ${describe(durations.pass)}`;
+	return `renewal ${describe(durations.renewed)}, submission ${describe(durations.submitted)}, tick ${describe(durations.tick)}, pass ${describe(durations.pass)}, forecast ${describe(forecastDurations)}`;
 }
