--- a/packages/coordinator/callers/submit-within-budget.ts
+++ b/packages/coordinator/callers/submit-within-budget.ts
@@ -2,7 +2,7 @@
 	assertNever, checkInput, type Milliseconds, type MonotonicTime,
 } from '#core';
 import {jobRecordSchema, maximumRequestCharacters, type JobSubmission} from '#jobs';
-import type {CallerAnswer} from '#protocol';
+import type {CallerAnswer, CallerRefusalReason} from '#protocol';
 import {jobStoreKey} from '../keys.js';
 import {storePort} from '../ports.js';
 import {admissionService} from '../plugins/admission.js';
@@ -40,7 +40,7 @@
 	}
 }
 
-async function refuse(reason: string, retryAfterMilliseconds: Milliseconds, submission: JobSubmission, context: CoordinatorContext): Promise<CallerAnswer> {
+async function refuse(reason: CallerRefusalReason, retryAfterMilliseconds: Milliseconds, submission: JobSubmission, context: CoordinatorContext): Promise<CallerAnswer> {
 	return await findEarlierAnswer(submission, context) ?? {kind: 'refused', reason, retryAfterMilliseconds};
 }
 
--- a/tools/docs/settings.ts
+++ b/tools/docs/settings.ts
@@ -1,10 +1,12 @@
 import {agentSettings} from '#agent';
+import {coordinatorSettings} from '#coordinator';
 import {entrySettings} from '#entry';
 import {environmentVariableOf, type SettingDefinitions} from '#kernel';
 
 const programs: ReadonlyArray<Readonly<{name: string; definitions: SettingDefinitions}>> = [
 	{name: 'dotterelnotch-entry', definitions: entrySettings},
 	{name: 'dotterelnotch-agent', definitions: agentSettings},
+	{name: 'dotterelnotch-platform-entry', definitions: coordinatorSettings},
 ];
 
 /** Formats the page of settings, with one table for each daemon. */
