Describe admission by the forecast, and go on after a forecast that failed

An exception while a forecast was made ended all later ones of the process, and left a scheduler's entry deaf to the reports of its successor.

--- a/packages/coordinator/plugins/forecast.ts
+++ b/packages/coordinator/plugins/forecast.ts
@@ -73,7 +73,15 @@
 			}
 
 			const startedAt = clock.monotonic();
-			measureOwn();
+			try {
+				measureOwn();
+			} catch (error) {
+				// Without a forecast memory alone decides; the next attempt follows after the usual interval.
+				own = undefined;
+				context.counters.countEvent('unexpected-error');
+				context.log.withPrefix('forecast').error({error: error instanceof Error ? error.stack : String(error)}, 'the load could not be forecast');
+			}
+
 			const duration = clock.monotonic() - startedAt;
 			if (own !== undefined) {
 				context.counters.recordLatency('forecast', duration);
