--- a/bench/scheduling/model.ts
+++ b/bench/scheduling/model.ts
@@ -1,9 +1,12 @@
 /** Plays a scenario: the scheduler's decisions against simulated workers, in virtual time and without a network. */
-import {createRandomSource, type Milliseconds} from '#core';
-import type {JobKey} from '#jobs';
+import {createRandomSource, type Milliseconds, type MonotonicTime} from '#core';
+import {
+	addAdmittedJobs, createForecast, decideByForecast, trackEstimates, type EstimateError, type Forecast, type TrackedEstimates,
+} from '#forecast';
+import type {JobKey, JobSubmission, TenantName} from '#jobs';
 import {createPaceState} from '#pace';
 import {
-	createSchedulerState, defaultPolicy, receiveSchedulerMessage, type SchedulerEffect, type SchedulerMessage, type SchedulerState, type SchedulingPolicy,
+	createSchedulerState, defaultPolicy, describeLoad, observeStarts, receiveSchedulerMessage, type SchedulerEffect, type SchedulerMessage, type SchedulerState, type SchedulingPolicy,
 } from '#scheduling';
 import {createRates} from './rates.js';
 import {
@@ -18,6 +21,9 @@
 
 export type PlayedJob = Readonly<{
 	kind: Kind;
+	tenant: TenantName | undefined;
+	/** How much later it was invited to return; undefined if it was accepted. */
+	retryAfter: Milliseconds | undefined;
 	/** Milliseconds from the submission to the first start; undefined if no task started. */
 	wait: number | undefined;
 	isOnTime: boolean;
@@ -53,6 +59,10 @@
 	/** Speeds that were believed at the end, and those of them that are off by more than half a step. */
 	believedSpeeds: number;
 	wrongSpeeds: number;
+	/** Errors of the estimates that jobs were given. */
+	estimateErrors: readonly EstimateError[];
+	/** Duration of each forecast, from the scheduler's state. */
+	forecastDurations: readonly Milliseconds[];
 	/** Duration of each handled message, by kind. */
 	durations: Readonly<Record<SchedulerMessage['kind'], readonly Milliseconds[]>>;
 }>;
@@ -73,10 +83,14 @@
 	policy?: SchedulingPolicy;
 	/** `none`: the scheduler forgets its beliefs before they have an effect. `known`: it knows the real speeds, which shows what learning could bring at most. */
 	beliefs?: 'learned' | 'none' | 'known';
+	admission?: ModelAdmission;
 }>;
 
+/** Which jobs are accepted: all, or those that the forecast does not refuse. Callers do not return after a refusal. */
+export type ModelAdmission = 'all' | 'by-forecast';
+
 /** Plays the scenario to its end, one message after the other. */
-export function playScenario(scenario: Scenario, {faults = noFaults, policy = defaultPolicy, beliefs = 'learned'}: PlayOptions = {}): Played {
+export function playScenario(scenario: Scenario, {faults = noFaults, policy = defaultPolicy, beliefs = 'learned', admission = 'all'}: PlayOptions = {}): Played {
 	const random = createRandomSource(seed);
 	const faultRandom = createRandomSource(faultSeed);
 	const findFailure = createFailures(faults, scenario.arrivals, faultRandom);
@@ -99,6 +113,7 @@
 	let spreadStarts = 0;
 	let discardedCoreSeconds = 0;
 	let keptApart = 0;
+	const forecasting = createForecasting(admission);
 
 	/** Whether the runs of a job that belongs in one rack are in several. */
 	const isSpread = (key: JobKey) => {
@@ -218,11 +233,11 @@
 	}
 
 	const arrivals = [...scenario.arrivals];
-	while (time < scenario.length + drainMilliseconds && (arrivals.length > 0 || ended.size < jobs.size)) {
+	while (time < scenario.length + drainMilliseconds && (arrivals.length > 0 || ended.size + forecasting.refused.size < jobs.size)) {
 		time += stepMilliseconds;
 		while ((arrivals[0]?.at ?? Infinity) <= time) {
 			const arrival = arrivals.shift();
-			if (arrival !== undefined) {
+			if (arrival !== undefined && forecasting.accepts(arrival.submission, time)) {
 				send({kind: 'submitted', submission: arrival.submission});
 			}
 		}
@@ -239,6 +254,7 @@
 
 		if (time % tickMilliseconds < stepMilliseconds) {
 			send({kind: 'tick'});
+			forecasting.update(state, time);
 		}
 
 		if (state.isScheduleDue) {
@@ -253,6 +269,8 @@
 		const age = completedAt - job.at;
 		return {
 			kind: job.kind,
+			tenant: job.submission.tenant,
+			retryAfter: forecasting.refused.get(key),
 			wait: startedAt === undefined ? undefined : startedAt - job.at,
 			isOnTime: age <= job.onTimeMilliseconds,
 			isCompleted: completedAt < Infinity,
@@ -272,6 +290,8 @@
 		keptApart,
 		...rates.describe(),
 		gangStretch: measureGangStretch(scenario, gangStarts, completions),
+		estimateErrors: forecasting.errors,
+		forecastDurations: forecasting.durations,
 		onTimeCoreSeconds: scenario.arrivals.reduce((total, job, index) => total + (played[index]?.isOnTime === true ? measureWork(job) : 0), 0),
 	};
 }
@@ -286,6 +306,51 @@
 	return stretches.reduce((total, stretch) => total + stretch, 0) / Math.max(1, stretches.length);
 }
 
+type Forecasting = Readonly<{
+	refused: ReadonlyMap<JobKey, Milliseconds>;
+	errors: readonly EstimateError[];
+	durations: readonly Milliseconds[];
+	accepts(submission: JobSubmission, time: MonotonicTime): boolean;
+	update(state: SchedulerState, time: number): void;
+}>;
+
+/** Forecasts as the scheduler's entry does, at its interval. */
+function createForecasting(admission: ModelAdmission): Forecasting {
+	const refused = new Map<JobKey, Milliseconds>();
+	const errors: EstimateError[] = [];
+	const durations: Milliseconds[] = [];
+	let forecast: Forecast | undefined;
+	let admitted: JobSubmission[] = [];
+	let tracked: TrackedEstimates = new Map();
+	let jobs: SchedulerState['jobs'] | undefined;
+	return {
+		refused,
+		errors,
+		durations,
+		accepts(submission, time) {
+			const decision = decideByForecast(forecast === undefined ? undefined : addAdmittedJobs(forecast, admitted), submission, time);
+			if (admission === 'by-forecast' && decision.kind === 'refuse') {
+				refused.set(submission.job, decision.retryAfterMilliseconds);
+				return false;
+			}
+
+			admitted.push(submission);
+			return true;
+		},
+		update(state, time) {
+			const startedAt = performance.now();
+			const load = describeLoad(state, {now: time, monotonic: time});
+			const result = trackEstimates(tracked, observeStarts(state, jobs ?? state.jobs, tracked.keys(), time), forecast);
+			({tracked} = result);
+			({jobs} = state);
+			forecast = load === undefined ? undefined : createForecast(load, time);
+			durations.push(performance.now() - startedAt);
+			errors.push(...result.errors);
+			admitted = [];
+		},
+	};
+}
+
 function createDurations(): Record<SchedulerMessage['kind'], Milliseconds[]> {
 	return {
 		configured: [], loaded: [], submitted: [], cancelled: [], renewed: [], 'incarnation-ended': [], detached: [], 'start-answered': [], 'stop-answered': [], stored: [], tick: [],
--- a/packages/coordinator/plugins/entry-peers.ts
+++ b/packages/coordinator/plugins/entry-peers.ts
@@ -1,4 +1,5 @@
 import type {EntryId, Milliseconds} from '#core';
+import type {SharedForecast} from '#forecast';
 import {createServiceKey} from '#kernel';
 import {connectToPeer, type RpcPeer} from '#transport';
 import {entryExchangeParametersSchema, type SharedMemoryUse, type SharedZones} from '#protocol';
@@ -11,6 +12,7 @@
 import {admissionService} from './admission.js';
 import {configurationService} from './configuration.js';
 import {directoryService, listEntries} from './directory.js';
+import {forecastService} from './forecast.js';
 import {leadershipService} from './leadership.js';
 import {undecidedService} from './undecided.js';
 import {zonesService} from './zones.js';
@@ -32,6 +34,7 @@
 	undecidedCutAge?: Milliseconds | undefined;
 	memoryUse?: SharedMemoryUse | undefined;
 	closedZones?: SharedZones | undefined;
+	forecast?: SharedForecast | undefined;
 }>;
 
 coordinatorPlugins.register({
@@ -137,7 +140,7 @@
 	}
 }
 
-function applySharedState({epoch, undecided, undecidedAges, undecidedCutAge, memoryUse, closedZones}: SharedState, {services}: CoordinatorContext): void {
+function applySharedState({epoch, undecided, undecidedAges, undecidedCutAge, memoryUse, closedZones, forecast}: SharedState, {services}: CoordinatorContext): void {
 	const submissions = undecided.map((path, index) => ({path, age: undecidedAges[index] ?? 0}));
 	services.use(undecidedService).addAll(undecidedCutAge === undefined ? {kind: 'whole', submissions} : {kind: 'cut', submissions, age: undecidedCutAge});
 
@@ -149,6 +152,10 @@
 		services.use(zonesService).send({kind: 'observed', observation: {kind: 'shared', ...closedZones}, source: 'entry'});
 	}
 
+	if (forecast !== undefined) {
+		services.use(forecastService).observe(forecast);
+	}
+
 	services.use(leadershipService).send({kind: 'epoch-observed', epoch});
 }
 
@@ -157,6 +164,7 @@
 	const undecided = services.use(undecidedService).list();
 	const memoryUse = services.use(admissionService).describe();
 	const closedZones = shareZones(services.use(zonesService).read(), {monotonic: clock.monotonic()});
+	const forecast = services.use(forecastService).describe();
 	return {
 		configurationVersion: services.use(configurationService).read().current?.version ?? 0,
 		epoch: highestEpoch,
@@ -165,5 +173,6 @@
 		...(undecided.kind === 'cut' ? {undecidedCutAge: undecided.age} : {}),
 		...(memoryUse === undefined ? {} : {memoryUse}),
 		...(closedZones === undefined ? {} : {closedZones}),
+		...(forecast === undefined ? {} : {forecast}),
 	};
 }
--- a/packages/coordinator/plugins/index.ts
+++ b/packages/coordinator/plugins/index.ts
@@ -10,6 +10,7 @@
 import './zones.js';
 import './configuration.js';
 import './scheduler.js';
+import './forecast.js';
 import './admission.js';
 import './directory.js';
 import './entry-peers.js';
--- a/packages/coordinator/settings.ts
+++ b/packages/coordinator/settings.ts
@@ -25,6 +25,7 @@
 		description: 'Whether the scheduler keeps tasks that slow each other down on different workers where there is capacity',
 		default: 'on',
 	},
+	'refuse-by-forecast': {schema: valibot.picklist(['on', 'off'], 'must be on or off'), description: 'Whether jobs are refused that would certainly end too late', default: 'on'},
 	'log-level': {schema: valibot.picklist(logLevels, 'must be debug, info, warn or error'), description: 'Least severe level that is logged', default: 'info'},
 } as const satisfies SettingDefinitions;
 
--- a/packages/protocol/scheduling.ts
+++ b/packages/protocol/scheduling.ts
@@ -3,6 +3,7 @@
 import {
 	addressSchema, countSchema, entryIdSchema, workerIdSchema,
 } from '#core';
+import {sharedForecastSchema} from '#forecast';
 import {
 	endedRunSchema, jobRequestSchema, taskNameSchema, workerSnapshotSchema,
 } from '#jobs';
@@ -126,6 +127,8 @@
 	memoryUse: valibot.optional(sharedMemoryUseSchema),
 	/** Absent until the sender has read the list, and in exchanges of earlier versions. */
 	closedZones: valibot.optional(sharedZonesSchema),
+	/** Absent if the sender does not schedule or has no forecast, and in exchanges of earlier versions. */
+	forecast: valibot.optional(sharedForecastSchema),
 });
 export const entryExchangeResultSchema = valibot.object({
 	configurationVersion: valibot.number(),
@@ -135,6 +138,8 @@
 	undecidedCutAge: undecidedCutAgeSchema,
 	memoryUse: valibot.optional(sharedMemoryUseSchema),
 	closedZones: valibot.optional(sharedZonesSchema),
+	/** Absent if the sender does not schedule or has no forecast, and in exchanges of earlier versions. */
+	forecast: valibot.optional(sharedForecastSchema),
 });
 
 /** The configuration of the entry that is asked, compressed and in base64; absent if it has none. */
--- a/packages/scheduling/index.ts
+++ b/packages/scheduling/index.ts
@@ -12,3 +12,4 @@
 export {defaultPolicy, type KeepApart, type SchedulingPolicy} from './policy.js';
 export {describeProgress} from './progress.js';
 export {measureWaitForStarts} from './unanswered-starts.js';
+export {describeLoad, observeStarts} from './load.js';
--- a/packages/scheduling/schedule.ts
+++ b/packages/scheduling/schedule.ts
@@ -1,5 +1,6 @@
 /** One scheduling pass: decides which tasks start on which workers and which runs are preempted for them. */
 import type {MonotonicTime, CurrentTime} from '#core';
+import {lowestPreemptingRank} from '#forecast';
 import {
 	createPool, reserveWorkers, allocate, type Pool, type PlacedRun,
 } from './pool.js';
@@ -12,6 +13,7 @@
 import {
 	countByAgent, hasRoomForTask, placeUnit, type Placement, type TaskCounts,
 } from './place.js';
+import {orderByShare} from './equal-share.js';
 import {listLongRunningLimits} from './long-running.js';
 import {isUtilizationLow} from './low-rank.js';
 import {openDueOccurrences} from './occurrences.js';
@@ -31,9 +33,6 @@
 import {extendRackWait, listSchedulingUnits, type SchedulingUnit} from './units.js';
 import {logWaiting} from './wait-logs.js';
 
-/** Lowest rank that may preempt other work. */
-const lowestPreemptingRank = 2;
-
 type Pass = Readonly<{
 	state: SchedulerState;
 	pool: Pool;
@@ -64,7 +63,8 @@
 
 	const pool = createPool(opened.state, ranks, time.monotonic);
 	const conflicts = listKindsToKeepApart(opened.state, time.monotonic);
-	const units = (isUtilizationLow(pool) ? waiting : waiting.map(unit => extendRackWait(unit))).map(unit => markKindToKeepApart(unit, conflicts));
+	const ordered = isUtilizationLow(pool) ? waiting : orderByShare(waiting, pool).map(unit => extendRackWait(unit));
+	const units = ordered.map(unit => markKindToKeepApart(unit, conflicts));
 	const claims = listHeldClaims(opened.state, units, pool, time.monotonic);
 	const claimed = claims.reduce((next, held) => addConflicts(next, [...held.claim.taskCounts.keys()], held, conflicts), holdClaims(pool, claims));
 	let pass: Pass = {
--- a/test/coordinator/undecided.test.ts
+++ b/test/coordinator/undecided.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import {
-	admissionService, configurationService, coordinatorPlugins, leadershipService, undecidedService, type CoordinatorContext,
+	admissionService, configurationService, coordinatorPlugins, forecastService, leadershipService, undecidedService, type CoordinatorContext,
 } from '#coordinator';
 import {
 	createCounters, createServices, createVirtualClock, silentLog, type VirtualClock,
@@ -26,6 +26,9 @@
 	services.provide(admissionService, {
 		request: () => ({kind: 'admitted'}), describe: () => undefined, observe: () => undefined,
 	});
+	services.provide(forecastService, {
+		request: () => ({kind: 'accept', reason: 'no-forecast'}), describe: () => undefined, observe: () => undefined,
+	});
 	const context = {
 		services, clock, counters: createCounters(), log: silentLog,
 	} as unknown as CoordinatorContext;
