Let tests of entries follow the merged services

The exchange between entries uses the forecast beside the closed zones, and a start counts once it is answered. test/coordinator/zones and forecast pass.

--- a/bench/scheduling/report.ts
+++ b/bench/scheduling/report.ts
@@ -2,7 +2,9 @@
 import {defaultPolicy} from '#scheduling';
 import type {Milliseconds} from '#core';
 import {playScenario, type Played} from './model.js';
-import {createScenario, surgingTenant, type Kind, type Unevenness} from './scenarios.js';
+import {
+	createScenario, surgingTenant, type Kind, type Unevenness,
+} from './scenarios.js';
 
 const sizes = [
 	{workers: 160, rate: 1, length: 20_000}, {workers: 160, rate: 1.5, length: 20_000}, {workers: 1000, rate: 1, length: 5000},
--- a/test/coordinator/forecast.test.ts
+++ b/test/coordinator/forecast.test.ts
@@ -3,6 +3,7 @@
 import {
 	admissionService, coordinatorPlugins, forecastService, schedulerService, storeMonitorService, storePort, submitWithinBudget, type CoordinatorContext, type Scheduler,
 } from '#coordinator';
+import type {SchedulerEffect} from '#scheduling';
 import type {JobRecord, JobSubmission} from '#jobs';
 import {
 	createCounters, createServices, createVirtualClock, silentLog, type VirtualClock,
@@ -142,7 +143,8 @@
 		const context = startEntry(clock, {driver});
 		driver.elapse(250);
 		clock.advance(250);
-		driver.send({kind: 'submitted', submission: submissionOf(1, [wholeWorker])});
+		const start = driver.send({kind: 'submitted', submission: submissionOf(1, [wholeWorker])}).find(({kind}) => kind === 'start') as Extract<SchedulerEffect, {kind: 'start'}>;
+		driver.send({kind: 'start-answered', agent: start.agent, answers: start.orders.map(({task, run}) => ({task, run, result: 'started'}))});
 		clock.advance(250);
 		expect(await context.counters.exposition()).to.match(/operation="start-overestimated"/);
 	});
--- a/test/coordinator/zones.test.ts
+++ b/test/coordinator/zones.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import {
-	admissionService, configurationService, coordinatorPlugins, leadershipService, storePort, undecidedService, zonesService, type CoordinatorContext,
+	admissionService, configurationService, coordinatorPlugins, forecastService, leadershipService, storePort, undecidedService, zonesService, type CoordinatorContext,
 } from '#coordinator';
 import {
 	createCounters, createServices, createVirtualClock, silentLog, type VirtualClock,
@@ -98,6 +98,7 @@
 	services.provide(leadershipService, {read: () => ({highestEpoch: 1}), send: () => undefined} as never);
 	services.provide(undecidedService, {list: () => ({kind: 'whole', submissions: []}), addAll: () => undefined} as never);
 	services.provide(admissionService, {describe: () => undefined, observe: () => undefined} as never);
+	services.provide(forecastService, {describe: () => undefined, observe: () => undefined} as never);
 	return {context, configurations, listClosed: () => [...services.use(zonesService).read().zones.keys()]};
 }
 
