--- a/packages/scheduling/equal-share.ts
+++ b/packages/scheduling/equal-share.ts
@@ -8,6 +8,8 @@
 const coresPerAccelerator = 8;
 /** A team is far over its equal share if it holds more than this share of all work. In the load model, 0.35 earned less in total than 0.5 at twice the usual rate. */
 const farOverShare = 0.5;
+/** It also holds at least this multiple of its equal share, so that one of two teams may hold more than the other. */
+const farOverFactor = 1.5;
 /** A surge consists of at least this many waiting jobs. With one, the order also changed in the load model without a surge, and earned 0.002 less. */
 const minimumSurgeJobs = 4;
 
@@ -28,7 +30,8 @@
 	}
 
 	const total = [...held.values()].reduce((sum, amount) => sum + amount, 0);
-	return new Set([...held].filter(([team, amount]) => amount > farOverShare * total && (waitingJobs.get(team)?.size ?? 0) >= minimumSurgeJobs).map(([team]) => team));
+	const limit = Math.max(farOverShare, farOverFactor / held.size) * total;
+	return new Set([...held].filter(([team, amount]) => amount > limit && (waitingJobs.get(team)?.size ?? 0) >= minimumSurgeJobs).map(([team]) => team));
 }
 
 function weigh({accelerators, processorMillicores}: Resources): number {
--- a/packages/scheduling/load.ts
+++ b/packages/scheduling/load.ts
@@ -6,7 +6,7 @@
 import {countTasksOfOccurrence, type JobKey, type JobStep} from '#jobs';
 import {longTaskFactor} from './constants.js';
 import {isLowRankWithoutCheckpoints} from './low-rank.js';
-import {createPool, type PlacedRun, type Pool} from './pool.js';
+import {createPool, type PoolWorker} from './pool.js';
 import {countAccelerators, rankJobs, type Rank} from './rank.js';
 import {estimateRemaining} from './remaining.js';
 import {isOpen, resolveQueue} from './state.js';
@@ -26,22 +26,22 @@
 
 	const ranks = rankJobs(state);
 	const pool = createPool(state, ranks, time.monotonic);
-	const runs = [...pool.values()].flatMap(worker => worker.runs.map(placed => ({...placed, service: worker.worker.snapshot.service})));
+	const workers = [...pool.values()];
 	return {
-		waiting: listWaitingWork(state, ranks, pool, time),
-		running: runs.map(({service, run, step, rank, need}) => ({
-			service, rank, room: need, remaining: run.stage === 'stopping' ? 0 : estimateRemaining(run, step, time.monotonic),
-		})),
-		workers: [...pool.values()].map(({worker, free, isUsable}) => ({
+		waiting: listWaitingWork(state, ranks, workers, time),
+		running: workers.flatMap(({worker, runs}) => runs.map(({run, step, rank, need}) => ({
+			service: worker.snapshot.service, rank, room: need, remaining: run.stage === 'stopping' ? 0 : estimateRemaining(run, step, time.monotonic),
+		}))),
+		workers: workers.map(({worker, free, isUsable}) => ({
 			service: worker.snapshot.service, capacity: worker.snapshot.capacity, free, isUsable, isStaying: worker.snapshot.state === 'ready',
 		})),
-		teams: listGuarantees(state, ranks, runs, time.monotonic),
+		teams: listGuarantees(state, ranks, workers, time.monotonic),
 	};
 }
 
-function listWaitingWork(state: SchedulerState, ranks: ReadonlyMap<JobKey, Rank>, pool: Pool, time: CurrentTime): readonly WaitingWork[] {
+function listWaitingWork(state: SchedulerState, ranks: ReadonlyMap<JobKey, Rank>, workers: readonly PoolWorker[], time: CurrentTime): readonly WaitingWork[] {
 	const longDuration = findMedianDuration(state) * longTaskFactor;
-	const labels = new Set([...pool.values()].flatMap(({worker}) => worker.snapshot.labels));
+	const labels = new Set(workers.flatMap(({worker}) => worker.snapshot.labels));
 	const waiting: WaitingWork[] = [];
 	for (const job of state.jobs.values()) {
 		const counts = isOpen(job) ? countWaitingByStep(job) : [];
@@ -109,13 +109,11 @@
 }
 
 /** Sums up the accelerators that jobs of rank 0 take from their teams' guarantees. Jobs that end before the forecast expires no longer count, since they leave their part to jobs that are decided by it. */
-function listGuarantees({jobs, configuration}: SchedulerState, ranks: ReadonlyMap<JobKey, Rank>, runs: readonly PlacedRun[], monotonic: MonotonicTime): readonly TeamGuarantee[] {
+function listGuarantees({jobs, configuration}: SchedulerState, ranks: ReadonlyMap<JobKey, Rank>, workers: readonly PoolWorker[], monotonic: MonotonicTime): readonly TeamGuarantee[] {
 	const remaining = new Map<JobKey, Milliseconds>();
-	for (const {job, run, step, rank} of runs) {
+	for (const {job, run, step} of workers.flatMap(({runs}) => runs.filter(placed => placed.rank === 0))) {
 		const {job: key} = job.submission;
-		if (rank === 0) {
-			remaining.set(key, Math.max(remaining.get(key) ?? 0, estimateRemaining(run, step, monotonic)));
-		}
+		remaining.set(key, Math.max(remaining.get(key) ?? 0, estimateRemaining(run, step, monotonic)));
 	}
 
 	const used = new Map<string, number>();
--- a/test/scheduling/equal-share.test.ts
+++ b/test/scheduling/equal-share.test.ts
@@ -21,6 +21,7 @@
 	{name: 'another team goes before a surge that came earlier (team locked out by another one)', arrivals: [...surge, {team: 'usual'}], next: 6},
 	{name: 'three jobs are no surge (order that changes with every job)', arrivals: [...surge.slice(0, 3), {team: 'usual'}], next: 1},
 	{name: 'teams with equal work keep the order of arrival (order that changes with every job)', arrivals: [...surge, ...[...surge, ...surge].map(() => ({team: 'usual'}))], next: 1},
+	{name: 'one of two teams may hold more than the other (team delayed because there is only one other)', arrivals: [...surge, ...surge.slice(1).map(() => ({team: 'usual'}))], next: 1},
 	{name: 'a higher rank stays first (urgent work behind usual work)', arrivals: [...surge.map(arrival => ({...arrival, priority: 1})), {team: 'usual'}], next: 1},
 	{name: 'late work of others does not go first (surge that becomes late as well)', arrivals: [...surge, {team: 'usual', submittedAt: -60_000}], next: 1},
 ];
