--- a/bench/scheduling/model.ts
+++ b/bench/scheduling/model.ts
@@ -1,12 +1,11 @@
 /** Plays a scenario: the scheduler's decisions against simulated workers, in virtual time and without a network. */
-import {createRandomSource, type Milliseconds, type MonotonicTime} from '#core';
+import {createRandomSource, type Milliseconds} from '#core';
+import type {EstimateError} from '#forecast';
+import type {JobKey, TenantName} from '#jobs';
 import {
-	addAdmittedJobs, createForecast, decideByForecast, trackEstimates, type EstimateError, type Forecast, type TrackedEstimates,
-} from '#forecast';
-import type {JobKey, JobSubmission, TenantName} from '#jobs';
-import {
-	createSchedulerState, describeLoad, observeStarts, receiveSchedulerMessage, type SchedulerEffect, type SchedulerMessage, type SchedulerState,
+	createSchedulerState, receiveSchedulerMessage, type SchedulerEffect, type SchedulerMessage, type SchedulerState,
 } from '#scheduling';
+import {createForecasting, type ModelAdmission} from './forecasting.js';
 import {
 	service, type ArrivingJob, type Kind, type Scenario,
 } from './scenarios.js';
@@ -57,9 +56,6 @@
 /** Callers pay less for a job that takes up to this multiple of its time, and nothing after it. */
 const lateFactor = 3;
 
-/** Which jobs are accepted: all, or those that the forecast does not refuse. Callers do not return after a refusal. */
-export type ModelAdmission = 'all' | 'by-forecast';
-
 /** Plays the scenario to its end, one message after the other. */
 export function playScenario(scenario: Scenario, admission: ModelAdmission = 'all'): Played {
 	const random = createRandomSource(seed);
@@ -231,51 +227,6 @@
 	};
 }
 
-type Forecasting = Readonly<{
-	refused: ReadonlyMap<JobKey, Milliseconds>;
-	errors: readonly EstimateError[];
-	durations: readonly Milliseconds[];
-	accepts(submission: JobSubmission, time: MonotonicTime): boolean;
-	update(state: SchedulerState, time: number): void;
-}>;
-
-/** Forecasts as the scheduler's entry does, at its interval. */
-function createForecasting(admission: ModelAdmission): Forecasting {
-	const refused = new Map<JobKey, Milliseconds>();
-	const errors: EstimateError[] = [];
-	const durations: Milliseconds[] = [];
-	let forecast: Forecast | undefined;
-	let admitted: JobSubmission[] = [];
-	let tracked: TrackedEstimates = new Map();
-	let jobs: SchedulerState['jobs'] | undefined;
-	return {
-		refused,
-		errors,
-		durations,
-		accepts(submission, time) {
-			const decision = decideByForecast(forecast === undefined ? undefined : addAdmittedJobs(forecast, admitted), submission, time);
-			if (admission === 'by-forecast' && decision.kind === 'refuse') {
-				refused.set(submission.job, decision.retryAfterMilliseconds);
-				return false;
-			}
-
-			admitted.push(submission);
-			return true;
-		},
-		update(state, time) {
-			const startedAt = performance.now();
-			const load = describeLoad(state, {now: time, monotonic: time});
-			const result = trackEstimates(tracked, observeStarts(state, jobs ?? state.jobs, tracked.keys(), time), forecast);
-			({tracked} = result);
-			({jobs} = state);
-			forecast = load === undefined ? undefined : createForecast(load, time);
-			durations.push(performance.now() - startedAt);
-			errors.push(...result.errors);
-			admitted = [];
-		},
-	};
-}
-
 function createDurations(): Record<SchedulerMessage['kind'], Milliseconds[]> {
 	return {
 		configured: [], loaded: [], submitted: [], cancelled: [], renewed: [], 'incarnation-ended': [], detached: [], 'start-answered': [], 'stop-answered': [], stored: [], tick: [],
