Keep reports of forecasts valid whatever callers declare

An estimate that JSON reads as infinite became null in the report, and the receiver would have rejected the exchange and closed the connection. test/forecast, test/coordinator/forecast and test/scheduling/load-description pass.

--- a/packages/forecast/amounts.ts
+++ b/packages/forecast/amounts.ts
@@ -44,10 +44,13 @@
 	return {processorMillicores: task.processorMillicores * count, memoryMegabytes: task.memoryMegabytes * count, accelerators: task.accelerators * count};
 }
 
+/** Longer estimates count as this one: 30 days. A caller may declare any number, also one that JSON reads as infinite. */
+const maximumDurationMilliseconds = 2_592_000_000;
+
 /** Work of a number of a step's tasks. */
 export function workOf(step: JobStep, count: number, duration: Milliseconds): Work {
 	const {accelerators, processorMillicores} = roomOfTask(step);
-	const time = Math.max(0, duration) * count;
+	const time = Math.min(maximumDurationMilliseconds, Math.max(0, duration)) * count;
 	return {acceleratorMilliseconds: accelerators * time, coreMilliseconds: processorMillicores * time / 1000};
 }
 
--- a/packages/forecast/share.ts
+++ b/packages/forecast/share.ts
@@ -75,8 +75,13 @@
 	return processorMillicores + memoryMegabytes + accelerators === 0;
 }
 
+/** A whole number that JSON can carry; others become null there, and the receiver would reject the whole exchange. */
+function toWhole(amount: number): number {
+	return Math.round(Math.min(Number.MAX_SAFE_INTEGER, amount));
+}
+
 function encodeWork({acceleratorMilliseconds, coreMilliseconds}: Work): SharedWork {
-	return [Math.round(acceleratorMilliseconds), Math.round(coreMilliseconds)];
+	return [toWhole(acceleratorMilliseconds), toWhole(coreMilliseconds)];
 }
 
 function decodeWork([acceleratorMilliseconds, coreMilliseconds]: SharedWork): Work {
@@ -84,7 +89,7 @@
 }
 
 function encodeRoom({processorMillicores, memoryMegabytes, accelerators}: Resources): SharedRoom {
-	return [Math.round(processorMillicores), Math.round(memoryMegabytes), Math.round(accelerators)];
+	return [toWhole(processorMillicores), toWhole(memoryMegabytes), toWhole(accelerators)];
 }
 
 function decodeRoom([processorMillicores, memoryMegabytes, accelerators]: SharedRoom): Resources {
--- a/test/forecast/forecast.test.ts
+++ b/test/forecast/forecast.test.ts
@@ -141,6 +141,12 @@
 		expect(text.length).to.be.below(5000);
 	});
 
+	it('a report of an endless estimate is valid (entries that reject each other\'s exchanges because of one job)', () => {
+		const endless = backlogOf(tenant, 0, {work: workOf({...oneStep, accelerators: 0}, 3, Infinity)});
+		const text = JSON.stringify(shareForecast(forecastOf({waiting: [endless]}), 1000));
+		expect(checkInput(sharedForecastSchema, JSON.parse(text), 'forecast').kind).to.equal('valid');
+	});
+
 	it('estimates are compared with first starts, forgotten with their jobs, and bounded (memory exhausted by waiting jobs)', () => {
 		const observe = (count: number, overrides: Partial<ObservedJob> = {}): readonly ObservedJob[] => Array.from({length: count}, (_, index) => ({
 			job: {...job, job: keyOf(index + 1)}, isNew: true, arrivedAt: 1000, startedAt: undefined, ...overrides,
