Count the values of a body before they are made

A body of 1 MB holds 349,000 empty objects. Decoding and checking them took an entry from 113 to 193 to 216 MB with ten such bodies, and to 211 MB with 60. The test of a refusal for room waits for what the client received, which can come after the count.

--- a/packages/core/parse-json.ts
+++ b/packages/core/parse-json.ts
@@ -44,3 +44,45 @@
 
 	return false;
 }
+
+/** Thrown for text that holds more values than its reader accepts. */
+export class ValueCountError extends VError {
+	constructor(maximum: number) {
+		super({name: 'ValueCountError'}, 'text holds more than %d values', maximum);
+	}
+}
+
+/**
+Parses JSON like `parseJson`, and counts its values before they are made: a text of 1 MB holds 349,000 empty objects, which take 20 MB and several times that while they are checked.
+
+@throws {ValueCountError} If there are more values than the maximum.
+*/
+export function parseBoundedJson(text: string, maximumValues: number): unknown {
+	if (hasMoreValues(text, maximumValues)) {
+		throw new ValueCountError(maximumValues);
+	}
+
+	return parseJson(text);
+}
+
+/** Each value but the first of its array or object follows a comma, and the first one an opening bracket. */
+function hasMoreValues(text: string, maximum: number): boolean {
+	let count = 0;
+	let isInString = false;
+	for (let index = 0; index < text.length && count <= maximum; index++) {
+		const character = text[index];
+		if (isInString) {
+			if (character === '\\') {
+				index++;
+			} else if (character === '"') {
+				isInString = false;
+			}
+		} else if (character === '"') {
+			isInString = true;
+		} else if (character === ',' || character === '[' || character === '{') {
+			count++;
+		}
+	}
+
+	return count > maximum;
+}
--- a/test/transport/http-connection.test.ts
+++ b/test/transport/http-connection.test.ts
@@ -195,7 +195,7 @@
 			async run() {
 				// Headers that do not end count as well.
 				const holders = await Promise.all(['a', 'b', 'c'].map(async name => open(`POST /${name} HTTP/1.1\r\nhost: a\r\nx: ${'x'.repeat(8000)}`)));
-				await waitUntil('refusal', () => refusals.length > 0);
+				await waitUntil('refusal', () => holders.some(({text}) => text() !== ''));
 				const refused = holders.find(({text}) => text() !== '');
 				expect(refused?.text()).to.match(/^HTTP\/1\.1 503 .*\r\nretry-after: 1\r\n/);
 				const client = await open(requestOf('/ordinary'));
