Remember as many observations as detection needs

Change: 16 and 256 observations, one earlier observation of the worker suffices, and two kinds are judged at a time.

--- a/packages/pace/constants.ts
+++ b/packages/pace/constants.ts
@@ -21,7 +21,7 @@
 /** Observations that an estimate of a worker's speed needs. Durations of equal tasks differ by 15%. */
 export const speedObservations = 3;
 /** Remembered observations of a worker. */
-export const rememberedObservations = 12;
+export const rememberedObservations = 16;
 /** Remembered workers: those of the target size. */
 export const rememberedWorkers = 4300;
 /** Remembered open windows. With 2,000 runs a sample takes about 40 ms and the memory stays near 8 MB; with the 23,000 runs of the target size it took 400 ms and 60 MB. */
@@ -37,21 +37,21 @@
 /** The newest observations that show that a worker turned slow, or is no longer slow. */
 export const newestObservations = 3;
 /** Remembered observations of a kind. */
-export const rememberedOfKind = 128;
+export const rememberedOfKind = 256;
 /** Remembered kinds; those without new observations for the longest time are dropped first. */
 export const rememberedKinds = 64;
 /** Held pairs of kinds; those closest to their end are dropped first. */
 export const rememberedPairs = 256;
 /** Neighbours of a kind that are compared at a time, those seen most often. */
 export const comparedNeighbours = 8;
-/** Kinds that are judged with each sample, in turns. Each takes up to 5 ms. */
-export const judgedKinds = 4;
+/** Kinds that are judged with each sample, in turns. Each takes up to 10 ms. */
+export const judgedKinds = 2;
 /** Observations that each side of a comparison needs. */
 export const interferenceObservations = 8;
 /** Workers that each side of a comparison needs, so that a worker that is slow or cold makes no belief. */
 export const interferenceWorkers = 4;
 /** Observations on the same worker without the neighbour, by whose median a pace is divided. */
-export const baselineObservations = 2;
+export const baselineObservations = 1;
 /** Runs beside a neighbour that are slower than this are taken for another fault: a worker that turned slow, a task that is long. */
 export const implausibleInterference = 4;
 /** A pair is believed to interfere below the first factor, and no longer above the second. */
