--- a/test/scheduling/checkpoints.test.ts
+++ b/test/scheduling/checkpoints.test.ts
@@ -1,5 +1,6 @@
 /** Gangs resume as a whole from the newest checkpoint that a worker reported for one of their members. */
 import {expect} from 'chai';
+import * as fastCheck from 'fast-check';
 import {describeProgress} from '#scheduling';
 import type {EndedRun, JobProgress} from '#jobs';
 import {
@@ -206,3 +207,70 @@
 		});
 	}
 });
+
+type Action = Readonly<{agent: 'a' | 'b' | 'c' | 'd'; kind: 'report' | 'end' | 'leave' | 'wait'; percent: number}>;
+
+const actions = fastCheck.array(fastCheck.record<Action>({
+	agent: fastCheck.constantFrom('a', 'b', 'c', 'd'), kind: fastCheck.constantFrom('report', 'report', 'end', 'leave', 'wait'), percent: fastCheck.integer({min: 0, max: 99}),
+}), {minLength: 10, maxLength: 60});
+
+/** Plays reports, ends and departures of the workers of two gangs, and checks each start. */
+function playActions(played: readonly Action[]): void {
+	const driver = createReadyDriver([['a'], ['b'], ['c'], ['d']]);
+	const reported = new Set<string>();
+	const incarnations = new Map<string, number>();
+	const endedRuns = new Map<string, EndedRun[]>();
+	const check = (effects: ReturnType<Driver['send']>) => {
+		const valuesByRun = new Map<string, Set<string>>();
+		for (const {task, run, checkpoint} of startsOf(effects)) {
+			const job = task.slice(0, 16);
+			expect(checkpoint === '' || (checkpoint.startsWith(job) && reported.has(checkpoint)), `${task} starts from ${checkpoint}`).to.equal(true);
+			valuesByRun.set(`${job} ${run}`, (valuesByRun.get(`${job} ${run}`) ?? new Set()).add(checkpoint));
+		}
+
+		expect([...valuesByRun.values()].every(({size}) => size === 1), 'members of one start have one value').to.equal(true);
+	};
+
+	const saveCheckpoint = (task: string) => {
+		const checkpoint = `${task}#${reported.size}`;
+		reported.add(checkpoint);
+		return checkpoint;
+	};
+
+	for (const number of [1, 2]) {
+		check(driver.send({kind: 'submitted', submission: submissionOf(number, [gang])}));
+	}
+
+	for (const {agent, kind, percent} of played) {
+		const incarnation = String(incarnations.get(agent) ?? 1);
+		const tasks = [...driver.state().jobs.values()].flatMap(job => [...job.tasks]);
+		const runs = tasks.flatMap(([task, {run}]) => run?.agent === agent && run.incarnation.incarnation === incarnation ? [{task, run: run.run}] : []);
+		const ended = endedRuns.get(agent) ?? [];
+		if (kind === 'wait') {
+			check(driver.elapse(250));
+		} else if (kind === 'leave') {
+			const last = runs.map(({task, run}, index): EndedRun => ({
+				number: ended.length + index + 1, task, run, ending: 'broken', checkpoint: saveCheckpoint(task),
+			}));
+			check(driver.send({
+				kind: 'incarnation-ended', agent, worker: snapshotOf(agent).worker, incarnation, ending: 'left', ended: last,
+			}));
+			incarnations.set(agent, Number(incarnation) + 1);
+			endedRuns.delete(agent);
+		} else {
+			const ends = kind === 'end' ? runs.slice(0, 1) : [];
+			ended.push(...ends.map(({task, run}, index): EndedRun => ({
+				number: ended.length + index + 1, task, run, ending: 'broken', checkpoint: saveCheckpoint(task),
+			})));
+			endedRuns.set(agent, ended);
+			const running = runs.filter(run => !ends.includes(run)).map(({task, run}) => reportedRunOf(task, run, percent, saveCheckpoint(task)));
+			check(driver.send({kind: 'renewed', agent, snapshot: snapshotOf(agent, {incarnation, running, ended: [...ended]})}));
+		}
+	}
+}
+
+it('each start carries one value that was reported for a member of its own gang (value of another gang, or values that differ)', () => {
+	fastCheck.assert(fastCheck.property(actions, played => {
+		playActions(played);
+	}), {seed: 11, numRuns: 150});
+});
