--- a/test/scheduling/load-description.test.ts
+++ b/test/scheduling/load-description.test.ts
@@ -157,6 +157,7 @@
 				}],
 			}),
 		});
+		driver.send({kind: 'start-answered', agent: 'a', answers: [{task: taskOf(2), run: 1, result: 'started'}]});
 		const [started, ...others] = observeStarts(driver.state(), driver.state().jobs, [keyOf(2), keyOf(9)], driver.time() + 100);
 		expect(started).to.include({isNew: false, startedAt: 500});
 		expect(others).to.deep.equal([]);
