Explain where a job would go in a scheduling pass

Cause: operators cannot see why a job would wait before they submit it. Change: a pass is split into its beginning and its decisions, so that explainPlacement carries it out on a copy of the state with the job added, and counts the workers that were passed over by reason.

--- a/packages/scheduling/index.ts
+++ b/packages/scheduling/index.ts
@@ -13,3 +13,6 @@
 export {describeProgress} from './progress.js';
 export {measureWaitForStarts} from './unanswered-starts.js';
 export {describeLoad, observeStarts} from './load.js';
+export * from './explain.js';
+export {passedOverReasons, type PassedOver, type PassedOverReason} from './passed-over.js';
+export {waitReasons, type WaitReason} from './wait-logs.js';
--- a/packages/scheduling/schedule.ts
+++ b/packages/scheduling/schedule.ts
@@ -33,7 +33,7 @@
 import {extendRackWait, listSchedulingUnits, type SchedulingUnit} from './units.js';
 import {logWaiting} from './wait-logs.js';
 
-type Pass = Readonly<{
+export type Pass = Readonly<{
 	state: SchedulerState;
 	pool: Pool;
 	effects: readonly SchedulerEffect[];
@@ -47,18 +47,45 @@
 	conflicts: Conflicts;
 }>;
 
+/** A pass before its first decision. */
+export type BegunPass = Readonly<{
+	kind: 'begun';
+	pass: Pass;
+	/** In the order in which the pass decides about them. */
+	units: readonly SchedulingUnit[];
+	/** Workers before room was claimed for work that waits. */
+	pool: Pool;
+}>;
+
 /** Carries out a scheduling pass. */
 export function schedule(state: SchedulerState, time: CurrentTime): SchedulerTransition {
+	const begun = beginPass(state, time);
+	if (begun.kind === 'nothing-waits') {
+		return begun.transition;
+	}
+
+	let {pass} = begun;
+	const {isScheduleDue} = pass.state;
+	for (const unit of begun.units) {
+		pass = scheduleUnit(pass, unit, time.monotonic);
+	}
+
+	const logged = logWaiting(pass.state, pass.waiting, pass.pool, time.monotonic);
+	return {state: {...logged.state, isScheduleDue}, effects: [...pass.effects, ...logged.effects]};
+}
+
+/** Opens due occurrences and prepares the decisions of a pass. */
+export function beginPass(state: SchedulerState, time: CurrentTime): BegunPass | Readonly<{kind: 'nothing-waits'; transition: SchedulerTransition}> {
 	const next = {...state, isScheduleDue: false};
 	if (!state.isLoaded || state.configuration === undefined) {
-		return {state: next, effects: []};
+		return {kind: 'nothing-waits', transition: {state: next, effects: []}};
 	}
 
 	const ranks = rankJobs(state);
 	const opened = openDueOccurrences(next, ranks, time);
 	const waiting = listSchedulingUnits(opened.state, ranks, time);
 	if (waiting.length === 0) {
-		return opened;
+		return {kind: 'nothing-waits', transition: opened};
 	}
 
 	const pool = createPool(opened.state, ranks, time.monotonic);
@@ -67,18 +94,16 @@
 	const units = ordered.map(unit => markKindToKeepApart(unit, conflicts));
 	const claims = listHeldClaims(opened.state, units, pool, time.monotonic);
 	const claimed = claims.reduce((next, held) => addConflicts(next, [...held.claim.taskCounts.keys()], held, conflicts), holdClaims(pool, claims));
-	let pass: Pass = {
+	const pass: Pass = {
 		state: opened.state, pool: claimed, effects: opened.effects, reservedRanks: new Set(), exhausted: [], claims, waiting: [], conflicts,
 	};
-	for (const unit of units) {
-		pass = scheduleUnit(pass, unit, time.monotonic);
-	}
-
-	const logged = logWaiting(pass.state, pass.waiting, pass.pool, time.monotonic);
-	return {state: {...logged.state, isScheduleDue: opened.state.isScheduleDue}, effects: [...pass.effects, ...logged.effects]};
+	return {
+		kind: 'begun', pass, units, pool,
+	};
 }
 
-function scheduleUnit(pass: Pass, unit: SchedulingUnit, monotonic: MonotonicTime): Pass {
+/** Decides about one unit: its tasks start, runs are stopped for it, or it waits. */
+export function scheduleUnit(pass: Pass, unit: SchedulingUnit, monotonic: MonotonicTime): Pass {
 	if (unit.isHeldBack && isJobBusy(pass.state, unit, monotonic)) {
 		return {...pass, waiting: [...pass.waiting, unit]};
 	}
@@ -109,7 +134,8 @@
 	return job !== undefined && (job.counts.running > 0 || (job.claim !== undefined && monotonic < job.claim.until));
 }
 
-function findPlacements({pool, exhausted}: Pass, unit: SchedulingUnit, claim: RoomClaim | undefined, monotonic: MonotonicTime): readonly Placement[] {
+/** Finds workers for the unit's tasks on the room claimed for it, or anywhere. */
+export function findPlacements({pool, exhausted}: Pass, unit: SchedulingUnit, claim: RoomClaim | undefined, monotonic: MonotonicTime): readonly Placement[] {
 	const onClaim = claim === undefined || unit.isolation !== 'none' ? [] : placeOnClaim(unit, claim, pool);
 	if (onClaim.length > 0) {
 		return onClaim;
--- a/packages/scheduling/wait-logs.ts
+++ b/packages/scheduling/wait-logs.ts
@@ -22,7 +22,10 @@
 - `wants-last-attempt`: the last attempt of another task decides whether the job can complete.
 - `no-room`: other runs occupy the workers that the unit could use.
 */
-type WaitReason = 'no-worker' | 'larger-than-pool' | 'beside-lasting-work' | 'wants-rack' | 'wants-idle-worker' | 'wants-last-attempt' | 'zone-closed' | 'no-room';
+export const waitReasons = [
+	'no-worker', 'larger-than-pool', 'beside-lasting-work', 'wants-rack', 'wants-idle-worker', 'wants-last-attempt', 'zone-closed', 'no-room',
+] as const;
+export type WaitReason = typeof waitReasons[number];
 
 /** Whether the unit would fit with the workers of closed zones, now or once their runs have ended, and does not without them. */
 function isHeldByClosedZones(unit: SchedulingUnit, open: readonly PoolWorker[], held: readonly PoolWorker[]): boolean {
@@ -80,11 +83,17 @@
 	return {state: next, effects};
 }
 
+/** Tells why a unit does not start on the workers of the pool. */
+export function explainWait(unit: SchedulingUnit, pool: Pool, monotonic: MonotonicTime): WaitReason {
+	const held = listHeldByZones(unit, pool);
+	const isHeld = held.length > 0 && isHeldByClosedZones(unit, listEligible(unit, pool), held);
+	return isHeld ? 'zone-closed' : findWaitReason(unit, listCandidates(unit, pool), monotonic);
+}
+
 function describeWait(unit: SchedulingUnit, pool: Pool, monotonic: MonotonicTime): Readonly<Record<string, unknown>> {
 	const candidates = listCandidates(unit, pool);
 	const held = listHeldByZones(unit, pool);
-	const isHeld = held.length > 0 && isHeldByClosedZones(unit, listEligible(unit, pool), held);
-	const reason = isHeld ? 'zone-closed' : findWaitReason(unit, candidates, monotonic);
+	const reason = explainWait(unit, pool, monotonic);
 	const common = {
 		job: unit.job.submission.job, step: unit.stepIndex, tasks: unit.tasks.length, rank: unit.rank, waitedMilliseconds: Math.round(monotonic - unit.waitingSince), reason,
 	};
