Preview the admission of a job without counting it

Cause: an explanation must give the decision of a submission and change nothing. Change: the services of admission and forecast have preview, which shares its decision with request; the stand-ins of the undecided test have it as well.

--- a/packages/coordinator/plugins/admission.ts
+++ b/packages/coordinator/plugins/admission.ts
@@ -16,6 +16,8 @@
 export type Admission = Readonly<{
 	/** An admitted job counts from now on, whether its submission succeeds or not, until the scheduler's report would include it. */
 	request(submission: JobSubmission): JobAdmission | LateJob;
+	/** What `request` would decide now by memory; the job does not count. */
+	preview(submission: JobSubmission): JobAdmission;
 	/** What this entry's scheduler needs; undefined if it does not schedule. */
 	describe(): SharedMemoryUse | undefined;
 	/** Takes over what the scheduler of another entry reports. */
@@ -64,14 +66,24 @@
 			};
 		};
 
+		/** Decides by memory. Some of the admitted jobs may be part of what is known already, or were not stored. */
+		const decide = (bytes: number, tenant: string): JobAdmission => {
+			const decision = decideAdmission(bytes, addAdmitted(tenant, admitted));
+			return decision.kind === 'refused' && decideAdmission(bytes, addAdmitted(tenant, [])).kind === 'admitted'
+				? {kind: 'refused', retryAfterMilliseconds: acceptanceVisibleMilliseconds}
+				: decision;
+		};
+
+		const estimateBytes = ({request}: JobSubmission) => estimateRecordBytes(request) + estimateTaskBytes(request);
+
 		services.provide(admissionService, {
 			request(submission) {
-				const {job, tenant = '', request} = submission;
+				const {job, tenant = ''} = submission;
 				measureOwn();
 				// A retry takes the place of the earlier attempt.
 				admitted = admitted.filter(earlier => earlier.job !== job);
-				const bytes = estimateRecordBytes(request) + estimateTaskBytes(request);
-				const decision = decideAdmission(bytes, addAdmitted(tenant, admitted));
+				const bytes = estimateBytes(submission);
+				const decision = decide(bytes, tenant);
 				if (decision.kind === 'admitted') {
 					const forecast = services.use(forecastService).request(submission);
 					if (forecast.kind === 'refuse') {
@@ -83,10 +95,11 @@
 					}];
 				}
 
-				// Some of the admitted jobs may be part of what is known already, or were not stored.
-				return decision.kind === 'refused' && decideAdmission(bytes, addAdmitted(tenant, [])).kind === 'admitted'
-					? {kind: 'refused', retryAfterMilliseconds: acceptanceVisibleMilliseconds}
-					: decision;
+				return decision;
+			},
+			preview(submission) {
+				measureOwn();
+				return decide(estimateBytes(submission), submission.tenant ?? '');
 			},
 			describe() {
 				if (!measureOwn() || known === undefined) {
--- a/packages/coordinator/plugins/forecast.ts
+++ b/packages/coordinator/plugins/forecast.ts
@@ -1,6 +1,7 @@
 import {assertNever, type MonotonicTime} from '#core';
 import {
-	addAdmittedJobs, createForecast, decideByForecast, measureBacklog, receiveForecast, shareForecast, trackEstimates, type Forecast, type ForecastDecision, type SharedForecast, type TrackedEstimates,
+	addAdmittedJobs, createForecast, decideByForecast, estimateJob, measureBacklog, receiveForecast, shareForecast, trackEstimates,
+	type Forecast, type ForecastDecision, type JobEstimate, type SharedForecast, type TrackedEstimates,
 } from '#forecast';
 import type {JobSubmission} from '#jobs';
 import {createServiceKey} from '#kernel';
@@ -14,12 +15,17 @@
 export type JobForecasts = Readonly<{
 	/** Decides about a job. One that is not refused counts from now on, until the next forecast. */
 	request(submission: JobSubmission): ForecastDecision;
+	/** What `request` would decide now, with the estimate of a job that is on time; the job does not count. */
+	preview(submission: JobSubmission): ForecastPreview;
 	/** The forecast of this entry's scheduler; undefined if it does not schedule or cannot say. */
 	describe(): SharedForecast | undefined;
 	/** Takes over the forecast of another entry's scheduler. */
 	observe(forecast: SharedForecast): void;
 }>;
 
+/** The estimate is absent if nothing is estimated for such a job. */
+export type ForecastPreview = Readonly<{decision: ForecastDecision; estimate: JobEstimate | undefined}>;
+
 export const forecastService = createServiceKey<JobForecasts>('forecast');
 
 type AdmittedJob = Readonly<{submission: JobSubmission; at: MonotonicTime}>;
@@ -90,13 +96,17 @@
 			clock.schedule(chooseForecastDelay(duration), tick);
 		};
 
+		const decide = (submission: JobSubmission, now: MonotonicTime) => {
+			const forecast = known === undefined ? undefined : addAdmittedJobs(known, admitted.map(earlier => earlier.submission));
+			return {forecast, decision: applySetting(decideByForecast(forecast, submission, now), context)};
+		};
+
 		services.provide(forecastService, {
 			request(submission) {
 				const now = clock.monotonic();
 				// A retry takes the place of the earlier attempt.
 				admitted = admitted.filter(earlier => earlier.submission.job !== submission.job);
-				const forecast = known === undefined ? undefined : addAdmittedJobs(known, admitted.map(earlier => earlier.submission));
-				const decision = applySetting(decideByForecast(forecast, submission, now), context);
+				const {decision} = decide(submission, now);
 				if (decision.kind !== 'refuse') {
 					admitted = [...admitted, {submission, at: now}];
 				}
@@ -104,6 +114,11 @@
 				logDecision(decision, submission, context);
 				return decision;
 			},
+			preview(submission) {
+				const {forecast, decision} = decide(submission, clock.monotonic());
+				const isOnTime = decision.kind === 'accept' && decision.reason === 'on-time';
+				return {decision, estimate: decision.kind === 'accept' ? (isOnTime && forecast !== undefined ? estimateJob(forecast, submission) : undefined) : decision.estimate};
+			},
 			describe() {
 				return own?.forecast === undefined || services.use(schedulerService).read()?.epoch !== own.epoch ? undefined : shareForecast(own.forecast, clock.monotonic());
 			},
--- a/test/coordinator/undecided.test.ts
+++ b/test/coordinator/undecided.test.ts
@@ -24,10 +24,13 @@
 	services.provide(configurationService, configuration as never);
 	services.provide(leadershipService, leadership as never);
 	services.provide(admissionService, {
-		request: () => ({kind: 'admitted'}), describe: () => undefined, observe: () => undefined,
+		request: () => ({kind: 'admitted'}), preview: () => ({kind: 'admitted'}), describe: () => undefined, observe: () => undefined,
 	});
 	services.provide(forecastService, {
-		request: () => ({kind: 'accept', reason: 'no-forecast'}), describe: () => undefined, observe: () => undefined,
+		request: () => ({kind: 'accept', reason: 'no-forecast'}),
+		preview: () => ({decision: {kind: 'accept', reason: 'no-forecast'}, estimate: undefined}),
+		describe: () => undefined,
+		observe: () => undefined,
 	});
 	const context = {
 		services, clock, counters: createCounters(), log: silentLog,
