--- a/packages/command-line/commands/index.ts
+++ b/packages/command-line/commands/index.ts
@@ -8,3 +8,4 @@
 import './cancel.js';
 import './fleet.js';
 import './zones.js';
+import './explain.js';
--- a/packages/coordinator/constants.ts
+++ b/packages/coordinator/constants.ts
@@ -34,6 +34,8 @@
 export const successorRetryMilliseconds = 500;
 /** Runs in a closed zone that operators are shown one by one. */
 export const maximumShownRuns = 200;
+/** Explanations that an entry handles. Each costs the scheduler a pass, and may not delay the work. */
+export const explanationLimit = {perSecond: 1, burst: 1} as const;
 /** Timeout of calls between entries. */
 export const entryCallTimeoutMilliseconds = 900;
 /** Delay before a failed write of the scheduler's records is retried. */
--- a/packages/coordinator/plugins/index.ts
+++ b/packages/coordinator/plugins/index.ts
@@ -21,3 +21,4 @@
 import './renew-worker.js';
 import './count-pending.js';
 import './show-zones.js';
+import './explain.js';
--- a/packages/protocol/methods.ts
+++ b/packages/protocol/methods.ts
@@ -13,6 +13,7 @@
 	schedulerAnnouncementSchema, renewWorkerParametersSchema, renewWorkerResultSchema, startTasksParametersSchema, startTasksResultSchema,
 	showZonesResultSchema, stopTasksParametersSchema, stopTasksResultSchema, takeOverParametersSchema,
 } from './scheduling.js';
+import {explainParametersSchema, explainResultSchema} from './explain.js';
 
 /** All JSON-RPC methods between processes, with their parameter and result schemas. */
 export const methods = {
@@ -41,6 +42,7 @@
 	'entry.call': {parameters: forwardedCallSchema, result: forwardedAnswerSchema},
 	'entry.count-pending': {parameters: countPendingParametersSchema, result: countPendingResultSchema},
 	'entry.show-zones': {parameters: emptySchema, result: showZonesResultSchema},
+	'entry.explain': {parameters: explainParametersSchema, result: explainResultSchema},
 	'entry.check-store': {parameters: emptySchema, result: checkStoreResultSchema},
 	'entry.take-over': {parameters: takeOverParametersSchema, result: emptySchema},
 	probe: {parameters: emptySchema, result: emptySchema},
