--- a/review/stand-ins-3/cluster.mjs
+++ b/review/stand-ins-3/cluster.mjs
@@ -353,6 +353,12 @@
 		console.error('the case took too long');
 		finish(2);
 	}, maximumMilliseconds);
+	process.once('SIGTERM', () => {
+		finish(2);
+	});
+	process.once('SIGINT', () => {
+		finish(2);
+	});
 	try {
 		const broken = await play({note, isTroubled: process.env.TROUBLE !== '0'});
 		for (const finding of broken) {
